Set up the build, the core types and the wire codec

Cause: the project needs its folders, strong types and a fixed message set before any process can be built on them.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+BUILD ?= build
+JOBS ?= $(shell nproc)
+
+.PHONY: all install build check format format-check lint test clean
+
+all: build
+
+install:
+	.ci/install
+
+$(BUILD)/build.ninja: CMakeLists.txt | install
+	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo
+
+build: install $(BUILD)/build.ninja
+	ninja -C $(BUILD) -j $(JOBS)
+
+format:
+	tools/sources | xargs clang-format -i
+
+format-check:
+	tools/sources | xargs clang-format --dry-run -Werror
+
+lint: $(BUILD)/build.ninja
+	tools/lint $(BUILD) $(JOBS)
+
+test: build
+	tools/run-tests $(BUILD) $(JOBS)
+
+check: install format-check build lint test
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/packages/wire/src/codec.cc
@@ -0,0 +1,538 @@
+#include "frame_generated.h"
+
+#include <lycheestand/wire.h>
+#include <memory>
+
+// Converts between the typed messages and the generated FlatBuffers types.
+// Every table has one Pack and one Unpack; Decode verifies the buffer first.
+
+namespace lycheestand::wire {
+
+namespace {
+
+// Raised inside the codec for a field that verifies but has no valid value.
+struct InvalidField
+{};
+
+std::vector<std::uint8_t>
+ToBytes(const std::string& aText)
+{
+  return { aText.begin(), aText.end() };
+}
+
+std::string
+ToText(const std::vector<std::uint8_t>& aBytes)
+{
+  return { aBytes.begin(), aBytes.end() };
+}
+
+std::string
+PackAddress(const Address& aAddress)
+{
+  return aAddress.host.empty() ? std::string() : ToString(aAddress);
+}
+
+Address
+UnpackAddress(const std::string& aText)
+{
+  if (aText.empty()) {
+    return {};
+  }
+  auto address = ParseAddress(aText);
+  if (address.has_error()) {
+    throw InvalidField{};
+  }
+  return address.value();
+}
+
+template<class E>
+E
+CheckedEnum(std::uint8_t aValue, E aLast)
+{
+  if (aValue > static_cast<std::uint8_t>(aLast)) {
+    throw InvalidField{};
+  }
+  return static_cast<E>(aValue);
+}
+
+fb::HelloT
+Pack(const Hello& aIn)
+{
+  fb::HelloT out;
+  out.instance = aIn.instance.Get();
+  out.zone = aIn.zone.Get();
+  out.session = aIn.session.Get();
+  out.caller_address = PackAddress(aIn.callerAddress);
+  out.protocol = aIn.protocol;
+  out.is_control = aIn.isControl;
+  return out;
+}
+
+Hello
+Unpack(const fb::HelloT& aIn)
+{
+  return {
+    InstanceId(aIn.instance),          ZoneId(aIn.zone), SessionId(aIn.session),
+    UnpackAddress(aIn.caller_address), aIn.protocol,     aIn.is_control
+  };
+}
+
+fb::WelcomeT
+Pack(const Welcome& aIn)
+{
+  fb::WelcomeT out;
+  out.accepted = aIn.accepted;
+  out.leader = aIn.leader;
+  out.reason = aIn.reason;
+  return out;
+}
+
+Welcome
+Unpack(const fb::WelcomeT& aIn)
+{
+  return { aIn.accepted, aIn.leader, aIn.reason };
+}
+
+fb::HeartbeatT
+Pack(const Heartbeat& aIn)
+{
+  fb::HeartbeatT out;
+  out.sent_at = aIn.sentAt.count();
+  out.config_version = aIn.configVersion.Get();
+  out.view_version = aIn.viewVersion.Get();
+  out.in_flight = aIn.inFlight;
+  out.leaving = aIn.leaving;
+  return out;
+}
+
+Heartbeat
+Unpack(const fb::HeartbeatT& aIn)
+{
+  return { std::chrono::nanoseconds(aIn.sent_at),
+           ConfigVersion(aIn.config_version),
+           ViewVersion(aIn.view_version),
+           aIn.in_flight,
+           aIn.leaving };
+}
+
+fb::HeartbeatAckT
+Pack(const HeartbeatAck& aIn)
+{
+  fb::HeartbeatAckT out;
+  out.sent_at = aIn.sentAt.count();
+  out.config_version = aIn.configVersion.Get();
+  return out;
+}
+
+HeartbeatAck
+Unpack(const fb::HeartbeatAckT& aIn)
+{
+  return { std::chrono::nanoseconds(aIn.sent_at),
+           ConfigVersion(aIn.config_version) };
+}
+
+fb::ConfigPushT
+Pack(const ConfigPush& aIn)
+{
+  fb::ConfigPushT out;
+  out.version = aIn.version.Get();
+  out.document = aIn.document;
+  return out;
+}
+
+ConfigPush
+Unpack(const fb::ConfigPushT& aIn)
+{
+  return { ConfigVersion(aIn.version), aIn.document };
+}
+
+fb::InstanceEntryT
+Pack(const InstanceEntry& aIn)
+{
+  fb::InstanceEntryT out;
+  out.instance = aIn.instance.Get();
+  out.zone = aIn.zone.Get();
+  out.caller_address = PackAddress(aIn.callerAddress);
+  out.in_flight = aIn.inFlight;
+  out.leaving = aIn.leaving;
+  out.alive = aIn.alive;
+  return out;
+}
+
+InstanceEntry
+Unpack(const fb::InstanceEntryT& aIn)
+{
+  return { InstanceId(aIn.instance),
+           ZoneId(aIn.zone),
+           UnpackAddress(aIn.caller_address),
+           aIn.in_flight,
+           aIn.leaving,
+           aIn.alive };
+}
+
+fb::EndpointEntryT
+Pack(const EndpointEntry& aIn)
+{
+  fb::EndpointEntryT out;
+  out.endpoint = aIn.endpoint.Get();
+  out.zone = aIn.zone.Get();
+  out.address = PackAddress(aIn.address);
+  out.serves = aIn.serves;
+  out.is_service = aIn.isService;
+  out.leaving = aIn.leaving;
+  return out;
+}
+
+EndpointEntry
+Unpack(const fb::EndpointEntryT& aIn)
+{
+  return { EndpointId(aIn.endpoint),
+           ZoneId(aIn.zone),
+           UnpackAddress(aIn.address),
+           aIn.serves,
+           aIn.is_service,
+           aIn.leaving };
+}
+
+fb::UsageEntryT
+Pack(const UsageEntry& aIn)
+{
+  fb::UsageEntryT out;
+  out.workspace = aIn.workspace.Get();
+  out.spent = aIn.spent.Get();
+  out.returned = aIn.returned.Get();
+  out.requests = aIn.requests;
+  return out;
+}
+
+UsageEntry
+Unpack(const fb::UsageEntryT& aIn)
+{
+  return { WorkspaceId(aIn.workspace),
+           Tokens(aIn.spent),
+           Tokens(aIn.returned),
+           aIn.requests };
+}
+
+fb::LogEntryT
+Pack(const LogRecord& aIn)
+{
+  fb::LogEntryT out;
+  out.term = aIn.term.Get();
+  out.index = aIn.index.Get();
+  out.kind = aIn.kind;
+  out.payload = ToBytes(aIn.payload);
+  return out;
+}
+
+LogRecord
+Unpack(const fb::LogEntryT& aIn)
+{
+  return { Term(aIn.term), LogIndex(aIn.index), aIn.kind, ToText(aIn.payload) };
+}
+
+// Packs each element of a list into its table.
+template<class Table, class Value>
+std::vector<std::unique_ptr<Table>>
+PackList(const std::vector<Value>& aIn)
+{
+  std::vector<std::unique_ptr<Table>> out;
+  out.reserve(aIn.size());
+  for (const auto& value : aIn) {
+    out.push_back(std::make_unique<Table>(Pack(value)));
+  }
+  return out;
+}
+
+// Unpacks each table of a list into a value.
+template<class Value, class Table>
+std::vector<Value>
+UnpackList(const std::vector<std::unique_ptr<Table>>& aIn)
+{
+  std::vector<Value> out;
+  out.reserve(aIn.size());
+  for (const auto& table : aIn) {
+    out.push_back(Unpack(*table));
+  }
+  return out;
+}
+
+fb::ViewPushT
+Pack(const ViewPush& aIn)
+{
+  fb::ViewPushT out;
+  out.version = aIn.version.Get();
+  out.instances = PackList<fb::InstanceEntryT>(aIn.instances);
+  out.endpoints = PackList<fb::EndpointEntryT>(aIn.endpoints);
+  return out;
+}
+
+ViewPush
+Unpack(const fb::ViewPushT& aIn)
+{
+  return { ViewVersion(aIn.version),
+           UnpackList<InstanceEntry>(aIn.instances),
+           UnpackList<EndpointEntry>(aIn.endpoints) };
+}
+
+fb::GrantRequestT
+Pack(const GrantRequest& aIn)
+{
+  fb::GrantRequestT out;
+  out.request = aIn.request;
+  out.workspace = aIn.workspace.Get();
+  out.minimum = aIn.minimum.Get();
+  out.wanted = aIn.wanted.Get();
+  return out;
+}
+
+GrantRequest
+Unpack(const fb::GrantRequestT& aIn)
+{
+  return { aIn.request,
+           WorkspaceId(aIn.workspace),
+           Tokens(aIn.minimum),
+           Tokens(aIn.wanted) };
+}
+
+fb::GrantReplyT
+Pack(const GrantReply& aIn)
+{
+  fb::GrantReplyT out;
+  out.request = aIn.request;
+  out.workspace = aIn.workspace.Get();
+  out.grant = aIn.grant.Get();
+  out.tokens = aIn.tokens.Get();
+  out.exhausted = aIn.exhausted;
+  return out;
+}
+
+GrantReply
+Unpack(const fb::GrantReplyT& aIn)
+{
+  return { aIn.request,
+           WorkspaceId(aIn.workspace),
+           GrantId(aIn.grant),
+           Tokens(aIn.tokens),
+           aIn.exhausted };
+}
+
+fb::RecallT
+Pack(const Recall& aIn)
+{
+  fb::RecallT out;
+  out.workspace = aIn.workspace.Get();
+  out.tokens = aIn.tokens.Get();
+  return out;
+}
+
+Recall
+Unpack(const fb::RecallT& aIn)
+{
+  return { WorkspaceId(aIn.workspace), Tokens(aIn.tokens) };
+}
+
+fb::UsageReportT
+Pack(const UsageReport& aIn)
+{
+  fb::UsageReportT out;
+  out.batch = aIn.batch.Get();
+  out.entries = PackList<fb::UsageEntryT>(aIn.entries);
+  return out;
+}
+
+UsageReport
+Unpack(const fb::UsageReportT& aIn)
+{
+  return { BatchNumber(aIn.batch), UnpackList<UsageEntry>(aIn.entries) };
+}
+
+fb::UsageAckT
+Pack(const UsageAck& aIn)
+{
+  fb::UsageAckT out;
+  out.batch = aIn.batch.Get();
+  return out;
+}
+
+UsageAck
+Unpack(const fb::UsageAckT& aIn)
+{
+  return { BatchNumber(aIn.batch) };
+}
+
+fb::OperationRequestT
+Pack(const OperationRequest& aIn)
+{
+  fb::OperationRequestT out;
+  out.request = aIn.request;
+  out.workspace = aIn.workspace.Get();
+  out.key = aIn.key.Get();
+  out.body_hash = aIn.bodyHash.Get();
+  out.phase = static_cast<fb::OperationPhase>(aIn.phase);
+  out.status = aIn.answer.status;
+  out.content_type = aIn.answer.contentType;
+  out.answer = ToBytes(aIn.answer.body);
+  return out;
+}
+
+OperationRequest
+Unpack(const fb::OperationRequestT& aIn)
+{
+  return { aIn.request,
+           WorkspaceId(aIn.workspace),
+           OperationKey(aIn.key),
+           BodyHash(aIn.body_hash),
+           CheckedEnum(static_cast<std::uint8_t>(aIn.phase),
+                       OperationPhase::Unknown),
+           { aIn.status, aIn.content_type, ToText(aIn.answer) } };
+}
+
+fb::OperationReplyT
+Pack(const OperationReply& aIn)
+{
+  fb::OperationReplyT out;
+  out.request = aIn.request;
+  out.state = static_cast<fb::OperationState>(aIn.state);
+  out.status = aIn.answer.status;
+  out.content_type = aIn.answer.contentType;
+  out.answer = ToBytes(aIn.answer.body);
+  return out;
+}
+
+OperationReply
+Unpack(const fb::OperationReplyT& aIn)
+{
+  return { aIn.request,
+           CheckedEnum(static_cast<std::uint8_t>(aIn.state),
+                       OperationState::Refused),
+           { aIn.status, aIn.content_type, ToText(aIn.answer) } };
+}
+
+fb::DrainT
+Pack(const Drain&)
+{
+  return {};
+}
+
+Drain
+Unpack(const fb::DrainT&)
+{
+  return {};
+}
+
+fb::ReplicationT
+Pack(const Replication& aIn)
+{
+  fb::ReplicationT out;
+  out.group = aIn.group.Get();
+  out.kind = aIn.kind;
+  out.from = aIn.from.Get();
+  out.from_disk = aIn.fromDisk.Get();
+  out.to_disk = aIn.toDisk.Get();
+  out.term = aIn.term.Get();
+  out.last_index = aIn.lastIndex.Get();
+  out.last_term = aIn.lastTerm.Get();
+  out.commit = aIn.commit.Get();
+  out.granted = aIn.granted;
+  out.round = aIn.round;
+  out.entries = PackList<fb::LogEntryT>(aIn.entries);
+  out.snapshot = ToBytes(aIn.snapshot);
+  return out;
+}
+
+Replication
+Unpack(const fb::ReplicationT& aIn)
+{
+  Replication out;
+  out.group = GroupId(aIn.group);
+  out.kind = aIn.kind;
+  out.from = InstanceId(aIn.from);
+  out.fromDisk = DiskId(aIn.from_disk);
+  out.toDisk = DiskId(aIn.to_disk);
+  out.term = Term(aIn.term);
+  out.lastIndex = LogIndex(aIn.last_index);
+  out.lastTerm = Term(aIn.last_term);
+  out.commit = LogIndex(aIn.commit);
+  out.granted = aIn.granted;
+  out.round = aIn.round;
+  out.entries = UnpackList<LogRecord>(aIn.entries);
+  out.snapshot = ToText(aIn.snapshot);
+  return out;
+}
+
+// Converts the union's table to the typed message.
+Message
+UnpackBody(fb::BodyUnion& aBody)
+{
+  switch (aBody.type) {
+    case fb::Body::Hello:
+      return Unpack(*aBody.AsHello());
+    case fb::Body::Welcome:
+      return Unpack(*aBody.AsWelcome());
+    case fb::Body::Heartbeat:
+      return Unpack(*aBody.AsHeartbeat());
+    case fb::Body::HeartbeatAck:
+      return Unpack(*aBody.AsHeartbeatAck());
+    case fb::Body::ConfigPush:
+      return Unpack(*aBody.AsConfigPush());
+    case fb::Body::ViewPush:
+      return Unpack(*aBody.AsViewPush());
+    case fb::Body::GrantRequest:
+      return Unpack(*aBody.AsGrantRequest());
+    case fb::Body::GrantReply:
+      return Unpack(*aBody.AsGrantReply());
+    case fb::Body::Recall:
+      return Unpack(*aBody.AsRecall());
+    case fb::Body::UsageReport:
+      return Unpack(*aBody.AsUsageReport());
+    case fb::Body::UsageAck:
+      return Unpack(*aBody.AsUsageAck());
+    case fb::Body::OperationRequest:
+      return Unpack(*aBody.AsOperationRequest());
+    case fb::Body::OperationReply:
+      return Unpack(*aBody.AsOperationReply());
+    case fb::Body::Drain:
+      return Unpack(*aBody.AsDrain());
+    case fb::Body::Replication:
+      return Unpack(*aBody.AsReplication());
+    case fb::Body::NONE:
+      break;
+  }
+  throw InvalidField{};
+}
+
+} // namespace
+
+std::string
+Encode(const Message& aMessage)
+{
+  fb::FrameT frame;
+  std::visit([&](const auto& aBody) { frame.body.Set(Pack(aBody)); }, aMessage);
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(fb::Frame::Pack(builder, &frame));
+  return { reinterpret_cast<const char*>(builder.GetBufferPointer()),
+           builder.GetSize() };
+}
+
+Result<Message, WireError>
+Decode(std::string_view aBytes)
+{
+  flatbuffers::Verifier verifier(
+    reinterpret_cast<const std::uint8_t*>(aBytes.data()), aBytes.size());
+  if (!fb::VerifyFrameBuffer(verifier)) {
+    return WireError::Malformed;
+  }
+  fb::FrameT frame;
+  fb::GetFrame(aBytes.data())->UnPackTo(&frame);
+  if (frame.body.type == fb::Body::NONE || frame.body.value == nullptr) {
+    return WireError::UnknownMessage;
+  }
+  try {
+    return UnpackBody(frame.body);
+  } catch (const InvalidField&) {
+    return WireError::InvalidValue;
+  }
+}
+
+} // namespace lycheestand::wire
--- /dev/null
+++ b/test/catch_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
