Add tasks that own sockets, the replicated state, the purse and settings

Cause: routers and control need socket tasks and pure decisions before the first request can pass through separate processes. Change: net (actor executor, HTTP server and client, encrypted links, logs, metrics), state (controllers and their commands), budget (purse) and settings.

--- /dev/null
+++ b/packages/budget/src/purse.cc
@@ -0,0 +1,309 @@
+#include <algorithm>
+#include <lycheestand/budget.h>
+
+namespace lycheestand::budget {
+
+namespace {
+
+// Tokens that a chat template adds to each message and to the prompt.
+constexpr std::int64_t kTokensPerMessage = 16;
+constexpr std::int64_t kTokensPerPrompt = 32;
+
+constexpr Duration kRateWindow = std::chrono::milliseconds(500);
+
+// Weight of the newest window in the smoothed rate.
+constexpr double kRateWeight = 0.5;
+
+// A busy router keeps twice what it would ask for, so that it does not return
+// tokens and ask for them again in the same second.
+constexpr std::int64_t kSurplusFactor = 2;
+
+Tokens
+SizeByDemand(double aTokensPerSecond, Duration aHorizon)
+{
+  double seconds = std::chrono::duration<double>(aHorizon).count();
+  return Tokens(static_cast<std::int64_t>(aTokensPerSecond * seconds));
+}
+
+} // namespace
+
+// A byte-level tokenizer makes at most one token of a byte.
+Tokens
+BoundPrompt(std::size_t aTextBytes, std::size_t aMessages)
+{
+  return Tokens(static_cast<std::int64_t>(aTextBytes) +
+                static_cast<std::int64_t>(aMessages) * kTokensPerMessage +
+                kTokensPerPrompt);
+}
+
+Purse::Purse(PurseOptions aOptions)
+  : options(std::move(aOptions))
+{
+  if (!this->options.sizeGrant) {
+    this->options.sizeGrant = SizeByDemand;
+  }
+}
+
+std::optional<Decision>
+Purse::Reserve(const Claim& aClaim, TimePoint aNow)
+{
+  Account& account = this->accounts[aClaim.workspace];
+  this->UpdateRate(account, aNow);
+  account.lastClaim = aNow;
+  account.recentTokens += static_cast<double>(aClaim.wanted.Get());
+  // Earlier claims are served first.
+  if (account.queue.empty() && account.available >= aClaim.minimum) {
+    return this->Grant(
+      account, aClaim, std::min(account.available, aClaim.wanted));
+  }
+  account.queue.push_back({ aClaim, aNow + this->options.claimTimeout });
+  return std::nullopt;
+}
+
+Decision
+Purse::Grant(Account& aAccount, const Claim& aClaim, Tokens aTokens)
+{
+  aAccount.available -= aTokens;
+  aAccount.reserved += aTokens;
+  this->reservations[aClaim.ticket] = { aClaim.workspace, aTokens };
+  return { aClaim.ticket, aTokens, std::nullopt };
+}
+
+void
+Purse::Settle(Ticket aTicket, Tokens aSpent, TimePoint aNow)
+{
+  auto found = this->reservations.find(aTicket);
+  if (found == this->reservations.end()) {
+    for (auto& [workspace, account] : this->accounts) {
+      std::erase_if(account.queue, [&](const Waiting& aWaiting) {
+        return aWaiting.claim.ticket == aTicket;
+      });
+    }
+    return;
+  }
+  Reservation reservation = found->second;
+  this->reservations.erase(found);
+  Account& account = this->accounts[reservation.workspace];
+  Tokens spent = std::clamp(aSpent, Tokens(0), reservation.tokens);
+  account.reserved -= reservation.tokens;
+  account.available += reservation.tokens - spent;
+  account.unreported.spent += spent;
+  account.unreported.requests += 1;
+  this->UpdateRate(account, aNow);
+}
+
+std::vector<Decision>
+Purse::Poll(TimePoint aNow)
+{
+  std::vector<Decision> decisions;
+  for (auto& [workspace, account] : this->accounts) {
+    this->Serve(account, aNow, decisions);
+  }
+  return decisions;
+}
+
+// A claim is refused as exhausted only when this router's own reservations,
+// which may settle for less, can't make room either.
+void
+Purse::Serve(Account& aAccount,
+             TimePoint aNow,
+             std::vector<Decision>& aDecisions)
+{
+  while (!aAccount.queue.empty()) {
+    const Waiting& head = aAccount.queue.front();
+    const Claim& claim = head.claim;
+    if (aAccount.available >= claim.minimum) {
+      aDecisions.push_back(this->Grant(
+        aAccount, claim, std::min(aAccount.available, claim.wanted)));
+    } else if (aAccount.exhausted &&
+               aAccount.available + aAccount.reserved < claim.minimum) {
+      aDecisions.push_back({ claim.ticket, Tokens(0), Refusal::Exhausted });
+    } else if (head.deadline <= aNow) {
+      auto refusal = aAccount.exhausted ? Refusal::Exhausted : Refusal::NoGrant;
+      aDecisions.push_back({ claim.ticket, Tokens(0), refusal });
+    } else {
+      return;
+    }
+    aAccount.queue.pop_front();
+    // The next claim may need less; control has to say so again.
+    aAccount.exhausted = false;
+  }
+}
+
+std::vector<GrantNeed>
+Purse::TakeNeeds(TimePoint aNow)
+{
+  std::vector<GrantNeed> needs;
+  for (auto& [workspace, account] : this->accounts) {
+    if (account.asked || account.queue.empty() || aNow < account.askAgain) {
+      continue;
+    }
+    Tokens queued;
+    for (const auto& waiting : account.queue) {
+      queued += waiting.claim.wanted;
+    }
+    Tokens minimum = account.queue.front().claim.minimum - account.available;
+    Tokens ahead = this->options.sizeGrant(account.tokensPerSecond,
+                                           this->options.grantHorizon);
+    GrantNeed need;
+    need.request = this->nextRequest++;
+    need.workspace = workspace;
+    need.minimum = std::max(minimum, Tokens(1));
+    need.wanted = std::max(queued + ahead - account.available, need.minimum);
+    account.asked = need;
+    needs.push_back(need);
+  }
+  return needs;
+}
+
+std::vector<GrantNeed>
+Purse::Unanswered() const
+{
+  std::vector<GrantNeed> needs;
+  for (const auto& [workspace, account] : this->accounts) {
+    if (account.asked) {
+      needs.push_back(*account.asked);
+    }
+  }
+  return needs;
+}
+
+void
+Purse::AddGrant(const GrantAnswer& aAnswer, TimePoint aNow)
+{
+  Account& account = this->accounts[aAnswer.workspace];
+  // An answer that arrives again on a new link has been counted.
+  if (!account.asked || account.asked->request != aAnswer.request) {
+    return;
+  }
+  account.asked.reset();
+  account.available += aAnswer.tokens;
+  account.exhausted = aAnswer.tokens == Tokens(0) && aAnswer.exhausted;
+  if (aAnswer.tokens == Tokens(0)) {
+    account.askAgain = aNow + this->options.retryPause;
+  }
+}
+
+void
+Purse::Recall(const WorkspaceId& aWorkspace, Tokens aTokens)
+{
+  auto found = this->accounts.find(aWorkspace);
+  if (found == this->accounts.end() || !found->second.queue.empty()) {
+    return;
+  }
+  Return(found->second, std::min(aTokens, found->second.available));
+}
+
+void
+Purse::Return(Account& aAccount, Tokens aTokens)
+{
+  aAccount.available -= aTokens;
+  aAccount.unreported.returned += aTokens;
+}
+
+void
+Purse::ReturnSurplus(Account& aAccount, TimePoint aNow) const
+{
+  if (!aAccount.queue.empty() || aAccount.available == Tokens(0)) {
+    return;
+  }
+  if (aNow - aAccount.lastClaim >= this->options.idleReturn) {
+    Return(aAccount, aAccount.available);
+    return;
+  }
+  Tokens keep = this->options.sizeGrant(aAccount.tokensPerSecond,
+                                        this->options.grantHorizon);
+  Tokens limit(keep.Get() * kSurplusFactor + 1);
+  if (aAccount.tokensPerSecond > 0 && aAccount.available > limit) {
+    Return(aAccount, aAccount.available - limit);
+  }
+}
+
+std::optional<UsageBatch>
+Purse::TakeBatch(TimePoint aNow)
+{
+  if (this->inTransit) {
+    return std::nullopt;
+  }
+  UsageBatch batch;
+  for (auto& [workspace, account] : this->accounts) {
+    this->UpdateRate(account, aNow);
+    this->ReturnSurplus(account, aNow);
+    UsagePart& part = account.unreported;
+    if (part.spent == Tokens(0) && part.returned == Tokens(0) &&
+        part.requests == 0) {
+      continue;
+    }
+    part.workspace = workspace;
+    batch.parts.push_back(part);
+    part = {};
+  }
+  if (batch.parts.empty()) {
+    return std::nullopt;
+  }
+  batch.number = BatchNumber(this->nextBatch++);
+  this->inTransit = batch;
+  return batch;
+}
+
+void
+Purse::Acknowledge(BatchNumber aNumber)
+{
+  if (this->inTransit && this->inTransit->number == aNumber) {
+    this->inTransit.reset();
+  }
+}
+
+void
+Purse::ReturnAll()
+{
+  for (auto& [workspace, account] : this->accounts) {
+    Return(account, account.available);
+  }
+}
+
+bool
+Purse::IsEmpty() const
+{
+  if (this->inTransit || !this->reservations.empty()) {
+    return false;
+  }
+  return std::all_of(
+    this->accounts.begin(), this->accounts.end(), [](const auto& aEntry) {
+      const Account& account = aEntry.second;
+      return account.available == Tokens(0) && !account.asked &&
+             account.unreported.requests == 0 &&
+             account.unreported.spent == Tokens(0) &&
+             account.unreported.returned == Tokens(0);
+    });
+}
+
+std::map<WorkspaceId, Holding>
+Purse::Holdings() const
+{
+  std::map<WorkspaceId, Holding> holdings;
+  for (const auto& [workspace, account] : this->accounts) {
+    holdings[workspace] = { account.available,
+                            account.reserved,
+                            account.unreported.spent +
+                              account.unreported.returned };
+  }
+  return holdings;
+}
+
+void
+Purse::UpdateRate(Account& aAccount, TimePoint aNow) const
+{
+  Duration elapsed = aNow - aAccount.rateSince;
+  if (elapsed < kRateWindow) {
+    return;
+  }
+  double rate =
+    aAccount.recentTokens / std::chrono::duration<double>(elapsed).count();
+  aAccount.tokensPerSecond =
+    kRateWeight * rate + (1 - kRateWeight) * aAccount.tokensPerSecond;
+  aAccount.recentTokens = 0;
+  aAccount.rateSince = aNow;
+}
+
+} // namespace lycheestand::budget
--- a/packages/core/include/lycheestand/core.h
+++ b/packages/core/include/lycheestand/core.h
@@ -111,7 +111,11 @@
 using SessionId = Strong<struct SessionIdTag, std::uint64_t>;
 using GrantId = Strong<struct GrantIdTag, std::uint64_t>;
 using BatchNumber = Strong<struct BatchNumberTag, std::uint64_t>;
+// Version of the configuration document that operators apply.
 using ConfigVersion = Strong<struct ConfigVersionTag, std::uint64_t>;
+// Counts every change that routers must have in force: configuration,
+// workspaces and keys.
+using Revision = Strong<struct RevisionTag, std::uint64_t>;
 using ViewVersion = Strong<struct ViewVersionTag, std::uint64_t>;
 using LogIndex = Strong<struct LogIndexTag, std::uint64_t>;
 using Term = Strong<struct TermTag, std::uint64_t>;
--- /dev/null
+++ b/packages/net/src/connection_pool.cc
@@ -0,0 +1,72 @@
+#include "calls.h"
+
+#include <caf/send.hpp>
+#include <deque>
+
+namespace lycheestand::net {
+
+namespace {
+
+// Keeps idle connections by address and hands each call to one of them.
+class ConnectionPool : public IoTask
+{
+public:
+  using IoTask::IoTask;
+
+protected:
+  caf::message_handler Handlers() override
+  {
+    return {
+      [this](CallStart& aStart) { this->Assign(aStart); },
+      [this](ConnectionIdle& aIdle) { this->Keep(aIdle); },
+      [this](ConnectionClosed& aClosed) { this->Remove(aClosed); },
+    };
+  }
+
+private:
+  // Bound on idle connections for one address; more are closed.
+  static constexpr std::size_t kMaxIdlePerAddress = 64;
+
+  void Assign(CallStart& aStart)
+  {
+    auto& idle = this->idleByAddress[aStart.address];
+    caf::actor connection;
+    if (aStart.options.reuseConnection && !idle.empty()) {
+      // The connection used last is the least likely to have been closed.
+      connection = idle.back();
+      idle.pop_back();
+    } else {
+      connection = SpawnClientConnection(
+        this->GetRuntime(), caf::actor_cast<caf::actor>(this), aStart.address);
+    }
+    this->send(connection, std::move(aStart));
+  }
+
+  void Keep(const ConnectionIdle& aIdle)
+  {
+    auto& idle = this->idleByAddress[aIdle.address];
+    if (idle.size() >= kMaxIdlePerAddress) {
+      this->send(aIdle.connection, CallCancel{});
+      return;
+    }
+    idle.push_back(aIdle.connection);
+  }
+
+  void Remove(const ConnectionClosed& aClosed)
+  {
+    auto& idle = this->idleByAddress[aClosed.address];
+    std::erase(idle, aClosed.connection);
+  }
+
+  std::map<Address, std::deque<caf::actor>> idleByAddress;
+};
+
+} // namespace
+
+caf::actor
+SpawnConnectionPool(const Runtime& aRuntime)
+{
+  return aRuntime.system->spawn<ConnectionPool>(aRuntime);
+}
+
+} // namespace lycheestand::net
--- /dev/null
+++ b/packages/net/src/log.cc
@@ -0,0 +1,121 @@
+#include <boost/json.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/trivial.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/make_shared.hpp>
+#include <boost/shared_ptr.hpp>
+#include <chrono>
+#include <iostream>
+#include <lycheestand/net.h>
+#include <mutex>
+
+namespace lycheestand::net {
+
+namespace logging = boost::log;
+
+namespace {
+
+LogFormat gFormat = LogFormat::Text;
+std::string gInstance;
+
+logging::trivial::severity_level
+ToSeverity(LogLevel aLevel)
+{
+  switch (aLevel) {
+    case LogLevel::Debug:
+      return logging::trivial::debug;
+    case LogLevel::Info:
+      return logging::trivial::info;
+    case LogLevel::Warning:
+      return logging::trivial::warning;
+    case LogLevel::Error:
+      break;
+  }
+  return logging::trivial::error;
+}
+
+// Returns the time of day in UTC; the log is the only reader of this clock.
+std::string
+WallTime()
+{
+  auto now = std::chrono::system_clock::now();
+  auto seconds = std::chrono::floor<std::chrono::seconds>(now);
+  auto millis =
+    std::chrono::duration_cast<std::chrono::milliseconds>(now - seconds);
+  std::time_t time = std::chrono::system_clock::to_time_t(seconds);
+  std::tm parts{};
+  gmtime_r(&time, &parts);
+  char text[40];
+  std::size_t length =
+    std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &parts);
+  std::snprintf(text + length,
+                sizeof(text) - length,
+                ".%03dZ",
+                static_cast<int>(millis.count()));
+  return text;
+}
+
+std::string
+FormatJson(logging::trivial::severity_level aLevel,
+           std::string_view aMessage,
+           const LogFields& aFields)
+{
+  boost::json::object line;
+  line["time"] = WallTime();
+  line["level"] = logging::trivial::to_string(aLevel);
+  line["instance"] = gInstance;
+  line["message"] = aMessage;
+  for (const auto& [name, value] : aFields) {
+    line[name] = value;
+  }
+  return boost::json::serialize(line);
+}
+
+std::string
+FormatText(logging::trivial::severity_level aLevel,
+           std::string_view aMessage,
+           const LogFields& aFields)
+{
+  std::string line = WallTime() + " " + logging::trivial::to_string(aLevel) +
+                     " " + gInstance + " " + std::string(aMessage);
+  for (const auto& [name, value] : aFields) {
+    line += " " + std::string(name) + "=" + value;
+  }
+  return line;
+}
+
+} // namespace
+
+void
+SetUpLogging(LogLevel aLevel, LogFormat aFormat, const InstanceId& aInstance)
+{
+  gFormat = aFormat;
+  gInstance = aInstance.Get();
+  using Backend = logging::sinks::text_ostream_backend;
+  auto backend = boost::make_shared<Backend>();
+  backend->add_stream(
+    boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {}));
+  backend->auto_flush(true);
+  auto sink =
+    boost::make_shared<logging::sinks::synchronous_sink<Backend>>(backend);
+  logging::core::get()->remove_all_sinks();
+  logging::core::get()->add_sink(sink);
+  logging::core::get()->set_filter(logging::trivial::severity >=
+                                   ToSeverity(aLevel));
+}
+
+void
+Log(LogLevel aLevel, std::string_view aMessage, const LogFields& aFields)
+{
+  auto severity = ToSeverity(aLevel);
+  BOOST_LOG_STREAM_WITH_PARAMS(logging::trivial::logger::get(),
+                               (logging::keywords::severity = severity))
+    << (gFormat == LogFormat::Json ? FormatJson(severity, aMessage, aFields)
+                                   : FormatText(severity, aMessage, aFields));
+}
+
+} // namespace lycheestand::net
--- /dev/null
+++ b/packages/settings/test/settings_test.cc
@@ -0,0 +1,52 @@
+#include <catch2/catch.hpp>
+#include <lycheestand/settings.h>
+
+using namespace lycheestand;
+using namespace lycheestand::settings;
+
+// Guards against a misspelt key that is silently without effect.
+TEST_CASE("An unknown key is an error that suggests the near one")
+{
+  auto fleet =
+    ParseFleetSettings(R"({"models":{"chat":{"max_output_token":5}}})");
+  REQUIRE(fleet.has_error());
+  REQUIRE(fleet.error().pointer == "/models/chat/max_output_token");
+  REQUIRE(fleet.error().message.find("max_output_tokens") != std::string::npos);
+}
+
+// Guards against a number outside of what the code can serve.
+TEST_CASE("A number outside its range names pointer, value and range")
+{
+  auto fleet =
+    ParseFleetSettings(R"({"models":{"chat":{"max_output_tokens":0}}})");
+  REQUIRE(fleet.has_error());
+  REQUIRE(ToString(fleet.error()) ==
+          "/models/chat/max_output_tokens: must be an integer in 1..1000000, "
+          "not 0");
+}
+
+// Guards against a site that may use what its overlay does not name.
+TEST_CASE("A site's overlay limits models")
+{
+  auto fleet = ParseFleetSettings(
+    R"({"models":{"a":{},"b":{}},"sites":{"depot":{"models":["a"]}}})");
+  REQUIRE(fleet.has_value());
+  const WorkspaceId workspace("kalkki");
+  const auto& settings = fleet.value();
+  REQUIRE(settings.AllowsModel(workspace, SiteId("depot"), ModelName("a")));
+  REQUIRE_FALSE(
+    settings.AllowsModel(workspace, SiteId("depot"), ModelName("b")));
+}
+
+// Guards against keys that are lost between control and routers.
+TEST_CASE("A snapshot keeps settings and keys")
+{
+  std::map<KeyHash, CallerKey> keys{
+    { KeyHash("ab"), { WorkspaceId("kalkki"), SiteId("depot") } }
+  };
+  auto snapshot =
+    ParseFleetSnapshot(FormatFleetSnapshot(R"({"models":{"a":{}}})", keys));
+  REQUIRE(snapshot.has_value());
+  REQUIRE(snapshot.value().settings.models.contains(ModelName("a")));
+  REQUIRE(snapshot.value().keys.at(KeyHash("ab")).site == SiteId("depot"));
+}
--- /dev/null
+++ b/packages/state/src/budget_ledger.cc
@@ -0,0 +1,136 @@
+#include <algorithm>
+#include <lycheestand/state.h>
+
+namespace lycheestand::state {
+
+namespace {
+
+// A grant takes at most this part of what is free, so that the first router to
+// ask does not take a small budget whole and leave others to recall it.
+constexpr std::int64_t kLargestShare = 4;
+
+} // namespace
+
+Tokens
+Budget::Outstanding() const
+{
+  Tokens sum;
+  for (const auto& [session, tokens] : this->outstanding) {
+    sum += tokens;
+  }
+  return sum;
+}
+
+Tokens
+Budget::Free() const
+{
+  return this->paid - this->spent - this->Outstanding();
+}
+
+void
+BudgetLedger::Open(const WorkspaceId& aWorkspace)
+{
+  this->budgets.try_emplace(aWorkspace);
+}
+
+Outcome
+BudgetLedger::TopUp(const WorkspaceId& aWorkspace, Tokens aTokens)
+{
+  auto found = this->budgets.find(aWorkspace);
+  if (found == this->budgets.end()) {
+    return Rejected{ Rejection::UnknownWorkspace };
+  }
+  // Bounds the sum so that it can't overflow.
+  constexpr Tokens kMostPaid(std::int64_t(1) << 60);
+  if (aTokens <= Tokens(0) || aTokens > kMostPaid - found->second.paid) {
+    return Rejected{ Rejection::InvalidAmount };
+  }
+  found->second.paid += aTokens;
+  return BudgetToppedUp{ found->second.paid };
+}
+
+// A router repeats a request with the same number until it gets the reply, so a
+// lost reply strands nothing.
+Outcome
+BudgetLedger::Grant(const GrantTokens& aCommand)
+{
+  auto found = this->budgets.find(aCommand.workspace);
+  if (found == this->budgets.end()) {
+    return Rejected{ Rejection::UnknownWorkspace };
+  }
+  if (aCommand.minimum <= Tokens(0) || aCommand.wanted < aCommand.minimum) {
+    return Rejected{ Rejection::InvalidAmount };
+  }
+  auto& last = this->lastGrants[{ aCommand.session, aCommand.workspace }];
+  if (last.request == aCommand.request) {
+    return last.reply;
+  }
+  Budget& budget = found->second;
+  Tokens free = budget.Free();
+  TokensGranted reply;
+  if (free >= aCommand.minimum) {
+    Tokens share(free.Get() / kLargestShare);
+    reply.tokens = std::max(aCommand.minimum, std::min(aCommand.wanted, share));
+    reply.grant = GrantId(this->nextGrant++);
+    budget.outstanding[aCommand.session] += reply.tokens;
+  } else {
+    // What other sessions hold might come back.
+    Tokens others = budget.Outstanding();
+    auto own = budget.outstanding.find(aCommand.session);
+    if (own != budget.outstanding.end()) {
+      others -= own->second;
+    }
+    reply.exhausted = free + others < aCommand.minimum;
+  }
+  last = { aCommand.request, reply };
+  return reply;
+}
+
+bool
+BudgetLedger::IsCovered(const ReportUsage& aCommand) const
+{
+  std::map<WorkspaceId, Tokens> totals;
+  for (const auto& entry : aCommand.entries) {
+    if (entry.spent < Tokens(0) || entry.returned < Tokens(0)) {
+      return false;
+    }
+    totals[entry.workspace] += entry.spent + entry.returned;
+  }
+  for (const auto& [workspace, total] : totals) {
+    const Budget* budget = this->Find(workspace);
+    if (budget == nullptr) {
+      return false;
+    }
+    auto held = budget->outstanding.find(aCommand.session);
+    Tokens tokens =
+      held == budget->outstanding.end() ? Tokens(0) : held->second;
+    if (total > tokens) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void
+BudgetLedger::Count(const ReportUsage& aCommand)
+{
+  for (const auto& entry : aCommand.entries) {
+    Budget& budget = this->budgets[entry.workspace];
+    Tokens& held = budget.outstanding[aCommand.session];
+    held -= entry.spent + entry.returned;
+    budget.spent += entry.spent;
+    budget.requests += entry.requests;
+    if (held == Tokens(0)) {
+      budget.outstanding.erase(aCommand.session);
+    }
+  }
+}
+
+const Budget*
+BudgetLedger::Find(const WorkspaceId& aWorkspace) const
+{
+  auto found = this->budgets.find(aWorkspace);
+  return found == this->budgets.end() ? nullptr : &found->second;
+}
+
+} // namespace lycheestand::state
--- /dev/null
+++ b/packages/state/test/state_machine_test.cc
@@ -0,0 +1,131 @@
+#include <catch2/catch.hpp>
+#include <lycheestand/state.h>
+
+using namespace lycheestand;
+using namespace lycheestand::state;
+
+namespace {
+
+// A state machine with one workspace, a budget and two router sessions.
+class StateMachineFixture
+{
+public:
+  StateMachineFixture()
+  {
+    this->machine.Apply(CreateWorkspace{ ChangeId("c1"), this->workspace });
+    this->machine.Apply(
+      TopUpBudget{ ChangeId("c2"), this->workspace, Tokens(1000) });
+    this->machine.Apply(RegisterSession{ InstanceId("r1"), SessionId(1) });
+    this->machine.Apply(RegisterSession{ InstanceId("r2"), SessionId(2) });
+  }
+
+  TokensGranted Grant(SessionId aSession,
+                      std::uint64_t aRequest,
+                      Tokens aMinimum,
+                      Tokens aWanted)
+  {
+    return std::get<TokensGranted>(this->machine.Apply(
+      GrantTokens{ aSession, aRequest, this->workspace, aMinimum, aWanted }));
+  }
+
+  OperationState Begin(SessionId aSession,
+                       std::uint64_t aRequest,
+                       const char* aBody)
+  {
+    RecordOperation begin{ aSession,
+                           aRequest,
+                           this->workspace,
+                           OperationKey("visit-1"),
+                           BodyHash(aBody),
+                           OperationPhase::Begin,
+                           {} };
+    return std::get<OperationRecorded>(this->machine.Apply(begin)).state;
+  }
+
+  WorkspaceId workspace{ "kalkki" };
+  StateMachine machine;
+};
+
+} // namespace
+
+// Guards against a lost reply that strands the granted tokens.
+TEST_CASE_METHOD(StateMachineFixture, "A resent grant request counts once")
+{
+  auto first = this->Grant(SessionId(1), 1, Tokens(100), Tokens(200));
+  auto second = this->Grant(SessionId(1), 1, Tokens(100), Tokens(200));
+  REQUIRE(first == second);
+  REQUIRE(this->machine.Budgets().Find(this->workspace)->Outstanding() ==
+          first.tokens);
+}
+
+// Guards against grants that together exceed what was paid.
+TEST_CASE_METHOD(StateMachineFixture, "Grants never exceed what was paid")
+{
+  Tokens sum;
+  for (std::uint64_t request = 1; request < 50; ++request) {
+    SessionId session(1 + request % 2);
+    sum += this->Grant(session, request, Tokens(30), Tokens(500)).tokens;
+  }
+  REQUIRE(sum <= Tokens(1000));
+  REQUIRE(this->machine.Budgets().Find(this->workspace)->Free() >= Tokens(0));
+}
+
+// Guards against a usage report that is counted twice after a lost answer.
+TEST_CASE_METHOD(StateMachineFixture, "A usage batch counts once")
+{
+  this->Grant(SessionId(1), 1, Tokens(100), Tokens(200));
+  ReportUsage report{ SessionId(1),
+                      BatchNumber(1),
+                      { { this->workspace, Tokens(40), Tokens(10), 1 } } };
+  REQUIRE(std::holds_alternative<Done>(this->machine.Apply(report)));
+  REQUIRE(std::holds_alternative<Done>(this->machine.Apply(report)));
+  const Budget* budget = this->machine.Budgets().Find(this->workspace);
+  REQUIRE(budget->spent == Tokens(40));
+  REQUIRE(budget->requests == 1);
+}
+
+// Guards against a top-up that is added twice when its answer was lost.
+TEST_CASE_METHOD(StateMachineFixture, "A resent top-up counts once")
+{
+  TopUpBudget topUp{ ChangeId("t"), this->workspace, Tokens(500) };
+  this->machine.Apply(topUp);
+  this->machine.Apply(topUp);
+  REQUIRE(this->machine.Budgets().Find(this->workspace)->paid == Tokens(1500));
+  topUp.tokens = Tokens(600);
+  REQUIRE(this->machine.Apply(topUp) ==
+          Outcome(Rejected{ Rejection::ChangeIdReused }));
+}
+
+// Guards against two operators who both believe that their change won.
+TEST_CASE_METHOD(StateMachineFixture,
+                 "Of two changes with an equal base one wins")
+{
+  ApplyConfiguration first{ ChangeId("a"), ConfigVersion(0), "{}", {} };
+  ApplyConfiguration second{ ChangeId("b"), ConfigVersion(0), "{}", {} };
+  REQUIRE(this->machine.Apply(first) ==
+          Outcome(ConfigurationApplied{ ConfigVersion(1) }));
+  REQUIRE(this->machine.Apply(second) ==
+          Outcome(Rejected{ Rejection::VersionConflict }));
+  REQUIRE(this->machine.Apply(first) ==
+          Outcome(ConfigurationApplied{ ConfigVersion(1) }));
+}
+
+// Guards against a booking that runs again at another router.
+TEST_CASE_METHOD(StateMachineFixture, "A call of a dead router is never begun")
+{
+  REQUIRE(this->Begin(SessionId(1), 1, "h") == OperationState::Started);
+  REQUIRE(this->Begin(SessionId(2), 1, "h") == OperationState::InProgress);
+  REQUIRE(this->Begin(SessionId(2), 2, "other") == OperationState::BodyDiffers);
+  this->machine.Apply(RegisterSession{ InstanceId("r1"), SessionId(3) });
+  REQUIRE(this->Begin(SessionId(2), 3, "h") == OperationState::Unknown);
+}
+
+// Guards against a replaced process that returns and closes its successor.
+TEST_CASE_METHOD(StateMachineFixture, "A closed session can't register again")
+{
+  this->machine.Apply(RegisterSession{ InstanceId("r1"), SessionId(3) });
+  REQUIRE(
+    this->machine.Apply(RegisterSession{ InstanceId("r1"), SessionId(1) }) ==
+    Outcome(Rejected{ Rejection::SessionClosed }));
+  REQUIRE_FALSE(this->machine.Sessions().Find(SessionId(3))->closed);
+}
--- a/packages/wire/include/lycheestand/wire.h
+++ b/packages/wire/include/lycheestand/wire.h
@@ -39,7 +39,7 @@
 {
   // The router's clock at sending; only the router compares it.
   std::chrono::nanoseconds sentAt{};
-  ConfigVersion configVersion;
+  Revision revision;
   ViewVersion viewVersion;
   std::uint32_t inFlight = 0;
   bool leaving = false;
@@ -49,13 +49,13 @@
 struct HeartbeatAck
 {
   std::chrono::nanoseconds sentAt{};
-  ConfigVersion configVersion;
+  Revision revision;
 };
 
 // The configuration, workspaces and key hashes in force, as JSON.
 struct ConfigPush
 {
-  ConfigVersion version;
+  Revision revision;
   std::string document;
 };
 
--- a/packages/wire/src/codec.cc
+++ b/packages/wire/src/codec.cc
@@ -98,7 +98,7 @@
 {
   fb::HeartbeatT out;
   out.sent_at = aIn.sentAt.count();
-  out.config_version = aIn.configVersion.Get();
+  out.revision = aIn.revision.Get();
   out.view_version = aIn.viewVersion.Get();
   out.in_flight = aIn.inFlight;
   out.leaving = aIn.leaving;
@@ -109,7 +109,7 @@
 Unpack(const fb::HeartbeatT& aIn)
 {
   return { std::chrono::nanoseconds(aIn.sent_at),
-           ConfigVersion(aIn.config_version),
+           Revision(aIn.revision),
            ViewVersion(aIn.view_version),
            aIn.in_flight,
            aIn.leaving };
@@ -120,22 +120,21 @@
 {
   fb::HeartbeatAckT out;
   out.sent_at = aIn.sentAt.count();
-  out.config_version = aIn.configVersion.Get();
+  out.revision = aIn.revision.Get();
   return out;
 }
 
 HeartbeatAck
 Unpack(const fb::HeartbeatAckT& aIn)
 {
-  return { std::chrono::nanoseconds(aIn.sent_at),
-           ConfigVersion(aIn.config_version) };
+  return { std::chrono::nanoseconds(aIn.sent_at), Revision(aIn.revision) };
 }
 
 fb::ConfigPushT
 Pack(const ConfigPush& aIn)
 {
   fb::ConfigPushT out;
-  out.version = aIn.version.Get();
+  out.revision = aIn.revision.Get();
   out.document = aIn.document;
   return out;
 }
@@ -143,7 +142,7 @@
 ConfigPush
 Unpack(const fb::ConfigPushT& aIn)
 {
-  return { ConfigVersion(aIn.version), aIn.document };
+  return { Revision(aIn.revision), aIn.document };
 }
 
 fb::InstanceEntryT
