--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -9,3 +9,15 @@
 lycheestand_package(net DEPS lycheestand_core Boost::log Boost::json ${CAF_TARGETS} ${SODIUM_LIBRARY})
 lycheestand_package(state DEPS lycheestand_core)
 lycheestand_package(budget DEPS lycheestand_core)
+lycheestand_package(router DEPS lycheestand_net lycheestand_settings lycheestand_budget lycheestand_wire)
+lycheestand_package(control DEPS lycheestand_net lycheestand_settings lycheestand_state lycheestand_wire)
+
+lycheestand_program(lycheestandd packages/daemon/src DEPS lycheestand_router lycheestand_control)
+
+# Stand-ins for the platform; test programs that never ship.
+function(lycheestand_standin NAME)
+  add_executable(standin_${NAME} test/standins/${NAME}.cc)
+  target_link_libraries(standin_${NAME} PRIVATE lycheestand_net)
+endfunction()
+lycheestand_standin(engine)
+lycheestand_standin(platform)
--- /dev/null
+++ b/packages/control/src/fleet_controller.cc
@@ -0,0 +1,456 @@
+#include "tasks.h"
+
+#include <boost/json.hpp>
+#include <caf/send.hpp>
+
+namespace lycheestand::control {
+
+namespace {
+
+// Missed heartbeats after which an instance is left out of entry answers. Its
+// session stays open: it may only be cut off or frozen.
+constexpr Duration kSuspectAfter = std::chrono::milliseconds(3500);
+
+// Time after which an instance that is gone is no longer listed.
+constexpr Duration kForgetAfter = std::chrono::minutes(10);
+
+// Least time between two views, so that many changes make one push.
+constexpr Duration kViewInterval = std::chrono::milliseconds(250);
+
+// Serves the links of routers while this instance leads, and passes those of
+// other control instances to the replica.
+class FleetController : public net::IoTask
+{
+public:
+  FleetController(caf::actor_config& aConfig,
+                  net::Runtime aRuntime,
+                  settings::ProcessSettings aSettings,
+                  caf::actor aReplica)
+    : net::IoTask(aConfig, aRuntime)
+    , settings(std::move(aSettings))
+    , replica(std::move(aReplica))
+  {
+  }
+
+protected:
+  void Start() override { this->UpdateViewPeriodically(); }
+
+  caf::message_handler Handlers() override
+  {
+    return {
+      [this](net::LinkUp& aUp) { this->links[aUp.link].task = aUp.task; },
+      [this](net::LinkFrame& aFrame) { this->HandleFrame(aFrame); },
+      [this](net::LinkDown& aDown) { this->HandleDown(aDown.link); },
+      [this](LeadershipChanged& aChanged) { this->Change(aChanged); },
+      [this](RevisionChanged& aChanged) { this->PushRevision(aChanged); },
+      [this](EndpointList& aList) { this->endpoints = aList.endpoints; },
+      [this](ListInstances) { return this->FormatInstances(); },
+      [this](ListEndpoints) { return this->FormatEndpoints(); },
+      [this](DrainInstance& aDrain) { return this->Drain(aDrain); },
+      [this](DumpState) {
+        return "{\"links\":" + std::to_string(this->links.size()) +
+               ",\"instances\":" + this->FormatInstances() + "}";
+      },
+    };
+  }
+
+private:
+  struct LinkState
+  {
+    caf::actor task;
+    wire::Hello hello;
+    bool isWelcome = false;
+    // Revision that has been pushed on this link.
+    Revision pushed;
+    ViewVersion pushedView;
+  };
+
+  struct Member
+  {
+    wire::InstanceEntry entry;
+    net::LinkId link;
+    TimePoint lastHeartbeat{};
+  };
+
+  void HandleFrame(net::LinkFrame& aFrame)
+  {
+    auto found = this->links.find(aFrame.link);
+    if (found == this->links.end()) {
+      return;
+    }
+    auto decoded = wire::Decode(aFrame.body);
+    if (decoded.has_error()) {
+      net::Log(net::LogLevel::Error, "a peer sent a malformed message");
+      this->send(found->second.task, net::LinkClose{});
+      return;
+    }
+    std::visit(
+      [&](auto& aBody) { this->Handle(aFrame.link, found->second, aBody); },
+      decoded.value());
+  }
+
+  void Handle(net::LinkId aLink, LinkState& aState, const wire::Hello& aHello)
+  {
+    aState.hello = aHello;
+    if (aHello.protocol != wire::kProtocolVersion) {
+      this->Refuse(aState, "the protocol version differs");
+      return;
+    }
+    if (aHello.isControl) {
+      this->send(this->replica, PeerLink{ aHello.instance, aState.task });
+      return;
+    }
+    if (!this->isLeader) {
+      this->Refuse(aState, "this instance does not lead");
+      return;
+    }
+    this->ProposeFor(
+      aLink,
+      state::RegisterSession{ aHello.instance, aHello.session },
+      [this, aLink](LinkState& aLinkState, const state::Outcome& aOutcome) {
+        if (std::holds_alternative<state::Done>(aOutcome)) {
+          this->Welcome(aLink, aLinkState);
+        } else {
+          this->Refuse(aLinkState, "the session is closed");
+        }
+      });
+  }
+
+  void Welcome(net::LinkId aLink, LinkState& aState)
+  {
+    aState.isWelcome = true;
+    Member& member = this->members[aState.hello.instance];
+    member.entry.instance = aState.hello.instance;
+    member.entry.zone = aState.hello.zone;
+    member.entry.callerAddress = aState.hello.callerAddress;
+    member.entry.leaving = false;
+    member.link = aLink;
+    member.lastHeartbeat = net::Now(this->GetRuntime());
+    this->SendTo(aState, wire::Welcome{ true, "", "" });
+    this->PushTo(aState);
+    net::Log(net::LogLevel::Info,
+             "router connected",
+             { { "router", aState.hello.instance.Get() } });
+  }
+
+  void Refuse(LinkState& aState, const std::string& aReason)
+  {
+    this->SendTo(aState, wire::Welcome{ false, this->leader.Get(), aReason });
+  }
+
+  // Answers once a quorum has confirmed the lead after the heartbeat came.
+  void Handle(net::LinkId aLink,
+              LinkState& aState,
+              const wire::Heartbeat& aHeartbeat)
+  {
+    if (!aState.isWelcome) {
+      return;
+    }
+    Member& member = this->members[aState.hello.instance];
+    member.lastHeartbeat = net::Now(this->GetRuntime());
+    member.entry.inFlight = aHeartbeat.inFlight;
+    member.entry.leaving = aHeartbeat.leaving;
+    this->request(this->replica, caf::infinite, ConfirmLeadership{})
+      .then([this, aLink, sentAt = aHeartbeat.sentAt](
+              const Confirmation& aConfirmation) {
+        auto found = this->links.find(aLink);
+        if (found != this->links.end() && aConfirmation.isLeader) {
+          this->SendTo(found->second,
+                       wire::HeartbeatAck{ sentAt, aConfirmation.revision });
+        }
+      });
+  }
+
+  void Handle(net::LinkId aLink,
+              LinkState& aState,
+              const wire::GrantRequest& aRequest)
+  {
+    this->ProposeFor(
+      aLink,
+      state::GrantTokens{ aState.hello.session,
+                          aRequest.request,
+                          aRequest.workspace,
+                          aRequest.minimum,
+                          aRequest.wanted },
+      [this, aRequest](LinkState& aLinkState, const state::Outcome& aOutcome) {
+        this->AnswerGrant(aLinkState, aRequest, aOutcome);
+      });
+  }
+
+  void AnswerGrant(LinkState& aState,
+                   const wire::GrantRequest& aRequest,
+                   const state::Outcome& aOutcome)
+  {
+    wire::GrantReply reply;
+    reply.request = aRequest.request;
+    reply.workspace = aRequest.workspace;
+    if (const auto* granted = std::get_if<state::TokensGranted>(&aOutcome)) {
+      reply.grant = granted->grant;
+      reply.tokens = granted->tokens;
+      reply.exhausted = granted->exhausted;
+    } else {
+      // No such workspace, or the session is closed: nothing can be had here.
+      reply.exhausted = true;
+    }
+    this->SendTo(aState, reply);
+    if (reply.tokens == Tokens(0) && !reply.exhausted) {
+      this->RecallFromOthers(aState.hello.session, aRequest);
+    }
+  }
+
+  void RecallFromOthers(SessionId aSession, const wire::GrantRequest& aRequest)
+  {
+    this
+      ->request(this->replica, caf::infinite, FindHolders{ aRequest.workspace })
+      .then([this, aSession, aRequest](const Holders& aHolders) {
+        for (auto& [id, link] : this->links) {
+          bool holds = std::find(aHolders.sessions.begin(),
+                                 aHolders.sessions.end(),
+                                 link.hello.session) != aHolders.sessions.end();
+          if (link.isWelcome && holds && link.hello.session != aSession) {
+            this->SendTo(link,
+                         wire::Recall{ aRequest.workspace, aRequest.wanted });
+          }
+        }
+      });
+  }
+
+  void Handle(net::LinkId aLink,
+              LinkState& aState,
+              const wire::UsageReport& aReport)
+  {
+    state::ReportUsage command{ aState.hello.session, aReport.batch, {} };
+    for (const auto& entry : aReport.entries) {
+      command.entries.push_back(
+        { entry.workspace, entry.spent, entry.returned, entry.requests });
+    }
+    this->ProposeFor(
+      aLink,
+      std::move(command),
+      [this, batch = aReport.batch](LinkState& aLinkState,
+                                    const state::Outcome& aOutcome) {
+        if (const auto* rejected = std::get_if<state::Rejected>(&aOutcome)) {
+          net::Log(net::LogLevel::Error,
+                   "usage was rejected",
+                   { { "router", aLinkState.hello.instance.Get() },
+                     { "reason", ToString(rejected->reason) } });
+          return;
+        }
+        this->SendTo(aLinkState, wire::UsageAck{ batch });
+      });
+  }
+
+  void Handle(net::LinkId aLink,
+              LinkState& aState,
+              const wire::OperationRequest& aRequest)
+  {
+    state::RecordOperation command{ aState.hello.session, aRequest.request,
+                                    aRequest.workspace,   aRequest.key,
+                                    aRequest.bodyHash,    aRequest.phase,
+                                    aRequest.answer };
+    this->ProposeFor(aLink,
+                     std::move(command),
+                     [this, number = aRequest.request, phase = aRequest.phase](
+                       LinkState& aLinkState, const state::Outcome& aOutcome) {
+                       wire::OperationReply reply;
+                       reply.request = number;
+                       reply.phase = phase;
+                       if (const auto* recorded =
+                             std::get_if<state::OperationRecorded>(&aOutcome)) {
+                         reply.state = recorded->state;
+                         reply.answer = recorded->answer;
+                       }
+                       this->SendTo(aLinkState, reply);
+                     });
+  }
+
+  void Handle(net::LinkId, LinkState& aState, const wire::Replication& aMessage)
+  {
+    if (aState.hello.isControl) {
+      this->send(this->replica, PeerMessage{ aState.hello.instance, aMessage });
+    }
+  }
+
+  // Messages that only control sends.
+  template<class Other>
+  void Handle(net::LinkId, LinkState& aState, const Other&)
+  {
+    net::Log(net::LogLevel::Error, "a peer sent a message out of place");
+    this->send(aState.task, net::LinkClose{});
+  }
+
+  // Proposes a command for a router; no answer is sent if the lead was lost or
+  // the link is gone, and the router asks again.
+  void ProposeFor(net::LinkId aLink,
+                  state::Command aCommand,
+                  std::function<void(LinkState&, const state::Outcome&)> aDone)
+  {
+    this->request(this->replica, caf::infinite, Propose{ std::move(aCommand) })
+      .then(
+        [this, aLink, done = std::move(aDone)](const ProposalResult& aResult) {
+          auto found = this->links.find(aLink);
+          if (found == this->links.end()) {
+            return;
+          }
+          if (!aResult.outcome) {
+            this->send(found->second.task, net::LinkClose{});
+            return;
+          }
+          done(found->second, *aResult.outcome);
+        });
+  }
+
+  void HandleDown(net::LinkId aLink)
+  {
+    auto found = this->links.find(aLink);
+    if (found == this->links.end()) {
+      return;
+    }
+    if (found->second.hello.isControl) {
+      this->send(this->replica,
+                 PeerLink{ found->second.hello.instance, nullptr });
+    }
+    this->links.erase(found);
+  }
+
+  void Change(const LeadershipChanged& aChanged)
+  {
+    this->isLeader = aChanged.isLeader;
+    this->leader = aChanged.leader;
+    if (this->isLeader) {
+      return;
+    }
+    // Routers look for the new leader.
+    for (auto& [id, link] : this->links) {
+      if (!link.hello.isControl) {
+        this->send(link.task, net::LinkClose{});
+      }
+    }
+    this->members.clear();
+  }
+
+  void PushRevision(const RevisionChanged& aChanged)
+  {
+    this->revision = aChanged.revision;
+    this->document = aChanged.document;
+    for (auto& [id, link] : this->links) {
+      this->PushTo(link);
+    }
+  }
+
+  void PushTo(LinkState& aState)
+  {
+    if (!aState.isWelcome) {
+      return;
+    }
+    if (this->document && aState.pushed != this->revision) {
+      aState.pushed = this->revision;
+      this->SendTo(aState, wire::ConfigPush{ this->revision, *this->document });
+    }
+    if (aState.pushedView != this->view.version) {
+      aState.pushedView = this->view.version;
+      this->SendTo(aState, this->view);
+    }
+  }
+
+  void UpdateViewPeriodically()
+  {
+    this->UpdateView();
+    this->After(kViewInterval, [this] { this->UpdateViewPeriodically(); });
+  }
+
+  void UpdateView()
+  {
+    auto now = net::Now(this->GetRuntime());
+    std::erase_if(this->members, [now](const auto& aMember) {
+      return now - aMember.second.lastHeartbeat >= kForgetAfter;
+    });
+    wire::ViewPush next;
+    for (auto& [id, member] : this->members) {
+      member.entry.alive = now - member.lastHeartbeat < kSuspectAfter;
+      next.instances.push_back(member.entry);
+    }
+    next.endpoints = this->endpoints;
+    if (next.instances == this->view.instances &&
+        next.endpoints == this->view.endpoints) {
+      return;
+    }
+    next.version = ViewVersion(this->view.version.Get() + 1);
+    this->view = std::move(next);
+    for (auto& [id, link] : this->links) {
+      this->PushTo(link);
+    }
+  }
+
+  bool Drain(const DrainInstance& aDrain)
+  {
+    auto member = this->members.find(aDrain.instance);
+    if (member == this->members.end()) {
+      return false;
+    }
+    auto link = this->links.find(member->second.link);
+    if (link == this->links.end()) {
+      return false;
+    }
+    this->SendTo(link->second, wire::Drain{});
+    return true;
+  }
+
+  std::string FormatInstances() const
+  {
+    boost::json::array out;
+    for (const auto& [id, member] : this->members) {
+      const auto& entry = member.entry;
+      out.push_back({ { "instance", id.Get() },
+                      { "zone", entry.zone.Get() },
+                      { "address", ToString(entry.callerAddress) },
+                      { "in_flight", entry.inFlight },
+                      { "alive", entry.alive },
+                      { "leaving", entry.leaving } });
+    }
+    return boost::json::serialize(out);
+  }
+
+  std::string FormatEndpoints() const
+  {
+    boost::json::array out;
+    for (const auto& entry : this->endpoints) {
+      out.push_back({ { "endpoint", entry.endpoint.Get() },
+                      { "zone", entry.zone.Get() },
+                      { "address", ToString(entry.address) },
+                      { "serves", entry.serves },
+                      { "kind", entry.isService ? "service" : "model" },
+                      { "leaving", entry.leaving } });
+    }
+    return boost::json::serialize(out);
+  }
+
+  void SendTo(LinkState& aState, const wire::Message& aMessage)
+  {
+    this->send(aState.task, net::LinkSend{ wire::Encode(aMessage) });
+  }
+
+  settings::ProcessSettings settings;
+  caf::actor replica;
+  bool isLeader = false;
+  InstanceId leader;
+  Revision revision;
+  std::shared_ptr<const std::string> document;
+  std::map<net::LinkId, LinkState> links;
+  std::map<InstanceId, Member> members;
+  std::vector<wire::EndpointEntry> endpoints;
+  wire::ViewPush view;
+};
+
+} // namespace
+
+caf::actor
+SpawnFleetController(const net::Runtime& aRuntime,
+                     const settings::ProcessSettings& aSettings,
+                     caf::actor aReplica)
+{
+  return aRuntime.system->spawn<FleetController>(
+    aRuntime, aSettings, std::move(aReplica));
+}
+
+} // namespace lycheestand::control
--- /dev/null
+++ b/packages/control/src/operator_handler.cc
@@ -0,0 +1,387 @@
+#include "operator_reads.h"
+#include "tasks.h"
+
+#include <boost/json.hpp>
+
+// The operators' interface: JSON over HTTP. Every change carries a change id
+// that the client made, so that it can be resent after a lost answer.
+
+namespace lycheestand::control {
+
+namespace json = boost::json;
+
+namespace {
+
+// Longest id of a workspace, key, site or change.
+constexpr std::size_t kMaxIdBytes = 128;
+
+struct OperatorTasks
+{
+  caf::actor replica;
+  caf::actor fleet;
+};
+
+void
+Answer(const net::ExchangePtr& aExchange, unsigned aStatus, std::string aBody)
+{
+  aExchange->Respond(
+    { aStatus, { { "Content-Type", "application/json" } }, std::move(aBody) });
+}
+
+void
+AnswerError(const net::ExchangePtr& aExchange,
+            unsigned aStatus,
+            const char* aCode,
+            const std::string& aMessage,
+            RanState aRan = RanState::NotRun,
+            const InstanceId& aLeader = {})
+{
+  json::object error{ { "code", aCode },
+                      { "message", aMessage },
+                      { "ran", ToString(aRan) } };
+  if (!aLeader.Get().empty()) {
+    error["leader"] = aLeader.Get();
+  }
+  Answer(
+    aExchange, aStatus, json::serialize(json::object{ { "error", error } }));
+}
+
+// Reads the members of an operator's request; names the first that is wrong.
+class BodyReader
+{
+public:
+  explicit BodyReader(const std::string& aText)
+  {
+    json::error_code error;
+    json::value parsed = json::parse(aText, error);
+    if (error || !parsed.is_object()) {
+      this->problem = "the body is not a JSON object";
+      return;
+    }
+    this->object = parsed.get_object();
+  }
+
+  std::string Id(const char* aName)
+  {
+    std::string text = this->Text(aName);
+    if (this->problem.empty() && (text.empty() || text.size() > kMaxIdBytes)) {
+      this->problem =
+        "/" + std::string(aName) + " must be a string of 1 to 128 bytes";
+    }
+    return text;
+  }
+
+  std::string Text(const char* aName)
+  {
+    const auto* value = this->object.if_contains(aName);
+    if (value == nullptr || !value->is_string()) {
+      this->Fail(aName, "must be a string");
+      return "";
+    }
+    return std::string(value->get_string());
+  }
+
+  std::int64_t Integer(const char* aName)
+  {
+    const auto* value = this->object.if_contains(aName);
+    if (value == nullptr || !value->is_int64()) {
+      this->Fail(aName, "must be an integer");
+      return 0;
+    }
+    return value->get_int64();
+  }
+
+  const std::string& Problem() const { return this->problem; }
+
+private:
+  void Fail(const char* aName, const char* aMessage)
+  {
+    if (this->problem.empty()) {
+      this->problem = "/" + std::string(aName) + " " + aMessage;
+    }
+  }
+
+  json::object object;
+  std::string problem;
+};
+
+unsigned
+StatusOf(state::Rejection aReason)
+{
+  switch (aReason) {
+    case state::Rejection::UnknownWorkspace:
+    case state::Rejection::UnknownKey:
+    case state::Rejection::UnknownSession:
+      return 404;
+    case state::Rejection::InvalidAmount:
+      return 400;
+    default:
+      return 409;
+  }
+}
+
+std::string
+FormatOutcome(const state::Outcome& aOutcome)
+{
+  json::object out{ { "ok", true } };
+  if (const auto* applied =
+        std::get_if<state::ConfigurationApplied>(&aOutcome)) {
+    out["version"] = applied->version.Get();
+  } else if (const auto* paid = std::get_if<state::BudgetToppedUp>(&aOutcome)) {
+    out["paid"] = paid->paid.Get();
+  }
+  return json::serialize(out);
+}
+
+void
+ProposeChange(const OperatorTasks& aTasks,
+              const net::ExchangePtr& aExchange,
+              state::Command aCommand)
+{
+  aExchange->Task()
+    .request(aTasks.replica, caf::infinite, Propose{ std::move(aCommand) })
+    .then([aExchange](const ProposalResult& aResult) {
+      if (!aResult.outcome) {
+        AnswerError(aExchange,
+                    503,
+                    "not_leader",
+                    "this instance does not lead; resend the change with the "
+                    "same change id",
+                    aResult.isUnknown ? RanState::Unknown : RanState::NotRun,
+                    aResult.leader);
+      } else if (const auto* rejected =
+                   std::get_if<state::Rejected>(&*aResult.outcome)) {
+        AnswerError(aExchange,
+                    StatusOf(rejected->reason),
+                    ToString(rejected->reason),
+                    "the change was not made");
+      } else {
+        Answer(aExchange, 200, FormatOutcome(*aResult.outcome));
+      }
+    });
+}
+
+// Proposes the command unless the body has a problem.
+void
+ProposeChecked(const OperatorTasks& aTasks,
+               const net::ExchangePtr& aExchange,
+               const BodyReader& aReader,
+               state::Command aCommand)
+{
+  if (!aReader.Problem().empty()) {
+    AnswerError(aExchange, 400, "invalid_request", aReader.Problem());
+    return;
+  }
+  ProposeChange(aTasks, aExchange, std::move(aCommand));
+}
+
+void
+ApplyConfig(const OperatorTasks& aTasks, const net::ExchangePtr& aExchange)
+{
+  BodyReader reader(aExchange->Request().body);
+  state::ApplyConfiguration command;
+  command.change = ChangeId(reader.Id("change_id"));
+  command.base =
+    ConfigVersion(static_cast<std::uint64_t>(reader.Integer("base_version")));
+  command.document = reader.Text("document");
+  if (reader.Problem().empty()) {
+    auto parsed = settings::ParseFleetSettings(command.document);
+    if (parsed.has_error()) {
+      AnswerError(aExchange,
+                  400,
+                  "invalid_configuration",
+                  settings::ToString(parsed.error()));
+      return;
+    }
+    for (const auto& [id, workspace] : parsed.value().workspaces) {
+      command.workspaces.emplace_back(id, workspace.firstTokens);
+    }
+  }
+  ProposeChecked(aTasks, aExchange, reader, std::move(command));
+}
+
+void
+CreateWorkspace(const OperatorTasks& aTasks, const net::ExchangePtr& aExchange)
+{
+  BodyReader reader(aExchange->Request().body);
+  state::CreateWorkspace command;
+  command.change = ChangeId(reader.Id("change_id"));
+  command.workspace = WorkspaceId(reader.Id("workspace"));
+  ProposeChecked(aTasks, aExchange, reader, std::move(command));
+}
+
+void
+TopUp(const OperatorTasks& aTasks, const net::ExchangePtr& aExchange)
+{
+  BodyReader reader(aExchange->Request().body);
+  state::TopUpBudget command;
+  command.change = ChangeId(reader.Id("change_id"));
+  command.workspace = WorkspaceId(reader.Id("workspace"));
+  command.tokens = Tokens(reader.Integer("tokens"));
+  ProposeChecked(aTasks, aExchange, reader, std::move(command));
+}
+
+void
+CreateKey(const OperatorTasks& aTasks, const net::ExchangePtr& aExchange)
+{
+  BodyReader reader(aExchange->Request().body);
+  state::CreateKey command;
+  command.change = ChangeId(reader.Id("change_id"));
+  command.key = KeyId(reader.Id("key"));
+  command.hash = KeyHash(reader.Id("hash"));
+  command.workspace = WorkspaceId(reader.Id("workspace"));
+  command.site = SiteId(reader.Text("site"));
+  ProposeChecked(aTasks, aExchange, reader, std::move(command));
+}
+
+void
+RevokeKey(const OperatorTasks& aTasks, const net::ExchangePtr& aExchange)
+{
+  BodyReader reader(aExchange->Request().body);
+  state::RevokeKey command;
+  command.change = ChangeId(reader.Id("change_id"));
+  command.key = KeyId(reader.Id("key"));
+  ProposeChecked(aTasks, aExchange, reader, std::move(command));
+}
+
+void
+RemoveInstance(const OperatorTasks& aTasks, const net::ExchangePtr& aExchange)
+{
+  BodyReader reader(aExchange->Request().body);
+  state::CloseSession command;
+  command.change = ChangeId(reader.Id("change_id"));
+  command.instance = InstanceId(reader.Id("instance"));
+  ProposeChecked(aTasks, aExchange, reader, std::move(command));
+}
+
+void
+Drain(const OperatorTasks& aTasks, const net::ExchangePtr& aExchange)
+{
+  BodyReader reader(aExchange->Request().body);
+  InstanceId instance(reader.Id("instance"));
+  if (!reader.Problem().empty()) {
+    AnswerError(aExchange, 400, "invalid_request", reader.Problem());
+    return;
+  }
+  aExchange->Task()
+    .request(aTasks.fleet, caf::infinite, DrainInstance{ instance })
+    .then([aExchange](bool aFound) {
+      if (aFound) {
+        Answer(aExchange, 200, R"({"ok":true})");
+      } else {
+        AnswerError(
+          aExchange, 404, "unknown_instance", "no such instance is connected");
+      }
+    });
+}
+
+void
+Read(const OperatorTasks& aTasks,
+     const net::ExchangePtr& aExchange,
+     std::function<std::string(const state::StateMachine&)> aRead)
+{
+  aExchange->Task()
+    .request(aTasks.replica, caf::infinite, Query{ std::move(aRead) })
+    .then([aExchange](const QueryResult& aResult) {
+      if (aResult.text) {
+        Answer(aExchange, 200, *aResult.text);
+      } else {
+        AnswerError(aExchange,
+                    503,
+                    "not_leader",
+                    "this instance does not lead",
+                    RanState::NotRun,
+                    aResult.leader);
+      }
+    });
+}
+
+// Reads from the fleet controller, which knows it only while it leads.
+template<class Message>
+void
+ReadFleet(const OperatorTasks& aTasks,
+          const net::ExchangePtr& aExchange,
+          Message aMessage)
+{
+  aExchange->Task()
+    .request(aTasks.replica, caf::infinite, ConfirmLeadership{})
+    .then([aTasks, aExchange, aMessage](const Confirmation& aConfirmation) {
+      if (!aConfirmation.isLeader) {
+        AnswerError(aExchange,
+                    503,
+                    "not_leader",
+                    "this instance does not lead",
+                    RanState::NotRun,
+                    aConfirmation.leader);
+        return;
+      }
+      aExchange->Task()
+        .request(aTasks.fleet, caf::infinite, aMessage)
+        .then([aExchange](std::string& aBody) {
+          Answer(aExchange, 200, std::move(aBody));
+        });
+    });
+}
+
+// One method and path of the interface.
+struct Route
+{
+  const char* method;
+  const char* path;
+  std::function<void(const OperatorTasks&, const net::ExchangePtr&)> run;
+};
+
+std::vector<Route>
+MakeRoutes()
+{
+  auto read = [](auto aFormat) {
+    return [aFormat](const OperatorTasks& aTasks,
+                     const net::ExchangePtr& aExchange) {
+      Read(aTasks, aExchange, aFormat);
+    };
+  };
+  return {
+    { "POST", "/admin/config", ApplyConfig },
+    { "GET", "/admin/config", read(FormatConfiguration) },
+    { "GET", "/admin/config/history", read(FormatHistory) },
+    { "POST", "/admin/workspaces", CreateWorkspace },
+    { "GET", "/admin/workspaces", read(FormatWorkspaces) },
+    { "POST", "/admin/topups", TopUp },
+    { "POST", "/admin/keys", CreateKey },
+    { "GET", "/admin/keys", read(FormatKeys) },
+    { "POST", "/admin/keys/revoke", RevokeKey },
+    { "POST", "/admin/instances/remove", RemoveInstance },
+    { "POST", "/admin/instances/drain", Drain },
+    { "GET", "/admin/status", read(FormatStatus) },
+    { "GET",
+      "/admin/instances",
+      [](const OperatorTasks& aTasks, const net::ExchangePtr& aExchange) {
+        ReadFleet(aTasks, aExchange, ListInstances{});
+      } },
+    { "GET",
+      "/admin/endpoints",
+      [](const OperatorTasks& aTasks, const net::ExchangePtr& aExchange) {
+        ReadFleet(aTasks, aExchange, ListEndpoints{});
+      } },
+  };
+}
+
+} // namespace
+
+net::HttpHandler
+MakeOperatorHandler(caf::actor aReplica, caf::actor aFleet)
+{
+  OperatorTasks tasks{ std::move(aReplica), std::move(aFleet) };
+  return [tasks, routes = MakeRoutes()](const net::ExchangePtr& aExchange) {
+    const auto& request = aExchange->Request();
+    for (const auto& route : routes) {
+      if (request.method == route.method && request.target == route.path) {
+        route.run(tasks, aExchange);
+        return;
+      }
+    }
+    AnswerError(aExchange, 404, "not_found", "no such path: " + request.target);
+  };
+}
+
+} // namespace lycheestand::control
--- /dev/null
+++ b/packages/control/src/operator_reads.cc
@@ -0,0 +1,100 @@
+#include "operator_reads.h"
+
+#include <boost/json.hpp>
+
+namespace lycheestand::control {
+
+namespace json = boost::json;
+
+namespace {
+
+json::object
+FormatRecord(const state::ConfigurationRecord& aRecord)
+{
+  return { { "version", aRecord.version.Get() },
+           { "change_id", aRecord.change.Get() },
+           { "document", aRecord.document } };
+}
+
+// Tokens that closed sessions hold and have not reported.
+Tokens
+SumUnreported(const state::StateMachine& aMachine, const state::Budget& aBudget)
+{
+  Tokens sum;
+  for (const auto& [id, tokens] : aBudget.outstanding) {
+    const auto* session = aMachine.Sessions().Find(id);
+    if (session == nullptr || session->closed) {
+      sum += tokens;
+    }
+  }
+  return sum;
+}
+
+} // namespace
+
+std::string
+FormatConfiguration(const state::StateMachine& aMachine)
+{
+  const auto& records = aMachine.Configuration().Records();
+  if (records.empty()) {
+    return R"({"version":0,"change_id":"","document":"{}"})";
+  }
+  return json::serialize(FormatRecord(records.back()));
+}
+
+std::string
+FormatHistory(const state::StateMachine& aMachine)
+{
+  json::array out;
+  for (const auto& record : aMachine.Configuration().Records()) {
+    out.push_back(FormatRecord(record));
+  }
+  return json::serialize(out);
+}
+
+std::string
+FormatWorkspaces(const state::StateMachine& aMachine)
+{
+  json::array out;
+  for (const auto& [id, budget] : aMachine.Budgets().Budgets()) {
+    Tokens unreported = SumUnreported(aMachine, budget);
+    out.push_back({ { "workspace", id.Get() },
+                    { "paid", budget.paid.Get() },
+                    { "spent", budget.spent.Get() },
+                    { "granted", (budget.Outstanding() - unreported).Get() },
+                    { "unreported", unreported.Get() },
+                    { "free", budget.Free().Get() },
+                    { "requests", budget.requests } });
+  }
+  return json::serialize(out);
+}
+
+std::string
+FormatKeys(const state::StateMachine& aMachine)
+{
+  json::array out;
+  for (const auto& [id, record] : aMachine.Workspaces().Keys()) {
+    out.push_back({ { "key", id.Get() },
+                    { "workspace", record.workspace.Get() },
+                    { "site", record.site.Get() } });
+  }
+  return json::serialize(out);
+}
+
+std::string
+FormatStatus(const state::StateMachine& aMachine)
+{
+  std::size_t open = 0;
+  for (const auto& [id, session] : aMachine.Sessions().Sessions()) {
+    open += session.closed ? 0 : 1;
+  }
+  return json::serialize(json::object{
+    { "configuration_version", aMachine.Configuration().Current().Get() },
+    { "revision", aMachine.CurrentRevision().Get() },
+    { "workspaces", aMachine.Workspaces().Workspaces().size() },
+    { "keys", aMachine.Workspaces().Keys().size() },
+    { "open_sessions", open },
+    { "operations", aMachine.Operations().Operations().size() } });
+}
+
+} // namespace lycheestand::control
--- /dev/null
+++ b/packages/control/src/tasks.h
@@ -0,0 +1,35 @@
+#ifndef LYCHEESTAND_CONTROL_SRC_TASKS_H
+#define LYCHEESTAND_CONTROL_SRC_TASKS_H
+
+// Starts the tasks of a control instance.
+
+#include "messages.h"
+
+namespace lycheestand::control {
+
+// Owns the replicated state.
+caf::actor
+SpawnReplica(const net::Runtime& aRuntime,
+             const settings::ProcessSettings& aSettings,
+             const net::FleetKey& aKey);
+
+// Owns the links with routers and the view of the fleet.
+caf::actor
+SpawnFleetController(const net::Runtime& aRuntime,
+                     const settings::ProcessSettings& aSettings,
+                     caf::actor aReplica);
+
+// Reads the platform's list of endpoints again and again.
+caf::actor
+SpawnPlatformPoller(const net::Runtime& aRuntime,
+                    caf::actor aPool,
+                    const Address& aPlatform,
+                    caf::actor aFleet);
+
+// Returns the handler of the operators' interface.
+net::HttpHandler
+MakeOperatorHandler(caf::actor aReplica, caf::actor aFleet);
+
+} // namespace lycheestand::control
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/admin_server.cc
@@ -0,0 +1,105 @@
+#include "daemon.h"
+
+#include <algorithm>
+
+namespace lycheestand::daemon {
+
+namespace {
+
+constexpr std::string_view kBearer = "Bearer ";
+
+void
+Answer(const net::ExchangePtr& aExchange,
+       unsigned aStatus,
+       const char* aType,
+       std::string aBody)
+{
+  aExchange->Respond(
+    { aStatus, { { "Content-Type", aType } }, std::move(aBody) });
+}
+
+// Returns whether the request carries an operator's key.
+bool
+IsOperator(const std::vector<KeyHash>& aHashes,
+           const net::HttpRequest& aRequest)
+{
+  auto header = net::FindHeader(aRequest.headers, "Authorization");
+  if (!header || !header->starts_with(kBearer)) {
+    return false;
+  }
+  KeyHash hash = net::HashKey(header->substr(kBearer.size()));
+  return std::find(aHashes.begin(), aHashes.end(), hash) != aHashes.end();
+}
+
+void
+AnswerDump(const net::ExchangePtr& aExchange,
+           router::Router* aRouter,
+           control::Control* aControl)
+{
+  auto finish = [aExchange](const std::string& aRouterState,
+                            const std::string& aControlState) {
+    Answer(aExchange,
+           200,
+           "application/json",
+           "{\"router\":" + aRouterState + ",\"control\":" + aControlState +
+             "}");
+  };
+  auto dumpControl = [aExchange, aControl, finish](std::string aRouterState) {
+    if (aControl == nullptr) {
+      finish(aRouterState, "null");
+      return;
+    }
+    aControl->Dump(
+      aExchange->Task(),
+      [finish, state = std::move(aRouterState)](
+        const std::string& aControlState) { finish(state, aControlState); });
+  };
+  if (aRouter == nullptr) {
+    dumpControl("null");
+  } else {
+    aRouter->Dump(aExchange->Task(), dumpControl);
+  }
+}
+
+} // namespace
+
+Result<caf::actor, std::string>
+StartAdminServer(const net::Runtime& aRuntime,
+                 caf::actor aPool,
+                 const settings::ProcessSettings& aSettings,
+                 router::Router* aRouter,
+                 control::Control* aControl)
+{
+  net::HttpHandler operators =
+    aControl == nullptr ? net::HttpHandler() : aControl->OperatorHandler();
+  auto handle = [=, hashes = aSettings.operatorKeyHashes](
+                  const net::ExchangePtr& aExchange) {
+    const std::string& target = aExchange->Request().target;
+    if (target == "/metrics") {
+      Answer(
+        aExchange, 200, "text/plain; version=0.0.4", net::Metrics().Render());
+    } else if (target == "/healthz") {
+      Answer(aExchange, 200, "text/plain", "ok\n");
+    } else if (!IsOperator(hashes, aExchange->Request())) {
+      Answer(aExchange,
+             401,
+             "application/json",
+             R"({"error":{"code":"invalid_key","message":"an operator's )"
+             R"(bearer key is needed","ran":"not_run"}})");
+    } else if (target == "/dump") {
+      AnswerDump(aExchange, aRouter, aControl);
+    } else if (operators) {
+      operators(aExchange);
+    } else {
+      Answer(aExchange,
+             404,
+             "application/json",
+             R"({"error":{"code":"not_found","message":"this instance is )"
+             R"(not control","ran":"not_run"}})");
+    }
+  };
+  return net::SpawnHttpServer(
+    aRuntime, std::move(aPool), aSettings.adminAddress, {}, handle);
+}
+
+} // namespace lycheestand::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon.cc
@@ -0,0 +1,155 @@
+#include "daemon.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <caf/actor_system_config.hpp>
+#include <csignal>
+#include <iostream>
+#include <sodium.h>
+
+namespace lycheestand::daemon {
+
+namespace {
+
+constexpr int kExitSettings = 2;
+constexpr int kExitStart = 3;
+
+// Threads for tasks; more than this does not help one process's requests.
+constexpr std::size_t kMostThreads = 4;
+
+net::LogLevel
+ParseLevel(const std::string& aText)
+{
+  if (aText == "debug") {
+    return net::LogLevel::Debug;
+  }
+  if (aText == "warning") {
+    return net::LogLevel::Warning;
+  }
+  return aText == "error" ? net::LogLevel::Error : net::LogLevel::Info;
+}
+
+// The process's scheduler, I/O context and roles.
+class Process
+{
+public:
+  explicit Process(const settings::ProcessSettings& aSettings)
+    : settings(aSettings)
+    , system(Configure(this->config))
+    , runtime{ &this->system, &this->io }
+    , signals(this->io, SIGTERM, SIGINT)
+  {
+  }
+
+  int Run()
+  {
+    auto key = net::FleetKey::Load(this->settings.fleetKeyFile);
+    if (key.has_error()) {
+      std::cerr << "lycheestandd: " << key.error() << "\n";
+      return kExitSettings;
+    }
+    auto started = this->Start(key.value());
+    if (started.has_error()) {
+      std::cerr << "lycheestandd: " << started.error() << "\n";
+      return kExitStart;
+    }
+    net::Log(net::LogLevel::Info, "started");
+    this->WaitForSignal();
+    this->io.run();
+    net::Log(net::LogLevel::Info, "stopped");
+    return 0;
+  }
+
+private:
+  // The default policy polls while idle; "sharing" waits.
+  static caf::actor_system_config& Configure(caf::actor_system_config& aConfig)
+  {
+    aConfig.set("scheduler.policy", caf::atom("sharing"));
+    aConfig.set("scheduler.max-threads", kMostThreads);
+    return aConfig;
+  }
+
+  Result<void, std::string> Start(const net::FleetKey& aKey)
+  {
+    auto pool = net::SpawnConnectionPool(this->runtime);
+    if (this->settings.role != settings::Role::Router) {
+      auto control =
+        control::StartControl(this->runtime, pool, this->settings, aKey);
+      if (control.has_error()) {
+        return control.error();
+      }
+      this->control = std::move(control.value());
+    }
+    if (this->settings.role != settings::Role::Control) {
+      auto router =
+        router::StartRouter(this->runtime, pool, this->settings, aKey);
+      if (router.has_error()) {
+        return router.error();
+      }
+      this->router = std::move(router.value());
+      this->router->OnDrainRequest([this] { this->Stop(); });
+    }
+    auto admin = StartAdminServer(this->runtime,
+                                  pool,
+                                  this->settings,
+                                  this->router.get(),
+                                  this->control.get());
+    if (admin.has_error()) {
+      return admin.error();
+    }
+    return boost::outcome_v2::success();
+  }
+
+  void WaitForSignal()
+  {
+    this->signals.async_wait([this](boost::system::error_code aError, int) {
+      if (aError) {
+        return;
+      }
+      if (this->router) {
+        this->router->Drain([this] { this->Stop(); });
+      } else {
+        this->Stop();
+      }
+    });
+  }
+
+  void Stop()
+  {
+    boost::asio::post(this->io, [this] { this->io.stop(); });
+  }
+
+  settings::ProcessSettings settings;
+  caf::actor_system_config config;
+  boost::asio::io_context io;
+  caf::actor_system system;
+  net::Runtime runtime;
+  boost::asio::signal_set signals;
+  std::unique_ptr<control::Control> control;
+  std::unique_ptr<router::Router> router;
+};
+
+} // namespace
+
+// The tasks hold sockets of the I/O context and handlers of each other, so the
+// process ends without taking them apart; all that must last is on disk or at
+// control by now.
+int
+Run(const settings::ProcessSettings& aSettings)
+{
+  if (sodium_init() < 0) {
+    std::cerr << "lycheestandd: no source of random numbers\n";
+    return kExitStart;
+  }
+  net::SetUpLogging(ParseLevel(aSettings.logLevel),
+                    aSettings.logFormat == "json" ? net::LogFormat::Json
+                                                  : net::LogFormat::Text,
+                    aSettings.instance);
+  auto* process = new Process(aSettings);
+  int code = process->Run();
+  std::cout.flush();
+  std::_Exit(code);
+}
+
+} // namespace lycheestand::daemon
--- /dev/null
+++ b/packages/router/src/configuration_controller.cc
@@ -0,0 +1,103 @@
+#include "controllers.h"
+
+namespace lycheestand::router {
+
+namespace {
+
+// Keeps the newest configuration and serves it only while it is confirmed.
+class ConfigurationController : public net::IoTask
+{
+public:
+  ConfigurationController(caf::actor_config& aConfig,
+                          net::Runtime aRuntime,
+                          Duration aConfirmationLimit)
+    : net::IoTask(aConfig, aRuntime)
+    , confirmationLimit(aConfirmationLimit)
+  {
+  }
+
+protected:
+  caf::message_handler Handlers() override
+  {
+    return {
+      [this](FromControl& aMessage) { this->Handle(aMessage.message); },
+      [this](GetConfiguration) {
+        return ConfigurationInForce{ this->IsConfirmed() ? this->snapshot
+                                                         : nullptr };
+      },
+      [this](DumpState) { return this->Dump(); },
+    };
+  }
+
+private:
+  void Handle(const wire::Message& aMessage)
+  {
+    if (const auto* push = std::get_if<wire::ConfigPush>(&aMessage)) {
+      this->Take(*push);
+    } else if (const auto* ack = std::get_if<wire::HeartbeatAck>(&aMessage)) {
+      this->Confirm(*ack);
+    }
+  }
+
+  // A push from a leader that was replaced may arrive after the new leader's;
+  // revisions never go back.
+  void Take(const wire::ConfigPush& aPush)
+  {
+    if (this->snapshot && aPush.revision <= this->revision) {
+      return;
+    }
+    auto parsed = settings::ParseFleetSnapshot(aPush.document);
+    if (parsed.has_error()) {
+      net::Log(net::LogLevel::Error,
+               "can't read the configuration from control",
+               { { "error", settings::ToString(parsed.error()) } });
+      return;
+    }
+    this->revision = aPush.revision;
+    this->snapshot = std::make_shared<const settings::FleetSnapshot>(
+      std::move(parsed.value()));
+    net::Log(net::LogLevel::Info,
+             "configuration in force",
+             { { "revision", std::to_string(this->revision.Get()) } });
+  }
+
+  // The age counts from the time when the heartbeat was sent: the leader
+  // confirmed its leadership after that.
+  void Confirm(const wire::HeartbeatAck& aAck)
+  {
+    if (!this->snapshot || aAck.revision > this->revision) {
+      return;
+    }
+    TimePoint sentAt{ std::chrono::duration_cast<Duration>(aAck.sentAt) };
+    this->confirmedAt = std::max(this->confirmedAt, sentAt);
+  }
+
+  bool IsConfirmed() const
+  {
+    return this->snapshot && net::Now(this->GetRuntime()) - this->confirmedAt <
+                               this->confirmationLimit;
+  }
+
+  std::string Dump() const
+  {
+    return "{\"revision\":" + std::to_string(this->revision.Get()) +
+           ",\"confirmed\":" + (this->IsConfirmed() ? "true" : "false") + "}";
+  }
+
+  Duration confirmationLimit;
+  Revision revision;
+  std::shared_ptr<const settings::FleetSnapshot> snapshot;
+  TimePoint confirmedAt{};
+};
+
+} // namespace
+
+caf::actor
+SpawnConfigurationController(const net::Runtime& aRuntime,
+                             Duration aConfirmationLimit)
+{
+  return aRuntime.system->spawn<ConfigurationController>(aRuntime,
+                                                         aConfirmationLimit);
+}
+
+} // namespace lycheestand::router
--- /dev/null
+++ b/packages/router/src/control_link.cc
@@ -0,0 +1,280 @@
+#include "controllers.h"
+
+#include <atomic>
+#include <caf/send.hpp>
+
+namespace lycheestand::router {
+
+namespace {
+
+constexpr Duration kHeartbeatInterval = std::chrono::seconds(1);
+
+// Pause before the next control instance is tried; doubled by jitter so that
+// routers do not all come back to a new leader at once.
+constexpr std::uint64_t kReconnectMilliseconds = 100;
+
+// Connects to the control leader and passes messages to the controllers.
+class ControlLink : public net::IoTask
+{
+public:
+  ControlLink(caf::actor_config& aConfig,
+              net::Runtime aRuntime,
+              settings::ProcessSettings aSettings,
+              net::FleetKey aKey,
+              Controllers aControllers,
+              std::function<void()> aDrainRequested)
+    : net::IoTask(aConfig, aRuntime)
+    , settings(std::move(aSettings))
+    , key(std::move(aKey))
+    , controllers(std::move(aControllers))
+    , drainRequested(std::move(aDrainRequested))
+    , random(net::MakeRandomSource())
+    , session(this->random(0))
+  {
+  }
+
+protected:
+  void Start() override
+  {
+    this->nextMember = this->random(this->settings.control.size());
+    this->Dial();
+    this->Beat();
+  }
+
+  caf::message_handler Handlers() override
+  {
+    return {
+      [this](net::LinkUp& aUp) { this->HandleUp(aUp); },
+      [this](net::LinkFrame& aFrame) { this->HandleFrame(aFrame); },
+      [this](net::LinkDown& aDown) { this->HandleDown(aDown); },
+      [this](ToControl& aMessage) {
+        if (this->isWelcome) {
+          this->SendToControl(aMessage.message);
+        }
+      },
+      [this](SetLeaving) {
+        this->isLeaving = true;
+        this->SendHeartbeat();
+      },
+      [this](DumpState) { return this->Dump(); },
+    };
+  }
+
+private:
+  void Dial()
+  {
+    const auto& member = this->settings.control[this->nextMember];
+    this->link = net::OpenLink(this->GetRuntime(),
+                               this->key,
+                               member.peer,
+                               {},
+                               caf::actor_cast<caf::actor>(this));
+  }
+
+  // Tries the leader that a refusal named, or the next instance in turn.
+  void DialNext()
+  {
+    this->isDialing = true;
+    std::uint64_t pause =
+      kReconnectMilliseconds + this->random(kReconnectMilliseconds);
+    this->After(std::chrono::milliseconds(pause), [this] {
+      this->isDialing = false;
+      this->Dial();
+    });
+  }
+
+  void PickMember(const std::string& aLeader)
+  {
+    for (std::size_t i = 0; i < this->settings.control.size(); ++i) {
+      if (this->settings.control[i].instance.Get() == aLeader) {
+        this->nextMember = i;
+        return;
+      }
+    }
+    this->nextMember = (this->nextMember + 1) % this->settings.control.size();
+  }
+
+  void HandleUp(const net::LinkUp& aUp)
+  {
+    if (aUp.link != this->link) {
+      return;
+    }
+    this->linkTask = aUp.task;
+    wire::Hello hello;
+    hello.instance = this->settings.instance;
+    hello.zone = this->settings.zone;
+    hello.session = this->session;
+    hello.callerAddress = this->settings.callerAddress;
+    this->SendToControl(hello);
+  }
+
+  void HandleDown(const net::LinkDown& aDown)
+  {
+    if (aDown.link != this->link || this->isDialing) {
+      return;
+    }
+    if (this->isWelcome) {
+      net::Log(net::LogLevel::Warning,
+               "lost the link to control",
+               { { "reason", aDown.reason } });
+    }
+    this->isWelcome = false;
+    this->linkTask = nullptr;
+    this->PickMember(this->leaderHint);
+    this->leaderHint.clear();
+    this->DialNext();
+  }
+
+  void HandleFrame(net::LinkFrame& aFrame)
+  {
+    if (aFrame.link != this->link) {
+      return;
+    }
+    auto message = wire::Decode(aFrame.body);
+    if (message.has_error()) {
+      net::Log(net::LogLevel::Error, "control sent a malformed message");
+      this->send(this->linkTask, net::LinkClose{});
+      return;
+    }
+    this->Dispatch(message.value());
+  }
+
+  void Dispatch(wire::Message& aMessage)
+  {
+    if (auto* welcome = std::get_if<wire::Welcome>(&aMessage)) {
+      this->HandleWelcome(*welcome);
+    } else if (std::holds_alternative<wire::HeartbeatAck>(aMessage) ||
+               std::holds_alternative<wire::ConfigPush>(aMessage)) {
+      this->Learn(aMessage);
+      this->Forward(this->controllers.configuration, aMessage);
+    } else if (auto* view = std::get_if<wire::ViewPush>(&aMessage)) {
+      this->viewVersion = view->version;
+      this->Publish(*view);
+    } else if (std::holds_alternative<wire::OperationReply>(aMessage)) {
+      this->Forward(this->controllers.operation, aMessage);
+    } else if (std::holds_alternative<wire::Drain>(aMessage)) {
+      this->drainRequested();
+    } else {
+      this->Forward(this->controllers.budget, aMessage);
+    }
+  }
+
+  void HandleWelcome(const wire::Welcome& aWelcome)
+  {
+    if (!aWelcome.accepted) {
+      net::Log(
+        net::LogLevel::Info,
+        "control refused this router",
+        { { "reason", aWelcome.reason }, { "leader", aWelcome.leader } });
+      this->leaderHint = aWelcome.leader;
+      this->send(this->linkTask, net::LinkClose{});
+      return;
+    }
+    this->isWelcome = true;
+    net::Log(net::LogLevel::Info, "connected to control");
+    this->SendHeartbeat();
+    this->send(this->controllers.budget, ControlUp{});
+    this->send(this->controllers.operation, ControlUp{});
+  }
+
+  // Remembers the revision, which the next heartbeat confirms.
+  void Learn(const wire::Message& aMessage)
+  {
+    if (const auto* push = std::get_if<wire::ConfigPush>(&aMessage)) {
+      this->revision = std::max(this->revision, push->revision);
+    }
+  }
+
+  void Publish(wire::ViewPush& aView)
+  {
+    auto view = std::make_shared<const wire::ViewPush>(std::move(aView));
+    this->send(this->controllers.endpoint, ViewChanged{ view });
+    this->send(this->controllers.membership, ViewChanged{ view });
+  }
+
+  void Forward(const caf::actor& aController, wire::Message& aMessage)
+  {
+    this->send(aController, FromControl{ std::move(aMessage) });
+  }
+
+  void Beat()
+  {
+    this->SendHeartbeat();
+    this->After(kHeartbeatInterval, [this] { this->Beat(); });
+  }
+
+  void SendHeartbeat()
+  {
+    if (!this->isWelcome) {
+      return;
+    }
+    wire::Heartbeat heartbeat;
+    heartbeat.sentAt = std::chrono::duration_cast<std::chrono::nanoseconds>(
+      net::Now(this->GetRuntime()).time_since_epoch());
+    heartbeat.revision = this->revision;
+    heartbeat.viewVersion = this->viewVersion;
+    heartbeat.inFlight = static_cast<std::uint32_t>(
+      net::Metrics().GetGauge("lycheestand_requests_in_flight").Value());
+    heartbeat.leaving = this->isLeaving;
+    this->SendToControl(heartbeat);
+  }
+
+  void SendToControl(const wire::Message& aMessage)
+  {
+    this->send(this->linkTask, net::LinkSend{ wire::Encode(aMessage) });
+  }
+
+  std::string Dump() const
+  {
+    return "{\"session\":\"" + std::to_string(this->session.Get()) +
+           "\",\"connected\":" + (this->isWelcome ? "true" : "false") +
+           ",\"control\":\"" +
+           this->settings.control[this->nextMember].instance.Get() +
+           "\",\"leaving\":" + (this->isLeaving ? "true" : "false") + "}";
+  }
+
+  settings::ProcessSettings settings;
+  net::FleetKey key;
+  Controllers controllers;
+  std::function<void()> drainRequested;
+  RandomSource random;
+  SessionId session;
+  std::size_t nextMember = 0;
+  std::string leaderHint;
+  net::LinkId link;
+  caf::actor linkTask;
+  bool isDialing = false;
+  bool isWelcome = false;
+  bool isLeaving = false;
+  Revision revision;
+  ViewVersion viewVersion;
+};
+
+} // namespace
+
+Ticket
+NextTicket()
+{
+  static std::atomic<std::uint64_t> next{ 1 };
+  return Ticket(next.fetch_add(1));
+}
+
+std::uint64_t
+NextOperationNumber()
+{
+  static std::atomic<std::uint64_t> next{ 1 };
+  return next.fetch_add(1);
+}
+
+caf::actor
+SpawnControlLink(const net::Runtime& aRuntime,
+                 const settings::ProcessSettings& aSettings,
+                 const net::FleetKey& aKey,
+                 const Controllers& aControllers,
+                 std::function<void()> aDrainRequested)
+{
+  return aRuntime.system->spawn<ControlLink>(
+    aRuntime, aSettings, aKey, aControllers, std::move(aDrainRequested));
+}
+
+} // namespace lycheestand::router
--- /dev/null
+++ b/packages/router/src/describe.cc
@@ -0,0 +1,157 @@
+#include "chat_protocol.h"
+
+#include <boost/json.hpp>
+
+namespace lycheestand::router {
+
+namespace {
+
+constexpr std::string_view kServices = "/services/";
+
+// Longest Idempotency-Key that is kept.
+constexpr std::size_t kMaxKeyBytes = 255;
+
+void
+RefuseNotFound(const RequestPtr& aRequest, const std::string& aMessage)
+{
+  Refuse(aRequest, { 404, "not_found", aMessage });
+}
+
+void
+DescribeChat(const RequestPtr& aRequest, const Next& aNext)
+{
+  auto parsed = ParseChatCall(aRequest->exchange->Request().body);
+  if (parsed.has_error()) {
+    Refuse(aRequest, { 400, "invalid_request", parsed.error() });
+    return;
+  }
+  ChatCall call = std::move(parsed.value());
+  const auto& settings = aRequest->snapshot->settings;
+  auto model = settings.models.find(call.model);
+  if (model == settings.models.end() ||
+      !settings.AllowsModel(aRequest->workspace, aRequest->site, call.model)) {
+    RefuseNotFound(aRequest,
+                   "no model \"" + call.model.Get() + "\" for this key");
+    return;
+  }
+  if (!call.namesLimit) {
+    call.maxOutput = model->second.maxOutput;
+  }
+  call.maxOutput = std::min(call.maxOutput, model->second.maxOutput);
+  // A limit that the caller names is part of its request; without one the
+  // answer may be as short as the model's minimum when the budget runs out.
+  call.minOutput = call.namesLimit
+                     ? call.maxOutput
+                     : std::min(model->second.minOutput, call.maxOutput);
+  aRequest->call = std::move(call);
+  aNext();
+}
+
+const settings::ServiceRoute*
+FindRoute(const settings::ServiceSettings& aService,
+          const std::string& aMethod,
+          const std::string& aTarget)
+{
+  for (const auto& route : aService.routes) {
+    if (route.method == aMethod && aTarget.starts_with(route.pathPrefix)) {
+      return &route;
+    }
+  }
+  return nullptr;
+}
+
+void
+DescribeService(const RequestPtr& aRequest, const Next& aNext)
+{
+  const auto& http = aRequest->exchange->Request();
+  std::string rest = http.target.substr(kServices.size());
+  std::size_t slash = rest.find('/');
+  ServiceName name(rest.substr(0, slash));
+  const auto& settings = aRequest->snapshot->settings;
+  auto service = settings.services.find(name);
+  if (slash == std::string::npos || service == settings.services.end() ||
+      !settings.AllowsService(aRequest->workspace, aRequest->site, name)) {
+    RefuseNotFound(aRequest, "no service \"" + name.Get() + "\" for this key");
+    return;
+  }
+  ServiceCall call;
+  call.service = name;
+  call.target = rest.substr(slash);
+  call.timeout = service->second.timeout;
+  const auto* route = FindRoute(service->second, http.method, call.target);
+  if (route == nullptr) {
+    RefuseNotFound(
+      aRequest, "the service has no route " + http.method + " " + call.target);
+    return;
+  }
+  call.repeatable = route->repeatable;
+  if (auto key = net::FindHeader(http.headers, "Idempotency-Key")) {
+    call.key = OperationKey(*key);
+  }
+  bool isKeyUsable = call.key && !call.key->Get().empty() &&
+                     call.key->Get().size() <= kMaxKeyBytes;
+  if (!call.repeatable && !isKeyUsable) {
+    Refuse(aRequest,
+           { 400,
+             "idempotency_key_required",
+             "this call must run at most once and needs an Idempotency-Key "
+             "of 1 to 255 bytes" });
+    return;
+  }
+  aRequest->call = std::move(call);
+  aNext();
+}
+
+void
+AnswerModels(const RequestPtr& aRequest)
+{
+  boost::json::array models;
+  const auto& settings = aRequest->snapshot->settings;
+  for (const auto& [name, model] : settings.models) {
+    if (settings.AllowsModel(aRequest->workspace, aRequest->site, name)) {
+      models.push_back({ { "id", name.Get() },
+                         { "object", "model" },
+                         { "owned_by", "lycheestand" } });
+    }
+  }
+  boost::json::object body{ { "object", "list" }, { "data", models } };
+  aRequest->exchange->Respond({ 200,
+                                { { "Content-Type", "application/json" } },
+                                boost::json::serialize(body) });
+  FinishRequest(aRequest);
+}
+
+void
+AnswerEntry(const RequestPtr& aRequest)
+{
+  aRequest->exchange->Task()
+    .request(aRequest->controllers.membership, caf::infinite, GetEntry{})
+    .then([aRequest](std::string& aBody) {
+      aRequest->exchange->Respond(
+        { 200, { { "Content-Type", "application/json" } }, std::move(aBody) });
+      FinishRequest(aRequest);
+    });
+}
+
+} // namespace
+
+Filter
+MakeDescribe()
+{
+  return [](const RequestPtr& aRequest, const Next& aNext) {
+    const auto& http = aRequest->exchange->Request();
+    if (http.method == "POST" && http.target == "/v1/chat/completions") {
+      DescribeChat(aRequest, aNext);
+    } else if (http.method == "GET" && http.target == "/v1/models") {
+      AnswerModels(aRequest);
+    } else if (http.method == "GET" && http.target == "/v1/entry") {
+      AnswerEntry(aRequest);
+    } else if (http.target.starts_with(kServices)) {
+      DescribeService(aRequest, aNext);
+    } else {
+      RefuseNotFound(aRequest, "no such path: " + http.target);
+    }
+  };
+}
+
+} // namespace lycheestand::router
--- /dev/null
+++ b/packages/router/src/filter_chain.h
@@ -0,0 +1,150 @@
+#ifndef LYCHEESTAND_ROUTER_SRC_FILTER_CHAIN_H
+#define LYCHEESTAND_ROUTER_SRC_FILTER_CHAIN_H
+
+// The chain of filters that a caller's request passes.
+
+#include "messages.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace lycheestand::router {
+
+// What kind of call a request is, with the parsed parts that filters need.
+struct ChatCall
+{
+  ModelName model;
+  // The body to send to an engine; limits are added before forwarding.
+  std::string body;
+  bool stream = false;
+  Tokens promptBound;
+  // Output limit that the caller named, or the model's.
+  Tokens maxOutput;
+  Tokens minOutput;
+  bool namesLimit = false;
+  std::uint64_t prefixHash = 0;
+};
+
+struct ServiceCall
+{
+  ServiceName service;
+  // Path below the service's prefix, with the query.
+  std::string target;
+  bool repeatable = false;
+  std::optional<OperationKey> key;
+  Milliseconds timeout{};
+};
+
+struct ListModels
+{};
+
+// How forwarding ended, for the Settle filter.
+struct Usage
+{
+  Tokens promptTokens;
+  Tokens outputTokens;
+  Tokens Total() const { return this->promptTokens + this->outputTokens; }
+};
+
+// One caller's request on its way through the chain. Lives in the connection's
+// task.
+struct Request
+{
+  net::ExchangePtr exchange;
+  Controllers controllers;
+  RequestId id;
+  Ticket ticket;
+  TimePoint startedAt;
+  std::shared_ptr<const settings::FleetSnapshot> snapshot;
+  WorkspaceId workspace;
+  SiteId site;
+  std::variant<std::monostate, ChatCall, ServiceCall, ListModels> call;
+  // Set by Reserve.
+  Tokens reserved;
+  bool hasClaim = false;
+  // Set by Forward.
+  Usage usage;
+  net::CallHandle upstream;
+  std::set<EndpointId> tried;
+  EndpointId endpoint;
+  bool isAssigned = false;
+  // Number of the recorded operation, for a call that must not run twice.
+  std::uint64_t operation = 0;
+  bool isOperationOpen = false;
+  bool isFinished = false;
+};
+
+using RequestPtr = std::shared_ptr<Request>;
+
+// Continues with the next filter.
+using Next = std::function<void()>;
+
+// Handles its part of a request, then calls Next or answers.
+using Filter = std::function<void(const RequestPtr&, Next)>;
+
+// Runs the filters in order.
+class FilterChain
+{
+public:
+  explicit FilterChain(std::vector<Filter> aFilters)
+    : filters(std::make_shared<std::vector<Filter>>(std::move(aFilters)))
+  {
+  }
+
+  void Run(const RequestPtr& aRequest) const
+  {
+    RunFrom(this->filters, 0, aRequest);
+  }
+
+private:
+  using Filters = std::shared_ptr<std::vector<Filter>>;
+
+  static void RunFrom(const Filters& aFilters,
+                      std::size_t aIndex,
+                      const RequestPtr& aRequest)
+  {
+    if (aIndex < aFilters->size()) {
+      (*aFilters)[aIndex](aRequest, [aFilters, aIndex, aRequest] {
+        RunFrom(aFilters, aIndex + 1, aRequest);
+      });
+    }
+  }
+
+  Filters filters;
+};
+
+// An answer that is not the caller's result.
+struct Refusal
+{
+  unsigned status = 500;
+  const char* code = "";
+  std::string message;
+  RanState ran = RanState::NotRun;
+  // Seconds after which a retry may help; 0 for no such hint.
+  unsigned retryAfter = 0;
+};
+
+// Answers with a refusal and ends the request.
+void
+Refuse(const RequestPtr& aRequest, const Refusal& aRefusal);
+
+// Releases whatever the request holds; safe to call more than once.
+void
+FinishRequest(const RequestPtr& aRequest);
+
+// The filters, in their order.
+Filter
+MakeAuthenticate();
+Filter
+MakeDescribe();
+Filter
+MakeOperation();
+Filter
+MakeReserve();
+Filter
+MakeForward();
+
+} // namespace lycheestand::router
+
+#endif
--- /dev/null
+++ b/packages/router/src/forward.h
@@ -0,0 +1,33 @@
+#ifndef LYCHEESTAND_ROUTER_SRC_FORWARD_H
+#define LYCHEESTAND_ROUTER_SRC_FORWARD_H
+
+// The last filter: sends a request to an endpoint and the answer back.
+
+#include "filter_chain.h"
+
+namespace lycheestand::router {
+
+// Endpoints that one request may try.
+inline constexpr std::size_t kMaxAttempts = 3;
+
+// Chooses an endpoint and passes its address on, or refuses the request.
+void
+ChooseAndCall(const RequestPtr& aRequest,
+              const ChooseEndpoint& aChoose,
+              std::function<void(const Address&)> aCall);
+
+// Tells the endpoint controller how the call ended.
+void
+ReleaseEndpoint(const RequestPtr& aRequest, bool aSucceeded, bool aLeaving);
+
+// Forwards a chat call.
+void
+ForwardChat(const RequestPtr& aRequest);
+
+// Forwards a call of a plain service.
+void
+ForwardService(const RequestPtr& aRequest);
+
+} // namespace lycheestand::router
+
+#endif
--- /dev/null
+++ b/packages/router/src/forward_chat.cc
@@ -0,0 +1,288 @@
+#include "chat_protocol.h"
+#include "forward.h"
+
+#include <chrono>
+
+namespace lycheestand::router {
+
+namespace {
+
+// Longest silence of an engine once its answer has begun.
+constexpr Duration kTokenTimeout = std::chrono::seconds(10);
+
+// Forwards one chat call and, if the engine's stream breaks, resumes it at
+// another engine.
+class ChatForward : public std::enable_shared_from_this<ChatForward>
+{
+public:
+  explicit ChatForward(RequestPtr aRequest)
+    : request(std::move(aRequest))
+    , call(std::get<ChatCall>(this->request->call))
+  {
+    auto now = std::chrono::system_clock::now().time_since_epoch();
+    this->head = {
+      "chatcmpl-" + this->request->id.Get(),
+      this->call.model.Get(),
+      std::chrono::duration_cast<std::chrono::seconds>(now).count()
+    };
+    this->outputLimit = std::min(
+      this->call.maxOutput, this->request->reserved - this->call.promptBound);
+  }
+
+  void Start()
+  {
+    ChooseEndpoint choose;
+    choose.ticket = this->request->ticket;
+    choose.workspace = this->request->workspace;
+    choose.serves = this->call.model.Get();
+    choose.prefixHash = this->call.prefixHash;
+    choose.promptBound = this->call.promptBound;
+    choose.excluded = this->request->tried;
+    auto self = this->shared_from_this();
+    ChooseAndCall(this->request, choose, [self](const Address& aAddress) {
+      self->Send(aAddress);
+    });
+  }
+
+private:
+  void Send(const Address& aAddress)
+  {
+    Tokens left = this->outputLimit - this->request->usage.outputTokens;
+    net::HttpRequest http{ "POST",
+                           "/v1/chat/completions",
+                           { { "Content-Type", "application/json" },
+                             { "X-Request-Id", this->request->id.Get() } },
+                           FormatEngineRequest(this->call, left, this->text) };
+    this->base = this->request->usage;
+    this->events = {};
+    this->isDone = false;
+    auto model =
+      this->request->snapshot->settings.models.find(this->call.model);
+    net::CallOptions options;
+    options.idleTimeout =
+      std::max<Duration>(model->second.firstTokenTimeout, kTokenTimeout);
+    this->request->upstream = this->request->exchange->Task().StartCall(
+      aAddress, std::move(http), options, this->MakeObserver());
+  }
+
+  net::CallObserver MakeObserver()
+  {
+    auto self = this->shared_from_this();
+    return { [self](const net::CallHead& aHead) { self->HandleHead(aHead); },
+             [self](const std::string& aPiece) { self->HandleBody(aPiece); },
+             [self] { self->HandleEnd(); },
+             [self](net::CallFailure, const std::string& aReason) {
+               self->HandleBreak(aReason);
+             } };
+  }
+
+  void HandleHead(const net::CallHead& aHead)
+  {
+    this->status = aHead.status;
+    this->isLeaving =
+      net::FindHeader(aHead.headers, "X-Endpoint-Leaving").has_value();
+  }
+
+  void HandleBody(const std::string& aPiece)
+  {
+    if (this->status != 200) {
+      this->errorBody += aPiece;
+      this->request->upstream.Continue();
+      return;
+    }
+    std::string out;
+    for (const auto& data : this->events.Feed(aPiece)) {
+      out += this->HandleEvent(data);
+    }
+    if (!this->call.stream || out.empty()) {
+      this->request->upstream.Continue();
+    } else {
+      this->StartStream();
+      auto upstream = this->request->upstream;
+      this->request->exchange->WriteStream(std::move(out),
+                                           [upstream] { upstream.Continue(); });
+    }
+    this->CutAtLimit();
+  }
+
+  // Returns what the event adds to the caller's stream.
+  std::string HandleEvent(const std::string& aData)
+  {
+    auto event = ParseStreamEvent(aData);
+    if (!event) {
+      return "";
+    }
+    this->isDone |= event->isDone;
+    this->Count(*event);
+    if (!event->finishReason.empty()) {
+      this->finishReason = event->finishReason;
+    }
+    if (event->delta.empty()) {
+      return "";
+    }
+    this->text += event->delta;
+    return FormatChunk(this->head, event->delta, "");
+  }
+
+  // Without usage in an event, the bytes of its text bound its tokens.
+  void Count(const StreamEvent& aEvent)
+  {
+    Usage& usage = this->request->usage;
+    if (!aEvent.usage) {
+      usage.outputTokens +=
+        Tokens(static_cast<std::int64_t>(aEvent.delta.size()));
+      return;
+    }
+    if (this->base.promptTokens == Tokens(0)) {
+      usage.promptTokens = aEvent.usage->promptTokens;
+    }
+    usage.outputTokens = this->base.outputTokens + aEvent.usage->outputTokens;
+  }
+
+  // Ends the answer if an engine does not keep to the output limit.
+  void CutAtLimit()
+  {
+    if (this->isDone || this->request->usage.outputTokens < this->outputLimit ||
+        !this->finishReason.empty()) {
+      return;
+    }
+    this->finishReason = "length";
+    this->request->upstream.Cancel();
+    this->Complete();
+  }
+
+  void StartStream()
+  {
+    if (!this->request->exchange->IsAnswered()) {
+      this->request->exchange->StartStream(
+        200,
+        { { "Content-Type", "text/event-stream" },
+          { "Cache-Control", "no-cache" },
+          { "X-Request-Id", this->request->id.Get() } });
+    }
+  }
+
+  void HandleEnd()
+  {
+    if (this->status != 200) {
+      this->HandleRefusal();
+    } else if (!this->isDone || this->finishReason.empty()) {
+      this->HandleBreak("the stream ended early");
+    } else {
+      this->Complete();
+    }
+  }
+
+  void Complete()
+  {
+    ReleaseEndpoint(this->request, true, this->isLeaving);
+    const Usage& usage = this->request->usage;
+    auto& exchange = *this->request->exchange;
+    if (this->call.stream) {
+      this->StartStream();
+      exchange.WriteStream(FormatChunk(this->head, "", this->finishReason) +
+                             FormatStreamEnd(this->head, usage),
+                           nullptr);
+      exchange.EndStream();
+    } else {
+      exchange.Respond(
+        { 200,
+          { { "Content-Type", "application/json" },
+            { "X-Request-Id", this->request->id.Get() } },
+          FormatAnswer(this->head, this->text, this->finishReason, usage) });
+    }
+    FinishRequest(this->request);
+  }
+
+  // The engine did not take the request. One that is busy or leaving is
+  // avoided; a request that it can't serve would fail elsewhere too.
+  void HandleRefusal()
+  {
+    bool isBusy = this->status == 429 || this->status >= 500;
+    ReleaseEndpoint(this->request, !isBusy, this->isLeaving);
+    if (isBusy && this->request->tried.size() < kMaxAttempts) {
+      this->errorBody.clear();
+      this->Start();
+      return;
+    }
+    if (this->request->exchange->IsAnswered()) {
+      this->EndInterrupted("the engine refused to resume the answer");
+    } else if (isBusy) {
+      Refuse(this->request,
+             { 503,
+               "endpoints_busy",
+               "the endpoints refused the request",
+               RanState::NotRun,
+               1 });
+    } else {
+      Refuse(this->request,
+             { 400,
+               "rejected_by_engine",
+               "the engine rejected the request: " +
+                 this->errorBody.substr(0, 200) });
+    }
+  }
+
+  void HandleBreak(const std::string& aReason)
+  {
+    net::Log(net::LogLevel::Warning,
+             "call to engine broke",
+             { { "request", this->request->id.Get() },
+               { "workspace", this->request->workspace.Get() },
+               { "endpoint", this->request->endpoint.Get() },
+               { "reason", aReason } });
+    ReleaseEndpoint(this->request, false, this->isLeaving);
+    bool hasRoom = this->request->usage.outputTokens < this->outputLimit;
+    if (hasRoom && this->request->tried.size() < kMaxAttempts) {
+      this->Start();
+      return;
+    }
+    this->EndInterrupted(aReason);
+  }
+
+  // Nothing of a plain answer has reached the caller, so nothing is charged for
+  // it; of a stream the caller keeps what it has.
+  void EndInterrupted(const std::string& aReason)
+  {
+    auto& exchange = *this->request->exchange;
+    if (!exchange.IsAnswered()) {
+      this->request->usage = {};
+      Refuse(this->request,
+             { 502,
+               "interrupted",
+               "the endpoint's answer broke off: " + aReason,
+               RanState::Unknown,
+               1 });
+      return;
+    }
+    exchange.WriteStream(
+      FormatStreamError("interrupted", "the answer broke off: " + aReason),
+      nullptr);
+    exchange.EndStream();
+    FinishRequest(this->request);
+  }
+
+  RequestPtr request;
+  ChatCall call;
+  AnswerHead head;
+  Tokens outputLimit;
+  // Usage before the current attempt.
+  Usage base;
+  EventReader events;
+  std::string text;
+  std::string finishReason;
+  std::string errorBody;
+  unsigned status = 0;
+  bool isDone = false;
+  bool isLeaving = false;
+};
+
+} // namespace
+
+void
+ForwardChat(const RequestPtr& aRequest)
+{
+  std::make_shared<ChatForward>(aRequest)->Start();
+}
+
+} // namespace lycheestand::router
--- /dev/null
+++ b/packages/router/src/forward_service.cc
@@ -0,0 +1,149 @@
+#include "forward.h"
+
+namespace lycheestand::router {
+
+namespace {
+
+ChooseEndpoint
+MakeChoose(const Request& aRequest, const ServiceCall& aCall)
+{
+  ChooseEndpoint choose;
+  choose.ticket = aRequest.ticket;
+  choose.workspace = aRequest.workspace;
+  choose.serves = aCall.service.Get();
+  choose.isService = true;
+  choose.excluded = aRequest.tried;
+  return choose;
+}
+
+net::HttpRequest
+MakeHttpRequest(const Request& aRequest, const ServiceCall& aCall)
+{
+  const auto& http = aRequest.exchange->Request();
+  net::HttpRequest out{ http.method, aCall.target, {}, http.body };
+  if (auto type = net::FindHeader(http.headers, "Content-Type")) {
+    out.headers.emplace_back("Content-Type", *type);
+  }
+  if (aCall.key) {
+    out.headers.emplace_back("Idempotency-Key", aCall.key->Get());
+  }
+  out.headers.emplace_back("X-Request-Id", aRequest.id.Get());
+  out.headers.emplace_back("X-Workspace", aRequest.workspace.Get());
+  return out;
+}
+
+void
+Answer(const RequestPtr& aRequest, const StoredAnswer& aAnswer)
+{
+  aRequest->exchange->Respond({ aAnswer.status,
+                                { { "Content-Type", aAnswer.contentType },
+                                  { "X-Request-Id", aRequest->id.Get() } },
+                                aAnswer.body });
+  FinishRequest(aRequest);
+}
+
+StoredAnswer
+ToAnswer(const net::HttpResponse& aResponse)
+{
+  auto type = net::FindHeader(aResponse.headers, "Content-Type");
+  return { aResponse.status,
+           type.value_or("application/octet-stream"),
+           aResponse.body };
+}
+
+// Forwards a call that may repeat; tries another endpoint when one fails.
+void
+ForwardRepeatable(const RequestPtr& aRequest)
+{
+  const auto& call = std::get<ServiceCall>(aRequest->call);
+  ChooseAndCall(
+    aRequest,
+    MakeChoose(*aRequest, call),
+    [aRequest, &call](const Address& aAddress) {
+      net::CallOptions options;
+      options.idleTimeout = call.timeout;
+      aRequest->upstream = aRequest->exchange->Task().Fetch(
+        aAddress,
+        MakeHttpRequest(*aRequest, call),
+        options,
+        [aRequest](Result<net::HttpResponse, net::CallFailure> aResult) {
+          bool succeeded = aResult.has_value() && aResult.value().status != 503;
+          ReleaseEndpoint(aRequest, succeeded, false);
+          if (succeeded) {
+            Answer(aRequest, ToAnswer(aResult.value()));
+          } else if (aRequest->tried.size() < kMaxAttempts) {
+            ForwardRepeatable(aRequest);
+          } else {
+            Refuse(aRequest,
+                   { 502,
+                     "service_failed",
+                     "the service's endpoints did not answer",
+                     RanState::Unknown,
+                     1 });
+          }
+        });
+    });
+}
+
+void
+HandleRun(const RequestPtr& aRequest, const OperationRun& aRun)
+{
+  ReleaseEndpoint(aRequest, aRun.answer.has_value(), false);
+  if (aRun.answer) {
+    Answer(aRequest, *aRun.answer);
+    return;
+  }
+  if (aRun.ran == RanState::NotRun) {
+    Refuse(aRequest,
+           { 503,
+             "service_unreachable",
+             "the service's endpoint could not be reached",
+             RanState::NotRun,
+             1 });
+    return;
+  }
+  Refuse(aRequest,
+         { 504,
+           "outcome_unknown",
+           "it is not known whether the call ran; it will not be run again",
+           RanState::Unknown });
+}
+
+// Hands a call that must run at most once to the operation controller, which
+// finishes it even if the caller leaves.
+void
+ForwardOnce(const RequestPtr& aRequest)
+{
+  const auto& call = std::get<ServiceCall>(aRequest->call);
+  ChooseAndCall(
+    aRequest,
+    MakeChoose(*aRequest, call),
+    [aRequest, &call](const Address& aAddress) {
+      RunOperation run;
+      run.operation = aRequest->operation;
+      run.workspace = aRequest->workspace;
+      run.key = *call.key;
+      run.address = aAddress;
+      run.request = MakeHttpRequest(*aRequest, call);
+      run.timeout = call.timeout;
+      // From here on the operation controller ends the operation.
+      aRequest->isOperationOpen = false;
+      aRequest->exchange->Task()
+        .request(aRequest->controllers.operation, caf::infinite, std::move(run))
+        .then([aRequest](OperationRun& aRun) { HandleRun(aRequest, aRun); });
+    });
+}
+
+} // namespace
+
+void
+ForwardService(const RequestPtr& aRequest)
+{
+  if (std::get<ServiceCall>(aRequest->call).repeatable) {
+    ForwardRepeatable(aRequest);
+  } else {
+    ForwardOnce(aRequest);
+  }
+}
+
+} // namespace lycheestand::router
--- /dev/null
+++ b/packages/router/src/messages.h
@@ -0,0 +1,202 @@
+#ifndef LYCHEESTAND_ROUTER_SRC_MESSAGES_H
+#define LYCHEESTAND_ROUTER_SRC_MESSAGES_H
+
+// Messages between a router's tasks.
+
+#include <caf/allowed_unsafe_message_type.hpp>
+#include <lycheestand/budget.h>
+#include <lycheestand/core.h>
+#include <lycheestand/net.h>
+#include <lycheestand/settings.h>
+#include <lycheestand/wire.h>
+#include <memory>
+#include <set>
+
+namespace lycheestand::router {
+
+using budget::Ticket;
+
+// Returns a ticket that no other request of this process has.
+Ticket
+NextTicket();
+
+// ------------------------------------------------------------ control link
+
+// To the control link: send to control, or drop if there is no link.
+struct ToControl
+{
+  wire::Message message;
+};
+
+// From the control link to the controllers: a link with the leader is open;
+// what is unanswered must be sent again.
+struct ControlUp
+{};
+
+// From the control link to a controller: a message from control.
+struct FromControl
+{
+  wire::Message message;
+};
+
+// To the control link: report that this router is leaving.
+struct SetLeaving
+{};
+
+// ------------------------------------------------------------ configuration
+
+// Asks for the configuration; the answer is ConfigurationInForce.
+struct GetConfiguration
+{};
+
+// The configuration, or none while it is not confirmed as current.
+struct ConfigurationInForce
+{
+  std::shared_ptr<const settings::FleetSnapshot> snapshot;
+};
+
+// ------------------------------------------------------------ budgets
+
+// Asks for a reservation; the answer is ReserveReply.
+struct Reserve
+{
+  budget::Claim claim;
+};
+struct ReserveReply
+{
+  Tokens tokens;
+  std::optional<budget::Refusal> refusal;
+};
+
+// Ends a reservation or withdraws its claim.
+struct Settle
+{
+  Ticket ticket;
+  Tokens spent;
+};
+
+// Returns all grants and answers with true once nothing is held.
+struct ReturnGrants
+{};
+
+// ------------------------------------------------------------ operations
+
+// A step of a call that must run at most once; the answer is OperationAnswer.
+struct Operate
+{
+  wire::OperationRequest request;
+};
+struct OperationAnswer
+{
+  OperationState state = OperationState::Refused;
+  StoredAnswer answer;
+};
+
+// Runs a call whose Begin was answered with Started, and records how it ended,
+// whether or not the caller stays. The answer is OperationRun.
+struct RunOperation
+{
+  std::uint64_t operation = 0;
+  WorkspaceId workspace;
+  OperationKey key;
+  Address address;
+  net::HttpRequest request;
+  Duration timeout{};
+};
+struct OperationRun
+{
+  // The service's answer, or none with what is known of the call.
+  std::optional<StoredAnswer> answer;
+  RanState ran = RanState::Unknown;
+};
+
+// Asks whether no call is running and control has every step.
+struct IsIdle
+{};
+
+// Returns a number for a new operation in this session.
+std::uint64_t
+NextOperationNumber();
+
+// ------------------------------------------------------------ endpoints
+
+// Asks for an endpoint; the answer is EndpointChosen.
+struct ChooseEndpoint
+{
+  Ticket ticket;
+  WorkspaceId workspace;
+  std::string serves;
+  bool isService = false;
+  // Hash of the prompt's beginning, for prefix affinity; 0 for none.
+  std::uint64_t prefixHash = 0;
+  Tokens promptBound;
+  // Endpoints that this request has tried.
+  std::set<EndpointId> excluded;
+};
+struct EndpointChosen
+{
+  std::optional<EndpointId> endpoint;
+  Address address;
+};
+
+// How a call to an endpoint ended.
+struct CallFinished
+{
+  Ticket ticket;
+  bool succeeded = false;
+  // The endpoint said that it is leaving.
+  bool leaving = false;
+};
+
+// ------------------------------------------------------------ membership
+
+// Asks for the answer to GET /v1/entry, as JSON text.
+struct GetEntry
+{};
+
+// Tells a controller about the newest view.
+struct ViewChanged
+{
+  std::shared_ptr<const wire::ViewPush> view;
+};
+
+// Asks a controller for its state as JSON text.
+struct DumpState
+{};
+
+// The tasks of a router.
+struct Controllers
+{
+  caf::actor configuration;
+  caf::actor budget;
+  caf::actor operation;
+  caf::actor endpoint;
+  caf::actor membership;
+  caf::actor link;
+};
+
+} // namespace lycheestand::router
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ToControl)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ControlUp)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::FromControl)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::SetLeaving)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::GetConfiguration)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ConfigurationInForce)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::Reserve)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ReserveReply)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::Settle)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ReturnGrants)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::Operate)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::OperationAnswer)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::RunOperation)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::OperationRun)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::IsIdle)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ChooseEndpoint)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointChosen)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CallFinished)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::GetEntry)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ViewChanged)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::DumpState)
+
+#endif
--- /dev/null
+++ b/packages/router/src/operation.cc
@@ -0,0 +1,110 @@
+#include "filter_chain.h"
+
+namespace lycheestand::router {
+
+namespace {
+
+// Returns the text that two requests with the same key must share.
+std::string
+FingerprintText(const Request& aRequest, const ServiceCall& aCall)
+{
+  const auto& http = aRequest.exchange->Request();
+  return http.method + "\n" + aCall.service.Get() + "\n" + aCall.target + "\n" +
+         http.body;
+}
+
+void
+Replay(const RequestPtr& aRequest, const StoredAnswer& aAnswer)
+{
+  aRequest->exchange->Respond({ aAnswer.status,
+                                { { "Content-Type", aAnswer.contentType },
+                                  { "Idempotent-Replayed", "true" },
+                                  { "X-Request-Id", aRequest->id.Get() } },
+                                aAnswer.body });
+  FinishRequest(aRequest);
+}
+
+void
+HandleAnswer(const RequestPtr& aRequest,
+             const OperationAnswer& aAnswer,
+             const Next& aNext)
+{
+  switch (aAnswer.state) {
+    case OperationState::Started:
+      aRequest->isOperationOpen = true;
+      aNext();
+      return;
+    case OperationState::Completed:
+      Replay(aRequest, aAnswer.answer);
+      return;
+    case OperationState::InProgress:
+      Refuse(aRequest,
+             { 409,
+               "in_progress",
+               "a request with this Idempotency-Key is in progress",
+               RanState::Unknown,
+               1 });
+      return;
+    case OperationState::BodyDiffers:
+      Refuse(aRequest,
+             { 409,
+               "idempotency_key_reused",
+               "this Idempotency-Key was used with another request" });
+      return;
+    case OperationState::Unknown:
+      Refuse(aRequest,
+             { 409,
+               "outcome_unknown",
+               "it is not known whether the call with this Idempotency-Key "
+               "ran; it will not be run again",
+               RanState::Unknown });
+      return;
+    case OperationState::Ended:
+      Refuse(aRequest,
+             { 409,
+               "answer_not_kept",
+               "the call with this Idempotency-Key ran; its answer is no "
+               "longer kept",
+               RanState::Ran });
+      return;
+    case OperationState::Refused:
+      break;
+  }
+  Refuse(aRequest,
+         { 503,
+           "control_unavailable",
+           "the call could not be recorded before it is forwarded",
+           RanState::NotRun,
+           1 });
+}
+
+} // namespace
+
+// Records the intent of a call that must not run twice before it is forwarded.
+Filter
+MakeOperation()
+{
+  return [](const RequestPtr& aRequest, Next aNext) {
+    const auto* call = std::get_if<ServiceCall>(&aRequest->call);
+    if (call == nullptr || call->repeatable) {
+      aNext();
+      return;
+    }
+    aRequest->operation = NextOperationNumber();
+    wire::OperationRequest step;
+    step.request = aRequest->operation;
+    step.workspace = aRequest->workspace;
+    step.key = *call->key;
+    step.bodyHash = net::HashBody(FingerprintText(*aRequest, *call));
+    step.phase = OperationPhase::Begin;
+    aRequest->exchange->Task()
+      .request(aRequest->controllers.operation,
+               caf::infinite,
+               Operate{ std::move(step) })
+      .then([aRequest, next = std::move(aNext)](OperationAnswer& aAnswer) {
+        HandleAnswer(aRequest, aAnswer, next);
+      });
+  };
+}
+
+} // namespace lycheestand::router
--- a/packages/wire/include/lycheestand/wire.h
+++ b/packages/wire/include/lycheestand/wire.h
@@ -157,6 +157,8 @@
 struct OperationReply
 {
   std::uint64_t request = 0;
+  // The step that this answers.
+  OperationPhase phase = OperationPhase::Begin;
   OperationState state = OperationState::Refused;
   StoredAnswer answer;
 };
--- a/packages/wire/src/codec.cc
+++ b/packages/wire/src/codec.cc
@@ -392,6 +392,7 @@
 {
   fb::OperationReplyT out;
   out.request = aIn.request;
+  out.phase = static_cast<fb::OperationPhase>(aIn.phase);
   out.state = static_cast<fb::OperationState>(aIn.state);
   out.status = aIn.answer.status;
   out.content_type = aIn.answer.contentType;
@@ -402,10 +403,12 @@
 OperationReply
 Unpack(const fb::OperationReplyT& aIn)
 {
-  return { aIn.request,
-           CheckedEnum(static_cast<std::uint8_t>(aIn.state),
-                       OperationState::Refused),
-           { aIn.status, aIn.content_type, ToText(aIn.answer) } };
+  return {
+    aIn.request,
+    CheckedEnum(static_cast<std::uint8_t>(aIn.phase), OperationPhase::Unknown),
+    CheckedEnum(static_cast<std::uint8_t>(aIn.state), OperationState::Refused),
+    { aIn.status, aIn.content_type, ToText(aIn.answer) }
+  };
 }
 
 fb::DrainT
