Test the socket tasks on a paused clock and count link bytes

Cause: nothing guarded the HTTP front, the calls to endpoints and the links against disconnects, slow or hostile peers and wrong keys.

--- a/packages/net/src/link.cc
+++ b/packages/net/src/link.cc
@@ -151,7 +151,6 @@
   void SendProof()
   {
     this->Enqueue(this->cipher.Begin(this->peerChallenge));
-    this->isKeyed = true;
     this->EnqueueFrame("");
     asio::async_read(this->socket,
                      asio::buffer(this->peerHeader),
@@ -209,6 +208,7 @@
       return;
     }
     this->lastReceived = Now(this->GetRuntime());
+    this->received.Add(kLengthBytes + this->incoming.size());
     if (!this->isUp) {
       this->isUp = true;
       this->send(this->user,
@@ -238,6 +238,7 @@
   void Enqueue(std::string aBytes)
   {
     this->queuedBytes += aBytes.size();
+    this->sent.Add(aBytes.size());
     this->writes.push_back(std::move(aBytes));
     if (this->writes.size() == 1) {
       this->WriteNext();
@@ -282,10 +283,12 @@
   std::string incoming;
   std::deque<std::string> writes;
   std::size_t queuedBytes = 0;
-  bool isKeyed = false;
   bool isUp = false;
   TimePoint lastReceived;
   std::string reason;
+  Counter sent = Metrics().GetCounter("lycheestand_link_sent_bytes_total");
+  Counter received =
+    Metrics().GetCounter("lycheestand_link_received_bytes_total");
 };
 
 // Accepts links from other processes of the fleet.
--- /dev/null
+++ b/packages/net/test/net_fixture.h
@@ -0,0 +1,172 @@
+#ifndef LYCHEESTAND_NET_TEST_NET_FIXTURE_H
+#define LYCHEESTAND_NET_TEST_NET_FIXTURE_H
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <caf/actor_system_config.hpp>
+#include <caf/scheduler/test_coordinator.hpp>
+#include <caf/send.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <lycheestand/net.h>
+#include <sodium.h>
+#include <thread>
+
+namespace lycheestand::net {
+
+// Runs tasks on a paused clock, which the test advances.
+class NetFixture
+{
+public:
+  NetFixture()
+    : system(Configure(this->config))
+    , runtime{ &this->system, &this->io }
+    , pool(SpawnConnectionPool(this->runtime))
+  {
+    REQUIRE(sodium_init() >= 0);
+  }
+
+  ~NetFixture()
+  {
+    for (const auto& task : this->started) {
+      caf::anon_send_exit(task, caf::exit_reason::kill);
+    }
+    caf::anon_send_exit(this->pool, caf::exit_reason::kill);
+    this->pool = nullptr;
+    this->started.clear();
+    for (int i = 0; i < 20; ++i) {
+      this->io.poll();
+      this->Coordinator().run();
+      this->io.restart();
+    }
+    this->system.await_actors_before_shutdown(false);
+  }
+
+  // Runs tasks until the condition holds; fails after a wide bound.
+  void PumpUntil(const std::function<bool()>& aCondition)
+  {
+    for (int i = 0; i < 20000; ++i) {
+      this->io.poll();
+      this->io.restart();
+      this->Coordinator().run();
+      if (aCondition()) {
+        return;
+      }
+      std::this_thread::sleep_for(std::chrono::microseconds(500));
+    }
+    FAIL("the condition was not met in time");
+  }
+
+  // Moves the clock forward in steps, so that periodic checks run in order.
+  void Advance(Duration aTime)
+  {
+    constexpr Duration kStep = std::chrono::milliseconds(500);
+    for (Duration done{}; done < aTime; done += kStep) {
+      this->Coordinator().advance_time(kStep);
+      this->io.poll();
+      this->io.restart();
+      this->Coordinator().run();
+    }
+  }
+
+  caf::scheduler::test_coordinator& Coordinator()
+  {
+    return dynamic_cast<caf::scheduler::test_coordinator&>(
+      this->system.scheduler());
+  }
+
+  // Returns an address that was free a moment ago.
+  static Address FreeAddress()
+  {
+    boost::asio::io_context probe;
+    boost::asio::ip::tcp::acceptor acceptor(
+      probe, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    return { "127.0.0.1", acceptor.local_endpoint().port() };
+  }
+
+  // Starts an HTTP server and returns its address.
+  Address Serve(HttpHandler aHandler, HttpServerOptions aOptions = {})
+  {
+    Address address = FreeAddress();
+    auto server = SpawnHttpServer(
+      this->runtime, this->pool, address, aOptions, std::move(aHandler));
+    REQUIRE(server.has_value());
+    this->started.push_back(server.value());
+    return address;
+  }
+
+  caf::actor_system_config config;
+  boost::asio::io_context io;
+  caf::actor_system system;
+  Runtime runtime;
+  caf::actor pool;
+  std::vector<caf::actor> started;
+
+private:
+  static caf::actor_system_config& Configure(caf::actor_system_config& aConfig)
+  {
+    aConfig.set("scheduler.policy", caf::atom("testing"));
+    return aConfig;
+  }
+};
+
+// A caller with a plain socket, to send and see exact bytes.
+class RawCaller
+{
+public:
+  explicit RawCaller(const Address& aAddress)
+    : socket(this->io)
+  {
+    this->socket.connect(
+      { boost::asio::ip::make_address(aAddress.host), aAddress.port });
+    this->socket.non_blocking(true);
+  }
+
+  void Send(const std::string& aText)
+  {
+    boost::asio::write(this->socket, boost::asio::buffer(aText));
+  }
+
+  // Takes what has arrived; returns everything so far.
+  const std::string& Received()
+  {
+    char bytes[4096];
+    boost::system::error_code error;
+    for (;;) {
+      std::size_t count =
+        this->socket.read_some(boost::asio::buffer(bytes), error);
+      if (error) {
+        this->isClosed = error != boost::asio::error::would_block;
+        return this->text;
+      }
+      this->text.append(bytes, count);
+    }
+  }
+
+  bool IsClosed()
+  {
+    this->Received();
+    return this->isClosed;
+  }
+
+  void Close() { this->socket.close(); }
+
+private:
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket socket;
+  std::string text;
+  bool isClosed = false;
+};
+
+// A task that makes calls for a test.
+class CallerTask : public IoTask
+{
+public:
+  using IoTask::IoTask;
+};
+
+} // namespace lycheestand::net
+
+#endif
