Push configuration as patches and add the load tool

A closed session's grant request closes the link instead of being answered as exhausted. bench_load makes open-loop calls in the users' proportions.

--- /dev/null
+++ b/bench/load/report.cc
@@ -0,0 +1,65 @@
+#include "report.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace lycheestand::bench {
+
+namespace {
+
+boost::json::object
+FormatTimes(const std::vector<double>& aValues)
+{
+  return { { "p50", Quantile(aValues, 0.5) },
+           { "p95", Quantile(aValues, 0.95) },
+           { "p99", Quantile(aValues, 0.99) } };
+}
+
+boost::json::object
+FormatKind(const KindReport& aKind)
+{
+  boost::json::object refusals;
+  for (const auto& [code, count] : aKind.refusals) {
+    refusals[code] = count;
+  }
+  return { { "offered", aKind.offered },
+           { "whole", aKind.whole },
+           { "cut", aKind.cut },
+           { "refusals", refusals },
+           { "first_byte_ms", FormatTimes(aKind.firstByte) },
+           { "gap_ms", FormatTimes(aKind.gaps) },
+           { "total_ms", FormatTimes(aKind.total) } };
+}
+
+} // namespace
+
+double
+Quantile(std::vector<double> aValues, double aQuantile)
+{
+  if (aValues.empty()) {
+    return 0;
+  }
+  auto at =
+    aValues.begin() + static_cast<std::ptrdiff_t>(
+                        aQuantile * static_cast<double>(aValues.size() - 1));
+  std::nth_element(aValues.begin(), at, aValues.end());
+  return *at;
+}
+
+std::string
+FormatReport(const Report& aReport, double aSeconds)
+{
+  boost::json::object out;
+  std::uint64_t whole = 0;
+  for (std::size_t i = 0; i < aReport.size(); ++i) {
+    whole += aReport[i].whole;
+    if (aReport[i].offered > 0) {
+      out[ToString(static_cast<CallKind>(i))] = FormatKind(aReport[i]);
+    }
+  }
+  out["seconds"] = aSeconds;
+  out["whole_per_second"] = static_cast<double>(whole) / aSeconds;
+  return boost::json::serialize(out);
+}
+
+} // namespace lycheestand::bench
--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -21,3 +21,5 @@
 endfunction()
 lycheestand_standin(engine)
 lycheestand_standin(platform)
+
+lycheestand_program(bench_load bench/load DEPS lycheestand_net)
--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -1,3 +1,4 @@
+#include "snapshot_history.h"
 #include "tasks.h"
 
 #include <boost/json.hpp>
@@ -119,6 +120,8 @@
   void Welcome(net::LinkId aLink, LinkState& aState)
   {
     aState.isWelcome = true;
+    // Equal revisions have equal content, whichever instance led then.
+    aState.pushed = aState.hello.revision;
     Member& member = this->members[aState.hello.instance];
     member.entry.instance = aState.hello.instance;
     member.entry.zone = aState.hello.zone;
@@ -184,12 +187,19 @@
     wire::GrantReply reply;
     reply.request = aRequest.request;
     reply.workspace = aRequest.workspace;
+    if (aOutcome ==
+        state::Outcome(state::Rejected{ state::Rejection::SessionClosed })) {
+      // Another process has taken this instance's place. The budget may have
+      // room, so "exhausted" would be wrong.
+      this->send(aState.task, net::LinkClose{});
+      return;
+    }
     if (const auto* granted = std::get_if<state::TokensGranted>(&aOutcome)) {
       reply.grant = granted->grant;
       reply.tokens = granted->tokens;
       reply.exhausted = granted->exhausted;
     } else {
-      // No such workspace, or the session is closed: nothing can be had here.
+      // There is no such workspace, so nothing was paid for it.
       reply.exhausted = true;
     }
     this->SendTo(aState, reply);
@@ -331,8 +341,7 @@
 
   void PushRevision(const RevisionChanged& aChanged)
   {
-    this->revision = aChanged.revision;
-    this->document = aChanged.document;
+    this->snapshots.Add(aChanged.revision, aChanged.document);
     for (auto& [id, link] : this->links) {
       this->PushTo(link);
     }
@@ -343,9 +352,10 @@
     if (!aState.isWelcome) {
       return;
     }
-    if (this->document && aState.pushed != this->revision) {
-      aState.pushed = this->revision;
-      this->SendTo(aState, wire::ConfigPush{ this->revision, *this->document });
+    Revision current = this->snapshots.Current();
+    if (current > Revision(0) && aState.pushed != current) {
+      this->SendTo(aState, this->snapshots.MakePush(aState.pushed));
+      aState.pushed = current;
     }
     if (aState.pushedView != this->view.version) {
       aState.pushedView = this->view.version;
@@ -434,8 +444,7 @@
   caf::actor replica;
   bool isLeader = false;
   InstanceId leader;
-  Revision revision;
-  std::shared_ptr<const std::string> document;
+  SnapshotHistory snapshots;
   std::map<net::LinkId, LinkState> links;
   std::map<InstanceId, Member> members;
   std::vector<wire::EndpointEntry> endpoints;
--- a/packages/router/src/configuration_controller.cc
+++ b/packages/router/src/configuration_controller.cc
@@ -46,14 +46,18 @@
     if (this->snapshot && aPush.revision <= this->revision) {
       return;
     }
-    auto parsed = settings::ParseFleetSnapshot(aPush.document);
+    auto text = this->Expand(aPush);
+    if (text.has_error()) {
+      this->AskAgain(text.error());
+      return;
+    }
+    auto parsed = settings::ParseFleetSnapshot(text.value());
     if (parsed.has_error()) {
-      net::Log(net::LogLevel::Error,
-               "can't read the configuration from control",
-               { { "error", settings::ToString(parsed.error()) } });
+      this->AskAgain(parsed.error());
       return;
     }
     this->revision = aPush.revision;
+    this->document = std::move(text.value());
     this->snapshot = std::make_shared<const settings::FleetSnapshot>(
       std::move(parsed.value()));
     net::Log(net::LogLevel::Info,
@@ -61,6 +65,31 @@
              { { "revision", std::to_string(this->revision.Get()) } });
   }
 
+  // Returns the whole text of a push.
+  Result<std::string, settings::SettingsError> Expand(
+    const wire::ConfigPush& aPush) const
+  {
+    using R = Result<std::string, settings::SettingsError>;
+    if (aPush.base == Revision(0)) {
+      return R(boost::outcome_v2::in_place_type<std::string>, aPush.document);
+    }
+    if (aPush.base != this->revision) {
+      return settings::SettingsError{ "", "", "the patch has another base" };
+    }
+    return settings::ApplySnapshotPatch(this->document, aPush.document);
+  }
+
+  // The configuration that is in force stays, but is no longer confirmed.
+  void AskAgain(const settings::SettingsError& aError)
+  {
+    net::Log(net::LogLevel::Error,
+             "can't use the configuration from control",
+             { { "error", settings::ToString(aError) } });
+    this->confirmedAt = {};
+    this->send(caf::actor_cast<caf::actor>(this->current_sender()),
+               ConfigurationLost{});
+  }
+
   // The age counts from the time when the heartbeat was sent: the leader
   // confirmed its leadership after that.
   void Confirm(const wire::HeartbeatAck& aAck)
@@ -86,6 +115,7 @@
 
   Duration confirmationLimit;
   Revision revision;
+  std::string document;
   std::shared_ptr<const settings::FleetSnapshot> snapshot;
   TimePoint confirmedAt{};
 };
--- a/packages/router/src/control_link.cc
+++ b/packages/router/src/control_link.cc
@@ -56,6 +56,10 @@
         this->isLeaving = true;
         this->SendHeartbeat();
       },
+      [this](ConfigurationLost) {
+        this->revision = Revision(0);
+        this->send(this->linkTask, net::LinkClose{});
+      },
       [this](DumpState) { return this->Dump(); },
     };
   }
@@ -105,6 +109,7 @@
     hello.zone = this->settings.zone;
     hello.session = this->session;
     hello.callerAddress = this->settings.callerAddress;
+    hello.revision = this->revision;
     this->SendToControl(hello);
   }
 
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -55,6 +55,11 @@
   std::shared_ptr<const settings::FleetSnapshot> snapshot;
 };
 
+// To the control link: a push could not be applied; the whole configuration is
+// needed.
+struct ConfigurationLost
+{};
+
 // ------------------------------------------------------------ budgets
 
 // Asks for a reservation; the answer is ReserveReply.
@@ -183,6 +188,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::SetLeaving)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::GetConfiguration)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ConfigurationInForce)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ConfigurationLost)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::Reserve)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ReserveReply)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::Settle)
--- a/packages/settings/include/lycheestand/settings.h
+++ b/packages/settings/include/lycheestand/settings.h
@@ -178,6 +178,15 @@
 FormatFleetSnapshot(std::string_view aDocument,
                     const std::map<KeyHash, CallerKey>& aKeys);
 
+// Returns the JSON merge patch (RFC 7396) that turns one snapshot's text into
+// another's. Both must be valid.
+std::string
+MakeSnapshotPatch(std::string_view aFrom, std::string_view aTo);
+
+// Returns a snapshot's text after a patch.
+Result<std::string, SettingsError>
+ApplySnapshotPatch(std::string_view aFrom, std::string_view aPatch);
+
 // Returns the snapshot in a pushed text.
 Result<FleetSnapshot, SettingsError>
 ParseFleetSnapshot(std::string_view aText);
--- a/packages/wire/include/lycheestand/wire.h
+++ b/packages/wire/include/lycheestand/wire.h
@@ -24,6 +24,8 @@
   std::uint32_t protocol = kProtocolVersion;
   // True on a link between two control instances.
   bool isControl = false;
+  // Revision that the router has from an earlier link; 0 for none.
+  Revision revision;
 };
 
 // Answer to Hello; a refusal names the leader when it is known.
@@ -56,6 +58,8 @@
 struct ConfigPush
 {
   Revision revision;
+  // Revision that the document is a merge patch to; 0 if it is whole.
+  Revision base;
   std::string document;
 };
 
--- a/packages/wire/src/codec.cc
+++ b/packages/wire/src/codec.cc
@@ -65,16 +65,20 @@
   out.caller_address = PackAddress(aIn.callerAddress);
   out.protocol = aIn.protocol;
   out.is_control = aIn.isControl;
+  out.revision = aIn.revision.Get();
   return out;
 }
 
 Hello
 Unpack(const fb::HelloT& aIn)
 {
-  return {
-    InstanceId(aIn.instance),          ZoneId(aIn.zone), SessionId(aIn.session),
-    UnpackAddress(aIn.caller_address), aIn.protocol,     aIn.is_control
-  };
+  return { InstanceId(aIn.instance),
+           ZoneId(aIn.zone),
+           SessionId(aIn.session),
+           UnpackAddress(aIn.caller_address),
+           aIn.protocol,
+           aIn.is_control,
+           Revision(aIn.revision) };
 }
 
 fb::WelcomeT
@@ -135,6 +139,7 @@
 {
   fb::ConfigPushT out;
   out.revision = aIn.revision.Get();
+  out.base = aIn.base.Get();
   out.document = aIn.document;
   return out;
 }
@@ -142,7 +147,7 @@
 ConfigPush
 Unpack(const fb::ConfigPushT& aIn)
 {
-  return { Revision(aIn.revision), aIn.document };
+  return { Revision(aIn.revision), Revision(aIn.base), aIn.document };
 }
 
 fb::InstanceEntryT
