Send fenced orders to engines

Cause: nothing sent orders to load models, adapters and versions or to change role, nor kept an earlier leader's late order from staying in force. A stopping router waits at most 60 s for control to count its usage.

--- a/packages/control/src/control.cc
+++ b/packages/control/src/control.cc
@@ -56,6 +56,7 @@
   if (server.has_error()) {
     return R(boost::outcome_v2::in_place_type<std::string>, server.error());
   }
+  SpawnOrderSender(aRuntime, aPool, replica, fleet);
   if (aSettings.platformList) {
     SpawnPlatformPoller(
       aRuntime, std::move(aPool), *aSettings.platformList, fleet);
--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -45,6 +45,7 @@
       [this](LeadershipChanged& aChanged) { this->Change(aChanged); },
       [this](RevisionChanged& aChanged) { this->PushRevision(aChanged); },
       [this](EndpointList& aList) { this->endpoints = aList.endpoints; },
+      [this](FindEndpoints) { return EndpointList{ this->endpoints }; },
       [this](ListInstances) { return this->FormatInstances(); },
       [this](ListEndpoints) { return this->FormatEndpoints(); },
       [this](DrainInstance& aDrain) { return this->Drain(aDrain); },
--- a/packages/control/src/messages.h
+++ b/packages/control/src/messages.h
@@ -95,6 +95,19 @@
   std::vector<wire::EndpointEntry> endpoints;
 };
 
+// Asks for the orders to engines after a confirmation; none if this instance
+// does not lead. The answer is OrdersFound.
+struct FindOrders
+{};
+struct OrdersFound
+{
+  std::map<EndpointId, state::OrderRegister::Orders> byEndpoint;
+};
+
+// Asks for the newest EndpointList.
+struct FindEndpoints
+{};
+
 // Ask for the fleet's instances or endpoints as JSON text.
 struct ListInstances
 {};
@@ -126,6 +139,9 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::PeerLink)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::PeerMessage)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::EndpointList)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::FindOrders)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::OrdersFound)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::FindEndpoints)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::ListInstances)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::ListEndpoints)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::DrainInstance)
--- a/packages/control/src/operator_handler.cc
+++ b/packages/control/src/operator_handler.cc
@@ -129,6 +129,8 @@
     out["version"] = applied->version.Get();
   } else if (const auto* paid = std::get_if<state::BudgetToppedUp>(&aOutcome)) {
     out["paid"] = paid->paid.Get();
+  } else if (const auto* order = std::get_if<state::OrderAccepted>(&aOutcome)) {
+    out["fencing"] = order->number.Get();
   }
   return json::serialize(out);
 }
@@ -254,6 +256,27 @@
   ProposeChecked(aTasks, aExchange, reader, std::move(command));
 }
 
+void
+OrderEngine(const OperatorTasks& aTasks, const net::ExchangePtr& aExchange)
+{
+  BodyReader reader(aExchange->Request().body);
+  state::OrderEngine command;
+  command.change = ChangeId(reader.Id("change_id"));
+  command.endpoint = EndpointId(reader.Id("endpoint"));
+  command.argument = reader.Id("argument");
+  auto kind = ParseOrderKind(reader.Text("kind"));
+  if (!kind) {
+    AnswerError(aExchange,
+                400,
+                "invalid_request",
+                "/kind must be load_model, load_adapter, set_version or "
+                "set_role");
+    return;
+  }
+  command.kind = *kind;
+  ProposeChecked(aTasks, aExchange, reader, std::move(command));
+}
+
 void
 Drain(const OperatorTasks& aTasks, const net::ExchangePtr& aExchange)
 {
@@ -352,6 +375,8 @@
     { "POST", "/admin/keys/revoke", RevokeKey },
     { "POST", "/admin/instances/remove", RemoveInstance },
     { "POST", "/admin/instances/drain", Drain },
+    { "POST", "/admin/orders", OrderEngine },
+    { "GET", "/admin/orders", read(FormatOrders) },
     { "GET", "/admin/status", read(FormatStatus) },
     { "GET",
       "/admin/instances",
--- a/packages/control/src/operator_reads.cc
+++ b/packages/control/src/operator_reads.cc
@@ -81,6 +81,52 @@
   return json::serialize(out);
 }
 
+const char*
+ToString(OrderKind aKind)
+{
+  switch (aKind) {
+    case OrderKind::LoadModel:
+      return "load_model";
+    case OrderKind::LoadAdapter:
+      return "load_adapter";
+    case OrderKind::SetVersion:
+      return "set_version";
+    case OrderKind::SetRole:
+      break;
+  }
+  return "set_role";
+}
+
+std::optional<OrderKind>
+ParseOrderKind(const std::string& aName)
+{
+  for (OrderKind kind : { OrderKind::LoadModel,
+                          OrderKind::LoadAdapter,
+                          OrderKind::SetVersion,
+                          OrderKind::SetRole }) {
+    if (aName == ToString(kind)) {
+      return kind;
+    }
+  }
+  return std::nullopt;
+}
+
+std::string
+FormatOrders(const state::StateMachine& aMachine)
+{
+  json::array out;
+  for (const auto& [endpoint, orders] : aMachine.Orders().ByEndpoint()) {
+    for (const auto& [number, order] : orders) {
+      out.push_back({ { "endpoint", endpoint.Get() },
+                      { "fencing", number.Get() },
+                      { "kind", ToString(order.kind) },
+                      { "argument", order.argument },
+                      { "confirmed", order.confirmed } });
+    }
+  }
+  return json::serialize(out);
+}
+
 std::string
 FormatStatus(const state::StateMachine& aMachine)
 {
--- a/packages/control/src/operator_reads.h
+++ b/packages/control/src/operator_reads.h
@@ -24,6 +24,18 @@
 std::string
 FormatKeys(const state::StateMachine& aMachine);
 
+// Returns the orders to engines.
+std::string
+FormatOrders(const state::StateMachine& aMachine);
+
+// Returns the kind with a name such as "load_model", if there is one.
+std::optional<OrderKind>
+ParseOrderKind(const std::string& aName);
+
+// Returns the name of a kind.
+const char*
+ToString(OrderKind aKind);
+
 // Returns counts of what control keeps.
 std::string
 FormatStatus(const state::StateMachine& aMachine);
--- a/packages/control/src/replica.cc
+++ b/packages/control/src/replica.cc
@@ -56,6 +56,9 @@
                             this->settings.instance };
       },
       [this](FindHolders& aFind) { return this->Find(aFind); },
+      [this](FindOrders) {
+        return OrdersFound{ this->machine.Orders().ByEndpoint() };
+      },
       [this](DumpState) { return std::string("{}"); },
     };
   }
--- a/packages/control/src/tasks.h
+++ b/packages/control/src/tasks.h
@@ -26,6 +26,13 @@
                     const Address& aPlatform,
                     caf::actor aFleet);
 
+// Sends orders to engines while this instance leads.
+caf::actor
+SpawnOrderSender(const net::Runtime& aRuntime,
+                 caf::actor aPool,
+                 caf::actor aReplica,
+                 caf::actor aFleet);
+
 // Returns the handler of the operators' interface.
 net::HttpHandler
 MakeOperatorHandler(caf::actor aReplica, caf::actor aFleet);
--- a/packages/core/include/lycheestand/core.h
+++ b/packages/core/include/lycheestand/core.h
@@ -177,6 +177,15 @@
   friend bool operator==(const StoredAnswer&, const StoredAnswer&) = default;
 };
 
+// What an engine is ordered to do.
+enum class OrderKind : std::uint8_t
+{
+  LoadModel,
+  LoadAdapter,
+  SetVersion,
+  SetRole
+};
+
 // What a router asks of the operation register.
 enum class OperationPhase : std::uint8_t
 {
--- a/packages/journal/src/command_codec.cc
+++ b/packages/journal/src/command_codec.cc
@@ -221,6 +221,42 @@
   };
 }
 
+fb::OrderEngineT
+PackBody(const state::OrderEngine& aIn)
+{
+  fb::OrderEngineT out;
+  out.change = aIn.change.Get();
+  out.endpoint = aIn.endpoint.Get();
+  out.kind = static_cast<fb::OrderKind>(aIn.kind);
+  out.argument = aIn.argument;
+  return out;
+}
+
+state::Command
+UnpackBody(const fb::OrderEngineT& aIn)
+{
+  return state::OrderEngine{ ChangeId(aIn.change),
+                             EndpointId(aIn.endpoint),
+                             CheckedEnum(aIn.kind, OrderKind::SetRole),
+                             aIn.argument };
+}
+
+fb::ConfirmOrderT
+PackBody(const state::ConfirmOrder& aIn)
+{
+  fb::ConfirmOrderT out;
+  out.endpoint = aIn.endpoint.Get();
+  out.number = aIn.number.Get();
+  return out;
+}
+
+state::Command
+UnpackBody(const fb::ConfirmOrderT& aIn)
+{
+  return state::ConfirmOrder{ EndpointId(aIn.endpoint),
+                              FencingNumber(aIn.number) };
+}
+
 } // namespace
 
 std::string
@@ -287,6 +323,10 @@
       return UnpackBody(*aIn.body.AsReportUsage());
     case fb::CommandBody::RecordOperation:
       return UnpackBody(*aIn.body.AsRecordOperation());
+    case fb::CommandBody::OrderEngine:
+      return UnpackBody(*aIn.body.AsOrderEngine());
+    case fb::CommandBody::ConfirmOrder:
+      return UnpackBody(*aIn.body.AsConfirmOrder());
     case fb::CommandBody::NONE:
       break;
   }
--- a/packages/journal/src/outcome_codec.cc
+++ b/packages/journal/src/outcome_codec.cc
@@ -51,6 +51,14 @@
   return out;
 }
 
+fb::OrderAcceptedT
+PackBody(const state::OrderAccepted& aIn)
+{
+  fb::OrderAcceptedT out;
+  out.number = aIn.number.Get();
+  return out;
+}
+
 } // namespace
 
 fb::TokensGrantedT
@@ -102,6 +110,9 @@
                                                    OperationState::Refused),
                                        UnpackAnswer(recorded.answer.get()) };
     }
+    case fb::OutcomeBody::OrderAccepted:
+      return state::OrderAccepted{ FencingNumber(
+        aIn.body.AsOrderAccepted()->number) };
     case fb::OutcomeBody::NONE:
       break;
   }
--- a/packages/journal/src/snapshot_codec.cc
+++ b/packages/journal/src/snapshot_codec.cc
@@ -20,6 +20,7 @@
   static void Save(const OperationRegister& aFrom, Snapshot& aTo);
   static void Save(const SessionController& aFrom, Snapshot& aTo);
   static void Save(const ChangeRegister& aFrom, Snapshot& aTo);
+  static void Save(const OrderRegister& aFrom, Snapshot& aTo);
   static void Save(const StateMachine& aFrom, Snapshot& aTo);
 
   static void Restore(const Snapshot& aFrom, WorkspaceController& aTo);
@@ -28,6 +29,7 @@
   static void Restore(const Snapshot& aFrom, OperationRegister& aTo);
   static void Restore(const Snapshot& aFrom, SessionController& aTo);
   static void Restore(const Snapshot& aFrom, ChangeRegister& aTo);
+  static void Restore(const Snapshot& aFrom, OrderRegister& aTo);
   static void Restore(const Snapshot& aFrom, StateMachine& aTo);
 };
 
@@ -283,6 +285,37 @@
   }
 }
 
+void
+SnapshotAccess::Save(const OrderRegister& aFrom, Snapshot& aTo)
+{
+  for (const auto& [endpoint, orders] : aFrom.byEndpoint) {
+    for (const auto& [number, order] : orders) {
+      auto& entry = Append(aTo.orders);
+      entry.endpoint = endpoint.Get();
+      entry.number = number.Get();
+      entry.kind = static_cast<fb::OrderKind>(order.kind);
+      entry.argument = order.argument;
+      entry.confirmed = order.confirmed;
+    }
+  }
+  aTo.next_order = aFrom.nextNumber;
+}
+
+void
+SnapshotAccess::Restore(const Snapshot& aFrom, OrderRegister& aTo)
+{
+  for (const auto& entry : aFrom.orders) {
+    Require(entry->number < aFrom.next_order);
+    InsertNew(aTo.byEndpoint[EndpointId(entry->endpoint)],
+              FencingNumber(entry->number),
+              Order{ CheckedEnum(entry->kind, OrderKind::SetRole),
+                     entry->argument,
+                     entry->confirmed });
+  }
+  // A snapshot from before orders existed has no number.
+  aTo.nextNumber = std::max<std::uint64_t>(aFrom.next_order, 1);
+}
+
 void
 SnapshotAccess::Save(const StateMachine& aFrom, Snapshot& aTo)
 {
@@ -293,6 +326,7 @@
   Save(aFrom.operations, aTo);
   Save(aFrom.sessions, aTo);
   Save(aFrom.changes, aTo);
+  Save(aFrom.orders, aTo);
 }
 
 void
@@ -305,6 +339,7 @@
   Restore(aFrom, aTo.operations);
   Restore(aFrom, aTo.sessions);
   Restore(aFrom, aTo.changes);
+  Restore(aFrom, aTo.orders);
 }
 
 } // namespace lycheestand::state
--- a/packages/journal/test/journal_test.cc
+++ b/packages/journal/test/journal_test.cc
@@ -26,7 +26,7 @@
     ChangeId change(this->Name("change-", 2000));
     WorkspaceId workspace(this->Name("w", 4));
     SessionId session(this->Pick(12));
-    switch (this->Pick(10)) {
+    switch (this->Pick(12)) {
       case 0:
         return CreateWorkspace{ change, workspace };
       case 1:
@@ -56,6 +56,14 @@
                             this->Amount() + Tokens(150) };
       case 8:
         return this->MakeReport(session, workspace);
+      case 9:
+        return OrderEngine{ change,
+                            EndpointId(this->Name("e", 3)),
+                            static_cast<OrderKind>(this->Pick(4)),
+                            this->Name("v", 3) };
+      case 10:
+        return ConfirmOrder{ EndpointId(this->Name("e", 3)),
+                             FencingNumber(1 + this->Pick(300)) };
       default:
         return this->MakeOperation(session, workspace);
     }
--- a/packages/router/src/router.cc
+++ b/packages/router/src/router.cc
@@ -11,9 +11,13 @@
 
 constexpr Duration kDrainPollInterval = std::chrono::milliseconds(50);
 
-// Longest wait for requests in flight and for control to count what was spent.
+// Longest wait for requests in flight.
 constexpr Duration kDrainLimit = std::chrono::minutes(10);
 
+// Longest wait for control to count what was spent; after that it stays charged
+// to the session as unreported.
+constexpr Duration kReportLimit = std::chrono::seconds(60);
+
 // Stops a router: first it drops out of entry answers, then it finishes.
 class DrainTask : public net::IoTask
 {
@@ -54,6 +58,7 @@
     this->request(this->server, caf::infinite, net::OpenConnections{})
       .then([this](std::size_t aOpen) {
         if (aOpen == 0 || this->IsOverdue()) {
+          this->deadline = net::Now(this->GetRuntime()) + kReportLimit;
           this->WaitForOperations();
         } else {
           this->After(kDrainPollInterval,
--- a/packages/state/include/lycheestand/state.h
+++ b/packages/state/include/lycheestand/state.h
@@ -140,6 +140,26 @@
                          const RecordOperation&) = default;
 };
 
+// Orders an engine to load something or to change its version or role.
+struct OrderEngine
+{
+  ChangeId change;
+  EndpointId endpoint;
+  OrderKind kind = OrderKind::LoadModel;
+  std::string argument;
+
+  friend bool operator==(const OrderEngine&, const OrderEngine&) = default;
+};
+
+// Records that an engine has answered an order.
+struct ConfirmOrder
+{
+  EndpointId endpoint;
+  FencingNumber number;
+
+  friend bool operator==(const ConfirmOrder&, const ConfirmOrder&) = default;
+};
+
 using Command = std::variant<CreateWorkspace,
                              TopUpBudget,
                              CreateKey,
@@ -149,7 +169,9 @@
                              CloseSession,
                              GrantTokens,
                              ReportUsage,
-                             RecordOperation>;
+                             RecordOperation,
+                             OrderEngine,
+                             ConfirmOrder>;
 
 // ---------------------------------------------------------------- outcomes
 
@@ -214,12 +236,20 @@
                          const OperationRecorded&) = default;
 };
 
+struct OrderAccepted
+{
+  FencingNumber number;
+
+  friend bool operator==(const OrderAccepted&, const OrderAccepted&) = default;
+};
+
 using Outcome = std::variant<Done,
                              Rejected,
                              ConfigurationApplied,
                              BudgetToppedUp,
                              TokensGranted,
-                             OperationRecorded>;
+                             OperationRecorded,
+                             OrderAccepted>;
 
 // ---------------------------------------------------------------- controllers
 
@@ -420,6 +450,41 @@
   std::map<InstanceId, SessionId> current;
 };
 
+// One order that an engine must follow.
+struct Order
+{
+  OrderKind kind = OrderKind::LoadModel;
+  std::string argument;
+  // Set once the engine has answered it.
+  bool confirmed = false;
+
+  friend bool operator==(const Order&, const Order&) = default;
+};
+
+// Owns the orders to engines. Numbers rise in log order, so an order with a
+// higher number is newer whichever instance sends it.
+class OrderRegister
+{
+public:
+  using Orders = std::map<FencingNumber, Order>;
+
+  Outcome Record(const OrderEngine& aCommand);
+  Outcome Confirm(const ConfirmOrder& aCommand);
+
+  // Orders of each endpoint that no newer one replaces.
+  const std::map<EndpointId, Orders>& ByEndpoint() const
+  {
+    return this->byEndpoint;
+  }
+
+  friend bool operator==(const OrderRegister&, const OrderRegister&) = default;
+
+private:
+  friend struct SnapshotAccess;
+  std::map<EndpointId, Orders> byEndpoint;
+  std::uint64_t nextNumber = 1;
+};
+
 // An operators' change that has been applied, to answer it when it is resent.
 struct ChangeRecord
 {
@@ -466,6 +531,7 @@
   }
   const OperationRegister& Operations() const { return this->operations; }
   const SessionController& Sessions() const { return this->sessions; }
+  const OrderRegister& Orders() const { return this->orders; }
 
   friend bool operator==(const StateMachine&, const StateMachine&) = default;
 
@@ -483,6 +549,8 @@
   Outcome Handle(const GrantTokens& aCommand);
   Outcome Handle(const ReportUsage& aCommand);
   Outcome Handle(const RecordOperation& aCommand);
+  Outcome Handle(const OrderEngine& aCommand);
+  Outcome Handle(const ConfirmOrder& aCommand);
 
   void AdvanceRevision();
 
@@ -493,6 +561,7 @@
   OperationRegister operations;
   SessionController sessions;
   ChangeRegister changes;
+  OrderRegister orders;
 };
 
 } // namespace lycheestand::state
--- a/packages/state/src/state_machine.cc
+++ b/packages/state/src/state_machine.cc
@@ -218,6 +218,18 @@
   return this->operations.Record(aCommand);
 }
 
+Outcome
+StateMachine::Handle(const OrderEngine& aCommand)
+{
+  return this->orders.Record(aCommand);
+}
+
+Outcome
+StateMachine::Handle(const ConfirmOrder& aCommand)
+{
+  return this->orders.Confirm(aCommand);
+}
+
 void
 StateMachine::AdvanceRevision()
 {
