Repair growth, stability and overflow in the replicated state

Cause: last-grant records of closed sessions were kept for ever; the kept copy of a configuration change used std::hash, which may differ between builds of replicas; sums in usage reports could wrap around on hostile numbers; a grant request that was delayed on an earlier link got tokens that nobody would use or return; request number 0 was taken for a resent one; a session id could be registered for a second instance; first tokens of a document were lost when an operator had created the workspace before it, and an amount that can't be paid left a document in force without its tokens. Change: close a session's records with it; XXH3 128-bit fingerprint; amounts are subtracted from what is held; older grant requests get nothing; the other cases are rejected or counted once.

--- a/packages/journal/src/snapshot_codec.cc
+++ b/packages/journal/src/snapshot_codec.cc
@@ -87,6 +87,9 @@
   for (const auto& workspace : aFrom.workspaces) {
     aTo.workspaces.push_back(workspace.Get());
   }
+  for (const auto& workspace : aFrom.funded) {
+    aTo.funded.push_back(workspace.Get());
+  }
   for (const auto& [id, record] : aFrom.keys) {
     auto& key = Append(aTo.keys);
     key.id = id.Get();
@@ -102,6 +105,10 @@
   for (const auto& workspace : aFrom.workspaces) {
     Require(aTo.workspaces.insert(WorkspaceId(workspace)).second);
   }
+  for (const auto& workspace : aFrom.funded) {
+    Require(aTo.workspaces.contains(WorkspaceId(workspace)));
+    Require(aTo.funded.insert(WorkspaceId(workspace)).second);
+  }
   for (const auto& key : aFrom.keys) {
     WorkspaceId workspace(key->workspace);
     Require(aTo.workspaces.contains(workspace));
--- a/packages/state/include/lycheestand/state.h
+++ b/packages/state/include/lycheestand/state.h
@@ -241,6 +241,10 @@
   Outcome CreateKey(const state::CreateKey& aCommand);
   Outcome RevokeKey(const KeyId& aKey);
 
+  // Records that a document's first tokens for the workspace are counted;
+  // returns false when an earlier document's were.
+  bool MarkFunded(const WorkspaceId& aWorkspace);
+
   bool Contains(const WorkspaceId& aWorkspace) const;
   const std::set<WorkspaceId>& Workspaces() const { return this->workspaces; }
   const std::map<KeyId, KeyRecord>& Keys() const { return this->keys; }
@@ -251,6 +255,7 @@
 private:
   friend struct SnapshotAccess;
   std::set<WorkspaceId> workspaces;
+  std::set<WorkspaceId> funded;
   std::map<KeyId, KeyRecord> keys;
 };
 
@@ -272,7 +277,7 @@
   friend bool operator==(const Budget&, const Budget&) = default;
 };
 
-// Last grant to a session for a workspace, to answer a resent request.
+// Last grant to an open session for a workspace, to answer a resent request.
 struct LastGrant
 {
   std::uint64_t request = 0;
@@ -285,6 +290,9 @@
 class BudgetLedger
 {
 public:
+  // Most that can be paid into one budget, so that no sum can overflow.
+  static constexpr Tokens kMostPaid{ std::int64_t(1) << 60 };
+
   void Open(const WorkspaceId& aWorkspace);
   Outcome TopUp(const WorkspaceId& aWorkspace, Tokens aTokens);
   Outcome Grant(const GrantTokens& aCommand);
@@ -293,9 +301,15 @@
   bool IsCovered(const ReportUsage& aCommand) const;
   void Count(const ReportUsage& aCommand);
 
+  // Forgets the session's last grants: a closed session gets no more replies.
+  void CloseSession(SessionId aSession);
+
   const Budget* Find(const WorkspaceId& aWorkspace) const;
   const std::map<WorkspaceId, Budget>& Budgets() const { return this->budgets; }
 
+  // Returns how many replies are kept for resent requests.
+  std::size_t KeptReplies() const { return this->lastGrants.size(); }
+
   friend bool operator==(const BudgetLedger&, const BudgetLedger&) = default;
 
 private:
@@ -420,6 +434,10 @@
   std::map<InstanceId, SessionId> current;
 };
 
+// Returns a document's length and hash, the same in every build.
+std::string
+DocumentFingerprint(const std::string& aDocument);
+
 // An operators' change that has been applied, to answer it when it is resent.
 struct ChangeRecord
 {
@@ -484,6 +502,8 @@
   Outcome Handle(const ReportUsage& aCommand);
   Outcome Handle(const RecordOperation& aCommand);
 
+  // Releases what is kept only for an open session.
+  void EndSession(SessionId aSession);
   void AdvanceRevision();
 
   Revision revision;
--- a/packages/state/src/budget_ledger.cc
+++ b/packages/state/src/budget_ledger.cc
@@ -40,8 +40,6 @@
   if (found == this->budgets.end()) {
     return Rejected{ Rejection::UnknownWorkspace };
   }
-  // Bounds the sum so that it can't overflow.
-  constexpr Tokens kMostPaid(std::int64_t(1) << 60);
   if (aTokens <= Tokens(0) || aTokens > kMostPaid - found->second.paid) {
     return Rejected{ Rejection::InvalidAmount };
   }
@@ -50,7 +48,8 @@
 }
 
 // A router repeats a request with the same number until it gets the reply, so a
-// lost reply strands nothing.
+// lost reply strands nothing. A request older than the last one was delayed on
+// an earlier link; its router waits for no reply and would never use a grant.
 Outcome
 BudgetLedger::Grant(const GrantTokens& aCommand)
 {
@@ -61,9 +60,12 @@
   if (aCommand.minimum <= Tokens(0) || aCommand.wanted < aCommand.minimum) {
     return Rejected{ Rejection::InvalidAmount };
   }
-  auto& last = this->lastGrants[{ aCommand.session, aCommand.workspace }];
-  if (last.request == aCommand.request) {
-    return last.reply;
+  std::pair key(aCommand.session, aCommand.workspace);
+  auto last = this->lastGrants.find(key);
+  if (last != this->lastGrants.end() &&
+      aCommand.request <= last->second.request) {
+    return aCommand.request == last->second.request ? last->second.reply
+                                                    : TokensGranted{};
   }
   Budget& budget = found->second;
   Tokens free = budget.Free();
@@ -82,30 +84,30 @@
     }
     reply.exhausted = free + others < aCommand.minimum;
   }
-  last = { aCommand.request, reply };
+  this->lastGrants.insert_or_assign(key, LastGrant{ aCommand.request, reply });
   return reply;
 }
 
+// Subtracts each amount from what is held, so that no sum can overflow.
 bool
 BudgetLedger::IsCovered(const ReportUsage& aCommand) const
 {
-  std::map<WorkspaceId, Tokens> totals;
+  std::map<WorkspaceId, Tokens> left;
   for (const auto& entry : aCommand.entries) {
-    if (entry.spent < Tokens(0) || entry.returned < Tokens(0)) {
-      return false;
-    }
-    totals[entry.workspace] += entry.spent + entry.returned;
-  }
-  for (const auto& [workspace, total] : totals) {
-    const Budget* budget = this->Find(workspace);
+    const Budget* budget = this->Find(entry.workspace);
     if (budget == nullptr) {
       return false;
     }
     auto held = budget->outstanding.find(aCommand.session);
-    Tokens tokens =
-      held == budget->outstanding.end() ? Tokens(0) : held->second;
-    if (total > tokens) {
-      return false;
+    bool holds = held != budget->outstanding.end();
+    Tokens& rest =
+      left.try_emplace(entry.workspace, holds ? held->second : Tokens(0))
+        .first->second;
+    for (Tokens amount : { entry.spent, entry.returned }) {
+      if (amount < Tokens(0) || amount > rest) {
+        return false;
+      }
+      rest -= amount;
     }
   }
   return true;
@@ -126,6 +128,17 @@
   }
 }
 
+void
+BudgetLedger::CloseSession(SessionId aSession)
+{
+  auto first = this->lastGrants.lower_bound({ aSession, WorkspaceId() });
+  auto end = first;
+  while (end != this->lastGrants.end() && end->first.first == aSession) {
+    ++end;
+  }
+  this->lastGrants.erase(first, end);
+}
+
 const Budget*
 BudgetLedger::Find(const WorkspaceId& aWorkspace) const
 {
--- a/packages/state/src/state_machine.cc
+++ b/packages/state/src/state_machine.cc
@@ -1,4 +1,8 @@
+#include <array>
+#include <cinttypes>
+#include <cstdio>
 #include <lycheestand/state.h>
+#include <xxhash.h>
 
 namespace lycheestand::state {
 
@@ -20,19 +24,46 @@
 }
 
 // Returns the command as it is kept to recognise a resent one. The document of
-// a configuration change is in the history, so only its length is kept here.
+// a configuration change is in the history, so only its fingerprint is kept.
 Command
 ToKeptCommand(const Command& aCommand)
 {
   Command kept = aCommand;
   if (auto* apply = std::get_if<ApplyConfiguration>(&kept)) {
-    apply->document = std::to_string(std::hash<std::string>{}(apply->document));
+    apply->document = DocumentFingerprint(apply->document);
   }
   return kept;
 }
 
+// Returns whether each workspace's first tokens can be paid.
+bool
+HasValidAmounts(const ApplyConfiguration& aCommand)
+{
+  for (const auto& [workspace, tokens] : aCommand.workspaces) {
+    if (tokens < Tokens(0) || tokens > BudgetLedger::kMostPaid) {
+      return false;
+    }
+  }
+  return true;
+}
+
 } // namespace
 
+// The fingerprint is part of the replicated state: it must be the same in every
+// build, which std::hash does not promise.
+std::string
+DocumentFingerprint(const std::string& aDocument)
+{
+  XXH128_hash_t hash = XXH3_128bits(aDocument.data(), aDocument.size());
+  std::array<char, 33> digits{};
+  std::snprintf(digits.data(),
+                digits.size(),
+                "%016" PRIx64 "%016" PRIx64,
+                std::uint64_t(hash.high64),
+                std::uint64_t(hash.low64));
+  return std::to_string(aDocument.size()) + ":" + digits.data();
+}
+
 const char*
 ToString(Rejection aRejection)
 {
@@ -121,11 +152,16 @@
   return outcome;
 }
 
-// A workspace's first tokens count once, when a document first names it; later
-// documents that repeat them add nothing.
+// A workspace's first tokens count once, with the first document that gives it
+// any, whether the document or an operator created the workspace; later
+// documents that repeat them add nothing. An amount that can't be paid rejects
+// the whole change, or a workspace would be in force without its tokens.
 Outcome
 StateMachine::Handle(const ApplyConfiguration& aCommand)
 {
+  if (!HasValidAmounts(aCommand)) {
+    return Rejected{ Rejection::InvalidAmount };
+  }
   Outcome outcome = this->configuration.Apply(aCommand);
   if (!std::holds_alternative<ConfigurationApplied>(outcome)) {
     return outcome;
@@ -134,26 +170,30 @@
     if (!this->workspaces.Contains(workspace)) {
       this->workspaces.Create(workspace);
       this->budgets.Open(workspace);
-      if (tokens > Tokens(0)) {
-        this->budgets.TopUp(workspace, tokens);
-      }
+    }
+    if (tokens > Tokens(0) && this->workspaces.MarkFunded(workspace)) {
+      this->budgets.TopUp(workspace, tokens);
     }
   }
   this->AdvanceRevision();
   return outcome;
 }
 
+// Two processes with one session id would spend and report the same grants.
 Outcome
 StateMachine::Handle(const RegisterSession& aCommand)
 {
   if (const Session* known = this->sessions.Find(aCommand.session)) {
+    if (known->instance != aCommand.instance) {
+      return Rejected{ Rejection::AlreadyExists };
+    }
     if (known->closed) {
       return Rejected{ Rejection::SessionClosed };
     }
     return Done{};
   }
   if (auto closed = this->sessions.Register(aCommand)) {
-    this->operations.CloseSession(*closed);
+    this->EndSession(*closed);
   }
   return Done{};
 }
@@ -165,7 +205,7 @@
   if (!closed) {
     return Rejected{ Rejection::UnknownSession };
   }
-  this->operations.CloseSession(*closed);
+  this->EndSession(*closed);
   return Done{};
 }
 
@@ -218,6 +258,13 @@
   return this->operations.Record(aCommand);
 }
 
+void
+StateMachine::EndSession(SessionId aSession)
+{
+  this->operations.CloseSession(aSession);
+  this->budgets.CloseSession(aSession);
+}
+
 void
 StateMachine::AdvanceRevision()
 {
--- a/packages/state/src/workspace_controller.cc
+++ b/packages/state/src/workspace_controller.cc
@@ -37,6 +37,12 @@
   return Done{};
 }
 
+bool
+WorkspaceController::MarkFunded(const WorkspaceId& aWorkspace)
+{
+  return this->funded.insert(aWorkspace).second;
+}
+
 bool
 WorkspaceController::Contains(const WorkspaceId& aWorkspace) const
 {
