Add pure routing and membership decisions

The router chose endpoints by its own requests in flight alone, admitted everything and retried at once; control suspected instances by a fixed time.

--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -9,8 +9,10 @@
 lycheestand_package(net DEPS lycheestand_core Boost::log Boost::json ${CAF_TARGETS} ${SODIUM_LIBRARY})
 lycheestand_package(state DEPS lycheestand_core)
 lycheestand_package(budget DEPS lycheestand_core)
-lycheestand_package(router DEPS lycheestand_net lycheestand_settings lycheestand_budget lycheestand_wire)
-lycheestand_package(control DEPS lycheestand_net lycheestand_settings lycheestand_state lycheestand_wire)
+lycheestand_package(routing DEPS lycheestand_core)
+lycheestand_package(membership DEPS lycheestand_core)
+lycheestand_package(router DEPS lycheestand_net lycheestand_settings lycheestand_budget lycheestand_routing lycheestand_membership lycheestand_wire)
+lycheestand_package(control DEPS lycheestand_net lycheestand_settings lycheestand_state lycheestand_membership lycheestand_wire)
 
 lycheestand_program(lycheestandd packages/daemon/src DEPS lycheestand_router lycheestand_control)
 
--- /dev/null
+++ b/packages/membership/test/membership_test.cc
@@ -0,0 +1,139 @@
+#include <catch2/catch.hpp>
+#include <lycheestand/membership.h>
+
+using namespace lycheestand;
+using namespace lycheestand::membership;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A detector, its clock, and one instance.
+class DetectorFixture
+{
+public:
+  void Beat(int aTimes)
+  {
+    for (int i = 0; i < aTimes; ++i) {
+      this->now += 1s;
+      this->detector.Heartbeat(this->id, this->now);
+    }
+  }
+
+  Health GetHealth() const
+  {
+    return this->detector.GetHealth(this->id, this->now);
+  }
+
+  InstanceId id{ "r1" };
+  TimePoint now = TimePoint(1000s);
+  FailureDetector detector;
+};
+
+Instance
+MakeInstance(const char* aName, std::uint32_t aInFlight = 0)
+{
+  return { InstanceId(aName), ZoneId("z1"), { aName, 80 },
+           aInFlight,         false,        true };
+}
+
+} // namespace
+
+// Guards against an instance that is suspected for one lost heartbeat, or
+// listed as alive long after it is gone.
+TEST_CASE_METHOD(DetectorFixture, "Three missed heartbeats raise a suspicion")
+{
+  this->Beat(3);
+  this->now += 3s;
+  REQUIRE(this->GetHealth() == Health::Alive);
+  this->now += 500ms;
+  REQUIRE(this->GetHealth() == Health::Suspect);
+  REQUIRE(this->detector.Forget(this->now).empty());
+  this->now += 10min;
+  REQUIRE(this->detector.Forget(this->now).size() == 1);
+  REQUIRE(this->GetHealth() == Health::Gone);
+}
+
+// Guards against flapping over a lossy link.
+TEST_CASE_METHOD(DetectorFixture,
+                 "A false suspicion makes the detector patient")
+{
+  this->Beat(1);
+  this->now += 4s;
+  REQUIRE(this->GetHealth() == Health::Suspect);
+  this->detector.Heartbeat(this->id, this->now);
+  REQUIRE(this->GetHealth() == Health::Suspect);
+  this->Beat(1);
+  REQUIRE(this->GetHealth() == Health::Alive);
+  this->now += 4s;
+  REQUIRE(this->GetHealth() == Health::Alive);
+  this->Beat(400);
+  this->now += 4s;
+  REQUIRE(this->GetHealth() == Health::Suspect);
+}
+
+// Guards against a restarted instance that is kept out of entry answers.
+TEST_CASE_METHOD(DetectorFixture, "A new connection clears a suspicion")
+{
+  this->Beat(1);
+  this->now += 4s;
+  this->detector.Join(this->id, this->now);
+  REQUIRE(this->GetHealth() == Health::Alive);
+}
+
+// Guards against a receiver whose view differs from the sender's.
+TEST_CASE("Deltas bring a receiver to the sender's view")
+{
+  View sender;
+  View receiver;
+  sender.Update({ MakeInstance("a"), MakeInstance("b") }, {});
+  REQUIRE(receiver.Apply(sender.Since(receiver.Version())));
+  sender.Update({ MakeInstance("a", 5), MakeInstance("b") }, {});
+  REQUIRE(sender.Since(receiver.Version()).instances.size() == 1);
+  sender.Update({ MakeInstance("a", 5) },
+                { { EndpointId("e"), ZoneId("z"), {}, "m" } });
+  auto delta = sender.Since(receiver.Version());
+  REQUIRE(delta.base == receiver.Version());
+  REQUIRE(delta.removedInstances.size() == 1);
+  REQUIRE(receiver.Apply(delta));
+  REQUIRE(receiver.Instances() == sender.Instances());
+  REQUIRE(receiver.Endpoints() == sender.Endpoints());
+  REQUIRE_FALSE(sender.Update(sender.Instances(), sender.Endpoints()));
+}
+
+// Guards against a delta that is applied to a view it does not fit, as after
+// a change of the leader.
+TEST_CASE("A delta for another version is not applied")
+{
+  View sender;
+  sender.Update({ MakeInstance("a") }, {});
+  sender.Update({ MakeInstance("a", 5) }, {});
+  View receiver;
+  REQUIRE_FALSE(receiver.Apply(sender.Since(ViewVersion(1))));
+  REQUIRE_FALSE(sender.Since(ViewVersion(9)).base);
+}
+
+// Guards against a delta for every small change of a load.
+TEST_CASE("A published load changes in steps with a margin")
+{
+  REQUIRE(QuantizeLoad(3, 0) == 3);
+  REQUIRE(QuantizeLoad(110, 100) == 100);
+  REQUIRE(QuantizeLoad(80, 100) == 100);
+  REQUIRE(QuantizeLoad(130, 100) == 130);
+  REQUIRE(QuantizeLoad(2, 100) == 2);
+}
+
+// Guards against callers sent to instances that can't take them.
+TEST_CASE("Entry weights prefer the zone and idle instances")
+{
+  auto far = MakeInstance("far");
+  far.zone = ZoneId("z2");
+  auto dead = MakeInstance("dead");
+  dead.alive = false;
+  auto entries =
+    WeighEntries({ MakeInstance("idle"), MakeInstance("busy", 32), far, dead },
+                 ZoneId("z1"));
+  REQUIRE(entries.size() == 3);
+  REQUIRE(entries[0].weight == 100);
+  REQUIRE(entries[1].weight == 50);
+  REQUIRE(entries[2].weight == 50);
+}
--- /dev/null
+++ b/packages/routing/src/retries.cc
@@ -0,0 +1,38 @@
+#include <algorithm>
+#include <lycheestand/routing.h>
+
+namespace lycheestand::routing {
+
+namespace {
+
+constexpr std::chrono::microseconds kFirstPause{ 25000 };
+constexpr unsigned kMostDoublings = 5;
+
+} // namespace
+
+void
+RetryBudget::NoteRequest()
+{
+  this->tokens = std::min(this->burst, this->tokens + this->share);
+}
+
+bool
+RetryBudget::TakeRetry()
+{
+  if (this->tokens < 1) {
+    return false;
+  }
+  this->tokens -= 1;
+  return true;
+}
+
+Duration
+Backoff(unsigned aRetry, const RandomSource& aRandom)
+{
+  unsigned doublings = std::min(aRetry - std::min(aRetry, 1U), kMostDoublings);
+  auto longest = kFirstPause * (1 << doublings);
+  auto half = static_cast<std::uint64_t>(longest.count()) / 2;
+  return std::chrono::microseconds(half + aRandom(half + 1));
+}
+
+} // namespace lycheestand::routing
--- /dev/null
+++ b/packages/routing/test/choice_test.cc
@@ -0,0 +1,182 @@
+#include <catch2/catch.hpp>
+#include <lycheestand/routing.h>
+#include <random>
+
+using namespace lycheestand;
+using namespace lycheestand::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A table of four endpoints of one model, with a seeded random source.
+class TableFixture
+{
+public:
+  TableFixture()
+  {
+    for (const char* name : { "a", "b", "c", "d" }) {
+      this->list.push_back({ EndpointId(name), ZoneId("z1"), {}, "m" });
+    }
+    this->table.SetEndpoints(this->list);
+  }
+
+  static RandomSource Seeded()
+  {
+    return [engine = std::mt19937_64(7)](std::uint64_t aBound) mutable {
+      return aBound == 0 ? engine() : engine() % aBound;
+    };
+  }
+
+  Query MakeQuery(std::uint64_t aPrefix = 1) const
+  {
+    Query query;
+    query.serves = "m";
+    query.prefix = { { PrefixHash(aPrefix), Tokens(2000) } };
+    query.promptTokens = Tokens(2100);
+    return query;
+  }
+
+  std::string Choose(std::uint64_t aRequest, const Query& aQuery)
+  {
+    auto choice =
+      this->table.Choose(RequestNumber(aRequest), aQuery, this->now);
+    return choice ? choice->endpoint.Get() : "";
+  }
+
+  void Report(const char* aEndpoint, LoadReport aReport)
+  {
+    aReport.slots = 8;
+    aReport.takenAt = this->now;
+    this->table.LearnReport(EndpointId(aEndpoint), aReport);
+  }
+
+  TimePoint now = TimePoint(1000s);
+  std::vector<Endpoint> list;
+  EndpointTable table{ TableOptions{ .zone = ZoneId("z1") },
+                       MakeCostPolicy(),
+                       Seeded() };
+};
+
+} // namespace
+
+// Guards against a prefix that is processed again at every endpoint.
+TEST_CASE_METHOD(TableFixture, "Requests follow their prefix while it is idle")
+{
+  std::string first = this->Choose(1, this->MakeQuery());
+  this->table.Finish(
+    RequestNumber(1), Outcome::Succeeded, false, this->now += 1s);
+  for (std::uint64_t i = 2; i < 20; ++i) {
+    REQUIRE(this->Choose(i, this->MakeQuery()) == first);
+    this->table.Finish(
+      RequestNumber(i), Outcome::Succeeded, false, this->now += 1s);
+  }
+}
+
+// Guards against affinity that overloads the endpoint of a popular prefix.
+TEST_CASE_METHOD(TableFixture, "A long queue outweighs a cached prefix")
+{
+  std::string first = this->Choose(1, this->MakeQuery());
+  for (const char* name : { "a", "b", "c", "d" }) {
+    this->Report(name, { .running = 4 });
+  }
+  this->Report(first.c_str(), { .running = 8, .queued = 40 });
+  REQUIRE(this->Choose(2, this->MakeQuery()) != first);
+}
+
+// Guards against new work at an endpoint that leaves, by any evidence of it.
+TEST_CASE_METHOD(TableFixture, "The first evidence of leaving ends new work")
+{
+  this->Report("a", { .leaving = true });
+  this->list[1].leaving = true;
+  this->list.pop_back();
+  this->table.SetEndpoints(this->list);
+  REQUIRE(this->Choose(1, this->MakeQuery()) == "c");
+  this->table.Finish(RequestNumber(1), Outcome::Busy, true, this->now);
+  REQUIRE(this->Choose(2, this->MakeQuery()).empty());
+}
+
+// Guards against routers that all choose the endpoint which the same old
+// report shows as slightly less loaded.
+TEST_CASE_METHOD(TableFixture, "Routers with the same old report spread")
+{
+  for (const char* name : { "a", "b", "c" }) {
+    this->Report(name, { .running = 4 });
+  }
+  this->Report("d", { .running = 3 });
+  this->now += 5s;
+  std::map<std::string, int> chosen;
+  for (std::uint64_t i = 0; i < 400; ++i) {
+    Query query = this->MakeQuery(1000 + i);
+    ++chosen[this->Choose(i, query)];
+    this->table.Finish(RequestNumber(i), Outcome::Abandoned, false, this->now);
+    this->now += 1ms;
+  }
+  REQUIRE(chosen.size() == 4);
+  REQUIRE(chosen["d"] < 200);
+}
+
+// Guards against more of a router's requests at an endpoint than its limit.
+TEST_CASE_METHOD(TableFixture, "The limit per endpoint holds")
+{
+  this->table.SetMaxInFlight(2);
+  for (std::uint64_t i = 0; i < 8; ++i) {
+    REQUIRE_FALSE(this->Choose(i, this->MakeQuery()).empty());
+  }
+  REQUIRE(this->Choose(8, this->MakeQuery()).empty());
+}
+
+// Guards against a capacity that several routers count on in full.
+TEST_CASE_METHOD(TableFixture, "Free slots are divided among routers")
+{
+  for (const char* name : { "a", "b", "c", "d" }) {
+    this->Report(name, {});
+  }
+  REQUIRE(this->table.Capacity("m", false, 1, this->now) == 40);
+  REQUIRE(this->table.Capacity("m", false, 5, this->now) == 8);
+  REQUIRE_FALSE(this->table.Capacity("other", false, 1, this->now));
+}
+
+// Guards against cache knowledge that stays certain although events were lost.
+TEST_CASE("Lost events lower what is expected of the cache")
+{
+  PrefixMap map(4);
+  std::vector<PrefixPart> parts{ { PrefixHash(1), Tokens(100) } };
+  map.LearnEvent({ 1, PrefixHash(1), true });
+  REQUIRE(map.ExpectTokens(parts) == Approx(100));
+  map.LearnNext(6);
+  REQUIRE(map.ExpectTokens(parts) < 50);
+  map.LearnEvent({ 3, PrefixHash(1), false });
+  REQUIRE(map.ExpectTokens(parts) > 0);
+  map.LearnEvent({ 6, PrefixHash(1), true });
+  REQUIRE(map.ExpectTokens(parts) == Approx(100));
+  map.LearnEvent({ 7, PrefixHash(1), false });
+  REQUIRE(map.ExpectTokens(parts) == 0);
+}
+
+// Guards against a map that grows with the number of prompts.
+TEST_CASE("The prefix map forgets the least recently used")
+{
+  PrefixMap map(2);
+  for (std::uint64_t hash : { 1, 2, 1, 3 }) {
+    map.LearnRequest({ { PrefixHash(hash), Tokens(10) } });
+  }
+  REQUIRE(map.Size() == 2);
+  REQUIRE(map.ExpectTokens({ { PrefixHash(2), Tokens(10) } }) == 0);
+  REQUIRE(map.ExpectTokens({ { PrefixHash(1), Tokens(10) } }) == 10);
+}
+
+// Guards against a hot range that stays with one endpoint.
+TEST_CASE_METHOD(TableFixture, "A range of one hot prefix gets more endpoints")
+{
+  EndpointTable ranges({}, MakePrefixRangesPolicy(), Seeded());
+  ranges.SetEndpoints(this->list);
+  std::set<EndpointId> late;
+  for (std::uint64_t i = 0; i < 2000; ++i) {
+    auto choice = ranges.Choose(RequestNumber(i), this->MakeQuery(), this->now);
+    ranges.Finish(RequestNumber(i), Outcome::Succeeded, false, this->now);
+    if (i >= 1800) {
+      late.insert(choice->endpoint);
+    }
+  }
+  REQUIRE(late.size() > 1);
+}
