--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -10,8 +10,10 @@
 lycheestand_package(state DEPS lycheestand_core ${XXHASH_LIBRARY})
 lycheestand_package(journal DEPS lycheestand_state)
 lycheestand_package(budget DEPS lycheestand_core)
-lycheestand_package(router DEPS lycheestand_net lycheestand_settings lycheestand_budget lycheestand_wire)
-lycheestand_package(control DEPS lycheestand_net lycheestand_settings lycheestand_state lycheestand_wire)
+lycheestand_package(routing DEPS lycheestand_core)
+lycheestand_package(membership DEPS lycheestand_core)
+lycheestand_package(router DEPS lycheestand_net lycheestand_settings lycheestand_budget lycheestand_routing lycheestand_membership lycheestand_wire)
+lycheestand_package(control DEPS lycheestand_net lycheestand_settings lycheestand_state lycheestand_membership lycheestand_wire)
 
 lycheestand_program(lycheestandd packages/daemon/src DEPS lycheestand_router lycheestand_control)
 
