Make settings strict and let overlays set a site's limits

A duplicate key, a name that is not configured, an unreachable route or a listed-twice instance was accepted and silently without effect. Overlays are checked on their own before they are merged, so that their errors name the overlay. A site may set weight, limits and timeouts; the router takes output limit and timeouts from it.

--- a/packages/router/src/describe.cc
+++ b/packages/router/src/describe.cc
@@ -27,22 +27,21 @@
   }
   ChatCall call = std::move(parsed.value());
   const auto& settings = aRequest->snapshot->settings;
-  auto model = settings.models.find(call.model);
-  if (model == settings.models.end() ||
+  auto model = settings.ModelFor(aRequest->site, call.model);
+  if (!model ||
       !settings.AllowsModel(aRequest->workspace, aRequest->site, call.model)) {
     RefuseNotFound(aRequest,
                    "no model \"" + call.model.Get() + "\" for this key");
     return;
   }
   if (!call.namesLimit) {
-    call.maxOutput = model->second.maxOutput;
+    call.maxOutput = model->maxOutput;
   }
-  call.maxOutput = std::min(call.maxOutput, model->second.maxOutput);
+  call.maxOutput = std::min(call.maxOutput, model->maxOutput);
   // A limit that the caller names is part of its request; without one the
   // answer may be as short as the model's minimum when the budget runs out.
-  call.minOutput = call.namesLimit
-                     ? call.maxOutput
-                     : std::min(model->second.minOutput, call.maxOutput);
+  call.minOutput = call.namesLimit ? call.maxOutput
+                                   : std::min(model->minOutput, call.maxOutput);
   aRequest->call = std::move(call);
   aNext();
 }
@@ -77,7 +76,7 @@
   ServiceCall call;
   call.service = name;
   call.target = rest.substr(slash);
-  call.timeout = service->second.timeout;
+  call.timeout = settings.ServiceTimeoutFor(aRequest->site, service->second);
   const auto* route = FindRoute(service->second, http.method, call.target);
   if (route == nullptr) {
     RefuseNotFound(
--- a/packages/router/src/forward_chat.cc
+++ b/packages/router/src/forward_chat.cc
@@ -56,11 +56,11 @@
     this->base = this->request->usage;
     this->events = {};
     this->isDone = false;
-    auto model =
-      this->request->snapshot->settings.models.find(this->call.model);
+    auto model = this->request->snapshot->settings.ModelFor(this->request->site,
+                                                            this->call.model);
     net::CallOptions options;
     options.idleTimeout =
-      std::max<Duration>(model->second.firstTokenTimeout, kTokenTimeout);
+      std::max<Duration>(model->firstTokenTimeout, kTokenTimeout);
     this->request->upstream = this->request->exchange->Task().StartCall(
       aAddress, std::move(http), options, this->MakeObserver());
   }
--- a/packages/settings/include/lycheestand/settings.h
+++ b/packages/settings/include/lycheestand/settings.h
@@ -22,8 +22,18 @@
   // JSON pointer of the value, such as "/models/chat/max_output_tokens".
   std::string pointer;
   std::string message;
+  // The wrong value as JSON, cut if it is long; empty if no value is wrong.
+  std::string value;
+  // Values that are allowed there; empty if no value is wrong.
+  std::string allowed;
 };
 
+// Largest process, client and configuration file.
+inline constexpr std::size_t kMaxDocumentBytes = 1024 * 1024;
+
+// Largest snapshot that control pushes: a document and all keys in one frame.
+inline constexpr std::size_t kMaxSnapshotBytes = 16 * 1024 * 1024;
+
 // Returns "file: /pointer: message".
 std::string
 ToString(const SettingsError& aError);
@@ -128,12 +138,18 @@
   std::set<std::string> services{ "*" };
 };
 
-// A place of use, from its overlay.
+// A place of use, from its overlay. What it does not set is as the base says.
 struct SiteSettings
 {
+  // Names, or "*" for all.
   std::set<std::string> models{ "*" };
   std::set<std::string> services{ "*" };
+  std::optional<unsigned> weight;
   std::optional<unsigned> maxInFlight;
+  // Upper limit of the output of one request; never above the model's.
+  std::optional<Tokens> maxOutput;
+  std::optional<Milliseconds> firstTokenTimeout;
+  std::optional<Milliseconds> serviceTimeout;
 };
 
 // The configuration of the fleet.
@@ -153,12 +169,94 @@
   bool AllowsService(const WorkspaceId& aWorkspace,
                      const SiteId& aSite,
                      const ServiceName& aService) const;
+
+  // Returns a model's settings with a site's limits; null if there is none.
+  std::optional<ModelSettings> ModelFor(const SiteId& aSite,
+                                        const ModelName& aModel) const;
+
+  // Returns the timeout of a service's calls from a site.
+  Milliseconds ServiceTimeoutFor(const SiteId& aSite,
+                                 const ServiceSettings& aService) const;
+
+  // Returns a workspace's weight and limit for callers of a site.
+  unsigned WeightFor(const WorkspaceId& aWorkspace, const SiteId& aSite) const;
+  unsigned MaxInFlightFor(const WorkspaceId& aWorkspace,
+                          const SiteId& aSite) const;
 };
 
 // Returns the configuration in a document (base with merged overlays).
 Result<FleetSettings, SettingsError>
 ParseFleetSettings(std::string_view aText);
 
+// A text and the file that it was read from.
+struct SourceText
+{
+  std::string file;
+  std::string text;
+};
+
+// An overlay file for one site.
+struct SiteOverlay
+{
+  SiteId site;
+  SourceText source;
+};
+
+// Returns a file's text; refuses one that is larger than any document.
+Result<SourceText, SettingsError>
+ReadSource(const std::string& aPath);
+
+// Checks the base file and each overlay, and returns one document with the
+// overlays in its "sites" section.
+Result<std::string, SettingsError>
+MergeOverlays(const SourceText& aBase,
+              const std::vector<SiteOverlay>& aOverlays);
+
+// A place at which two documents differ; a side that lacks it is empty.
+struct Difference
+{
+  std::string pointer;
+  std::string before;
+  std::string after;
+
+  friend bool operator==(const Difference&, const Difference&) = default;
+};
+
+// Returns the differences of two JSON texts, in the order of their pointers.
+Result<std::vector<Difference>, SettingsError>
+DiffDocuments(std::string_view aBefore, std::string_view aAfter);
+
+// Returns a JSON text with one member on each line.
+Result<std::string, SettingsError>
+FormatPretty(std::string_view aText);
+
+// ---------------------------------------------------------------- client
+
+// Where an operators' client reaches an instance.
+struct AdminAddress
+{
+  InstanceId instance;
+  Address admin;
+};
+
+// The settings of the operators' client.
+struct ClientSettings
+{
+  std::vector<AdminAddress> control;
+  // Other instances, for dumps.
+  std::vector<AdminAddress> instances;
+  std::string operatorKeyFile;
+};
+
+// Returns the settings in a client's JSON file; a relative key file is beside
+// it.
+Result<ClientSettings, SettingsError>
+LoadClientSettings(const std::string& aPath);
+
+// Returns the settings in a JSON text.
+Result<ClientSettings, SettingsError>
+ParseClientSettings(std::string_view aText);
+
 // A key as routers know it.
 struct CallerKey
 {
--- a/packages/settings/src/fleet_settings.cc
+++ b/packages/settings/src/fleet_settings.cc
@@ -1,19 +1,47 @@
-#include "reader.h"
+#include "fleet_reader.h"
+
+#include <algorithm>
 
 namespace lycheestand::settings {
 
 namespace {
 
+constexpr std::int64_t kMostWeight = 1000;
+constexpr std::int64_t kMostOutput = 1000000;
+constexpr std::int64_t kMostInFlight = 1000000;
+
 std::set<std::string>
 ReadNames(const Reader& aReader)
 {
   std::set<std::string> names;
-  for (const auto& value : aReader.Array()) {
-    names.insert(Reader(value, aReader.Pointer()).String());
+  for (const auto& item : aReader.Items()) {
+    std::string name = item.Name();
+    if (!names.insert(name).second) {
+      item.Fail("\"" + name + "\" is listed twice");
+    }
+  }
+  if (names.size() > 1 && names.contains("*")) {
+    aReader.Fail("\"*\" allows all names and must stand alone");
   }
   return names;
 }
 
+std::optional<unsigned>
+FindUnsigned(const Reader& aReader, const char* aName, std::int64_t aMax)
+{
+  auto member = aReader.Find(aName);
+  return member ? std::optional(static_cast<unsigned>(member->Integer(1, aMax)))
+                : std::nullopt;
+}
+
+std::optional<Milliseconds>
+FindTime(const Reader& aReader, const char* aName, std::int64_t aMin)
+{
+  auto member = aReader.Find(aName);
+  return member ? std::optional(Milliseconds(member->Integer(aMin, 600000)))
+                : std::nullopt;
+}
+
 ModelSettings
 ReadModel(const Reader& aReader)
 {
@@ -21,33 +49,64 @@
     { "max_output_tokens", "min_output_tokens", "first_token_timeout_ms" });
   ModelSettings model;
   if (auto tokens = aReader.Find("max_output_tokens")) {
-    model.maxOutput = Tokens(tokens->Integer(1, 1000000));
+    model.maxOutput = Tokens(tokens->Integer(1, kMostOutput));
   }
+  model.minOutput = std::min(model.minOutput, model.maxOutput);
   if (auto tokens = aReader.Find("min_output_tokens")) {
     model.minOutput = Tokens(tokens->Integer(1, model.maxOutput.Get()));
   }
-  if (auto time = aReader.Find("first_token_timeout_ms")) {
-    model.firstTokenTimeout = Milliseconds(time->Integer(100, 600000));
-  }
+  model.firstTokenTimeout = FindTime(aReader, "first_token_timeout_ms", 100)
+                              .value_or(model.firstTokenTimeout);
   return model;
 }
 
+// The first route that fits is taken, so one behind a shorter path of the same
+// method is never reached, and its "repeatable" would be without effect.
+void
+CheckReached(const Reader& aItem,
+             const ServiceRoute& aRoute,
+             const std::vector<ServiceRoute>& aEarlier)
+{
+  for (std::size_t i = 0; i < aEarlier.size(); ++i) {
+    if (aEarlier[i].method == aRoute.method &&
+        aRoute.pathPrefix.starts_with(aEarlier[i].pathPrefix)) {
+      aItem.Fail("is never reached: route " + std::to_string(i) + " (" +
+                 aEarlier[i].method + " " + aEarlier[i].pathPrefix +
+                 ") comes first");
+    }
+  }
+}
+
+ServiceRoute
+ReadRoute(const Reader& aReader)
+{
+  aReader.AllowOnly({ "method", "path", "repeatable" });
+  ServiceRoute route;
+  route.method = aReader.Get("method").OneOf(
+    { "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE" });
+  route.pathPrefix = aReader.Get("path").Name();
+  if (!route.pathPrefix.starts_with('/')) {
+    aReader.Get("path").FailValue("a path that begins with \"/\"");
+  }
+  route.repeatable = aReader.Get("repeatable").Bool();
+  return route;
+}
+
 ServiceSettings
 ReadService(const Reader& aReader)
 {
   aReader.AllowOnly({ "routes", "timeout_ms" });
   ServiceSettings service;
-  if (auto time = aReader.Find("timeout_ms")) {
-    service.timeout = Milliseconds(time->Integer(10, 600000));
-  }
+  service.timeout =
+    FindTime(aReader, "timeout_ms", 10).value_or(service.timeout);
   Reader routes = aReader.Get("routes");
-  std::size_t index = 0;
-  for (const auto& value : routes.Array()) {
-    Reader route(value, routes.Pointer() + "/" + std::to_string(index++));
-    route.AllowOnly({ "method", "path", "repeatable" });
-    service.routes.push_back({ route.Get("method").String(),
-                               route.Get("path").String(),
-                               route.Get("repeatable").Bool() });
+  for (const auto& item : routes.Items()) {
+    ServiceRoute route = ReadRoute(item);
+    CheckReached(item, route, service.routes);
+    service.routes.push_back(std::move(route));
+  }
+  if (service.routes.empty()) {
+    routes.FailValue("an array of at least one route");
   }
   return service;
 }
@@ -61,12 +120,10 @@
   if (auto tokens = aReader.Find("first_tokens")) {
     workspace.firstTokens = Tokens(tokens->Integer(0, std::int64_t(1) << 50));
   }
-  if (auto weight = aReader.Find("weight")) {
-    workspace.weight = static_cast<unsigned>(weight->Integer(1, 1000));
-  }
-  if (auto limit = aReader.Find("max_in_flight")) {
-    workspace.maxInFlight = static_cast<unsigned>(limit->Integer(1, 1000000));
-  }
+  workspace.weight =
+    FindUnsigned(aReader, "weight", kMostWeight).value_or(workspace.weight);
+  workspace.maxInFlight = FindUnsigned(aReader, "max_in_flight", kMostInFlight)
+                            .value_or(workspace.maxInFlight);
   if (auto models = aReader.Find("models")) {
     workspace.models = ReadNames(*models);
   }
@@ -76,10 +133,97 @@
   return workspace;
 }
 
+// Reads each member of an object into a map keyed by its name.
+template<class Key, class Value>
+void
+ReadMap(const Reader& aReader,
+        const char* aName,
+        std::map<Key, Value>& aOut,
+        Value (*aRead)(const Reader&))
+{
+  auto section = aReader.Find(aName);
+  if (!section) {
+    return;
+  }
+  for (const auto& member : section->Object()) {
+    std::string name(member.key());
+    Reader reader = section->Get(name);
+    CheckMemberName(reader, name);
+    aOut.emplace(Key(name), aRead(reader));
+  }
+}
+
+template<class Map>
+void
+CheckNames(const Reader& aReader,
+           const char* aMember,
+           const char* aKind,
+           const Map& aKnown)
+{
+  auto list = aReader.Find(aMember);
+  if (!list) {
+    return;
+  }
+  std::vector<std::string> names;
+  for (const auto& [name, ignored] : aKnown) {
+    names.push_back(name.Get());
+  }
+  for (const auto& item : list->Items()) {
+    std::string name = item.String();
+    if (name != "*" &&
+        std::find(names.begin(), names.end(), name) == names.end()) {
+      item.Fail("no " + std::string(aKind) + " \"" + name + "\" is configured" +
+                SuggestName(name, names));
+    }
+  }
+}
+
+// Checks the allowed names of each member of a section.
+void
+CheckSection(const Reader& aReader,
+             const char* aSection,
+             const FleetSettings& aFleet)
+{
+  auto section = aReader.Find(aSection);
+  if (!section) {
+    return;
+  }
+  for (const auto& member : section->Object()) {
+    CheckAllowedNames(section->Get(std::string_view(member.key())), aFleet);
+  }
+}
+
+// The service's name is a part of its calls' path.
+void
+CheckServiceNames(const Reader& aReader, const FleetSettings& aFleet)
+{
+  for (const auto& [name, service] : aFleet.services) {
+    if (name.Get().find('/') != std::string::npos) {
+      aReader.Get("services")
+        .Get(name.Get())
+        .Fail("the name of a service must not contain \"/\"");
+    }
+  }
+}
+
+bool
+Allows(const std::set<std::string>& aNames, const std::string& aName)
+{
+  return aNames.contains("*") || aNames.contains(aName);
+}
+
+} // namespace
+
 SiteSettings
 ReadSite(const Reader& aReader)
 {
-  aReader.AllowOnly({ "models", "services", "max_in_flight" });
+  aReader.AllowOnly({ "models",
+                      "services",
+                      "weight",
+                      "max_in_flight",
+                      "max_output_tokens",
+                      "first_token_timeout_ms",
+                      "service_timeout_ms" });
   SiteSettings site;
   if (auto models = aReader.Find("models")) {
     site.models = ReadNames(*models);
@@ -87,28 +231,21 @@
   if (auto services = aReader.Find("services")) {
     site.services = ReadNames(*services);
   }
-  if (auto limit = aReader.Find("max_in_flight")) {
-    site.maxInFlight = static_cast<unsigned>(limit->Integer(1, 1000000));
+  site.weight = FindUnsigned(aReader, "weight", kMostWeight);
+  site.maxInFlight = FindUnsigned(aReader, "max_in_flight", kMostInFlight);
+  if (auto tokens = aReader.Find("max_output_tokens")) {
+    site.maxOutput = Tokens(tokens->Integer(1, kMostOutput));
   }
+  site.firstTokenTimeout = FindTime(aReader, "first_token_timeout_ms", 100);
+  site.serviceTimeout = FindTime(aReader, "service_timeout_ms", 10);
   return site;
 }
 
-// Reads each member of an object into a map keyed by its name.
-template<class Key, class Value>
 void
-ReadMap(const Reader& aReader,
-        const char* aName,
-        std::map<Key, Value>& aOut,
-        Value (*aRead)(const Reader&))
+CheckAllowedNames(const Reader& aReader, const FleetSettings& aFleet)
 {
-  auto section = aReader.Find(aName);
-  if (!section) {
-    return;
-  }
-  for (const auto& member : section->Object()) {
-    std::string name(member.key());
-    aOut.emplace(Key(name), aRead(section->Get(name.c_str())));
-  }
+  CheckNames(aReader, "models", "model", aFleet.models);
+  CheckNames(aReader, "services", "service", aFleet.services);
 }
 
 FleetSettings
@@ -124,21 +261,15 @@
   ReadMap(aReader, "services", fleet.services, ReadService);
   ReadMap(aReader, "workspaces", fleet.workspaces, ReadWorkspace);
   ReadMap(aReader, "sites", fleet.sites, ReadSite);
-  if (auto limit = aReader.Find("max_in_flight_per_endpoint")) {
-    fleet.maxInFlightPerEndpoint =
-      static_cast<unsigned>(limit->Integer(1, 100000));
-  }
+  fleet.maxInFlightPerEndpoint =
+    FindUnsigned(aReader, "max_in_flight_per_endpoint", 100000)
+      .value_or(fleet.maxInFlightPerEndpoint);
+  CheckServiceNames(aReader, fleet);
+  CheckSection(aReader, "workspaces", fleet);
+  CheckSection(aReader, "sites", fleet);
   return fleet;
 }
 
-bool
-Allows(const std::set<std::string>& aNames, const std::string& aName)
-{
-  return aNames.contains("*") || aNames.contains(aName);
-}
-
-} // namespace
-
 bool
 FleetSettings::AllowsModel(const WorkspaceId& aWorkspace,
                            const SiteId& aSite,
@@ -168,6 +299,64 @@
          Allows(site->second.services, aService.Get());
 }
 
+std::optional<ModelSettings>
+FleetSettings::ModelFor(const SiteId& aSite, const ModelName& aModel) const
+{
+  auto model = this->models.find(aModel);
+  if (model == this->models.end()) {
+    return std::nullopt;
+  }
+  ModelSettings settings = model->second;
+  auto site = this->sites.find(aSite);
+  if (site == this->sites.end()) {
+    return settings;
+  }
+  settings.maxOutput = std::min(
+    settings.maxOutput, site->second.maxOutput.value_or(settings.maxOutput));
+  settings.minOutput = std::min(settings.minOutput, settings.maxOutput);
+  settings.firstTokenTimeout =
+    site->second.firstTokenTimeout.value_or(settings.firstTokenTimeout);
+  return settings;
+}
+
+Milliseconds
+FleetSettings::ServiceTimeoutFor(const SiteId& aSite,
+                                 const ServiceSettings& aService) const
+{
+  auto site = this->sites.find(aSite);
+  return site == this->sites.end()
+           ? aService.timeout
+           : site->second.serviceTimeout.value_or(aService.timeout);
+}
+
+unsigned
+FleetSettings::WeightFor(const WorkspaceId& aWorkspace,
+                         const SiteId& aSite) const
+{
+  auto site = this->sites.find(aSite);
+  if (site != this->sites.end() && site->second.weight) {
+    return *site->second.weight;
+  }
+  auto workspace = this->workspaces.find(aWorkspace);
+  return workspace == this->workspaces.end() ? WorkspaceSettings{}.weight
+                                             : workspace->second.weight;
+}
+
+// A site's limit holds within the workspace's own.
+unsigned
+FleetSettings::MaxInFlightFor(const WorkspaceId& aWorkspace,
+                              const SiteId& aSite) const
+{
+  auto workspace = this->workspaces.find(aWorkspace);
+  unsigned limit = workspace == this->workspaces.end()
+                     ? WorkspaceSettings{}.maxInFlight
+                     : workspace->second.maxInFlight;
+  auto site = this->sites.find(aSite);
+  return site == this->sites.end()
+           ? limit
+           : std::min(limit, site->second.maxInFlight.value_or(limit));
+}
+
 Result<FleetSettings, SettingsError>
 ParseFleetSettings(std::string_view aText)
 {
@@ -198,14 +387,14 @@
 ParseFleetSnapshot(std::string_view aText)
 {
   try {
-    auto json = ParseJson(aText);
+    auto json = ParseJson(aText, kMaxSnapshotBytes);
     Reader reader(json, "");
     FleetSnapshot snapshot;
     snapshot.settings = ReadFleet(reader.Get("settings"));
     Reader keys = reader.Get("keys");
     for (const auto& member : keys.Object()) {
       std::string hash(member.key());
-      Reader key = keys.Get(hash.c_str());
+      Reader key = keys.Get(hash);
       snapshot.keys[KeyHash(hash)] = { WorkspaceId(
                                          key.Get("workspace").String()),
                                        SiteId(key.Get("site").String()) };
--- a/packages/settings/src/process_settings.cc
+++ b/packages/settings/src/process_settings.cc
@@ -1,43 +1,55 @@
 #include "reader.h"
 
-#include <fstream>
-#include <sstream>
+#include <algorithm>
 
 namespace lycheestand::settings {
 
 namespace {
 
+constexpr std::size_t kHashDigits = 64;
+
 Role
 ReadRole(const Reader& aReader)
 {
-  std::string text = aReader.String();
+  std::string text = aReader.OneOf({ "router", "control", "both" });
   if (text == "router") {
     return Role::Router;
   }
-  if (text == "control") {
-    return Role::Control;
-  }
-  if (text == "both") {
-    return Role::Both;
+  return text == "control" ? Role::Control : Role::Both;
+}
+
+// Two control instances at one address would count twice for a quorum.
+void
+CheckUnique(const Reader& aItem,
+            const char* aName,
+            const std::string& aValue,
+            std::map<std::string, std::string>& aSeen)
+{
+  Reader place = aItem.Get(aName);
+  auto [seen, isNew] = aSeen.emplace(aValue, place.Pointer());
+  if (!isNew) {
+    place.Fail("\"" + aValue + "\" is already used by " + seen->second);
   }
-  aReader.Fail("must be \"router\", \"control\" or \"both\", not \"" + text +
-               "\"");
 }
 
 std::vector<ControlMember>
 ReadControl(const Reader& aReader)
 {
   std::vector<ControlMember> members;
-  std::size_t index = 0;
-  for (const auto& value : aReader.Array()) {
-    Reader member(value, aReader.Pointer() + "/" + std::to_string(index++));
-    member.AllowOnly({ "instance", "peer", "admin" });
-    members.push_back({ InstanceId(member.Get("instance").String()),
-                        member.Get("peer").ReadAddress(),
-                        member.Get("admin").ReadAddress() });
+  std::map<std::string, std::string> instances;
+  std::map<std::string, std::string> addresses;
+  for (const auto& item : aReader.Items()) {
+    item.AllowOnly({ "instance", "peer", "admin" });
+    ControlMember member{ InstanceId(item.Get("instance").Name()),
+                          item.Get("peer").ReadAddress(),
+                          item.Get("admin").ReadAddress() };
+    CheckUnique(item, "instance", member.instance.Get(), instances);
+    CheckUnique(item, "peer", ToString(member.peer), addresses);
+    CheckUnique(item, "admin", ToString(member.admin), addresses);
+    members.push_back(std::move(member));
   }
   if (members.empty()) {
-    aReader.Fail("must name at least one control instance");
+    aReader.FailValue("an array of at least one control instance");
   }
   return members;
 }
@@ -65,22 +77,85 @@
                 : aDefault;
 }
 
+// Fails on a key that would be without effect in this role.
+void
+RefuseKeys(const Reader& aReader,
+           const std::vector<std::string>& aNames,
+           const char* aRole)
+{
+  for (const auto& name : aNames) {
+    if (auto member = aReader.Find(name)) {
+      member->Fail("has no effect when /role is \"" + std::string(aRole) +
+                   "\"");
+    }
+  }
+}
+
 void
 ReadAddresses(const Reader& aReader, ProcessSettings& aSettings)
 {
-  if (aSettings.role != Role::Control) {
-    aSettings.callerAddress = aReader.Get("caller_address").ReadAddress();
+  std::map<std::string, std::string> seen;
+  auto read = [&](const char* aName) {
+    Address address = aReader.Get(aName).ReadAddress();
+    CheckUnique(aReader, aName, ToString(address), seen);
+    return address;
+  };
+  if (aSettings.role == Role::Control) {
+    RefuseKeys(aReader, { "caller_address" }, "control");
+  } else {
+    aSettings.callerAddress = read("caller_address");
   }
-  if (aSettings.role != Role::Router) {
-    aSettings.peerAddress = aReader.Get("peer_address").ReadAddress();
-    aSettings.dataFolder = aReader.Get("data_folder").String();
+  if (aSettings.role == Role::Router) {
+    RefuseKeys(
+      aReader, { "peer_address", "data_folder", "platform_list" }, "router");
+  } else {
+    aSettings.peerAddress = read("peer_address");
+    aSettings.dataFolder = aReader.Get("data_folder").Name();
   }
-  aSettings.adminAddress = aReader.Get("admin_address").ReadAddress();
+  aSettings.adminAddress = read("admin_address");
   if (auto list = aReader.Find("platform_list")) {
     aSettings.platformList = list->ReadAddress();
   }
 }
 
+// A control instance that its own list lacks could not take part in a quorum.
+void
+CheckOwnMember(const Reader& aReader, const ProcessSettings& aSettings)
+{
+  bool isListed = std::any_of(
+    aSettings.control.begin(), aSettings.control.end(), [&](const auto& aItem) {
+      return aItem.instance == aSettings.instance;
+    });
+  if (aSettings.role != Role::Router && !isListed) {
+    aReader.Get("control").Fail("must list this instance, \"" +
+                                aSettings.instance.Get() + "\"");
+  }
+}
+
+// Without a hash nobody could create a workspace, so control needs one.
+std::vector<KeyHash>
+ReadOperatorHashes(const Reader& aReader, Role aRole)
+{
+  auto hashes = aReader.Find("operator_key_hashes");
+  if (!hashes && aRole == Role::Router) {
+    return {};
+  }
+  std::vector<KeyHash> out;
+  for (const auto& item : aReader.Get("operator_key_hashes").Items()) {
+    std::string text = item.String();
+    if (text.size() != kHashDigits ||
+        text.find_first_not_of("0123456789abcdef") != std::string::npos) {
+      item.FailValue("a hash of 64 hexadecimal digits, as printed by "
+                     "\"lycheestand secret operator\"");
+    }
+    out.emplace_back(std::move(text));
+  }
+  if (out.empty() && aRole != Role::Router) {
+    hashes->FailValue("an array of at least one hash");
+  }
+  return out;
+}
+
 void
 ReadLimits(const Reader& aReader, ProcessSettings& aSettings)
 {
@@ -121,23 +196,19 @@
                       "max_header_bytes",
                       "request_timeout_ms" });
   ProcessSettings settings;
-  settings.instance = InstanceId(aReader.Get("instance").String());
-  settings.zone = ZoneId(aReader.Get("zone").String());
+  settings.instance = InstanceId(aReader.Get("instance").Name());
+  settings.zone = ZoneId(aReader.Get("zone").Name());
   settings.role = ReadRole(aReader.Get("role"));
   ReadAddresses(aReader, settings);
   settings.control = ReadControl(aReader.Get("control"));
-  settings.fleetKeyFile = aReader.Get("fleet_key_file").String();
-  if (auto hashes = aReader.Find("operator_key_hashes")) {
-    for (const auto& hash : hashes->Array()) {
-      settings.operatorKeyHashes.emplace_back(
-        Reader(hash, hashes->Pointer()).String());
-    }
-  }
+  CheckOwnMember(aReader, settings);
+  settings.fleetKeyFile = aReader.Get("fleet_key_file").Name();
+  settings.operatorKeyHashes = ReadOperatorHashes(aReader, settings.role);
   if (auto level = aReader.Find("log_level")) {
-    settings.logLevel = level->String();
+    settings.logLevel = level->OneOf({ "debug", "info", "warning", "error" });
   }
   if (auto format = aReader.Find("log_format")) {
-    settings.logFormat = format->String();
+    settings.logFormat = format->OneOf({ "text", "json" });
   }
   ReadLimits(aReader, settings);
   return settings;
@@ -159,13 +230,11 @@
 Result<ProcessSettings, SettingsError>
 LoadProcessSettings(const std::string& aPath)
 {
-  std::ifstream file(aPath);
-  std::ostringstream text;
-  text << file.rdbuf();
-  if (!file) {
-    return SettingsError{ aPath, "", "can't be read" };
+  auto source = ReadSource(aPath);
+  if (source.has_error()) {
+    return source.error();
   }
-  auto settings = ParseProcessSettings(text.str());
+  auto settings = ParseProcessSettings(source.value().text);
   if (settings.has_error()) {
     SettingsError error = settings.error();
     error.file = aPath;
--- a/packages/settings/src/reader.cc
+++ b/packages/settings/src/reader.cc
@@ -1,14 +1,21 @@
 #include "reader.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
+#include <array>
 
 namespace lycheestand::settings {
 
 namespace {
 
-// Names at most this far apart are taken for a slip of the pen.
+// Names at most this far apart are taken for a misspelling.
 constexpr std::size_t kNearDistance = 3;
 
+// Longest part of a value that an error message repeats.
+constexpr std::size_t kMaxShownBytes = 80;
+
+constexpr std::size_t kMaxNameBytes = 128;
+
 // Returns the number of single-letter edits between two names.
 std::size_t
 EditDistance(const std::string& aLeft, const std::string& aRight)
@@ -29,7 +36,36 @@
   return row.back();
 }
 
-// Returns a member's name as part of a JSON pointer.
+// Returns a value for an error message, cut where a character begins.
+std::string
+ShowValue(const boost::json::value& aValue)
+{
+  std::string text = boost::json::serialize(aValue);
+  if (text.size() <= kMaxShownBytes) {
+    return text;
+  }
+  std::size_t end = kMaxShownBytes;
+  while (end > 0 && (static_cast<unsigned char>(text[end]) & 0xC0) == 0x80) {
+    --end;
+  }
+  return text.substr(0, end) + "...";
+}
+
+// Returns whether a text can serve as an id in URLs, logs and tables.
+bool
+IsName(std::string_view aText)
+{
+  return !aText.empty() && aText.size() <= kMaxNameBytes &&
+         std::none_of(aText.begin(), aText.end(), [](unsigned char aByte) {
+           return aByte < 0x20 || aByte == 0x7F;
+         });
+}
+
+const char* const kNameRule =
+  "a string of 1 to 128 bytes without control characters";
+
+} // namespace
+
 std::string
 EscapePointer(std::string_view aName)
 {
@@ -46,7 +82,27 @@
   return out;
 }
 
-} // namespace
+std::string
+SuggestName(const std::string& aName, const std::vector<std::string>& aNames)
+{
+  auto nearest = std::min_element(
+    aNames.begin(), aNames.end(), [&](const auto& aLeft, const auto& aRight) {
+      return EditDistance(aName, aLeft) < EditDistance(aName, aRight);
+    });
+  if (nearest == aNames.end() || aName.size() > kMaxNameBytes ||
+      EditDistance(aName, *nearest) > kNearDistance) {
+    return "";
+  }
+  return "; did you mean \"" + *nearest + "\"?";
+}
+
+void
+CheckMemberName(const Reader& aMember, const std::string& aName)
+{
+  if (!IsName(aName)) {
+    aMember.Fail("the name must be " + std::string(kNameRule));
+  }
+}
 
 std::string
 ToString(const SettingsError& aError)
@@ -67,11 +123,22 @@
   throw ReadFailure{ { "", this->pointer, aMessage } };
 }
 
+void
+Reader::FailValue(const std::string& aAllowed) const
+{
+  std::string shown = ShowValue(this->value);
+  throw ReadFailure{ { "",
+                       this->pointer,
+                       "must be " + aAllowed + ", not " + shown,
+                       shown,
+                       aAllowed } };
+}
+
 const boost::json::object&
 Reader::Object() const
 {
   if (!this->value.is_object()) {
-    this->Fail("must be an object, not " + boost::json::serialize(this->value));
+    this->FailValue("an object");
   }
   return this->value.get_object();
 }
@@ -80,7 +147,7 @@
 Reader::Array() const
 {
   if (!this->value.is_array()) {
-    this->Fail("must be an array, not " + boost::json::serialize(this->value));
+    this->FailValue("an array");
   }
   return this->value.get_array();
 }
@@ -89,7 +156,7 @@
 Reader::String() const
 {
   if (!this->value.is_string()) {
-    this->Fail("must be a string, not " + boost::json::serialize(this->value));
+    this->FailValue("a string");
   }
   return std::string(this->value.get_string());
 }
@@ -98,8 +165,7 @@
 Reader::Bool() const
 {
   if (!this->value.is_bool()) {
-    this->Fail("must be true or false, not " +
-               boost::json::serialize(this->value));
+    this->FailValue("true or false");
   }
   return this->value.get_bool();
 }
@@ -111,16 +177,52 @@
   boost::json::error_code error;
   auto number = this->value.to_number<std::int64_t>(error);
   if (error || number < aMin || number > aMax) {
-    this->Fail("must be an integer in " + range + ", not " +
-               boost::json::serialize(this->value));
+    this->FailValue("an integer in " + range);
   }
   return number;
 }
 
+std::string
+Reader::Name() const
+{
+  std::string text = this->String();
+  if (!IsName(text)) {
+    this->FailValue(kNameRule);
+  }
+  return text;
+}
+
+std::string
+Reader::OneOf(const std::vector<std::string>& aWords) const
+{
+  std::string text = this->String();
+  if (std::find(aWords.begin(), aWords.end(), text) != aWords.end()) {
+    return text;
+  }
+  std::string allowed;
+  for (std::size_t i = 0; i < aWords.size(); ++i) {
+    allowed += i == 0 ? "" : (i + 1 < aWords.size() ? ", " : " or ");
+    allowed += "\"" + aWords[i] + "\"";
+  }
+  this->FailValue(allowed);
+}
+
+std::vector<Reader>
+Reader::Items() const
+{
+  std::vector<Reader> items;
+  for (const auto& item : this->Array()) {
+    items.emplace_back(item,
+                       this->pointer + "/" + std::to_string(items.size()));
+  }
+  return items;
+}
+
 std::optional<Reader>
-Reader::Find(const char* aName) const
+Reader::Find(std::string_view aName) const
 {
-  const auto* member = this->Object().if_contains(aName);
+  const auto* member = this->Object().if_contains(
+    boost::json::string_view(aName.data(), aName.size()));
   if (member == nullptr) {
     return std::nullopt;
   }
@@ -128,7 +230,7 @@
 }
 
 Reader
-Reader::Get(const char* aName) const
+Reader::Get(std::string_view aName) const
 {
   auto member = this->Find(aName);
   if (!member) {
@@ -142,7 +244,16 @@
 {
   auto address = ParseAddress(this->String());
   if (address.has_error()) {
-    this->Fail(address.error());
+    this->FailValue("an IP address and a port in 1..65535, such as "
+                    "\"127.0.0.1:8080\"");
+  }
+  // Processes reach each other by IP address; nothing resolves names.
+  const std::string& host = address.value().host;
+  std::array<unsigned char, sizeof(in6_addr)> bytes{};
+  if (inet_pton(AF_INET, host.c_str(), bytes.data()) != 1 &&
+      inet_pton(AF_INET6, host.c_str(), bytes.data()) != 1) {
+    this->FailValue("an IP address and a port in 1..65535, such as "
+                    "\"127.0.0.1:8080\"");
   }
   return address.value();
 }
@@ -152,41 +263,11 @@
 {
   for (const auto& member : this->Object()) {
     std::string name(member.key());
-    if (std::find(aNames.begin(), aNames.end(), name) != aNames.end()) {
-      continue;
-    }
-    auto nearest = std::min_element(
-      aNames.begin(), aNames.end(), [&](const auto& aLeft, const auto& aRight) {
-        return EditDistance(name, aLeft) < EditDistance(name, aRight);
-      });
-    std::string message = "unknown key \"" + name + "\"";
-    if (nearest != aNames.end() &&
-        EditDistance(name, *nearest) <= kNearDistance) {
-      message += "; did you mean \"" + *nearest + "\"?";
+    if (std::find(aNames.begin(), aNames.end(), name) == aNames.end()) {
+      Reader(member.value(), this->pointer + "/" + EscapePointer(name))
+        .Fail("unknown key" + SuggestName(name, aNames));
     }
-    Reader(member.value(), this->pointer + "/" + EscapePointer(name))
-      .Fail(message);
   }
 }
 
-boost::json::value
-ParseJson(std::string_view aText)
-{
-  boost::json::error_code error;
-  boost::json::stream_parser parser;
-  std::size_t read = parser.write_some(aText.data(), aText.size(), error);
-  if (!error && read == aText.size()) {
-    parser.finish(error);
-  } else if (!error) {
-    error = boost::json::error::extra_data;
-  }
-  if (error) {
-    auto line = 1 + std::count(aText.begin(), aText.begin() + read, '\n');
-    throw ReadFailure{
-      { "", "", "line " + std::to_string(line) + ": " + error.message() }
-    };
-  }
-  return parser.release();
-}
-
 } // namespace lycheestand::settings
--- a/packages/settings/src/reader.h
+++ b/packages/settings/src/reader.h
@@ -26,25 +26,36 @@
   // Throws ReadFailure for this place.
   [[noreturn]] void Fail(const std::string& aMessage) const;
 
+  // Throws ReadFailure that names the value and what is allowed instead.
+  [[noreturn]] void FailValue(const std::string& aAllowed) const;
+
   const boost::json::object& Object() const;
   const boost::json::array& Array() const;
   std::string String() const;
   bool Bool() const;
   std::int64_t Integer(std::int64_t aMin, std::int64_t aMax) const;
 
+  // Returns a string of 1 to 128 bytes without control characters.
+  std::string Name() const;
+
+  // Returns a string that is one of the words.
+  std::string OneOf(const std::vector<std::string>& aWords) const;
+
+  // Returns the readers of an array's items.
+  std::vector<Reader> Items() const;
+
   // Returns the member, if present.
-  std::optional<Reader> Find(const char* aName) const;
+  std::optional<Reader> Find(std::string_view aName) const;
 
   // Returns the member, or fails because it is required.
-  Reader Get(const char* aName) const;
+  Reader Get(std::string_view aName) const;
 
-  // Returns the value as an address.
+  // Returns the value as an IP address with a port.
   Address ReadAddress() const;
 
   // Fails on a member that is not in the list, and suggests the nearest name.
   void AllowOnly(const std::vector<std::string>& aNames) const;
 
-  const boost::json::value& Value() const { return this->value; }
   const std::string& Pointer() const { return this->pointer; }
 
 private:
@@ -52,9 +63,23 @@
   std::string pointer;
 };
 
-// Returns the parsed text, or throws ReadFailure with the line and column.
+// Returns a suggestion such as "; did you mean "chat"?", or nothing if no name
+// is near.
+std::string
+SuggestName(const std::string& aName, const std::vector<std::string>& aNames);
+
+// Returns a member's name as part of a JSON pointer.
+std::string
+EscapePointer(std::string_view aName);
+
+// Fails unless an object's member name can serve as an id.
+void
+CheckMemberName(const Reader& aMember, const std::string& aName);
+
+// Returns the parsed text, or throws ReadFailure with line and column, or with
+// the pointer of a key that is given twice or nested too deeply.
 boost::json::value
-ParseJson(std::string_view aText);
+ParseJson(std::string_view aText, std::size_t aMaxBytes = kMaxDocumentBytes);
 
 } // namespace lycheestand::settings
 
