--- /dev/null
+++ b/bench/fleet/probe.cc
@@ -0,0 +1,121 @@
+#include "probe.h"
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+namespace lycheestand::bench {
+
+namespace {
+
+// Positions of utime and stime after the command's name in /proc/ID/stat.
+constexpr int kUserTimeField = 11;
+constexpr int kFieldsToRead = 13;
+
+double
+ReadCpuSeconds(pid_t aId)
+{
+  std::ifstream file("/proc/" + std::to_string(aId) + "/stat");
+  std::string text;
+  std::getline(file, text);
+  std::istringstream fields(text.substr(text.rfind(')') + 1));
+  std::string field;
+  double ticks = 0;
+  for (int i = 0; i < kFieldsToRead && fields >> field; ++i) {
+    if (i >= kUserTimeField) {
+      ticks += std::stod(field);
+    }
+  }
+  return ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
+double
+ReadMemoryBytes(pid_t aId)
+{
+  std::ifstream file("/proc/" + std::to_string(aId) + "/statm");
+  double total = 0;
+  double resident = 0;
+  file >> total >> resident;
+  return resident * static_cast<double>(::sysconf(_SC_PAGESIZE));
+}
+
+// Returns the sum of the counters whose names begin so.
+double
+SumMetrics(const std::string& aText, const std::string& aName)
+{
+  std::istringstream lines(aText);
+  std::string line;
+  double sum = 0;
+  while (std::getline(lines, line)) {
+    if (line.starts_with(aName)) {
+      sum += std::stod(line.substr(line.rfind(' ') + 1));
+    }
+  }
+  return sum;
+}
+
+} // namespace
+
+ProcessUse
+ReadUse(const faults::Process& aProcess, const Address& aAdmin)
+{
+  ProcessUse use;
+  use.cpuSeconds = ReadCpuSeconds(aProcess.Id());
+  use.memoryBytes = ReadMemoryBytes(aProcess.Id());
+  auto reply = faults::Send(aAdmin, { "GET", "/metrics", {}, "" });
+  use.linkBytes = SumMetrics(reply.body, "lycheestand_link_");
+  return use;
+}
+
+ProcessUse
+Since(const ProcessUse& aEarlier, const ProcessUse& aLater)
+{
+  return { aLater.cpuSeconds - aEarlier.cpuSeconds,
+           aLater.memoryBytes,
+           aLater.linkBytes - aEarlier.linkBytes };
+}
+
+Fit
+FitLine(const std::vector<std::pair<double, double>>& aPoints)
+{
+  double n = static_cast<double>(aPoints.size());
+  double sumX = 0;
+  double sumY = 0;
+  double sumXX = 0;
+  double sumXY = 0;
+  for (const auto& [x, y] : aPoints) {
+    sumX += x;
+    sumY += y;
+    sumXX += x * x;
+    sumXY += x * y;
+  }
+  double slope = (n * sumXY - sumX * sumY) / (n * sumXX - sumX * sumX);
+  return { (sumY - slope * sumX) / n, slope };
+}
+
+faults::json::object
+RunLoad(const std::vector<std::string>& aArguments, Duration aLimit)
+{
+  faults::TestPlace place;
+  auto self = std::filesystem::read_symlink("/proc/self/exe");
+  std::vector<std::string> command{
+    (self.parent_path() / "bench_load").string()
+  };
+  command.insert(command.end(), aArguments.begin(), aArguments.end());
+  faults::Process load("load", place.Folder() / "load.log", command);
+  if (load.WaitForExit(aLimit) != 0) {
+    throw std::runtime_error("bench_load failed: " + load.LogTail());
+  }
+  return faults::json::parse(load.Log()).as_object();
+}
+
+double
+ReadNumber(const faults::json::value& aReport, const std::string& aPointer)
+{
+  faults::json::error_code error;
+  const auto* value = aReport.find_pointer(aPointer, error);
+  return value == nullptr ? 0 : value->to_number<double>();
+}
+
+} // namespace lycheestand::bench
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -15,9 +15,6 @@
 constexpr int kExitSettings = 2;
 constexpr int kExitStart = 3;
 
-// Threads for tasks; more than this does not help one process's requests.
-constexpr std::size_t kMostThreads = 4;
-
 net::LogLevel
 ParseLevel(const std::string& aText)
 {
@@ -36,7 +33,7 @@
 public:
   explicit Process(const settings::ProcessSettings& aSettings)
     : settings(aSettings)
-    , system(Configure(this->config))
+    , system(Configure(this->config, aSettings.threads))
     , runtime{ &this->system, &this->io }
     , signals(this->io, SIGTERM, SIGINT)
   {
@@ -63,10 +60,11 @@
 
 private:
   // The default policy polls while idle; "sharing" waits.
-  static caf::actor_system_config& Configure(caf::actor_system_config& aConfig)
+  static caf::actor_system_config& Configure(caf::actor_system_config& aConfig,
+                                             std::size_t aThreads)
   {
     aConfig.set("scheduler.policy", caf::atom("sharing"));
-    aConfig.set("scheduler.max-threads", kMostThreads);
+    aConfig.set("scheduler.max-threads", aThreads);
     return aConfig;
   }
 
--- a/packages/settings/include/lycheestand/settings.h
+++ b/packages/settings/include/lycheestand/settings.h
@@ -82,6 +82,8 @@
   Milliseconds entryKeepTime{ 10000 };
   // Time after which an unconfirmed router takes no new work.
   Milliseconds confirmationLimit{ 5000 };
+  // Threads that run tasks; one more waits for sockets.
+  std::size_t threads = 4;
   std::size_t maxConnections = 4096;
   std::size_t maxBodyBytes = 4 * 1024 * 1024;
   std::size_t maxHeaderBytes = 16 * 1024;
--- a/packages/settings/src/process_settings.cc
+++ b/packages/settings/src/process_settings.cc
@@ -165,8 +165,13 @@
     aReader, "confirmation_limit_ms", aSettings.confirmationLimit, 1000, 6000);
   aSettings.requestTimeout = ReadMilliseconds(
     aReader, "request_timeout_ms", aSettings.requestTimeout, 100, 600000);
-  aSettings.maxConnections =
-    ReadSize(aReader, "max_connections", aSettings.maxConnections, 1, 1000000);
+  aSettings.threads = ReadSize(aReader, "threads", aSettings.threads, 1, 64);
+  aSettings.maxConnections = ReadSize(aReader,
+                                      "threads",
+                                      "max_connections",
+                                      aSettings.maxConnections,
+                                      1,
+                                      1000000);
   aSettings.maxBodyBytes =
     ReadSize(aReader, "max_body_bytes", aSettings.maxBodyBytes, 1024, 1 << 28);
   aSettings.maxHeaderBytes = ReadSize(
