Add a property test of budgets between purses and control

Cause: nothing drove the purse and the replicated state together over a network that loses, repeats, delays and cuts messages. Change: a model of several routers and one state machine (exchange.h) and seeded tests that check after each step that spent + outstanding and what routers served stay within what was paid, and after healing that every settled request is billed once and no live router holds anything.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -1,7 +1,8 @@
 # Defines a library package: packages/NAME/{include,src,test,samples}.
-# DEPS are the libraries that its public header needs.
+# DEPS are the libraries that its public header needs; TEST_DEPS are those that
+# only its tests need. Files in test/ not named *_test.cc are listed in HELPERS.
 function(lycheestand_package NAME)
-  cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
+  cmake_parse_arguments(ARG "" "" "DEPS;TEST_DEPS;HELPERS" ${ARGN})
   set(root ${CMAKE_SOURCE_DIR}/packages/${NAME})
   file(GLOB sources CONFIGURE_DEPENDS ${root}/src/*.cc)
   set(target lycheestand_${NAME})
@@ -19,7 +20,9 @@
   endif()
   file(GLOB tests CONFIGURE_DEPENDS ${root}/test/*_test.cc)
   if(tests)
-    lycheestand_test(${NAME}_test SOURCES ${tests} DEPS ${target} INCLUDE ${root}/src ${root}/test)
+    list(TRANSFORM ARG_HELPERS PREPEND ${root}/test/)
+    lycheestand_test(${NAME}_test SOURCES ${tests} ${ARG_HELPERS}
+      DEPS ${target} ${ARG_TEST_DEPS} INCLUDE ${root}/src ${root}/test)
   endif()
   file(GLOB samples CONFIGURE_DEPENDS ${root}/samples/*.cc)
   foreach(sample ${samples})
--- /dev/null
+++ b/packages/budget/test/exchange.cc
@@ -0,0 +1,271 @@
+#include "exchange.h"
+
+#include <algorithm>
+
+namespace lycheestand::budget {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// As in the router's BudgetController.
+constexpr Duration kReportInterval = 200ms;
+constexpr Duration kResendInterval = 1s;
+
+} // namespace
+
+Exchange::Exchange(std::size_t aRouters,
+                   Tokens aPaid,
+                   NetworkFaults aFaults,
+                   std::uint64_t aSeed)
+  : faults(aFaults)
+  , random(aSeed)
+  , routers(aRouters)
+{
+  this->machine.Apply(
+    state::CreateWorkspace{ ChangeId("create"), this->workspace });
+  this->TopUp(aPaid);
+  for (std::size_t router = 0; router < aRouters; ++router) {
+    this->Register(router);
+  }
+}
+
+void
+Exchange::Register(std::size_t aRouter)
+{
+  this->routers[aRouter].session = SessionId(this->nextSession++);
+  this->machine.Apply(
+    state::RegisterSession{ InstanceId("r" + std::to_string(aRouter)),
+                            this->routers[aRouter].session });
+}
+
+void
+Exchange::Send(std::size_t aRouter, bool aToControl, std::function<void()> aAct)
+{
+  const Router& router = this->routers[aRouter];
+  ++this->messages;
+  for (int copy = 0; copy < 2; ++copy) {
+    if (this->random() % 100 < this->faults.lostPercent) {
+      continue;
+    }
+    Duration spread = this->faults.longestDelay - this->faults.shortestDelay;
+    Duration delay =
+      this->faults.shortestDelay +
+      Duration(static_cast<Duration::rep>(
+        this->random() % static_cast<std::uint64_t>(spread.count() + 1)));
+    this->inFlight.emplace(
+      this->now + delay, Message{ aRouter, router.session, aToControl, aAct });
+    if (this->random() % 100 >= this->faults.repeatedPercent) {
+      break;
+    }
+  }
+}
+
+// What is in flight to a router that was replaced is lost with its link.
+void
+Exchange::Deliver(TimePoint aDue, Message aMessage)
+{
+  const Router& router = this->routers[aMessage.router];
+  bool isCut = aMessage.toControl ? router.cutsSending : router.cutsReceiving;
+  bool isLinkGone = !aMessage.toControl && aMessage.session != router.session;
+  if (isCut || isLinkGone) {
+    return;
+  }
+  if (router.isFrozen && !aMessage.toControl) {
+    this->inFlight.emplace(aDue + 100ms, std::move(aMessage));
+    return;
+  }
+  aMessage.deliver();
+}
+
+std::vector<RouterDecision>
+Exchange::Step(Duration aStep)
+{
+  this->now += aStep;
+  while (!this->inFlight.empty() &&
+         this->inFlight.begin()->first <= this->now) {
+    auto node = this->inFlight.extract(this->inFlight.begin());
+    this->Deliver(this->now, std::move(node.mapped()));
+  }
+  std::vector<RouterDecision> decisions;
+  for (std::size_t index = 0; index < this->routers.size(); ++index) {
+    if (this->routers[index].isFrozen) {
+      continue;
+    }
+    this->Advance(index);
+    for (auto& decision : this->routers[index].decided) {
+      decisions.push_back({ index, decision });
+    }
+    this->routers[index].decided.clear();
+  }
+  return decisions;
+}
+
+void
+Exchange::Advance(std::size_t aRouter)
+{
+  Router& router = this->routers[aRouter];
+  for (const auto& decision : router.purse.Poll(this->now)) {
+    router.decided.push_back(decision);
+  }
+  for (const auto& need : router.purse.TakeNeeds(this->now)) {
+    this->SendNeed(aRouter, need);
+  }
+  if (this->now >= router.reportAt) {
+    router.reportAt = this->now + kReportInterval;
+    if (auto batch = router.purse.TakeBatch(this->now)) {
+      this->SendBatch(aRouter, *batch);
+    }
+  }
+  if (this->now >= router.resendAt) {
+    router.resendAt = this->now + kResendInterval;
+    if (const auto& batch = router.purse.UnacknowledgedBatch()) {
+      this->SendBatch(aRouter, *batch);
+    }
+    for (const auto& need : router.purse.Unanswered()) {
+      this->SendNeed(aRouter, need);
+    }
+  }
+}
+
+void
+Exchange::SendNeed(std::size_t aRouter, const GrantNeed& aNeed)
+{
+  SessionId session = this->routers[aRouter].session;
+  this->Send(aRouter, true, [this, aRouter, session, aNeed] {
+    auto outcome = this->machine.Apply(state::GrantTokens{
+      session, aNeed.request, aNeed.workspace, aNeed.minimum, aNeed.wanted });
+    GrantAnswer answer{ aNeed.request, aNeed.workspace, Tokens(0), true };
+    if (const auto* granted = std::get_if<state::TokensGranted>(&outcome)) {
+      answer.tokens = granted->tokens;
+      answer.exhausted = granted->exhausted;
+    }
+    if (session != this->routers[aRouter].session) {
+      return;
+    }
+    this->Send(aRouter, false, [this, aRouter, answer] {
+      this->routers[aRouter].purse.AddGrant(answer, this->now);
+    });
+    if (answer.tokens == Tokens(0) && !answer.exhausted) {
+      this->Recall(aRouter, aNeed.wanted);
+    }
+  });
+}
+
+void
+Exchange::Recall(std::size_t aAsking, Tokens aTokens)
+{
+  for (std::size_t other = 0; other < this->routers.size(); ++other) {
+    SessionId session = this->routers[other].session;
+    if (other == aAsking || !this->Ledger().outstanding.contains(session)) {
+      continue;
+    }
+    this->Send(other, false, [this, other, aTokens] {
+      Router& router = this->routers[other];
+      router.purse.Recall(this->workspace, aTokens);
+      if (auto batch = router.purse.TakeBatch(this->now)) {
+        this->SendBatch(other, *batch);
+      }
+    });
+  }
+}
+
+void
+Exchange::SendBatch(std::size_t aRouter, const UsageBatch& aBatch)
+{
+  SessionId session = this->routers[aRouter].session;
+  state::ReportUsage report{ session, aBatch.number, {} };
+  for (const auto& part : aBatch.parts) {
+    report.entries.push_back(
+      { part.workspace, part.spent, part.returned, part.requests });
+  }
+  this->Send(aRouter, true, [this, aRouter, session, report] {
+    auto outcome = this->machine.Apply(report);
+    if (session == this->routers[aRouter].session &&
+        std::holds_alternative<state::Done>(outcome)) {
+      this->Send(aRouter, false, [this, aRouter, number = report.batch] {
+        this->routers[aRouter].purse.Acknowledge(number);
+      });
+    }
+  });
+}
+
+void
+Exchange::Reserve(std::size_t aRouter, const Claim& aClaim)
+{
+  Router& router = this->routers[aRouter];
+  if (auto decision = router.purse.Reserve(aClaim, this->now)) {
+    router.decided.push_back(*decision);
+  }
+}
+
+void
+Exchange::Settle(std::size_t aRouter, Ticket aTicket, Tokens aSpent)
+{
+  this->routers[aRouter].purse.Settle(aTicket, aSpent, this->now);
+}
+
+void
+Exchange::Cut(std::size_t aRouter, bool aToControl, bool aFromControl)
+{
+  this->routers[aRouter].cutsSending = aToControl;
+  this->routers[aRouter].cutsReceiving = aFromControl;
+}
+
+void
+Exchange::Freeze(std::size_t aRouter, bool aIsFrozen)
+{
+  this->routers[aRouter].isFrozen = aIsFrozen;
+}
+
+bool
+Exchange::IsFrozen(std::size_t aRouter) const
+{
+  return this->routers[aRouter].isFrozen;
+}
+
+// The new process reaches control only when its link is up; until then it asks
+// in vain, and control counts the old session as open.
+void
+Exchange::Restart(std::size_t aRouter)
+{
+  this->routers[aRouter] = Router{};
+  this->Register(aRouter);
+}
+
+void
+Exchange::TopUp(Tokens aTokens)
+{
+  state::TopUpBudget change{ ChangeId(std::to_string(this->nextChange++)),
+                             this->workspace,
+                             aTokens };
+  this->machine.Apply(change);
+  this->machine.Apply(change);
+}
+
+Tokens
+Exchange::HeldUnused(std::size_t aRouter) const
+{
+  auto holdings = this->routers[aRouter].purse.Holdings();
+  return holdings[this->workspace].available;
+}
+
+bool
+Exchange::IsEmpty(std::size_t aRouter) const
+{
+  return this->routers[aRouter].purse.IsEmpty();
+}
+
+SessionId
+Exchange::SessionOf(std::size_t aRouter) const
+{
+  return this->routers[aRouter].session;
+}
+
+const state::Budget&
+Exchange::Ledger() const
+{
+  return *this->machine.Budgets().Find(this->workspace);
+}
+
+} // namespace lycheestand::budget
