Admit requests in turn and choose endpoints by their reports

The router took every request and chose by its own requests in flight alone. An Admit filter now waits for a fair turn, with priority and deadline; the endpoint controller polls /load and /events, chooses with the routing package, and pauses retries within a retry budget. Control uses the failure detector, and entry weights count the zone. A stream whose resume found no endpoint now ends with an error event; before, it was left open.

--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -2,18 +2,12 @@
 
 #include <boost/json.hpp>
 #include <caf/send.hpp>
+#include <lycheestand/membership.h>
 
 namespace lycheestand::control {
 
 namespace {
 
-// Missed heartbeats after which an instance is left out of entry answers. Its
-// session stays open: it may only be cut off or frozen.
-constexpr Duration kSuspectAfter = std::chrono::milliseconds(3500);
-
-// Time after which an instance that is gone is no longer listed.
-constexpr Duration kForgetAfter = std::chrono::minutes(10);
-
 // Least time between two views, so that many changes make one push.
 constexpr Duration kViewInterval = std::chrono::milliseconds(250);
 
@@ -69,7 +63,6 @@
   {
     wire::InstanceEntry entry;
     net::LinkId link;
-    TimePoint lastHeartbeat{};
   };
 
   void HandleFrame(net::LinkFrame& aFrame)
@@ -125,7 +118,7 @@
     member.entry.callerAddress = aState.hello.callerAddress;
     member.entry.leaving = false;
     member.link = aLink;
-    member.lastHeartbeat = net::Now(this->GetRuntime());
+    this->detector.Join(aState.hello.instance, net::Now(this->GetRuntime()));
     this->SendTo(aState, wire::Welcome{ true, "", "" });
     this->PushTo(aState);
     net::Log(net::LogLevel::Info,
@@ -147,8 +140,10 @@
       return;
     }
     Member& member = this->members[aState.hello.instance];
-    member.lastHeartbeat = net::Now(this->GetRuntime());
-    member.entry.inFlight = aHeartbeat.inFlight;
+    this->detector.Heartbeat(aState.hello.instance,
+                             net::Now(this->GetRuntime()));
+    member.entry.inFlight =
+      membership::QuantizeLoad(aHeartbeat.inFlight, member.entry.inFlight);
     member.entry.leaving = aHeartbeat.leaving;
     this->request(this->replica, caf::infinite, ConfirmLeadership{})
       .then([this, aLink, sentAt = aHeartbeat.sentAt](
@@ -327,6 +322,7 @@
       }
     }
     this->members.clear();
+    this->detector.Clear();
   }
 
   void PushRevision(const RevisionChanged& aChanged)
@@ -362,12 +358,15 @@
   void UpdateView()
   {
     auto now = net::Now(this->GetRuntime());
-    std::erase_if(this->members, [now](const auto& aMember) {
-      return now - aMember.second.lastHeartbeat >= kForgetAfter;
-    });
+    for (const auto& instance : this->detector.Forget(now)) {
+      this->members.erase(instance);
+    }
     wire::ViewPush next;
     for (auto& [id, member] : this->members) {
-      member.entry.alive = now - member.lastHeartbeat < kSuspectAfter;
+      // A suspected instance is left out of entry answers. Its session stays
+      // open: it may only be cut off or frozen.
+      member.entry.alive =
+        this->detector.GetHealth(id, now) == membership::Health::Alive;
       next.instances.push_back(member.entry);
     }
     next.endpoints = this->endpoints;
@@ -438,6 +437,7 @@
   std::shared_ptr<const std::string> document;
   std::map<net::LinkId, LinkState> links;
   std::map<InstanceId, Member> members;
+  membership::FailureDetector detector;
   std::vector<wire::EndpointEntry> endpoints;
   wire::ViewPush view;
 };
--- /dev/null
+++ b/packages/router/src/admission_controller.cc
@@ -0,0 +1,137 @@
+#include "controllers.h"
+
+#include <caf/typed_response_promise.hpp>
+
+namespace lycheestand::router {
+
+namespace {
+
+// Pace at which waiting requests are looked at when no turn becomes free.
+constexpr Duration kPollInterval = std::chrono::milliseconds(20);
+
+// Carries the admission: gives turns to requests and takes them back.
+class AdmissionController : public net::IoTask
+{
+public:
+  AdmissionController(caf::actor_config& aConfig, net::Runtime aRuntime)
+    : net::IoTask(aConfig, aRuntime)
+  {
+  }
+
+protected:
+  caf::message_handler Handlers() override
+  {
+    return {
+      [this](Admit& aAdmit) { return this->HandleAdmit(aAdmit); },
+      [this](ReleaseTurn& aRelease) { this->Release(aRelease.ticket); },
+      [this](CapacityChanged& aChanged) { this->TakeCapacity(aChanged); },
+      [this](DumpState) { return this->Dump(); },
+    };
+  }
+
+private:
+  using Promise = caf::typed_response_promise<AdmitReply>;
+
+  TimePoint Time() const { return net::Now(this->GetRuntime()); }
+
+  caf::result<AdmitReply> HandleAdmit(const Admit& aAdmit)
+  {
+    this->admission.SetOptions(aAdmit.options);
+    auto decision = this->admission.Admit(aAdmit.ask, this->Time());
+    if (decision) {
+      return AdmitReply{ decision->refusal };
+    }
+    auto promise = this->make_response_promise<AdmitReply>();
+    this->waiting.emplace(aAdmit.ask.request, promise);
+    this->Advance();
+    this->PollLater();
+    return promise;
+  }
+
+  void Release(Ticket aTicket)
+  {
+    this->admission.Release(ToNumber(aTicket), this->Time());
+    // The caller has left, so the answer has no effect.
+    this->Answer({ ToNumber(aTicket), routing::AdmissionRefusal::Overloaded });
+    this->Advance();
+  }
+
+  // A pool that has no endpoint is not limited: forwarding says so at once.
+  void TakeCapacity(const CapacityChanged& aChanged)
+  {
+    for (const auto& [pool, capacity] : this->pools) {
+      if (!aChanged.pools.contains(pool)) {
+        this->admission.SetCapacity(pool, std::nullopt);
+      }
+    }
+    for (const auto& [pool, capacity] : aChanged.pools) {
+      this->admission.SetCapacity(pool, capacity);
+    }
+    this->pools = aChanged.pools;
+    this->Advance();
+  }
+
+  void Advance()
+  {
+    for (const auto& decision : this->admission.Poll(this->Time())) {
+      this->Answer(decision);
+    }
+    net::Metrics()
+      .GetGauge("lycheestand_requests_waiting")
+      .Set(static_cast<std::int64_t>(this->waiting.size()));
+  }
+
+  void Answer(const routing::AdmissionDecision& aDecision)
+  {
+    auto found = this->waiting.find(aDecision.request);
+    if (found != this->waiting.end()) {
+      found->second.deliver(AdmitReply{ aDecision.refusal });
+      this->waiting.erase(found);
+    }
+  }
+
+  void PollLater()
+  {
+    if (this->isPolling) {
+      return;
+    }
+    this->isPolling = true;
+    this->After(kPollInterval, [this] {
+      this->isPolling = false;
+      this->Advance();
+      if (!this->waiting.empty()) {
+        this->PollLater();
+      }
+    });
+  }
+
+  std::string Dump() const
+  {
+    std::string out = "{\"waiting\":" + std::to_string(this->waiting.size());
+    for (const auto& [pool, capacity] : this->pools) {
+      out += ",\"" + pool + "\":" + std::to_string(capacity);
+    }
+    return out + "}";
+  }
+
+  routing::Admission admission;
+  std::map<std::string, unsigned> pools;
+  std::map<routing::RequestNumber, Promise> waiting;
+  bool isPolling = false;
+};
+
+} // namespace
+
+std::string
+PoolName(const std::string& aServes, bool aIsService)
+{
+  return (aIsService ? "service/" : "model/") + aServes;
+}
+
+caf::actor
+SpawnAdmissionController(const net::Runtime& aRuntime)
+{
+  return aRuntime.system->spawn<AdmissionController>(aRuntime);
+}
+
+} // namespace lycheestand::router
--- a/packages/router/src/chat_protocol.cc
+++ b/packages/router/src/chat_protocol.cc
@@ -9,8 +9,13 @@
 
 namespace {
 
-// Bytes of the prompt's beginning that decide the prefix affinity.
-constexpr std::size_t kPrefixBytes = 512;
+// Bytes of the prompt's beginnings that decide the prefix affinity. A request
+// has few of them, so that an endpoint's map stays small: the first tells
+// workspaces and tasks apart, the longer ones the turns of a conversation.
+constexpr std::size_t kPrefixBytes[] = { 512, 2048, 8192, 32768 };
+
+// Mean bytes of a token in the languages served; only a cost depends on it.
+constexpr std::size_t kBytesPerToken = 4;
 
 constexpr std::int64_t kMostOutputTokens = 1000000;
 
@@ -22,16 +27,29 @@
   return ChatResult(boost::outcome_v2::in_place_type<std::string>, aMessage);
 }
 
-// Returns a stable hash, so that all routers agree on it.
-std::uint64_t
-HashPrefix(std::string_view aText)
+// Returns stable hashes, so that all routers agree on them.
+std::vector<routing::PrefixPart>
+HashPrefixes(std::string_view aText)
 {
+  std::vector<routing::PrefixPart> parts;
   // FNV-1a with its standard 64-bit parameters.
   std::uint64_t hash = 14695981039346656037ULL;
-  for (unsigned char byte : aText.substr(0, kPrefixBytes)) {
-    hash = (hash ^ byte) * 1099511628211ULL;
+  std::size_t done = 0;
+  for (std::size_t length : kPrefixBytes) {
+    // A prompt shorter than the first length is its own beginning.
+    if (aText.size() < length && !parts.empty()) {
+      break;
+    }
+    std::size_t end = std::min(length, aText.size());
+    for (; done < end; ++done) {
+      hash =
+        (hash ^ static_cast<unsigned char>(aText[done])) * 1099511628211ULL;
+    }
+    parts.push_back(
+      { routing::PrefixHash(hash),
+        Tokens(static_cast<std::int64_t>(end / kBytesPerToken)) });
   }
-  return hash;
+  return parts;
 }
 
 // Returns the output limit that the caller names, if it is valid.
@@ -152,7 +170,7 @@
   // The bound counts the whole body, which also holds tools and templates.
   call.promptBound =
     budget::BoundPrompt(aBody.size(), messages->get_array().size());
-  call.prefixHash = HashPrefix(*prompt);
+  call.prefix = HashPrefixes(*prompt);
   call.namesLimit = limit.has_value();
   call.maxOutput = Tokens(limit.value_or(0));
   const auto* stream = body.if_contains("stream");
@@ -170,6 +188,7 @@
   body.erase("max_completion_tokens");
   body["max_tokens"] = aMaxOutput.Get();
   body["stream"] = true;
+  body["priority"] = static_cast<int>(aCall.priority);
   body["stream_options"] = { { "include_usage", true },
                              { "continuous_usage_stats", true } };
   if (!aPrefix.empty()) {
--- a/packages/router/src/chat_protocol.h
+++ b/packages/router/src/chat_protocol.h
@@ -15,8 +15,8 @@
 Result<ChatCall, std::string>
 ParseChatCall(const std::string& aBody);
 
-// Returns the body for an engine: always streamed, with usage in each event
-// and an output limit.
+// Returns the body for an engine: always streamed, with usage in each event,
+// an output limit and the priority (0 is interactive, 1 is batch).
 std::string
 FormatEngineRequest(const ChatCall& aCall,
                     Tokens aMaxOutput,
--- a/packages/router/src/controllers.h
+++ b/packages/router/src/controllers.h
@@ -28,11 +28,16 @@
 caf::actor
 SpawnOperationController(const net::Runtime& aRuntime, caf::actor aPool);
 
-// Owns what is known about endpoints.
+// Owns what is known about endpoints, and tells aAdmission what they take.
 caf::actor
 SpawnEndpointController(const net::Runtime& aRuntime,
                         caf::actor aPool,
-                        const ZoneId& aZone);
+                        const ZoneId& aZone,
+                        caf::actor aAdmission);
+
+// Owns the turns of requests.
+caf::actor
+SpawnAdmissionController(const net::Runtime& aRuntime);
 
 // Owns the view of the fleet's instances.
 caf::actor
--- a/packages/router/src/endpoint_controller.cc
+++ b/packages/router/src/endpoint_controller.cc
@@ -1,132 +1,331 @@
 #include "controllers.h"
+#include "endpoint_reports.h"
 
 #include <boost/json.hpp>
+#include <caf/typed_response_promise.hpp>
 
 namespace lycheestand::router {
 
 namespace {
 
-// Keeps what is known about endpoints and chooses one for each request.
+// Pace at which endpoints that are due are asked for reports, and admission
+// learns the capacity.
+constexpr Duration kTickInterval = std::chrono::milliseconds(100);
+
+// Least time between two reports of one endpoint.
+constexpr Duration kReportInterval = std::chrono::milliseconds(500);
+
+// An endpoint that does not report is asked again after this time.
+constexpr Duration kNoReportInterval = std::chrono::seconds(10);
+
+// Longest wait for a report; an older one would be of little use.
+constexpr Duration kReportTimeout = std::chrono::seconds(1);
+
+// Reports per second that one router asks for, whatever the number of
+// endpoints: each costs about 500 bytes with its headers.
+constexpr std::int64_t kMostReportsPerSecond = 16;
+
+using FetchResult = Result<net::HttpResponse, net::CallFailure>;
+
+std::vector<routing::Endpoint>
+ToEndpoints(const wire::ViewPush& aView)
+{
+  std::vector<routing::Endpoint> out;
+  out.reserve(aView.endpoints.size());
+  for (const auto& entry : aView.endpoints) {
+    out.push_back({ entry.endpoint,
+                    entry.zone,
+                    entry.address,
+                    entry.serves,
+                    entry.isService,
+                    entry.leaving });
+  }
+  return out;
+}
+
+const char*
+ToText(routing::CircuitBreaker::State aState)
+{
+  switch (aState) {
+    case routing::CircuitBreaker::State::Closed:
+      return "closed";
+    case routing::CircuitBreaker::State::Open:
+      return "open";
+    case routing::CircuitBreaker::State::HalfOpen:
+      break;
+  }
+  return "half-open";
+}
+
+// Carries the endpoint table: chooses an endpoint for each request, and asks
+// the endpoints for their load and cache events.
 class EndpointController : public net::IoTask
 {
 public:
   EndpointController(caf::actor_config& aConfig,
                      net::Runtime aRuntime,
                      caf::actor aPool,
-                     ZoneId aZone)
+                     ZoneId aZone,
+                     caf::actor aAdmission)
     : net::IoTask(aConfig, aRuntime, std::move(aPool))
-    , zone(std::move(aZone))
+    , admission(std::move(aAdmission))
+    , random(net::MakeRandomSource())
+    , table({ .zone = std::move(aZone) },
+            routing::MakeCostPolicy(),
+            net::MakeRandomSource())
   {
   }
 
 protected:
+  void Start() override { this->Tick(); }
+
   caf::message_handler Handlers() override
   {
     return {
       [this](ViewChanged& aChanged) { this->Update(*aChanged.view); },
-      [this](ChooseEndpoint& aChoose) { return this->Choose(aChoose); },
+      [this](ChooseEndpoint& aChoose) { return this->HandleChoose(aChoose); },
       [this](CallFinished& aFinished) { this->Finish(aFinished); },
       [this](DumpState) { return this->Dump(); },
     };
   }
 
 private:
-  struct Known
+  using Promise = caf::typed_response_promise<EndpointChosen>;
+
+  struct Polled
+  {
+    routing::Endpoint endpoint;
+    TimePoint nextLoad{};
+    TimePoint nextEvents{};
+    bool isAsked = false;
+  };
+
+  struct Retry
   {
-    wire::EndpointEntry entry;
-    std::uint32_t inFlight = 0;
-    bool saidLeaving = false;
+    ChooseEndpoint choose;
+    Promise promise;
   };
 
+  TimePoint Time() const { return net::Now(this->GetRuntime()); }
+
   void Update(const wire::ViewPush& aView)
   {
-    std::set<EndpointId> listed;
-    for (const auto& entry : aView.endpoints) {
-      listed.insert(entry.endpoint);
-      Known& known = this->endpoints[entry.endpoint];
-      // An address that changed is another process under the same name.
-      if (known.entry.address != entry.address) {
-        known.saidLeaving = false;
+    auto endpoints = ToEndpoints(aView);
+    this->table.SetEndpoints(endpoints);
+    this->routers = static_cast<std::size_t>(std::count_if(
+      aView.instances.begin(), aView.instances.end(), [](const auto& aEntry) {
+        return aEntry.alive && !aEntry.leaving;
+      }));
+    std::map<EndpointId, Polled> next;
+    for (const auto& endpoint : endpoints) {
+      Polled& polled = next[endpoint.endpoint];
+      auto found = this->polled.find(endpoint.endpoint);
+      if (found != this->polled.end() &&
+          found->second.endpoint.address == endpoint.address) {
+        polled = found->second;
       }
-      known.entry = entry;
+      polled.endpoint = endpoint;
     }
-    std::erase_if(this->endpoints, [&](const auto& aKnown) {
-      return !listed.contains(aKnown.first) && aKnown.second.inFlight == 0;
-    });
-    for (auto& [id, known] : this->endpoints) {
-      if (!listed.contains(id)) {
-        known.entry.leaving = true;
-      }
+    this->polled = std::move(next);
+    this->PublishCapacity();
+  }
+
+  caf::result<EndpointChosen> HandleChoose(ChooseEndpoint& aChoose)
+  {
+    this->table.SetMaxInFlight(aChoose.maxInFlight);
+    const auto tries = static_cast<unsigned>(aChoose.query.excluded.size());
+    if (tries == 0) {
+      this->retryBudget.NoteRequest();
+      return this->Choose(aChoose);
+    }
+    if (!this->retryBudget.TakeRetry()) {
+      net::Metrics().GetCounter("lycheestand_retries_denied_total").Add();
+      return EndpointChosen{};
     }
+    net::Metrics().GetCounter("lycheestand_retries_total").Add();
+    auto promise = this->make_response_promise<EndpointChosen>();
+    const Ticket ticket = aChoose.ticket;
+    this->retries.insert_or_assign(ticket,
+                                   Retry{ std::move(aChoose), promise });
+    this->After(routing::Backoff(tries, this->random),
+                [this, ticket] { this->MakeRetry(ticket); });
+    return promise;
   }
 
   EndpointChosen Choose(const ChooseEndpoint& aChoose)
   {
-    Known* best = nullptr;
-    for (auto& [id, known] : this->endpoints) {
-      if (!this->IsCandidate(known, aChoose)) {
+    auto choice =
+      this->table.Choose(ToNumber(aChoose.ticket), aChoose.query, this->Time());
+    return choice ? EndpointChosen{ choice->endpoint, choice->address }
+                  : EndpointChosen{};
+  }
+
+  void MakeRetry(Ticket aTicket)
+  {
+    auto found = this->retries.find(aTicket);
+    if (found != this->retries.end()) {
+      Retry retry = std::move(found->second);
+      this->retries.erase(found);
+      retry.promise.deliver(this->Choose(retry.choose));
+    }
+  }
+
+  void Finish(const CallFinished& aFinished)
+  {
+    auto retry = this->retries.find(aFinished.ticket);
+    if (retry != this->retries.end()) {
+      retry->second.promise.deliver(EndpointChosen{});
+      this->retries.erase(retry);
+    }
+    this->table.Finish(ToNumber(aFinished.ticket),
+                       aFinished.outcome,
+                       aFinished.leaving,
+                       this->Time());
+  }
+
+  void Tick()
+  {
+    auto now = this->Time();
+    for (auto& [id, polled] : this->polled) {
+      if (polled.isAsked) {
         continue;
       }
-      if (best == nullptr || this->IsBetter(known, *best)) {
-        best = &known;
+      if (now >= polled.nextLoad) {
+        this->AskLoad(id, polled);
+      } else if (now >= polled.nextEvents && !polled.endpoint.isService) {
+        this->AskEvents(id, polled);
       }
     }
-    if (best == nullptr) {
-      return {};
-    }
-    ++best->inFlight;
-    this->assigned[aChoose.ticket] = best->entry.endpoint;
-    return { best->entry.endpoint, best->entry.address };
+    this->PublishCapacity();
+    this->After(kTickInterval, [this] { this->Tick(); });
   }
 
-  bool IsCandidate(const Known& aKnown, const ChooseEndpoint& aChoose) const
+  // Each endpoint is asked for its load and its events once per interval.
+  Duration Interval() const
   {
-    return aKnown.entry.serves == aChoose.serves &&
-           aKnown.entry.isService == aChoose.isService &&
-           !aKnown.entry.leaving && !aKnown.saidLeaving &&
-           !aChoose.excluded.contains(aKnown.entry.endpoint);
+    auto count = static_cast<std::int64_t>(this->polled.size());
+    return std::max<Duration>(kReportInterval,
+                              std::chrono::seconds(1) * 2 * count /
+                                kMostReportsPerSecond);
   }
 
-  bool IsBetter(const Known& aLeft, const Known& aRight) const
+  void AskLoad(const EndpointId& aId, Polled& aPolled)
   {
-    if (aLeft.inFlight != aRight.inFlight) {
-      return aLeft.inFlight < aRight.inFlight;
-    }
-    return aLeft.entry.zone == this->zone && aRight.entry.zone != this->zone;
+    auto askedAt = this->Time();
+    this->Ask(aId,
+              aPolled,
+              "/load",
+              [this, aId, askedAt](Polled& aAsked, const std::string* aBody) {
+                auto report =
+                  aBody ? ParseLoadReport(*aBody, askedAt) : std::nullopt;
+                aAsked.nextLoad =
+                  askedAt + (report ? this->Interval() : kNoReportInterval);
+                if (report) {
+                  this->table.LearnReport(aId, std::move(*report));
+                }
+              });
   }
 
-  void Finish(const CallFinished& aFinished)
+  void AskEvents(const EndpointId& aId, Polled& aPolled)
+  {
+    auto askedAt = this->Time();
+    auto after = std::to_string(this->table.NextEvent(aId));
+    this->Ask(aId,
+              aPolled,
+              "/events?after=" + after,
+              [this, aId, askedAt](Polled& aAsked, const std::string* aBody) {
+                auto batch = aBody ? ParseEvents(*aBody) : std::nullopt;
+                aAsked.nextEvents =
+                  askedAt + (batch ? this->Interval() : kNoReportInterval);
+                if (batch) {
+                  this->table.LearnEvents(aId, batch->events, batch->next);
+                }
+              });
+  }
+
+  // Passes on the body of a good answer, or null. An answer for an endpoint
+  // that has meanwhile left the view is dropped.
+  void Ask(const EndpointId& aId,
+           Polled& aPolled,
+           const std::string& aTarget,
+           std::function<void(Polled&, const std::string*)> aDone)
+  {
+    aPolled.isAsked = true;
+    net::CallOptions options;
+    options.connectTimeout = kReportTimeout;
+    options.idleTimeout = kReportTimeout;
+    this->Fetch(aPolled.endpoint.address,
+                { "GET", aTarget, {}, "" },
+                options,
+                [this, aId, done = std::move(aDone)](FetchResult aResult) {
+                  auto found = this->polled.find(aId);
+                  if (found == this->polled.end()) {
+                    return;
+                  }
+                  found->second.isAsked = false;
+                  bool isGood =
+                    aResult.has_value() && aResult.value().status == 200;
+                  done(found->second, isGood ? &aResult.value().body : nullptr);
+                });
+  }
+
+  void PublishCapacity()
   {
-    auto found = this->assigned.find(aFinished.ticket);
-    if (found == this->assigned.end()) {
-      return;
+    auto now = this->Time();
+    CapacityChanged changed;
+    for (const auto& [id, polled] : this->polled) {
+      const auto& endpoint = polled.endpoint;
+      auto [pool, isNew] = changed.pools.try_emplace(
+        PoolName(endpoint.serves, endpoint.isService), 0);
+      if (!isNew) {
+        continue;
+      }
+      auto capacity = this->table.Capacity(
+        endpoint.serves, endpoint.isService, this->routers, now);
+      if (capacity) {
+        pool->second = *capacity;
+      } else {
+        changed.pools.erase(pool);
+      }
     }
-    auto known = this->endpoints.find(found->second);
-    this->assigned.erase(found);
-    if (known == this->endpoints.end()) {
-      return;
+    if (changed.pools != this->published) {
+      this->published = changed.pools;
+      this->send(this->admission, std::move(changed));
     }
-    --known->second.inFlight;
-    known->second.saidLeaving |= aFinished.leaving;
   }
 
   std::string Dump() const
   {
     boost::json::array out;
-    for (const auto& [id, known] : this->endpoints) {
-      out.push_back(
-        { { "endpoint", id.Get() },
-          { "serves", known.entry.serves },
-          { "zone", known.entry.zone.Get() },
-          { "in_flight", known.inFlight },
-          { "leaving", known.entry.leaving || known.saidLeaving } });
+    auto now = this->Time();
+    for (const auto& status : this->table.Status(now)) {
+      boost::json::object entry{ { "endpoint", status.endpoint.endpoint.Get() },
+                                 { "serves", status.endpoint.serves },
+                                 { "zone", status.endpoint.zone.Get() },
+                                 { "in_flight", status.inFlight },
+                                 { "leaving", status.leaving },
+                                 { "breaker", ToText(status.breaker) },
+                                 { "prefixes", status.prefixes } };
+      if (status.report) {
+        entry["running"] = status.report->running;
+        entry["queued"] = status.report->queued;
+        entry["report_age_ms"] =
+          std::chrono::duration_cast<Milliseconds>(now - status.report->takenAt)
+            .count();
+      }
+      out.push_back(std::move(entry));
     }
     return boost::json::serialize(out);
   }
 
-  ZoneId zone;
-  std::map<EndpointId, Known> endpoints;
-  std::map<Ticket, EndpointId> assigned;
+  caf::actor admission;
+  RandomSource random;
+  routing::EndpointTable table;
+  routing::RetryBudget retryBudget;
+  std::map<Ticket, Retry> retries;
+  std::map<EndpointId, Polled> polled;
+  std::map<std::string, unsigned> published;
+  std::size_t routers = 1;
 };
 
 } // namespace
@@ -134,10 +333,11 @@
 caf::actor
 SpawnEndpointController(const net::Runtime& aRuntime,
                         caf::actor aPool,
-                        const ZoneId& aZone)
+                        const ZoneId& aZone,
+                        caf::actor aAdmission)
 {
   return aRuntime.system->spawn<EndpointController>(
-    aRuntime, std::move(aPool), aZone);
+    aRuntime, std::move(aPool), aZone, std::move(aAdmission));
 }
 
 } // namespace lycheestand::router
--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -23,7 +23,9 @@
   Tokens maxOutput;
   Tokens minOutput;
   bool namesLimit = false;
-  std::uint64_t prefixHash = 0;
+  // Beginnings of the prompt, from short to long.
+  std::vector<routing::PrefixPart> prefix;
+  routing::Priority priority = routing::Priority::Interactive;
 };
 
 struct ServiceCall
@@ -60,6 +62,10 @@
   WorkspaceId workspace;
   SiteId site;
   std::variant<std::monostate, ChatCall, ServiceCall, ListModels> call;
+  // Time by which the answer must begin, if the caller names one.
+  std::optional<TimePoint> deadline;
+  // Set by Admit; true while it waits for its turn or holds it.
+  bool hasTurn = false;
   // Set by Reserve.
   Tokens reserved;
   bool hasClaim = false;
@@ -68,6 +74,7 @@
   net::CallHandle upstream;
   std::set<EndpointId> tried;
   EndpointId endpoint;
+  // True while an endpoint is being chosen or is called.
   bool isAssigned = false;
   // Number of the recorded operation, for a call that must not run twice.
   std::uint64_t operation = 0;
@@ -104,7 +111,8 @@
                       std::size_t aIndex,
                       const RequestPtr& aRequest)
   {
-    if (aIndex < aFilters->size()) {
+    // A reply to a filter may come after the caller has left.
+    if (aIndex < aFilters->size() && !aRequest->isFinished) {
       (*aFilters)[aIndex](aRequest, [aFilters, aIndex, aRequest] {
         RunFrom(aFilters, aIndex + 1, aRequest);
       });
@@ -139,6 +147,8 @@
 Filter
 MakeDescribe();
 Filter
+MakeAdmit();
+Filter
 MakeOperation();
 Filter
 MakeReserve();
--- a/packages/router/src/finish.cc
+++ b/packages/router/src/finish.cc
@@ -40,8 +40,12 @@
   auto& task = aRequest->exchange->Task();
   aRequest->upstream.Cancel();
   if (aRequest->isAssigned) {
-    task.send(aRequest->controllers.endpoint,
-              CallFinished{ aRequest->ticket, false, false });
+    task.send(
+      aRequest->controllers.endpoint,
+      CallFinished{ aRequest->ticket, routing::Outcome::Abandoned, false });
+  }
+  if (aRequest->hasTurn) {
+    task.send(aRequest->controllers.admission, ReleaseTurn{ aRequest->ticket });
   }
   if (aRequest->hasClaim) {
     task.send(aRequest->controllers.budget,
--- a/packages/router/src/forward.cc
+++ b/packages/router/src/forward.cc
@@ -4,41 +4,70 @@
 
 void
 ChooseAndCall(const RequestPtr& aRequest,
-              const ChooseEndpoint& aChoose,
-              std::function<void(const Address&)> aCall)
+              routing::Query aQuery,
+              std::function<void(const Address&)> aCall,
+              std::function<void()> aOnNone)
 {
+  ChooseEndpoint choose;
+  choose.ticket = aRequest->ticket;
+  choose.query = std::move(aQuery);
+  choose.query.excluded = aRequest->tried;
+  choose.maxInFlight = aRequest->snapshot->settings.maxInFlightPerEndpoint;
+  // Set before the reply, so that a request that ends meanwhile withdraws the
+  // choice.
+  aRequest->isAssigned = true;
   aRequest->exchange->Task()
-    .request(aRequest->controllers.endpoint, caf::infinite, aChoose)
-    .then([aRequest, call = std::move(aCall)](EndpointChosen& aChosen) {
+    .request(aRequest->controllers.endpoint, caf::infinite, std::move(choose))
+    .then([aRequest, call = std::move(aCall), onNone = std::move(aOnNone)](
+            EndpointChosen& aChosen) {
+      if (aRequest->isFinished) {
+        return;
+      }
       if (!aChosen.endpoint) {
-        Refuse(aRequest,
-               { 503,
-                 "no_endpoint",
-                 "no endpoint can take this request now",
-                 RanState::NotRun,
-                 1 });
+        aRequest->isAssigned = false;
+        onNone();
         return;
       }
       aRequest->endpoint = *aChosen.endpoint;
       aRequest->tried.insert(*aChosen.endpoint);
-      aRequest->isAssigned = true;
       call(aChosen.address);
     });
 }
 
 void
-ReleaseEndpoint(const RequestPtr& aRequest, bool aSucceeded, bool aLeaving)
+RefuseNoEndpoint(const RequestPtr& aRequest)
+{
+  Refuse(aRequest,
+         { 503,
+           "no_endpoint",
+           "no endpoint can take this request now",
+           RanState::NotRun,
+           1 });
+}
+
+void
+ReleaseEndpoint(const RequestPtr& aRequest,
+                routing::Outcome aOutcome,
+                bool aLeaving)
 {
   aRequest->isAssigned = false;
   aRequest->exchange->Task().send(
     aRequest->controllers.endpoint,
-    CallFinished{ aRequest->ticket, aSucceeded, aLeaving });
+    CallFinished{ aRequest->ticket, aOutcome, aLeaving });
 }
 
 Filter
 MakeForward()
 {
   return [](const RequestPtr& aRequest, const Next&) {
+    // The wait for a turn or for budget may have used up the time.
+    if (aRequest->deadline &&
+        net::Now(aRequest->exchange->Task().GetRuntime()) >=
+          *aRequest->deadline) {
+      Refuse(aRequest,
+             { 504, "deadline", "the answer can't begin before its deadline" });
+      return;
+    }
     if (std::holds_alternative<ChatCall>(aRequest->call)) {
       ForwardChat(aRequest);
     } else {
--- a/packages/router/src/forward.h
+++ b/packages/router/src/forward.h
@@ -10,15 +10,23 @@
 // Endpoints that one request may try.
 inline constexpr std::size_t kMaxAttempts = 3;
 
-// Chooses an endpoint and passes its address on, or refuses the request.
+// Chooses an endpoint that the request has not tried and passes its address on.
+// If there is none, or the retry budget is used up, aOnNone runs.
 void
 ChooseAndCall(const RequestPtr& aRequest,
-              const ChooseEndpoint& aChoose,
-              std::function<void(const Address&)> aCall);
+              routing::Query aQuery,
+              std::function<void(const Address&)> aCall,
+              std::function<void()> aOnNone);
+
+// Refuses a request for which no endpoint was found and none was tried.
+void
+RefuseNoEndpoint(const RequestPtr& aRequest);
 
 // Tells the endpoint controller how the call ended.
 void
-ReleaseEndpoint(const RequestPtr& aRequest, bool aSucceeded, bool aLeaving);
+ReleaseEndpoint(const RequestPtr& aRequest,
+                routing::Outcome aOutcome,
+                bool aLeaving);
 
 // Forwards a chat call.
 void
--- a/packages/router/src/forward_chat.cc
+++ b/packages/router/src/forward_chat.cc
@@ -1,7 +1,9 @@
 #include "chat_protocol.h"
 #include "forward.h"
 
+#include <array>
 #include <chrono>
+#include <cstdio>
 
 namespace lycheestand::router {
 
@@ -10,6 +12,29 @@
 // Longest silence of an engine once its answer has begun.
 constexpr Duration kTokenTimeout = std::chrono::seconds(10);
 
+// Returns the prompt's tokens as costs count them. The bound that budgets use
+// is of bytes and too large by this factor.
+Tokens
+EstimatePrompt(const ChatCall& aCall)
+{
+  constexpr std::int64_t kBytesPerToken = 4;
+  return Tokens(aCall.promptBound.Get() / kBytesPerToken);
+}
+
+// Returns the hash by which the engine names this prompt's beginning in its
+// cache events.
+std::string
+FormatPrefix(const ChatCall& aCall)
+{
+  std::array<char, 17> text{};
+  std::snprintf(text.data(),
+                text.size(),
+                "%016llx",
+                static_cast<unsigned long long>(
+                  aCall.prefix.empty() ? 0 : aCall.prefix.front().hash.Get()));
+  return text.data();
+}
+
 // Forwards one chat call and, if the engine's stream breaks, resumes it at
 // another engine.
 class ChatForward : public std::enable_shared_from_this<ChatForward>
@@ -31,27 +56,37 @@
 
   void Start()
   {
-    ChooseEndpoint choose;
-    choose.ticket = this->request->ticket;
-    choose.workspace = this->request->workspace;
-    choose.serves = this->call.model.Get();
-    choose.prefixHash = this->call.prefixHash;
-    choose.promptBound = this->call.promptBound;
-    choose.excluded = this->request->tried;
+    routing::Query query;
+    query.serves = this->call.model.Get();
+    query.prefix = this->call.prefix;
+    query.promptTokens = EstimatePrompt(this->call);
     auto self = this->shared_from_this();
-    ChooseAndCall(this->request, choose, [self](const Address& aAddress) {
-      self->Send(aAddress);
-    });
+    ChooseAndCall(
+      this->request,
+      std::move(query),
+      [self](const Address& aAddress) { self->Send(aAddress); },
+      [self] { self->EndWithoutEndpoint(); });
   }
 
 private:
+  // An engine that refuses is busy or, with another server error, faulty.
+  static routing::Outcome OutcomeOf(unsigned aStatus)
+  {
+    if (aStatus == 429 || aStatus == 503) {
+      return routing::Outcome::Busy;
+    }
+    return aStatus >= 500 ? routing::Outcome::Failed
+                          : routing::Outcome::Succeeded;
+  }
+
   void Send(const Address& aAddress)
   {
     Tokens left = this->outputLimit - this->request->usage.outputTokens;
     net::HttpRequest http{ "POST",
                            "/v1/chat/completions",
                            { { "Content-Type", "application/json" },
-                             { "X-Request-Id", this->request->id.Get() } },
+                             { "X-Request-Id", this->request->id.Get() },
+                             { "X-Prefix-Hash", FormatPrefix(this->call) } },
                            FormatEngineRequest(this->call, left, this->text) };
     this->base = this->request->usage;
     this->events = {};
@@ -175,7 +210,8 @@
 
   void Complete()
   {
-    ReleaseEndpoint(this->request, true, this->isLeaving);
+    ReleaseEndpoint(
+      this->request, routing::Outcome::Succeeded, this->isLeaving);
     const Usage& usage = this->request->usage;
     auto& exchange = *this->request->exchange;
     if (this->call.stream) {
@@ -199,21 +235,14 @@
   void HandleRefusal()
   {
     bool isBusy = this->status == 429 || this->status >= 500;
-    ReleaseEndpoint(this->request, !isBusy, this->isLeaving);
+    ReleaseEndpoint(this->request, OutcomeOf(this->status), this->isLeaving);
     if (isBusy && this->request->tried.size() < kMaxAttempts) {
       this->errorBody.clear();
       this->Start();
       return;
     }
-    if (this->request->exchange->IsAnswered()) {
-      this->EndInterrupted("the engine refused to resume the answer");
-    } else if (isBusy) {
-      Refuse(this->request,
-             { 503,
-               "endpoints_busy",
-               "the endpoints refused the request",
-               RanState::NotRun,
-               1 });
+    if (isBusy || this->hasBroken) {
+      this->EndAfterAttempts("the engine refused to resume the answer");
     } else {
       Refuse(this->request,
              { 400,
@@ -231,7 +260,9 @@
                { "workspace", this->request->workspace.Get() },
                { "endpoint", this->request->endpoint.Get() },
                { "reason", aReason } });
-    ReleaseEndpoint(this->request, false, this->isLeaving);
+    ReleaseEndpoint(this->request, routing::Outcome::Failed, this->isLeaving);
+    this->hasBroken = true;
+    this->lastBreak = aReason;
     bool hasRoom = this->request->usage.outputTokens < this->outputLimit;
     if (hasRoom && this->request->tried.size() < kMaxAttempts) {
       this->Start();
@@ -240,6 +271,32 @@
     this->EndInterrupted(aReason);
   }
 
+  // No endpoint is left, or the retry budget is used up.
+  void EndWithoutEndpoint()
+  {
+    if (this->request->tried.empty()) {
+      RefuseNoEndpoint(this->request);
+    } else {
+      this->EndAfterAttempts(this->lastBreak);
+    }
+  }
+
+  // Ends a request whose attempts have failed. If all of them were refused, it
+  // did not run.
+  void EndAfterAttempts(const std::string& aReason)
+  {
+    if (this->hasBroken || this->request->exchange->IsAnswered()) {
+      this->EndInterrupted(aReason);
+      return;
+    }
+    Refuse(this->request,
+           { 503,
+             "endpoints_busy",
+             "the endpoints refused the request",
+             RanState::NotRun,
+             1 });
+  }
+
   // Nothing of a plain answer has reached the caller, so nothing is charged for
   // it; of a stream the caller keeps what it has.
   void EndInterrupted(const std::string& aReason)
@@ -275,6 +332,9 @@
   unsigned status = 0;
   bool isDone = false;
   bool isLeaving = false;
+  // An attempt ended without the engine's word that it did not run.
+  bool hasBroken = false;
+  std::string lastBreak;
 };
 
 } // namespace
--- a/packages/router/src/forward_service.cc
+++ b/packages/router/src/forward_service.cc
@@ -4,16 +4,23 @@
 
 namespace {
 
-ChooseEndpoint
-MakeChoose(const Request& aRequest, const ServiceCall& aCall)
+routing::Query
+MakeQuery(const ServiceCall& aCall)
 {
-  ChooseEndpoint choose;
-  choose.ticket = aRequest.ticket;
-  choose.workspace = aRequest.workspace;
-  choose.serves = aCall.service.Get();
-  choose.isService = true;
-  choose.excluded = aRequest.tried;
-  return choose;
+  routing::Query query;
+  query.serves = aCall.service.Get();
+  query.isService = true;
+  return query;
+}
+
+routing::Outcome
+OutcomeOf(const Result<net::HttpResponse, net::CallFailure>& aResult)
+{
+  if (aResult.has_error()) {
+    return routing::Outcome::Failed;
+  }
+  return aResult.value().status == 503 ? routing::Outcome::Busy
+                                       : routing::Outcome::Succeeded;
 }
 
 net::HttpRequest
@@ -51,14 +58,50 @@
            aResponse.body };
 }
 
+void
+ForwardRepeatable(const RequestPtr& aRequest);
+
+// Ends a call that may repeat, or tries another endpoint.
+void
+HandleResult(const RequestPtr& aRequest,
+             const Result<net::HttpResponse, net::CallFailure>& aResult)
+{
+  routing::Outcome outcome = OutcomeOf(aResult);
+  ReleaseEndpoint(aRequest, outcome, false);
+  if (outcome == routing::Outcome::Succeeded) {
+    Answer(aRequest, ToAnswer(aResult.value()));
+  } else {
+    ForwardRepeatable(aRequest);
+  }
+}
+
+void
+RefuseAfterAttempts(const RequestPtr& aRequest)
+{
+  if (aRequest->tried.empty()) {
+    RefuseNoEndpoint(aRequest);
+    return;
+  }
+  Refuse(aRequest,
+         { 502,
+           "service_failed",
+           "the service's endpoints did not answer",
+           RanState::Unknown,
+           1 });
+}
+
 // Forwards a call that may repeat; tries another endpoint when one fails.
 void
 ForwardRepeatable(const RequestPtr& aRequest)
 {
+  if (aRequest->tried.size() >= kMaxAttempts) {
+    RefuseAfterAttempts(aRequest);
+    return;
+  }
   const auto& call = std::get<ServiceCall>(aRequest->call);
   ChooseAndCall(
     aRequest,
-    MakeChoose(*aRequest, call),
+    MakeQuery(call),
     [aRequest, &call](const Address& aAddress) {
       net::CallOptions options;
       options.idleTimeout = call.timeout;
@@ -66,29 +109,20 @@
         aAddress,
         MakeHttpRequest(*aRequest, call),
         options,
-        [aRequest](Result<net::HttpResponse, net::CallFailure> aResult) {
-          bool succeeded = aResult.has_value() && aResult.value().status != 503;
-          ReleaseEndpoint(aRequest, succeeded, false);
-          if (succeeded) {
-            Answer(aRequest, ToAnswer(aResult.value()));
-          } else if (aRequest->tried.size() < kMaxAttempts) {
-            ForwardRepeatable(aRequest);
-          } else {
-            Refuse(aRequest,
-                   { 502,
-                     "service_failed",
-                     "the service's endpoints did not answer",
-                     RanState::Unknown,
-                     1 });
-          }
+        [aRequest](const Result<net::HttpResponse, net::CallFailure>& aResult) {
+          HandleResult(aRequest, aResult);
         });
-    });
+    },
+    [aRequest] { RefuseAfterAttempts(aRequest); });
 }
 
 void
 HandleRun(const RequestPtr& aRequest, const OperationRun& aRun)
 {
-  ReleaseEndpoint(aRequest, aRun.answer.has_value(), false);
+  ReleaseEndpoint(aRequest,
+                  aRun.answer ? routing::Outcome::Succeeded
+                              : routing::Outcome::Failed,
+                  false);
   if (aRun.answer) {
     Answer(aRequest, *aRun.answer);
     return;
@@ -117,7 +151,7 @@
   const auto& call = std::get<ServiceCall>(aRequest->call);
   ChooseAndCall(
     aRequest,
-    MakeChoose(*aRequest, call),
+    MakeQuery(call),
     [aRequest, &call](const Address& aAddress) {
       RunOperation run;
       run.operation = aRequest->operation;
@@ -131,7 +165,8 @@
       aRequest->exchange->Task()
         .request(aRequest->controllers.operation, caf::infinite, std::move(run))
         .then([aRequest](OperationRun& aRun) { HandleRun(aRequest, aRun); });
-    });
+    },
+    [aRequest] { RefuseNoEndpoint(aRequest); });
 }
 
 } // namespace
--- a/packages/router/src/membership_controller.cc
+++ b/packages/router/src/membership_controller.cc
@@ -1,15 +1,27 @@
 #include "controllers.h"
 
 #include <boost/json.hpp>
+#include <lycheestand/membership.h>
 
 namespace lycheestand::router {
 
 namespace {
 
-// Requests in flight at which an instance's weight is halved.
-constexpr double kHalfWeightInFlight = 32;
-
-constexpr double kFullWeight = 100;
+std::vector<membership::Instance>
+ToInstances(const wire::ViewPush& aView)
+{
+  std::vector<membership::Instance> out;
+  out.reserve(aView.instances.size());
+  for (const auto& entry : aView.instances) {
+    out.push_back({ entry.instance,
+                    entry.zone,
+                    entry.callerAddress,
+                    entry.inFlight,
+                    entry.leaving,
+                    entry.alive });
+  }
+  return out;
+}
 
 // Keeps the view of the fleet's instances and answers GET /v1/entry from it.
 class MembershipController : public net::IoTask
@@ -34,25 +46,15 @@
   }
 
 private:
-  // A busy instance gets fewer new callers; none is left out for its load
-  // alone.
-  static std::int64_t WeightOf(const wire::InstanceEntry& aEntry)
-  {
-    double weight = kFullWeight * kHalfWeightInFlight /
-                    (kHalfWeightInFlight + aEntry.inFlight);
-    return std::max<std::int64_t>(1, static_cast<std::int64_t>(weight));
-  }
-
   std::string FormatEntry() const
   {
     boost::json::array addresses;
     if (this->view) {
-      for (const auto& entry : this->view->instances) {
-        if (entry.alive && !entry.leaving) {
-          addresses.push_back({ { "address", ToString(entry.callerAddress) },
-                                { "zone", entry.zone.Get() },
-                                { "weight", WeightOf(entry) } });
-        }
+      for (const auto& entry : membership::WeighEntries(
+             ToInstances(*this->view), this->settings.zone)) {
+        addresses.push_back({ { "address", ToString(entry.address) },
+                              { "zone", entry.zone.Get() },
+                              { "weight", entry.weight } });
       }
     }
     boost::json::object out;
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -7,6 +7,7 @@
 #include <lycheestand/budget.h>
 #include <lycheestand/core.h>
 #include <lycheestand/net.h>
+#include <lycheestand/routing.h>
 #include <lycheestand/settings.h>
 #include <lycheestand/wire.h>
 #include <memory>
@@ -120,18 +121,14 @@
 
 // ------------------------------------------------------------ endpoints
 
-// Asks for an endpoint; the answer is EndpointChosen.
+// Asks for an endpoint; the answer is EndpointChosen. A retry, which excludes
+// the endpoints that were tried, is answered after a pause if the retry budget
+// allows it.
 struct ChooseEndpoint
 {
   Ticket ticket;
-  WorkspaceId workspace;
-  std::string serves;
-  bool isService = false;
-  // Hash of the prompt's beginning, for prefix affinity; 0 for none.
-  std::uint64_t prefixHash = 0;
-  Tokens promptBound;
-  // Endpoints that this request has tried.
-  std::set<EndpointId> excluded;
+  routing::Query query;
+  unsigned maxInFlight = 0;
 };
 struct EndpointChosen
 {
@@ -139,15 +136,52 @@
   Address address;
 };
 
-// How a call to an endpoint ended.
+// How a call to an endpoint ended; also withdraws a choice in progress.
 struct CallFinished
 {
   Ticket ticket;
-  bool succeeded = false;
+  routing::Outcome outcome = routing::Outcome::Abandoned;
   // The endpoint said that it is leaving.
   bool leaving = false;
 };
 
+// ------------------------------------------------------------ admission
+
+// Asks for a turn; the answer is AdmitReply.
+struct Admit
+{
+  routing::Ask ask;
+  routing::AdmissionOptions options;
+};
+struct AdmitReply
+{
+  std::optional<routing::AdmissionRefusal> refusal;
+};
+
+// Ends a turn or withdraws what waits for one.
+struct ReleaseTurn
+{
+  Ticket ticket;
+};
+
+// From the endpoint controller: requests that the endpoints of each pool take.
+struct CapacityChanged
+{
+  std::map<std::string, unsigned> pools;
+};
+
+// Returns the name under which admission counts a model's or service's
+// requests.
+std::string
+PoolName(const std::string& aServes, bool aIsService);
+
+// Returns a ticket as the routing package knows it.
+inline routing::RequestNumber
+ToNumber(Ticket aTicket)
+{
+  return routing::RequestNumber(aTicket.Get());
+}
+
 // ------------------------------------------------------------ membership
 
 // Asks for the answer to GET /v1/entry, as JSON text.
@@ -171,6 +205,7 @@
   caf::actor budget;
   caf::actor operation;
   caf::actor endpoint;
+  caf::actor admission;
   caf::actor membership;
   caf::actor link;
 };
@@ -195,6 +230,10 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ChooseEndpoint)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointChosen)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CallFinished)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::Admit)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::AdmitReply)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ReleaseTurn)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CapacityChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::GetEntry)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ViewChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::DumpState)
--- a/packages/router/src/router.cc
+++ b/packages/router/src/router.cc
@@ -110,6 +110,7 @@
     , settings(aSettings)
     , chain({ MakeAuthenticate(),
               MakeDescribe(),
+              MakeAdmit(),
               MakeOperation(),
               MakeReserve(),
               MakeForward() })
@@ -124,8 +125,9 @@
       this->runtime, this->settings.confirmationLimit);
     all.budget = SpawnBudgetController(this->runtime);
     all.operation = SpawnOperationController(this->runtime, aPool);
-    all.endpoint =
-      SpawnEndpointController(this->runtime, aPool, this->settings.zone);
+    all.admission = SpawnAdmissionController(this->runtime);
+    all.endpoint = SpawnEndpointController(
+      this->runtime, aPool, this->settings.zone, all.admission);
     all.membership = SpawnMembershipController(this->runtime, this->settings);
     auto server = net::SpawnHttpServer(
       this->runtime,
@@ -173,6 +175,7 @@
       { "budget", this->controllers.budget },
       { "operation", this->controllers.operation },
       { "endpoint", this->controllers.endpoint },
+      { "admission", this->controllers.admission },
       { "membership", this->controllers.membership },
     };
     *left = static_cast<int>(parts.size());
--- a/packages/settings/include/lycheestand/settings.h
+++ b/packages/settings/include/lycheestand/settings.h
@@ -122,6 +122,7 @@
   Tokens firstTokens{ 0 };
   // Share of busy endpoints, relative to other workspaces.
   unsigned weight = 1;
+  // Requests in flight or waiting at one router.
   unsigned maxInFlight = 256;
   // Names, or "*" for all.
   std::set<std::string> models{ "*" };
@@ -133,9 +134,21 @@
 {
   std::set<std::string> models{ "*" };
   std::set<std::string> services{ "*" };
+  // Of one workspace's requests from this site, at one router.
   std::optional<unsigned> maxInFlight;
 };
 
+// How requests wait for their turn at one router.
+struct AdmissionSettings
+{
+  // Longest wait for a turn.
+  Milliseconds maxWait{ 2000 };
+  // Requests that may wait for one model or service.
+  unsigned maxQueued = 512;
+  // Bound of a prompt above which a request that names no priority is batch.
+  Tokens batchPrompt{ 8192 };
+};
+
 // The configuration of the fleet.
 struct FleetSettings
 {
@@ -145,6 +158,7 @@
   std::map<SiteId, SiteSettings> sites;
   // Requests in flight at one endpoint from one router.
   unsigned maxInFlightPerEndpoint = 64;
+  AdmissionSettings admission;
 
   // Returns whether callers of a workspace and site may use a model.
   bool AllowsModel(const WorkspaceId& aWorkspace,
--- a/packages/settings/src/fleet_settings.cc
+++ b/packages/settings/src/fleet_settings.cc
@@ -93,6 +93,23 @@
   return site;
 }
 
+AdmissionSettings
+ReadAdmission(const Reader& aReader)
+{
+  aReader.AllowOnly({ "max_wait_ms", "max_queued", "batch_prompt_tokens" });
+  AdmissionSettings admission;
+  if (auto time = aReader.Find("max_wait_ms")) {
+    admission.maxWait = Milliseconds(time->Integer(0, 60000));
+  }
+  if (auto count = aReader.Find("max_queued")) {
+    admission.maxQueued = static_cast<unsigned>(count->Integer(0, 100000));
+  }
+  if (auto tokens = aReader.Find("batch_prompt_tokens")) {
+    admission.batchPrompt = Tokens(tokens->Integer(1, 10000000));
+  }
+  return admission;
+}
+
 // Reads each member of an object into a map keyed by its name.
 template<class Key, class Value>
 void
@@ -118,7 +135,8 @@
                       "services",
                       "workspaces",
                       "sites",
-                      "max_in_flight_per_endpoint" });
+                      "max_in_flight_per_endpoint",
+                      "admission" });
   FleetSettings fleet;
   ReadMap(aReader, "models", fleet.models, ReadModel);
   ReadMap(aReader, "services", fleet.services, ReadService);
@@ -128,6 +146,9 @@
     fleet.maxInFlightPerEndpoint =
       static_cast<unsigned>(limit->Integer(1, 100000));
   }
+  if (auto admission = aReader.Find("admission")) {
+    fleet.admission = ReadAdmission(*admission);
+  }
   return fleet;
 }
 
--- a/packages/settings/test/settings_test.cc
+++ b/packages/settings/test/settings_test.cc
@@ -50,3 +50,14 @@
   REQUIRE(snapshot.value().settings.models.contains(ModelName("a")));
   REQUIRE(snapshot.value().keys.at(KeyHash("ab")).site == SiteId("depot"));
 }
+
+// Guards against limits that are accepted but not taken over.
+TEST_CASE("Admission limits are read")
+{
+  auto fleet = ParseFleetSettings(
+    R"({"admission":{"max_wait_ms":50,"max_queued":3,"batch_prompt_tokens":9}})");
+  REQUIRE(fleet.has_value());
+  REQUIRE(fleet.value().admission.maxWait == Milliseconds(50));
+  REQUIRE(fleet.value().admission.maxQueued == 3);
+  REQUIRE(fleet.value().admission.batchPrompt == Tokens(9));
+}
