--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -12,7 +12,10 @@
 lycheestand_package(router DEPS lycheestand_net lycheestand_settings lycheestand_budget lycheestand_wire)
 lycheestand_package(control DEPS lycheestand_net lycheestand_settings lycheestand_state lycheestand_wire)
 
+lycheestand_package(client DEPS lycheestand_net lycheestand_settings)
+
 lycheestand_program(lycheestandd packages/daemon/src DEPS lycheestand_router lycheestand_control)
+lycheestand_program(lycheestand packages/client/main DEPS lycheestand_client)
 
 # Stand-ins for the platform; test programs that never ship.
 function(lycheestand_standin NAME)
