--- a/packages/settings/include/lycheestand/settings.h
+++ b/packages/settings/include/lycheestand/settings.h
@@ -82,6 +82,8 @@
   Milliseconds entryKeepTime{ 10000 };
   // Time after which an unconfirmed router takes no new work.
   Milliseconds confirmationLimit{ 5000 };
+  // Threads that run tasks; one more waits for sockets.
+  std::size_t threads = 4;
   std::size_t maxConnections = 4096;
   std::size_t maxBodyBytes = 4 * 1024 * 1024;
   std::size_t maxHeaderBytes = 16 * 1024;
@@ -276,6 +278,15 @@
 FormatFleetSnapshot(std::string_view aDocument,
                     const std::map<KeyHash, CallerKey>& aKeys);
 
+// Returns the JSON merge patch (RFC 7396) that turns one snapshot's text into
+// another's. Both must be valid.
+std::string
+MakeSnapshotPatch(std::string_view aFrom, std::string_view aTo);
+
+// Returns a snapshot's text after a patch.
+Result<std::string, SettingsError>
+ApplySnapshotPatch(std::string_view aFrom, std::string_view aPatch);
+
 // Returns the snapshot in a pushed text.
 Result<FleetSnapshot, SettingsError>
 ParseFleetSnapshot(std::string_view aText);
--- a/packages/state/include/lycheestand/state.h
+++ b/packages/state/include/lycheestand/state.h
@@ -140,6 +140,26 @@
                          const RecordOperation&) = default;
 };
 
+// Orders an engine to load something or to change its version or role.
+struct OrderEngine
+{
+  ChangeId change;
+  EndpointId endpoint;
+  OrderKind kind = OrderKind::LoadModel;
+  std::string argument;
+
+  friend bool operator==(const OrderEngine&, const OrderEngine&) = default;
+};
+
+// Records that an engine has answered an order.
+struct ConfirmOrder
+{
+  EndpointId endpoint;
+  FencingNumber number;
+
+  friend bool operator==(const ConfirmOrder&, const ConfirmOrder&) = default;
+};
+
 using Command = std::variant<CreateWorkspace,
                              TopUpBudget,
                              CreateKey,
@@ -149,7 +169,9 @@
                              CloseSession,
                              GrantTokens,
                              ReportUsage,
-                             RecordOperation>;
+                             RecordOperation,
+                             OrderEngine,
+                             ConfirmOrder>;
 
 // ---------------------------------------------------------------- outcomes
 
@@ -214,12 +236,20 @@
                          const OperationRecorded&) = default;
 };
 
+struct OrderAccepted
+{
+  FencingNumber number;
+
+  friend bool operator==(const OrderAccepted&, const OrderAccepted&) = default;
+};
+
 using Outcome = std::variant<Done,
                              Rejected,
                              ConfigurationApplied,
                              BudgetToppedUp,
                              TokensGranted,
-                             OperationRecorded>;
+                             OperationRecorded,
+                             OrderAccepted>;
 
 // ---------------------------------------------------------------- controllers
 
@@ -241,6 +271,10 @@
   Outcome CreateKey(const state::CreateKey& aCommand);
   Outcome RevokeKey(const KeyId& aKey);
 
+  // Records that a document's first tokens for the workspace are counted;
+  // returns false when an earlier document's were.
+  bool MarkFunded(const WorkspaceId& aWorkspace);
+
   bool Contains(const WorkspaceId& aWorkspace) const;
   const std::set<WorkspaceId>& Workspaces() const { return this->workspaces; }
   const std::map<KeyId, KeyRecord>& Keys() const { return this->keys; }
@@ -251,6 +285,7 @@
 private:
   friend struct SnapshotAccess;
   std::set<WorkspaceId> workspaces;
+  std::set<WorkspaceId> funded;
   std::map<KeyId, KeyRecord> keys;
 };
 
@@ -272,7 +307,7 @@
   friend bool operator==(const Budget&, const Budget&) = default;
 };
 
-// Last grant to a session for a workspace, to answer a resent request.
+// Last grant to an open session for a workspace, to answer a resent request.
 struct LastGrant
 {
   std::uint64_t request = 0;
@@ -285,6 +320,9 @@
 class BudgetLedger
 {
 public:
+  // Most that can be paid into one budget, so that no sum can overflow.
+  static constexpr Tokens kMostPaid{ std::int64_t(1) << 60 };
+
   void Open(const WorkspaceId& aWorkspace);
   Outcome TopUp(const WorkspaceId& aWorkspace, Tokens aTokens);
   Outcome Grant(const GrantTokens& aCommand);
@@ -293,9 +331,15 @@
   bool IsCovered(const ReportUsage& aCommand) const;
   void Count(const ReportUsage& aCommand);
 
+  // Forgets the session's last grants: a closed session gets no more replies.
+  void CloseSession(SessionId aSession);
+
   const Budget* Find(const WorkspaceId& aWorkspace) const;
   const std::map<WorkspaceId, Budget>& Budgets() const { return this->budgets; }
 
+  // Returns how many replies are kept for resent requests.
+  std::size_t KeptReplies() const { return this->lastGrants.size(); }
+
   friend bool operator==(const BudgetLedger&, const BudgetLedger&) = default;
 
 private:
@@ -420,6 +464,45 @@
   std::map<InstanceId, SessionId> current;
 };
 
+// One order that an engine must follow.
+struct Order
+{
+  OrderKind kind = OrderKind::LoadModel;
+  std::string argument;
+  // Set once the engine has answered it.
+  bool confirmed = false;
+
+  friend bool operator==(const Order&, const Order&) = default;
+};
+
+// Owns the orders to engines. Numbers rise in log order, so an order with a
+// higher number is newer whichever instance sends it.
+class OrderRegister
+{
+public:
+  using Orders = std::map<FencingNumber, Order>;
+
+  Outcome Record(const OrderEngine& aCommand);
+  Outcome Confirm(const ConfirmOrder& aCommand);
+
+  // Orders of each endpoint that no newer one replaces.
+  const std::map<EndpointId, Orders>& ByEndpoint() const
+  {
+    return this->byEndpoint;
+  }
+
+  friend bool operator==(const OrderRegister&, const OrderRegister&) = default;
+
+private:
+  friend struct SnapshotAccess;
+  std::map<EndpointId, Orders> byEndpoint;
+  std::uint64_t nextNumber = 1;
+};
+
+// Returns a document's length and hash, the same in every build.
+std::string
+DocumentFingerprint(const std::string& aDocument);
+
 // An operators' change that has been applied, to answer it when it is resent.
 struct ChangeRecord
 {
@@ -466,6 +549,7 @@
   }
   const OperationRegister& Operations() const { return this->operations; }
   const SessionController& Sessions() const { return this->sessions; }
+  const OrderRegister& Orders() const { return this->orders; }
 
   friend bool operator==(const StateMachine&, const StateMachine&) = default;
 
@@ -483,7 +567,11 @@
   Outcome Handle(const GrantTokens& aCommand);
   Outcome Handle(const ReportUsage& aCommand);
   Outcome Handle(const RecordOperation& aCommand);
+  Outcome Handle(const OrderEngine& aCommand);
+  Outcome Handle(const ConfirmOrder& aCommand);
 
+  // Releases what is kept only for an open session.
+  void EndSession(SessionId aSession);
   void AdvanceRevision();
 
   Revision revision;
@@ -493,6 +581,7 @@
   OperationRegister operations;
   SessionController sessions;
   ChangeRegister changes;
+  OrderRegister orders;
 };
 
 } // namespace lycheestand::state
