Check the configuration again before a request that waited is forwarded

Cause: a request may wait 2 s for its turn and 2 s for budget after its configuration was found current, so it could be forwarded 9 s after a change. Change: a Recheck filter asks for the configuration again after a wait of more than 0.5 s, and refuses with not_run if it no longer allows the call.

--- a/packages/router/src/authenticate.cc
+++ b/packages/router/src/authenticate.cc
@@ -22,7 +22,8 @@
 {
   auto key = FindBearerKey(aRequest->exchange->Request());
   if (key) {
-    auto found = aRequest->snapshot->keys.find(net::HashKey(*key));
+    aRequest->keyHash = net::HashKey(*key);
+    auto found = aRequest->snapshot->keys.find(aRequest->keyHash);
     if (found != aRequest->snapshot->keys.end()) {
       aRequest->workspace = found->second.workspace;
       aRequest->site = found->second.site;
@@ -36,6 +37,17 @@
 
 } // namespace
 
+void
+RefuseUnconfirmed(const RequestPtr& aRequest)
+{
+  Refuse(aRequest,
+         { 503,
+           "configuration_not_confirmed",
+           "this router has no contact with control; use another address",
+           RanState::NotRun,
+           1 });
+}
+
 // A router that can't tell whether its configuration is current does not know
 // which keys are valid either, so it refuses before it looks at the key.
 Filter
@@ -47,13 +59,7 @@
         aRequest->controllers.configuration, caf::infinite, GetConfiguration{})
       .then([aRequest, next = std::move(aNext)](ConfigurationInForce& aReply) {
         if (!aReply.snapshot) {
-          Refuse(aRequest,
-                 { 503,
-                   "configuration_not_confirmed",
-                   "this router has no contact with control; use another "
-                   "address",
-                   RanState::NotRun,
-                   1 });
+          RefuseUnconfirmed(aRequest);
           return;
         }
         aRequest->snapshot = aReply.snapshot;
--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -59,6 +59,7 @@
   Ticket ticket;
   TimePoint startedAt;
   std::shared_ptr<const settings::FleetSnapshot> snapshot;
+  KeyHash keyHash;
   WorkspaceId workspace;
   SiteId site;
   std::variant<std::monostate, ChatCall, ServiceCall, ListModels> call;
@@ -137,6 +138,10 @@
 void
 Refuse(const RequestPtr& aRequest, const Refusal& aRefusal);
 
+// Refuses because the configuration is not confirmed as current.
+void
+RefuseUnconfirmed(const RequestPtr& aRequest);
+
 // Releases whatever the request holds; safe to call more than once.
 void
 FinishRequest(const RequestPtr& aRequest);
@@ -153,6 +158,8 @@
 Filter
 MakeReserve();
 Filter
+MakeRecheck();
+Filter
 MakeForward();
 
 } // namespace lycheestand::router
--- a/packages/router/src/forward_chat.cc
+++ b/packages/router/src/forward_chat.cc
@@ -106,8 +106,8 @@
     return { [self](const net::CallHead& aHead) { self->HandleHead(aHead); },
              [self](const std::string& aPiece) { self->HandleBody(aPiece); },
              [self] { self->HandleEnd(); },
-             [self](net::CallFailure, const std::string& aReason) {
-               self->HandleBreak(aReason);
+             [self](net::CallFailure aFailure, const std::string& aReason) {
+               self->HandleBreak(aFailure, aReason);
              } };
   }
 
@@ -202,7 +202,8 @@
     if (this->status != 200) {
       this->HandleRefusal();
     } else if (!this->isDone || this->finishReason.empty()) {
-      this->HandleBreak("the stream ended early");
+      this->HandleBreak(net::CallFailure::Interrupted,
+                        "the stream ended early");
     } else {
       this->Complete();
     }
@@ -235,7 +236,10 @@
   void HandleRefusal()
   {
     bool isBusy = this->status == 429 || this->status >= 500;
-    ReleaseEndpoint(this->request, OutcomeOf(this->status), this->isLeaving);
+    routing::Outcome outcome = OutcomeOf(this->status);
+    // Only 429 and 503 say that the request was not taken.
+    this->hasBroken |= outcome == routing::Outcome::Failed;
+    ReleaseEndpoint(this->request, outcome, this->isLeaving);
     if (isBusy && this->request->tried.size() < kMaxAttempts) {
       this->errorBody.clear();
       this->Start();
@@ -252,7 +256,7 @@
     }
   }
 
-  void HandleBreak(const std::string& aReason)
+  void HandleBreak(net::CallFailure aFailure, const std::string& aReason)
   {
     net::Log(net::LogLevel::Warning,
              "call to engine broke",
@@ -261,14 +265,14 @@
                { "endpoint", this->request->endpoint.Get() },
                { "reason", aReason } });
     ReleaseEndpoint(this->request, routing::Outcome::Failed, this->isLeaving);
-    this->hasBroken = true;
+    this->hasBroken |= aFailure != net::CallFailure::NotSent;
     this->lastBreak = aReason;
     bool hasRoom = this->request->usage.outputTokens < this->outputLimit;
     if (hasRoom && this->request->tried.size() < kMaxAttempts) {
       this->Start();
       return;
     }
-    this->EndInterrupted(aReason);
+    this->EndAfterAttempts(aReason);
   }
 
   // No endpoint is left, or the retry budget is used up.
@@ -292,7 +296,7 @@
     Refuse(this->request,
            { 503,
              "endpoints_busy",
-             "the endpoints refused the request",
+             "the endpoints refused the request or could not be reached",
              RanState::NotRun,
              1 });
   }
--- a/packages/router/src/router.cc
+++ b/packages/router/src/router.cc
@@ -118,6 +118,7 @@
               MakeAdmit(),
               MakeOperation(),
               MakeReserve(),
+              MakeRecheck(),
               MakeForward() })
   {
   }
