--- a/packages/settings/src/process_settings.cc
+++ b/packages/settings/src/process_settings.cc
@@ -166,12 +166,8 @@
   aSettings.requestTimeout = ReadMilliseconds(
     aReader, "request_timeout_ms", aSettings.requestTimeout, 100, 600000);
   aSettings.threads = ReadSize(aReader, "threads", aSettings.threads, 1, 64);
-  aSettings.maxConnections = ReadSize(aReader,
-                                      "threads",
-                                      "max_connections",
-                                      aSettings.maxConnections,
-                                      1,
-                                      1000000);
+  aSettings.maxConnections =
+    ReadSize(aReader, "max_connections", aSettings.maxConnections, 1, 1000000);
   aSettings.maxBodyBytes =
     ReadSize(aReader, "max_body_bytes", aSettings.maxBodyBytes, 1024, 1 << 28);
   aSettings.maxHeaderBytes = ReadSize(
@@ -196,6 +192,7 @@
                       "log_format",
                       "entry_keep_ms",
                       "confirmation_limit_ms",
+                      "threads",
                       "max_connections",
                       "max_body_bytes",
                       "max_header_bytes",
