--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all install build check format format-check lint test clean
+.PHONY: all install build check format format-check lint test clean demo demo-up demo-down
 
 all: build
 
@@ -28,5 +28,15 @@
 
 check: install format-check build lint test
 
+# Both users' work on loopback, with a verdict; demo-up leaves the fleet running.
+demo: build
+	BUILD=$(BUILD) tools/demo
+
+demo-up: build
+	BUILD=$(BUILD) tools/demo-up
+
+demo-down:
+	BUILD=$(BUILD) tools/demo-down
+
 clean:
 	rm -rf $(BUILD)
--- a/packages/router/src/admit.cc
+++ b/packages/router/src/admit.cc
@@ -68,9 +68,9 @@
       : PoolName(std::get<ServiceCall>(aRequest.call).service.Get(), true);
   ask.priority = aPriority;
   ask.deadline = aRequest.deadline;
+  ask.weight = settings.WeightFor(aRequest.workspace, aRequest.site);
   auto workspace = settings.workspaces.find(aRequest.workspace);
   if (workspace != settings.workspaces.end()) {
-    ask.weight = workspace->second.weight;
     ask.workspaceLimit = workspace->second.maxInFlight;
   }
   auto site = settings.sites.find(aRequest.site);
