--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -9,6 +9,8 @@
 lycheestand_package(net DEPS lycheestand_core Boost::log Boost::json ${CAF_TARGETS} ${SODIUM_LIBRARY})
 lycheestand_package(state DEPS lycheestand_core)
 lycheestand_package(budget DEPS lycheestand_core)
+lycheestand_package(consensus DEPS lycheestand_core)
+lycheestand_package(storage DEPS lycheestand_core ${XXHASH_LIBRARY})
 lycheestand_package(router DEPS lycheestand_net lycheestand_settings lycheestand_budget lycheestand_wire)
 lycheestand_package(control DEPS lycheestand_net lycheestand_settings lycheestand_state lycheestand_wire)
 
