--- a/packages/consensus/test/random_test.cc
+++ b/packages/consensus/test/random_test.cc
@@ -15,6 +15,7 @@
   RandomRun(std::size_t aCount, unsigned aSeed)
     : simulation(aCount, aSeed)
   {
+    this->simulation.stepsPerSync = 1 + aSeed % 12;
   }
 
   void Run()
--- a/packages/consensus/test/simulation.cc
+++ b/packages/consensus/test/simulation.cc
@@ -156,7 +156,8 @@
       if (this->hosts[i].node) {
         this->Take(i, this->hosts[i].node->Tick(this->now));
       }
-      if (!this->hosts[i].isDiskStalled && this->Random(3) != 0) {
+      if (!this->hosts[i].isDiskStalled &&
+          this->Random(this->stepsPerSync) == 0) {
         this->Sync(i);
       }
     }
--- a/packages/consensus/test/simulation.h
+++ b/packages/consensus/test/simulation.h
@@ -68,6 +68,8 @@
   std::uint64_t Random(std::uint64_t aBound);
 
   Network network;
+  // Mean steps until a write is durable.
+  std::uint64_t stepsPerSync = 1;
   std::vector<Host> hosts;
   std::size_t heartbeats = 0;
   std::vector<std::string> violations;
--- a/packages/storage/include/lycheestand/storage.h
+++ b/packages/storage/include/lycheestand/storage.h
@@ -177,20 +177,22 @@
   Store(std::string aFolder, FileHooks aHooks, StoreOptions aOptions);
 
   StorageResult<void> Load();
+  StorageResult<void> Lock();
+  StorageResult<void> LoadState();
   StorageResult<void> LoadSnapshot();
   StorageResult<void> LoadSegments();
   StorageResult<void> LoadSegment(std::uint64_t aNumber, bool aIsLast);
-  StorageResult<void> CutTail(std::uint64_t aNumber,
+  StorageResult<void> CutTail(const std::string& aPath,
                               std::size_t aOffset,
                               const std::string& aBytes);
-  StorageResult<void> TakeRecord(std::uint64_t aNumber, Record aRecord);
+  StorageResult<void> TakeRecord(const std::string& aPath, Record aRecord);
   StorageResult<void> WriteBatch(const Batch& aBatch);
   StorageResult<void> WriteRecords(const std::vector<Record>& aRecords);
   StorageResult<void> WriteSnapshot(const SnapshotRecord& aSnapshot,
                                     bool aDiscardLog);
   StorageResult<void> OpenSegment();
   void CloseSegment();
-  StorageResult<void> RemoveSegmentsBefore(std::uint64_t aNumber);
+  void RemoveOldSegments();
   std::string SegmentPath(std::uint64_t aNumber) const;
 
   std::string folder;
@@ -198,10 +200,12 @@
   StoreOptions options;
   int lockFile = -1;
   int segmentFile = -1;
+  // Records go to the last segment until it is full or a snapshot closes it.
+  bool isSegmentClosed = false;
   // Segments by number, oldest first.
   std::map<std::uint64_t, Segment> segments;
   std::uint64_t nextSegment = 1;
-  // Segments before this one were dropped by a snapshot.
+  // Segments before this one hold nothing that a snapshot does not cover.
   std::uint64_t firstSegment = 1;
   bool isStopped = false;
   Contents contents;
--- /dev/null
+++ b/packages/storage/src/store.cc
@@ -0,0 +1,204 @@
+#include "files.h"
+#include "frames.h"
+
+#include <algorithm>
+#include <cerrno>
+
+// Writing to a data folder.
+
+namespace lycheestand::storage {
+
+StorageResult<void>
+Format(const std::string& aFolder,
+       const HardState& aState,
+       const FileHooks& aHooks)
+{
+  int made = aHooks.makeFolder(aFolder);
+  if (made < 0) {
+    return FileError(aFolder, "create", made);
+  }
+  std::string ignored;
+  if (aHooks.readAll(aFolder + "/state", ignored) != -ENOENT) {
+    return StorageError{ ErrorKind::AlreadyFormatted,
+                         aFolder + ": the folder has a state already" };
+  }
+  // A log without a state is what is left of a member whose disk is damaged.
+  std::vector<std::string> names;
+  aHooks.list(aFolder, names);
+  for (const auto& name : names) {
+    if (name == "snapshot" || name.starts_with("log-")) {
+      return StorageError{ ErrorKind::Corrupt,
+                           aFolder + ": there is a log but no state file" };
+    }
+  }
+  return ReplaceFile(aHooks, aFolder, "state", Frame(EncodeState(aState)));
+}
+
+Store::Store(std::string aFolder, FileHooks aHooks, StoreOptions aOptions)
+  : folder(std::move(aFolder))
+  , hooks(std::move(aHooks))
+  , options(aOptions)
+{
+}
+
+Store::Store(Store&& aOther) noexcept
+  : folder(std::move(aOther.folder))
+  , hooks(std::move(aOther.hooks))
+  , options(aOther.options)
+  , lockFile(std::exchange(aOther.lockFile, -1))
+  , segmentFile(std::exchange(aOther.segmentFile, -1))
+  , isSegmentClosed(aOther.isSegmentClosed)
+  , segments(std::move(aOther.segments))
+  , nextSegment(aOther.nextSegment)
+  , firstSegment(aOther.firstSegment)
+  , isStopped(aOther.isStopped)
+  , contents(std::move(aOther.contents))
+{
+}
+
+Store::~Store()
+{
+  this->CloseSegment();
+  if (this->lockFile >= 0) {
+    this->hooks.close(this->lockFile);
+  }
+}
+
+StorageResult<Store>
+Store::Open(const std::string& aFolder, FileHooks aHooks, StoreOptions aOptions)
+{
+  Store store(aFolder, std::move(aHooks), aOptions);
+  auto loaded = store.Load();
+  if (loaded.has_error()) {
+    return loaded.error();
+  }
+  return StorageResult<Store>(std::move(store));
+}
+
+StorageResult<void>
+Store::Write(const Batch& aBatch)
+{
+  if (this->isStopped) {
+    return StorageError{ ErrorKind::Stopped,
+                         this->folder + ": an earlier write failed" };
+  }
+  auto result = this->WriteBatch(aBatch);
+  this->isStopped = result.has_error();
+  return result;
+}
+
+StorageResult<void>
+Store::WriteBatch(const Batch& aBatch)
+{
+  if (aBatch.snapshot) {
+    BOOST_OUTCOME_TRYV(
+      this->WriteSnapshot(*aBatch.snapshot, aBatch.discardLog));
+  }
+  if (aBatch.state) {
+    BOOST_OUTCOME_TRYV(ReplaceFile(
+      this->hooks, this->folder, "state", Frame(EncodeState(*aBatch.state))));
+  }
+  return aBatch.records.empty() ? boost::outcome_v2::success()
+                                : this->WriteRecords(aBatch.records);
+}
+
+StorageResult<void>
+Store::WriteRecords(const std::vector<Record>& aRecords)
+{
+  if (this->segmentFile < 0) {
+    BOOST_OUTCOME_TRYV(this->OpenSegment());
+  }
+  auto& [number, segment] = *this->segments.rbegin();
+  std::string path = this->SegmentPath(number);
+  std::string bytes;
+  for (const auto& record : aRecords) {
+    bytes += Frame(EncodeRecord(record));
+    segment.highest = std::max(segment.highest, record.index);
+  }
+  BOOST_OUTCOME_TRYV(WriteFully(this->hooks, path, this->segmentFile, bytes));
+  int synced = this->hooks.sync(this->segmentFile);
+  if (synced < 0) {
+    return FileError(path, "sync", synced);
+  }
+  segment.bytes += bytes.size();
+  if (segment.bytes >= this->options.segmentBytes) {
+    this->CloseSegment();
+    this->isSegmentClosed = true;
+  }
+  return boost::outcome_v2::success();
+}
+
+// The snapshot names the first segment that counts after it, so a crash before
+// the older ones are removed does not bring their entries back.
+StorageResult<void>
+Store::WriteSnapshot(const SnapshotRecord& aSnapshot, bool aDiscardLog)
+{
+  std::uint64_t first = this->nextSegment;
+  for (const auto& [number, segment] : this->segments) {
+    if (!aDiscardLog && segment.highest > aSnapshot.index) {
+      first = number;
+      break;
+    }
+  }
+  BOOST_OUTCOME_TRYV(ReplaceFile(this->hooks,
+                                 this->folder,
+                                 "snapshot",
+                                 Frame(EncodeSnapshot({ aSnapshot, first }))));
+  // Later entries go to a new segment, so that the next snapshot can drop this
+  // one.
+  this->CloseSegment();
+  this->isSegmentClosed = true;
+  this->firstSegment = first;
+  this->RemoveOldSegments();
+  return boost::outcome_v2::success();
+}
+
+StorageResult<void>
+Store::OpenSegment()
+{
+  bool isNew = this->segments.empty() || this->isSegmentClosed;
+  if (isNew) {
+    this->segments[this->nextSegment++] = {};
+    this->isSegmentClosed = false;
+  }
+  std::string path = this->SegmentPath(this->segments.rbegin()->first);
+  this->segmentFile = this->hooks.openAppend(path);
+  if (this->segmentFile < 0) {
+    return FileError(path, "open", this->segmentFile);
+  }
+  if (isNew) {
+    return SyncPath(this->hooks, this->folder);
+  }
+  return boost::outcome_v2::success();
+}
+
+void
+Store::CloseSegment()
+{
+  if (this->segmentFile >= 0) {
+    this->hooks.close(this->segmentFile);
+    this->segmentFile = -1;
+  }
+}
+
+// A segment that can't be removed does no harm: it is not read again.
+void
+Store::RemoveOldSegments()
+{
+  while (!this->segments.empty() &&
+         this->segments.begin()->first < this->firstSegment) {
+    this->hooks.remove(this->SegmentPath(this->segments.begin()->first));
+    this->segments.erase(this->segments.begin());
+  }
+}
+
+std::string
+Store::SegmentPath(std::uint64_t aNumber) const
+{
+  std::string digits = std::to_string(aNumber);
+  constexpr std::size_t kDigits = 20;
+  return this->folder + "/log-" + std::string(kDigits - digits.size(), '0') +
+         digits;
+}
+
+} // namespace lycheestand::storage
