Keep the replicated state on disks of several control instances

Control kept its state in memory of one process. The replica task now carries a consensus node and the state machine, and hands its writes to a detached task that syncs many of them at once. Of two control instances the one with the lower id dials, so that each pair has one link.

--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -13,7 +13,7 @@
 lycheestand_package(consensus DEPS lycheestand_core)
 lycheestand_package(storage DEPS lycheestand_core ${XXHASH_LIBRARY})
 lycheestand_package(router DEPS lycheestand_net lycheestand_settings lycheestand_budget lycheestand_wire)
-lycheestand_package(control DEPS lycheestand_net lycheestand_settings lycheestand_state lycheestand_wire)
+lycheestand_package(control DEPS lycheestand_net lycheestand_settings lycheestand_state lycheestand_wire lycheestand_journal lycheestand_consensus lycheestand_storage)
 
 lycheestand_program(lycheestandd packages/daemon/src DEPS lycheestand_router lycheestand_control)
 
--- a/packages/consensus/include/lycheestand/consensus.h
+++ b/packages/consensus/include/lycheestand/consensus.h
@@ -283,6 +283,12 @@
   // Replaces the log up to the last applied entry by the state after it.
   Effects Compact(std::string aData);
 
+  // Returns whether this member leads and knows all that was committed before.
+  bool IsReady() const
+  {
+    return this->role == Role::Leader && this->HasCommittedInTerm();
+  }
+
   Role CurrentRole() const { return this->role; }
   Term CurrentTerm() const { return this->state.term; }
   const Member& Self() const { return this->self; }
--- a/packages/consensus/test/member_test.cc
+++ b/packages/consensus/test/member_test.cc
@@ -118,3 +118,22 @@
   this->Receive(replaced, this->self, Term(2), VoteReply{ true, true });
   CHECK(this->node->CurrentRole() == Role::PreCandidate);
 }
+
+// Guards against committing an earlier term's entry that a quorum holds but
+// that a leader of a later term may still replace.
+TEST_CASE_METHOD(MemberFixture, "an earlier term's entry commits with a newer")
+{
+  this->node->Tick(this->start + std::chrono::seconds(2));
+  auto effects =
+    this->Receive(this->second, this->self, Term(2), VoteReply{ true, true });
+  this->Receive(this->second, this->self, Term(2), VoteReply{ false, true });
+  auto elected = this->node->Persisted(effects.write->number);
+  REQUIRE(this->node->IsReady() == false);
+  this->node->Persisted(elected.write->number);
+  this->Receive(
+    this->second, this->self, Term(2), AppendReply{ true, LogIndex(1) });
+  CHECK(this->node->CommitIndex() == LogIndex(0));
+  this->Receive(
+    this->second, this->self, Term(2), AppendReply{ true, LogIndex(2) });
+  CHECK(this->node->CommitIndex() == LogIndex(2));
+}
--- a/packages/control/include/lycheestand/control.h
+++ b/packages/control/include/lycheestand/control.h
@@ -33,6 +33,11 @@
              const settings::ProcessSettings& aSettings,
              const net::FleetKey& aKey);
 
+// Creates the data folder of one of the fleet's first control instances. Once
+// all of them run, they form the group.
+Result<void, std::string>
+FormatDataFolder(const settings::ProcessSettings& aSettings);
+
 } // namespace lycheestand::control
 
 #endif
--- a/packages/control/src/control.cc
+++ b/packages/control/src/control.cc
@@ -48,7 +48,11 @@
              const net::FleetKey& aKey)
 {
   using R = Result<std::unique_ptr<Control>, std::string>;
-  auto replica = SpawnReplica(aRuntime, aSettings, aKey);
+  auto spawned = SpawnReplica(aRuntime, aSettings, aKey);
+  if (spawned.has_error()) {
+    return R(boost::outcome_v2::in_place_type<std::string>, spawned.error());
+  }
+  auto replica = spawned.value();
   auto fleet = SpawnFleetController(aRuntime, aSettings, replica);
   caf::anon_send(replica, fleet);
   auto server =
--- /dev/null
+++ b/packages/control/src/entry_codec.cc
@@ -0,0 +1,126 @@
+#include "entry_codec.h"
+
+#include <boost/json.hpp>
+#include <charconv>
+
+namespace lycheestand::control {
+
+namespace json = boost::json;
+
+namespace {
+
+// Kinds on disks and in messages; the numbers never change.
+constexpr std::uint8_t kEmpty = 0;
+constexpr std::uint8_t kCommand = 1;
+constexpr std::uint8_t kMembers = 2;
+
+// Disk ids are written as text, because JSON numbers of 64 bits lose digits in
+// other programs.
+json::array
+EncodeList(const std::set<consensus::Member>& aMembers)
+{
+  json::array out;
+  for (const auto& member : aMembers) {
+    out.push_back(
+      json::array{ member.instance.Get(), std::to_string(member.disk.Get()) });
+  }
+  return out;
+}
+
+std::optional<consensus::Member>
+DecodeMember(const json::value& aValue)
+{
+  const auto* pair = aValue.if_array();
+  if (pair == nullptr || pair->size() != 2 || !(*pair)[0].is_string() ||
+      !(*pair)[1].is_string()) {
+    return std::nullopt;
+  }
+  const auto& digits = (*pair)[1].get_string();
+  std::uint64_t disk = 0;
+  const char* end = digits.data() + digits.size();
+  auto parsed = std::from_chars(digits.data(), end, disk);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return consensus::Member{ InstanceId(std::string((*pair)[0].get_string())),
+                            DiskId(disk) };
+}
+
+bool
+DecodeList(const json::value& aDocument,
+           const char* aName,
+           std::set<consensus::Member>& aMembers)
+{
+  const auto* object = aDocument.if_object();
+  const auto* list = object == nullptr ? nullptr : object->if_contains(aName);
+  if (list == nullptr || !list->is_array()) {
+    return false;
+  }
+  for (const auto& item : list->get_array()) {
+    auto member = DecodeMember(item);
+    if (!member) {
+      return false;
+    }
+    aMembers.insert(std::move(*member));
+  }
+  return true;
+}
+
+} // namespace
+
+std::string
+EncodeMembers(const consensus::Configuration& aMembers)
+{
+  return json::serialize(
+    json::object{ { "voters", EncodeList(aMembers.voters) },
+                  { "learners", EncodeList(aMembers.learners) } });
+}
+
+std::optional<consensus::Configuration>
+DecodeMembers(std::string_view aText)
+{
+  json::error_code error;
+  json::value document = json::parse({ aText.data(), aText.size() }, error);
+  consensus::Configuration members;
+  if (error || !DecodeList(document, "voters", members.voters) ||
+      !DecodeList(document, "learners", members.learners)) {
+    return std::nullopt;
+  }
+  return members;
+}
+
+std::uint8_t
+KindOf(const consensus::EntryBody& aBody)
+{
+  if (std::holds_alternative<consensus::CommandBytes>(aBody)) {
+    return kCommand;
+  }
+  return std::holds_alternative<consensus::Configuration>(aBody) ? kMembers
+                                                                 : kEmpty;
+}
+
+std::string
+EncodePayload(const consensus::EntryBody& aBody)
+{
+  if (const auto* command = std::get_if<consensus::CommandBytes>(&aBody)) {
+    return command->bytes;
+  }
+  const auto* members = std::get_if<consensus::Configuration>(&aBody);
+  return members == nullptr ? "" : EncodeMembers(*members);
+}
+
+std::optional<consensus::EntryBody>
+DecodePayload(std::uint8_t aKind, const std::string& aPayload)
+{
+  if (aKind == kEmpty) {
+    return consensus::Empty{};
+  }
+  if (aKind == kCommand) {
+    return consensus::CommandBytes{ aPayload };
+  }
+  auto members = aKind == kMembers ? DecodeMembers(aPayload) : std::nullopt;
+  return members ? std::optional<consensus::EntryBody>(std::move(*members))
+                 : std::nullopt;
+}
+
+} // namespace lycheestand::control
--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -306,11 +306,24 @@
     if (found == this->links.end()) {
       return;
     }
-    if (found->second.hello.isControl) {
+    wire::Hello hello = found->second.hello;
+    this->links.erase(found);
+    if (hello.isControl) {
       this->send(this->replica,
-                 PeerLink{ found->second.hello.instance, nullptr });
+                 PeerLink{ hello.instance, this->FindPeer(hello.instance) });
     }
-    this->links.erase(found);
+  }
+
+  // Returns another open link with a control instance: it may have connected
+  // again before the end of its earlier link was seen.
+  caf::actor FindPeer(const InstanceId& aInstance) const
+  {
+    for (const auto& [id, link] : this->links) {
+      if (link.hello.isControl && link.hello.instance == aInstance) {
+        return link.task;
+      }
+    }
+    return nullptr;
   }
 
   void Change(const LeadershipChanged& aChanged)
--- /dev/null
+++ b/packages/control/src/replica_state.cc
@@ -0,0 +1,138 @@
+#include "replica_state.h"
+
+#include <boost/json.hpp>
+
+namespace lycheestand::control {
+
+namespace json = boost::json;
+
+namespace {
+
+// Entries after which a snapshot is made, unless the log is still smaller than
+// the last snapshot. So the work of snapshots is at most in proportion to that
+// of the log, and a restart reads at most about twice the state.
+constexpr std::uint64_t kSnapshotEntries = 256;
+
+json::array
+FormatMembers(const std::set<consensus::Member>& aMembers)
+{
+  json::array out;
+  for (const auto& member : aMembers) {
+    out.push_back({ { "instance", member.instance.Get() },
+                    { "disk", std::to_string(member.disk.Get()) } });
+  }
+  return out;
+}
+
+const char*
+NameOf(consensus::Role aRole)
+{
+  switch (aRole) {
+    case consensus::Role::Follower:
+      return "follower";
+    case consensus::Role::PreCandidate:
+      return "pre_candidate";
+    case consensus::Role::Candidate:
+      return "candidate";
+    case consensus::Role::Leader:
+      break;
+  }
+  return "leader";
+}
+
+} // namespace
+
+bool
+ReplicaState::Install(const consensus::Snapshot& aSnapshot)
+{
+  auto decoded = journal::DecodeSnapshot(*aSnapshot.data);
+  if (decoded.has_error()) {
+    return false;
+  }
+  this->machine = std::move(decoded.value());
+  this->applied = aSnapshot.index;
+  this->bytesSinceSnapshot = 0;
+  this->snapshotBytes = aSnapshot.data->size();
+  return true;
+}
+
+Result<std::optional<state::Outcome>, std::string>
+ReplicaState::Apply(const consensus::Entry& aEntry)
+{
+  using R = Result<std::optional<state::Outcome>, std::string>;
+  this->applied = aEntry.index;
+  const auto* command = std::get_if<consensus::CommandBytes>(&aEntry.body);
+  if (command == nullptr) {
+    return R(std::optional<state::Outcome>());
+  }
+  this->bytesSinceSnapshot += command->bytes.size();
+  auto decoded = journal::DecodeCommand(command->bytes);
+  if (decoded.has_error()) {
+    return R(boost::outcome_v2::in_place_type<std::string>,
+             "entry " + std::to_string(aEntry.index.Get()) +
+               " of the log can't be decoded");
+  }
+  return R(std::optional(this->machine.Apply(decoded.value())));
+}
+
+std::string
+ReplicaState::MakeSnapshot()
+{
+  std::string data = journal::EncodeSnapshot(this->machine);
+  this->bytesSinceSnapshot = 0;
+  this->snapshotBytes = data.size();
+  return data;
+}
+
+bool
+ReplicaState::IsLogLong(LogIndex aSnapshotIndex) const
+{
+  return this->applied.Get() >= aSnapshotIndex.Get() + kSnapshotEntries &&
+         this->bytesSinceSnapshot >= this->snapshotBytes;
+}
+
+std::string
+ReplicaState::FormatFleet() const
+{
+  std::map<KeyHash, settings::CallerKey> keys;
+  for (const auto& [id, record] : this->machine.Workspaces().Keys()) {
+    keys[record.hash] = { record.workspace, record.site };
+  }
+  const auto& records = this->machine.Configuration().Records();
+  return settings::FormatFleetSnapshot(
+    records.empty() ? "" : records.back().document, keys);
+}
+
+Holders
+ReplicaState::FindHolders(const WorkspaceId& aWorkspace) const
+{
+  Holders holders;
+  if (const auto* budget = this->machine.Budgets().Find(aWorkspace)) {
+    for (const auto& [session, tokens] : budget->outstanding) {
+      holders.sessions.push_back(session);
+    }
+  }
+  return holders;
+}
+
+std::string
+FormatReplica(const consensus::Node& aNode,
+              const ReplicaState& aState,
+              std::size_t aLinks)
+{
+  auto leader = aNode.Leader();
+  return json::serialize(
+    json::object{ { "role", NameOf(aNode.CurrentRole()) },
+                  { "leader", leader ? leader->instance.Get() : "" },
+                  { "disk", std::to_string(aNode.Self().disk.Get()) },
+                  { "term", aNode.CurrentTerm().Get() },
+                  { "commit", aNode.CommitIndex().Get() },
+                  { "applied", aState.Applied().Get() },
+                  { "last", aNode.LastIndex().Get() },
+                  { "snapshot", aNode.SnapshotIndex().Get() },
+                  { "links", aLinks },
+                  { "voters", FormatMembers(aNode.Members().voters) },
+                  { "learners", FormatMembers(aNode.Members().learners) } });
+}
+
+} // namespace lycheestand::control
--- /dev/null
+++ b/packages/control/src/storage_task.cc
@@ -0,0 +1,91 @@
+#include "storage_task.h"
+
+#include <caf/event_based_actor.hpp>
+#include <lycheestand/control.h>
+
+namespace lycheestand::control {
+
+namespace {
+
+// Returns the state of a disk that has never been used.
+storage::HardState
+MakeState(const RandomSource& aRandom, bool aMayForm)
+{
+  storage::HardState state;
+  // Zero stands for an unknown disk in messages.
+  state.disk = DiskId(aRandom(0) | 1);
+  state.mayForm = aMayForm;
+  return state;
+}
+
+// Blocks in sync calls, so it has a thread of its own.
+class StorageTask : public caf::event_based_actor
+{
+public:
+  StorageTask(caf::actor_config& aConfig,
+              std::shared_ptr<storage::Store> aStore)
+    : caf::event_based_actor(aConfig)
+    , store(std::move(aStore))
+  {
+  }
+
+  caf::behavior make_behavior() override
+  {
+    return { [this](StorageWrite& aWrite) {
+      auto result = this->store->Write(*aWrite.batch);
+      return StorageDone{ result.has_error() ? result.error().message : "" };
+    } };
+  }
+
+private:
+  std::shared_ptr<storage::Store> store;
+};
+
+} // namespace
+
+Result<std::shared_ptr<storage::Store>, std::string>
+OpenDataFolder(const std::string& aFolder, const RandomSource& aRandom)
+{
+  using R = Result<std::shared_ptr<storage::Store>, std::string>;
+  auto fail = [](const storage::StorageError& aError) {
+    return R(boost::outcome_v2::in_place_type<std::string>, aError.message);
+  };
+  auto hooks = storage::SystemFiles();
+  auto opened = storage::Store::Open(aFolder, hooks, {});
+  if (opened.has_error() &&
+      opened.error().kind == storage::ErrorKind::NotFormatted) {
+    net::Log(net::LogLevel::Warning,
+             "the data folder is empty; joining with a new disk",
+             { { "folder", aFolder } });
+    auto formatted = storage::Format(aFolder, MakeState(aRandom, false), hooks);
+    if (formatted.has_error()) {
+      return fail(formatted.error());
+    }
+    return OpenDataFolder(aFolder, aRandom);
+  }
+  if (opened.has_error()) {
+    return fail(opened.error());
+  }
+  return R(std::make_shared<storage::Store>(std::move(opened.value())));
+}
+
+Result<void, std::string>
+FormatDataFolder(const settings::ProcessSettings& aSettings)
+{
+  auto formatted = storage::Format(aSettings.dataFolder,
+                                   MakeState(net::MakeRandomSource(), true),
+                                   storage::SystemFiles());
+  if (formatted.has_error()) {
+    return formatted.error().message;
+  }
+  return boost::outcome_v2::success();
+}
+
+caf::actor
+SpawnStorageTask(const net::Runtime& aRuntime,
+                 std::shared_ptr<storage::Store> aStore)
+{
+  return aRuntime.system->spawn<StorageTask, caf::detached>(std::move(aStore));
+}
+
+} // namespace lycheestand::control
--- a/packages/control/src/tasks.h
+++ b/packages/control/src/tasks.h
@@ -7,12 +7,19 @@
 
 namespace lycheestand::control {
 
-// Owns the replicated state.
-caf::actor
+// Owns the replicated log and state; returns why it can't start.
+Result<caf::actor, std::string>
 SpawnReplica(const net::Runtime& aRuntime,
              const settings::ProcessSettings& aSettings,
              const net::FleetKey& aKey);
 
+// Opens the links to other control instances.
+caf::actor
+SpawnPeerLinks(const net::Runtime& aRuntime,
+               const settings::ProcessSettings& aSettings,
+               const net::FleetKey& aKey,
+               caf::actor aReplica);
+
 // Owns the links with routers and the view of the fleet.
 caf::actor
 SpawnFleetController(const net::Runtime& aRuntime,
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -132,6 +132,25 @@
 
 } // namespace
 
+int
+Format(const settings::ProcessSettings& aSettings)
+{
+  if (aSettings.role == settings::Role::Router) {
+    std::cerr << "lycheestandd: a router has no data folder\n";
+    return kExitSettings;
+  }
+  if (sodium_init() < 0) {
+    std::cerr << "lycheestandd: no source of random numbers\n";
+    return kExitStart;
+  }
+  auto formatted = control::FormatDataFolder(aSettings);
+  if (formatted.has_error()) {
+    std::cerr << "lycheestandd: " << formatted.error() << "\n";
+    return kExitStart;
+  }
+  return 0;
+}
+
 // The tasks hold sockets of the I/O context and handlers of each other, so the
 // process ends without taking them apart; all that must last is on disk or at
 // control by now.
--- a/packages/daemon/src/daemon.h
+++ b/packages/daemon/src/daemon.h
@@ -13,6 +13,11 @@
 int
 Run(const settings::ProcessSettings& aSettings);
 
+// Creates the data folder of one of the first control instances; returns the
+// exit code.
+int
+Format(const settings::ProcessSettings& aSettings);
+
 // Starts the admin server: metrics, dump, health, and on control the operators'
 // interface. Either role may be null.
 Result<caf::actor, std::string>
--- a/packages/daemon/src/main.cc
+++ b/packages/daemon/src/main.cc
@@ -16,6 +16,12 @@
       "s", "settings", "JSON settings file", true, "", "file", line);
     TCLAP::SwitchArg check(
       "c", "check", "check the settings and exit", line, false);
+    TCLAP::SwitchArg format("f",
+                            "format",
+                            "create the data folder of one of the first "
+                            "control instances and exit",
+                            line,
+                            false);
     line.parse(aCount, aArguments);
     auto settings = settings::LoadProcessSettings(file.getValue());
     if (settings.has_error()) {
@@ -23,6 +29,9 @@
                 << "\n";
       return 2;
     }
+    if (format.getValue()) {
+      return daemon::Format(settings.value());
+    }
     return check.getValue() ? 0 : daemon::Run(settings.value());
   } catch (const TCLAP::ArgException& error) {
     std::cerr << "lycheestandd: " << error.error() << " " << error.argId()
--- a/packages/storage/include/lycheestand/storage.h
+++ b/packages/storage/include/lycheestand/storage.h
@@ -126,9 +126,9 @@
 // Changes that become durable together.
 struct Batch
 {
-  std::optional<HardState> state;
-  std::vector<Record> records;
-  std::optional<SnapshotRecord> snapshot;
+  std::optional<HardState> state = std::nullopt;
+  std::vector<Record> records = {};
+  std::optional<SnapshotRecord> snapshot = std::nullopt;
   // Drops all records; only with a snapshot.
   bool discardLog = false;
 };
