--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -10,11 +10,12 @@
 lycheestand_package(state DEPS lycheestand_core ${XXHASH_LIBRARY})
 lycheestand_package(journal DEPS lycheestand_state)
 lycheestand_package(budget DEPS lycheestand_core TEST_DEPS lycheestand_state HELPERS exchange.cc)
+lycheestand_package(consensus DEPS lycheestand_core)
+lycheestand_package(storage DEPS lycheestand_core ${XXHASH_LIBRARY})
 lycheestand_package(routing DEPS lycheestand_core)
 lycheestand_package(membership DEPS lycheestand_core)
 lycheestand_package(router DEPS lycheestand_net lycheestand_settings lycheestand_budget lycheestand_routing lycheestand_membership lycheestand_wire)
-lycheestand_package(control DEPS lycheestand_net lycheestand_settings lycheestand_state lycheestand_membership lycheestand_wire)
-
+lycheestand_package(control DEPS lycheestand_net lycheestand_settings lycheestand_state lycheestand_membership lycheestand_wire lycheestand_journal lycheestand_consensus lycheestand_storage)
 lycheestand_package(client DEPS lycheestand_net lycheestand_settings)
 
 lycheestand_program(lycheestandd packages/daemon/src DEPS lycheestand_router lycheestand_control)
--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -18,7 +18,7 @@
     target_include_directories(${target} INTERFACE ${root}/include)
     target_link_libraries(${target} INTERFACE ${ARG_DEPS})
   endif()
-  file(GLOB tests CONFIGURE_DEPENDS ${root}/test/*_test.cc)
+  file(GLOB tests CONFIGURE_DEPENDS ${root}/test/*.cc)
   if(tests)
     list(TRANSFORM ARG_HELPERS PREPEND ${root}/test/)
     lycheestand_test(${NAME}_test SOURCES ${tests} ${ARG_HELPERS}
