Add the records stand-in and batching, cache, orders and load to the engine

Tests and the demo need an engine that behaves as the real ones do: a batch with slots in which tokens get slower, a queue by priority, prefill time of the prompt's part that is not cached, and reports that are late. Each request that begins and each call that runs is a line on standard output; a test can read it after the process was killed.

--- a/test/standins/engine.cc
+++ b/test/standins/engine.cc
@@ -1,60 +1,85 @@
-// Stand-in for a model engine: streams a text that depends only on the prompt,
-// so that a test can tell whether an answer is whole and its caller's own.
+// Stand-in for a model engine with continuous batching. It streams a text that
+// depends only on the prompt, so that a test can tell whether an answer is
+// whole and its caller's own.
 
+#include "engine_orders.h"
+#include "prefix_cache.h"
 #include "standin.h"
 
-#include <boost/json.hpp>
+#include <sstream>
 #include <tclap/CmdLine.h>
 
 namespace lycheestand::standins {
 
-namespace {
-
 namespace json = boost::json;
 
+namespace {
+
+// Settings of an engine.
 struct EngineOptions
 {
   Duration firstToken = std::chrono::milliseconds(20);
+  // Time of a step with one stream, and what each further stream adds.
   Duration perToken = std::chrono::milliseconds(5);
+  Duration perStream = std::chrono::microseconds(100);
+  Duration perPromptToken = std::chrono::microseconds(20);
+  std::size_t slots = 32;
+  std::int64_t naturalLength = 24;
+  Duration reportLag = std::chrono::milliseconds(300);
+  CacheOptions cache;
+  std::set<std::string> models;
+  bool ignoresFencing = false;
+  bool sendsUsage = true;
 };
 
-// Returns a token of the answer to a prompt.
-std::string
-TokenAt(std::uint64_t aPromptHash, std::int64_t aIndex)
-{
-  std::uint64_t mixed =
-    (aPromptHash ^ static_cast<std::uint64_t>(aIndex)) * 0x9E3779B97F4A7C15ULL;
-  return "w" + std::to_string(mixed >> 48) + " ";
-}
-
-std::uint64_t
-HashText(const std::string& aText)
-{
-  std::uint64_t hash = 14695981039346656037ULL;
-  for (unsigned char byte : aText) {
-    hash = (hash ^ byte) * 1099511628211ULL;
-  }
-  return hash;
-}
-
-// One stream in progress.
+// One request in the queue or in a slot.
 struct Stream
 {
   net::ExchangePtr exchange;
-  std::uint64_t promptHash = 0;
-  std::int64_t promptTokens = 0;
+  net::ActorExecutor connection;
+  std::string id;
+  std::string prompt;
+  std::int64_t priority = 1;
   std::int64_t next = 0;
   std::int64_t generated = 0;
   std::int64_t limit = 0;
-  bool isOpen = true;
+  TimePoint prefilledAt;
 };
 
 using StreamPtr = std::shared_ptr<Stream>;
 
+// Messages from connections to the engine's task.
+struct BeginStream
+{
+  StreamPtr stream;
+};
+struct CancelStream
+{
+  StreamPtr stream;
+};
+struct Control
+{
+  net::HttpRequest request;
+};
+
+} // namespace
+
+} // namespace lycheestand::standins
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::standins::BeginStream)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::standins::CancelStream)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::standins::Control)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::HttpResponse)
+
+namespace lycheestand::standins {
+
+namespace {
+
 std::string
 FormatEvent(const Stream& aStream,
             const std::string& aText,
-            const char* aFinishReason)
+            const char* aFinishReason,
+            bool aSendsUsage)
 {
   json::value reason = nullptr;
   if (aFinishReason != nullptr) {
@@ -64,75 +89,358 @@
                         json::array{
                           json::object{ { "index", 0 },
                                         { "delta", { { "content", aText } } },
-                                        { "finish_reason", reason } } } },
-                      { "usage",
-                        { { "prompt_tokens", aStream.promptTokens },
-                          { "completion_tokens", aStream.generated } } } };
+                                        { "finish_reason", reason } } } } };
+  if (aSendsUsage) {
+    event["usage"] = { { "prompt_tokens",
+                         PrefixCache::CountTokens(aStream.prompt.size()) },
+                       { "completion_tokens", aStream.generated } };
+  }
   return "data: " + json::serialize(event) + "\n\n";
 }
 
-class Engine
+// Owns the batch, the queue, the cache and the orders.
+class Engine : public net::IoTask
 {
 public:
-  explicit Engine(EngineOptions aOptions)
-    : options(aOptions)
+  Engine(caf::actor_config& aConfig,
+         net::Runtime aRuntime,
+         EngineOptions aOptions)
+    : net::IoTask(aConfig, aRuntime)
+    , options(std::move(aOptions))
+    , cache(this->options.cache)
+    , orders(this->options.models, this->options.ignoresFencing)
   {
   }
 
-  void Handle(const net::ExchangePtr& aExchange)
+protected:
+  void Start() override { this->SampleLoad(); }
+
+  caf::message_handler Handlers() override
   {
-    if (aExchange->Request().target == "/v1/chat/completions") {
-      this->Begin(aExchange);
-    } else {
-      aExchange->Respond({ 404, {}, "" });
-    }
+    return {
+      [this](BeginStream& aBegin) { this->Enqueue(aBegin.stream); },
+      [this](CancelStream& aCancel) { this->Cancel(aCancel.stream); },
+      [this](Control& aControl) { return this->Answer(aControl.request); },
+    };
   }
 
 private:
-  // Every tenth answer length above the smallest ends by itself.
-  static constexpr std::int64_t kNaturalLength = 24;
+  // States of the load report that are not yet old enough to be served.
+  struct Load
+  {
+    TimePoint at;
+    json::object report;
+  };
+
+  static constexpr Duration kSampleInterval = std::chrono::milliseconds(50);
+
+  TimePoint Time() const { return net::Now(this->GetRuntime()); }
+
+  void Enqueue(const StreamPtr& aStream)
+  {
+    if (this->isLeaving) {
+      Respond(aStream, { 503, { { "X-Endpoint-Leaving", "true" } }, "" });
+      return;
+    }
+    auto place = this->queue.begin();
+    while (place != this->queue.end() &&
+           (*place)->priority <= aStream->priority) {
+      ++place;
+    }
+    this->queue.insert(place, aStream);
+    this->FillSlots();
+  }
 
-  void Begin(const net::ExchangePtr& aExchange)
+  static void Respond(const StreamPtr& aStream, net::HttpResponse aResponse)
   {
-    json::object body = json::parse(aExchange->Request().body).as_object();
-    auto stream = std::make_shared<Stream>();
-    stream->exchange = aExchange;
-    std::string prompt = json::serialize(body["messages"]);
-    stream->promptHash = HashText(prompt);
-    stream->promptTokens = static_cast<std::int64_t>(prompt.size() / 4);
-    stream->limit = body["max_tokens"].to_number<std::int64_t>();
-    if (const auto* resumed = body.if_contains("resume_text")) {
-      const auto& text = resumed->as_string();
-      stream->next = std::count(text.begin(), text.end(), ' ');
-    }
-    aExchange->OnDisconnect([stream] { stream->isOpen = false; });
-    aExchange->StartStream(200, { { "Content-Type", "text/event-stream" } });
-    aExchange->Task().After(this->options.firstToken,
-                            [this, stream] { this->Step(stream); });
-  }
-
-  void Step(const StreamPtr& aStream)
+    aStream->connection.execute([aStream, response = std::move(aResponse)] {
+      aStream->exchange->Respond(response);
+    });
+  }
+
+  // A line on standard output for each request that begins lets a test check
+  // later whether a request ran, although the engine was killed.
+  void FillSlots()
   {
-    if (!aStream->isOpen) {
+    while (this->batch.size() < this->options.slots && !this->queue.empty()) {
+      StreamPtr stream = this->queue.front();
+      this->queue.pop_front();
+      std::int64_t missing = this->cache.Add(stream->prompt, this->Time());
+      stream->prefilledAt = this->Time() + this->options.firstToken +
+                            this->options.perPromptToken * missing;
+      this->batch.push_back(stream);
+      ++this->begun;
+      std::cout << "begun " << stream->id << std::endl;
+      stream->connection.execute([stream] {
+        stream->exchange->StartStream(
+          200, { { "Content-Type", "text/event-stream" } });
+      });
+    }
+    this->StepLater();
+  }
+
+  void StepLater()
+  {
+    if (this->isStepping || this->batch.empty()) {
       return;
     }
-    std::string token = TokenAt(aStream->promptHash, aStream->next++);
+    this->isStepping = true;
+    auto others = static_cast<std::int64_t>(this->batch.size()) - 1;
+    this->After(this->options.perToken + this->options.perStream * others,
+                [this] {
+                  this->isStepping = false;
+                  this->Step();
+                });
+  }
+
+  // Generates one token for each stream whose prompt has been read.
+  void Step()
+  {
+    std::erase_if(this->batch, [this](const StreamPtr& aStream) {
+      return aStream->prefilledAt <= this->Time() && this->Generate(aStream);
+    });
+    this->FillSlots();
+  }
+
+  // Returns whether the answer is complete.
+  bool Generate(const StreamPtr& aStream)
+  {
+    std::string token = TokenAt(HashText(aStream->prompt), aStream->next++);
     ++aStream->generated;
-    bool isWhole = aStream->next >= kNaturalLength;
-    bool isCut = aStream->generated >= aStream->limit;
-    const char* reason = isWhole ? "stop" : (isCut ? "length" : nullptr);
-    aStream->exchange->WriteStream(FormatEvent(*aStream, token, reason),
-                                   nullptr);
-    if (reason != nullptr) {
-      aStream->exchange->WriteStream("data: [DONE]\n\n", nullptr);
-      aStream->exchange->EndStream();
-      return;
+    ++this->tokens;
+    const char* reason = nullptr;
+    if (aStream->next >= this->options.naturalLength) {
+      reason = "stop";
+    } else if (aStream->generated >= aStream->limit) {
+      reason = "length";
+    }
+    bool isDone = reason != nullptr;
+    std::string text =
+      FormatEvent(*aStream, token, reason, this->options.sendsUsage);
+    if (isDone) {
+      text += "data: [DONE]\n\n";
+      ++this->finished;
+    }
+    aStream->connection.execute([aStream, text, isDone] {
+      aStream->exchange->WriteStream(text, nullptr);
+      if (isDone) {
+        aStream->exchange->EndStream();
+      }
+    });
+    return isDone;
+  }
+
+  void Cancel(const StreamPtr& aStream)
+  {
+    auto removed = std::erase(this->batch, aStream);
+    removed += std::erase(this->queue, aStream);
+    if (removed > 0) {
+      ++this->cancelled;
+      this->FillSlots();
+    }
+  }
+
+  net::HttpResponse Answer(const net::HttpRequest& aRequest)
+  {
+    const std::string& target = aRequest.target;
+    if (target == "/load") {
+      return Json(this->FormatLoad());
+    }
+    if (target.starts_with("/events?after=")) {
+      std::uint64_t after = 0;
+      std::istringstream(target.substr(target.find('=') + 1)) >> after;
+      return Json(this->cache.FormatEvents(after, this->Time()));
     }
-    aStream->exchange->Task().After(this->options.perToken,
-                                    [this, aStream] { this->Step(aStream); });
+    if (target == "/orders") {
+      return aRequest.method == "POST" ? this->orders.Take(aRequest.body)
+                                       : Json(this->orders.Format());
+    }
+    if (target == "/counts") {
+      return Json(
+        json::serialize(json::object{ { "begun", this->begun },
+                                      { "finished", this->finished },
+                                      { "cancelled", this->cancelled },
+                                      { "tokens", this->tokens } }));
+    }
+    if (target == "/leave" && aRequest.method == "POST") {
+      this->isLeaving = true;
+      return Json("{}");
+    }
+    return { 404, {}, "" };
+  }
+
+  static net::HttpResponse Json(std::string aBody)
+  {
+    return { 200,
+             { { "Content-Type", "application/json" } },
+             std::move(aBody) };
+  }
+
+  void SampleLoad()
+  {
+    auto now = this->Time();
+    this->loads.push_back({ now,
+                            { { "running", this->batch.size() },
+                              { "queued", this->queue.size() },
+                              { "slots", this->options.slots },
+                              { "cache_tokens", this->cache.Tokens() },
+                              { "leaving", this->isLeaving },
+                              { "models", this->orders.Models() } } });
+    while (this->loads.size() > 1 &&
+           now - this->loads[1].at >= this->options.reportLag) {
+      this->loads.pop_front();
+    }
+    this->After(kSampleInterval, [this] { this->SampleLoad(); });
+  }
+
+  std::string FormatLoad() const
+  {
+    json::object report = this->loads.front().report;
+    report["age_ms"] = std::chrono::duration_cast<Milliseconds>(
+                         this->Time() - this->loads.front().at)
+                         .count();
+    return json::serialize(report);
   }
 
   EngineOptions options;
+  PrefixCache cache;
+  EngineOrders orders;
+  std::vector<StreamPtr> batch;
+  std::deque<StreamPtr> queue;
+  std::deque<Load> loads;
+  bool isStepping = false;
+  bool isLeaving = false;
+  std::uint64_t begun = 0;
+  std::uint64_t finished = 0;
+  std::uint64_t cancelled = 0;
+  std::uint64_t tokens = 0;
+};
+
+// Returns the request in a chat call's body, or nothing if it is malformed.
+StreamPtr
+ParseStream(const net::ExchangePtr& aExchange)
+{
+  json::error_code error;
+  json::value body = json::parse(aExchange->Request().body, error);
+  const auto* messages = body.find_pointer("/messages", error);
+  const auto* limit = body.find_pointer("/max_tokens", error);
+  if (messages == nullptr || !messages->is_array() || limit == nullptr) {
+    return nullptr;
+  }
+  auto stream = std::make_shared<Stream>();
+  stream->exchange = aExchange;
+  stream->connection = aExchange->Task().Executor();
+  stream->id =
+    net::FindHeader(aExchange->Request().headers, "X-Request-Id").value_or("-");
+  for (const auto& message : messages->get_array()) {
+    const auto* content = message.find_pointer("/content", error);
+    const auto* role = message.find_pointer("/role", error);
+    if (content == nullptr || role == nullptr) {
+      return nullptr;
+    }
+    stream->prompt +=
+      PromptPart(std::string(role->as_string()),
+                 content->is_string() ? std::string(content->get_string())
+                                      : json::serialize(*content));
+  }
+  stream->limit = limit->to_number<std::int64_t>(error);
+  if (const auto* priority = body.find_pointer("/priority", error)) {
+    stream->priority = priority->to_number<std::int64_t>(error);
+  }
+  if (const auto* resumed = body.find_pointer("/resume_text", error)) {
+    const auto& text = resumed->as_string();
+    stream->next = std::count(text.begin(), text.end(), ' ');
+  }
+  return stream;
+}
+
+void
+HandleExchange(const caf::actor& aEngine, const net::ExchangePtr& aExchange)
+{
+  if (aExchange->Request().target == "/v1/chat/completions") {
+    if (auto stream = ParseStream(aExchange)) {
+      aExchange->OnDisconnect(
+        [aEngine, stream] { caf::anon_send(aEngine, CancelStream{ stream }); });
+      caf::anon_send(aEngine, BeginStream{ stream });
+    } else {
+      aExchange->Respond({ 400, {}, "" });
+    }
+    return;
+  }
+  aExchange->Task()
+    .request(aEngine, caf::infinite, Control{ aExchange->Request() })
+    .then([aExchange](net::HttpResponse& aResponse) {
+      aExchange->Respond(std::move(aResponse));
+    });
+}
+
+// Names and values of the command line.
+class EngineArguments
+{
+public:
+  EngineOptions Parse(int aCount, char** aArguments)
+  {
+    this->line.parse(aCount, aArguments);
+    EngineOptions out;
+    out.firstToken = std::chrono::milliseconds(this->firstToken.getValue());
+    out.perToken = std::chrono::microseconds(this->perToken.getValue());
+    out.perStream = std::chrono::microseconds(this->perStream.getValue());
+    out.perPromptToken = std::chrono::microseconds(this->perPrompt.getValue());
+    out.slots = static_cast<std::size_t>(this->slots.getValue());
+    out.naturalLength = this->length.getValue();
+    out.reportLag = std::chrono::milliseconds(this->reportLag.getValue());
+    out.cache.tokens = this->cacheTokens.getValue();
+    out.cache.eventDelay = std::chrono::milliseconds(this->delay.getValue());
+    out.cache.eventGap = static_cast<std::uint64_t>(this->gap.getValue());
+    std::istringstream names(this->models.getValue());
+    for (std::string name; std::getline(names, name, ',');) {
+      out.models.insert(name);
+    }
+    out.ignoresFencing = this->ignoreFencing.getValue();
+    out.sendsUsage = !this->usageOff.getValue();
+    return out;
+  }
+
+  std::string Address() const { return this->address.getValue(); }
+
+private:
+  using Number = TCLAP::ValueArg<int>;
+  using Text = TCLAP::ValueArg<std::string>;
+
+  TCLAP::CmdLine line{ "Stand-in for a model engine" };
+  Text address{ "a", "address", "host:port", true, "", "address", line };
+  Text models{ "",     "models", "names, separated by commas", false, "",
+               "list", line };
+  Number firstToken{ "", "first-token-ms", "latency", false, 20, "ms", line };
+  Number perToken{ "", "per-token-us", "step time", false, 5000, "us", line };
+  Number perStream{
+    "", "per-stream-us", "added by each further stream", false, 100, "us", line
+  };
+  Number perPrompt{ "",  "per-prompt-token-us", "prefill time", false, 20, "us",
+                    line };
+  Number slots{
+    "", "slots", "most streams in the batch", false, 32, "n", line
+  };
+  Number length{
+    "", "length", "tokens of a whole answer", false, 24, "n", line
+  };
+  Number reportLag{
+    "", "report-lag-ms", "age of load reports", false, 300, "ms", line
+  };
+  Number cacheTokens{
+    "", "cache-tokens", "cache size", false, 32768, "n", line
+  };
+  Number delay{ "",  "event-delay-ms", "age of cache events", false, 200, "ms",
+                line };
+  Number gap{
+    "", "event-gap", "every n-th event is lost", false, 0, "n", line
+  };
+  TCLAP::SwitchArg ignoreFencing{ "",
+                                  "ignore-fencing",
+                                  "take orders with old numbers",
+                                  line,
+                                  false };
+  TCLAP::SwitchArg usageOff{ "", "usage-off", "send no usage", line, false };
 };
 
 } // namespace
@@ -143,17 +451,16 @@
 main(int aCount, char** aArguments)
 {
   using namespace lycheestand;
-  TCLAP::CmdLine line("Stand-in for a model engine");
-  TCLAP::ValueArg<std::string> address(
-    "a", "address", "host:port to listen on", true, "", "address", line);
-  line.parse(aCount, aArguments);
-  auto* engine = new standins::Engine({});
+  standins::EngineArguments arguments;
+  auto options = arguments.Parse(aCount, aArguments);
   return standins::RunStandin(
     "engine",
-    ParseAddress(address.getValue()).value(),
-    [engine](const net::Runtime&, const caf::actor&) -> net::HttpHandler {
+    ParseAddress(arguments.Address()).value(),
+    [options](const net::Runtime& aRuntime,
+              const caf::actor&) -> net::HttpHandler {
+      auto engine = aRuntime.system->spawn<standins::Engine>(aRuntime, options);
       return [engine](const net::ExchangePtr& aExchange) {
-        engine->Handle(aExchange);
+        standins::HandleExchange(engine, aExchange);
       };
     });
 }
--- /dev/null
+++ b/test/standins/records.cc
@@ -0,0 +1,187 @@
+// Stand-in for the booking-and-records service. It counts how often each call
+// ran, by Idempotency-Key, so that a test can find calls that ran twice.
+
+#include "standin.h"
+
+#include <boost/json.hpp>
+#include <map>
+#include <tclap/CmdLine.h>
+
+namespace lycheestand::standins {
+
+namespace json = boost::json;
+
+namespace {
+
+struct RecordsOptions
+{
+  Duration delay{};
+  // Calls that run and then get no answer.
+  int failAfterRun = 0;
+};
+
+struct CallOfCaller
+{
+  net::HttpRequest request;
+};
+
+// What the connection does with a call.
+struct CallAnswer
+{
+  net::HttpResponse response;
+  bool closes = false;
+};
+
+} // namespace
+
+} // namespace lycheestand::standins
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::standins::CallOfCaller)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::standins::CallAnswer)
+
+namespace lycheestand::standins {
+
+namespace {
+
+// Owns the records and the counts of executions.
+class Records : public net::IoTask
+{
+public:
+  Records(caf::actor_config& aConfig,
+          net::Runtime aRuntime,
+          RecordsOptions aOptions)
+    : net::IoTask(aConfig, aRuntime)
+    , options(aOptions)
+    , instance(net::MakeRandomSource()(1000000))
+  {
+  }
+
+protected:
+  caf::message_handler Handlers() override
+  {
+    return { [this](CallOfCaller& aCall) {
+      return this->Answer(aCall.request);
+    } };
+  }
+
+private:
+  CallAnswer Answer(const net::HttpRequest& aRequest)
+  {
+    const std::string& target = aRequest.target;
+    if (aRequest.method == "POST" &&
+        (target == "/visits" || target == "/orders")) {
+      return this->Execute(aRequest);
+    }
+    if (target == "/leave" && aRequest.method == "POST") {
+      this->isLeaving = true;
+      return Json(200, json::object{});
+    }
+    if (target.starts_with("/units/")) {
+      ++this->lookups;
+      return Json(200, { { "unit", target.substr(7) }, { "hardness_dh", 21 } });
+    }
+    if (target == "/executions") {
+      return Json(200, this->executions);
+    }
+    if (target == "/load") {
+      return Json(200,
+                  { { "running", 0 },
+                    { "queued", 0 },
+                    { "slots", 64 },
+                    { "cache_tokens", 0 },
+                    { "leaving", this->isLeaving },
+                    { "models", json::array{} },
+                    { "age_ms", 0 } });
+    }
+    return { { 404, {}, "" } };
+  }
+
+  // Each execution has its own answer, so that a replayed one is recognised.
+  CallAnswer Execute(const net::HttpRequest& aRequest)
+  {
+    if (this->isLeaving) {
+      return { { 503, { { "X-Endpoint-Leaving", "true" } }, "" } };
+    }
+    auto key =
+      net::FindHeader(aRequest.headers, "Idempotency-Key").value_or("-");
+    auto& count = this->executions[key];
+    count = count.is_null() ? 1 : count.as_int64() + 1;
+    std::cout << "ran " << key << std::endl;
+    CallAnswer answer = Json(
+      201,
+      { { "record",
+          std::to_string(this->instance) + "-" + std::to_string(++this->runs) },
+        { "key", key } });
+    answer.closes = this->options.failAfterRun-- > 0;
+    return answer;
+  }
+
+  static CallAnswer Json(unsigned aStatus, const json::object& aBody)
+  {
+    return { { aStatus,
+               { { "Content-Type", "application/json" } },
+               json::serialize(aBody) } };
+  }
+
+  RecordsOptions options;
+  std::uint64_t instance;
+  json::object executions;
+  std::uint64_t runs = 0;
+  std::uint64_t lookups = 0;
+  bool isLeaving = false;
+};
+
+void
+HandleExchange(const caf::actor& aRecords,
+               Duration aDelay,
+               const net::ExchangePtr& aExchange)
+{
+  aExchange->Task()
+    .request(aRecords, caf::infinite, CallOfCaller{ aExchange->Request() })
+    .then([aDelay, aExchange](CallAnswer& aAnswer) {
+      auto delay = aExchange->Request().method == "POST" ? aDelay : Duration{};
+      aExchange->Task().After(delay, [aExchange, answer = aAnswer] {
+        if (answer.closes) {
+          aExchange->Abort();
+        } else {
+          aExchange->Respond(answer.response);
+        }
+      });
+    });
+}
+
+} // namespace
+
+} // namespace lycheestand::standins
+
+int
+main(int aCount, char** aArguments)
+{
+  using namespace lycheestand;
+  TCLAP::CmdLine line("Stand-in for the booking-and-records service");
+  TCLAP::ValueArg<std::string> address(
+    "a", "address", "host:port", true, "", "address", line);
+  TCLAP::ValueArg<int> delay(
+    "", "delay-ms", "time from a run to its answer", false, 0, "ms", line);
+  TCLAP::ValueArg<int> fail("",
+                            "fail-after-run",
+                            "first calls that run and get no answer",
+                            false,
+                            0,
+                            "n",
+                            line);
+  line.parse(aCount, aArguments);
+  standins::RecordsOptions options{ std::chrono::milliseconds(delay.getValue()),
+                                    fail.getValue() };
+  return standins::RunStandin(
+    "records",
+    ParseAddress(address.getValue()).value(),
+    [options](const net::Runtime& aRuntime,
+              const caf::actor&) -> net::HttpHandler {
+      auto records =
+        aRuntime.system->spawn<standins::Records>(aRuntime, options);
+      return [records, options](const net::ExchangePtr& aExchange) {
+        standins::HandleExchange(records, options.delay, aExchange);
+      };
+    });
+}
