--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all install build check format format-check lint test clean
+.PHONY: all install build check format format-check lint test faults clean
 
 all: build
 
@@ -26,6 +26,9 @@
 test: build
 	tools/run-tests $(BUILD) $(JOBS)
 
+faults: build
+	tools/run-faults $(BUILD)
+
 check: install format-check build lint test
 
 clean:
--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -22,3 +22,24 @@
 lycheestand_standin(engine)
 lycheestand_standin(platform)
 lycheestand_standin(records)
+lycheestand_standin(weights)
+lycheestand_standin(proxy)
+
+# Fault tests with real processes; CTest runs each case in a process of its
+# own. Short ones are a part of "make check", all run with "make faults".
+file(GLOB fault_sources CONFIGURE_DEPENDS test/faults/*.cc)
+add_executable(faults_test ${fault_sources})
+target_link_libraries(faults_test PRIVATE lycheestand_catch_main lycheestand_net)
+add_dependencies(faults_test lycheestandd standin_engine standin_platform standin_records
+                 standin_proxy)
+function(lycheestand_fault_cases LABEL)
+  foreach(case ${ARGN})
+    add_test(NAME faults_${case} COMMAND faults_test "[${case}]")
+    # A case keeps about three cores busy.
+    set_tests_properties(faults_${case} PROPERTIES LABELS "${LABEL}" TIMEOUT 180 PROCESSORS 3)
+  endforeach()
+endfunction()
+lycheestand_fault_cases(short budget-partition answers-killed not-run once-killed once-retry
+                        once-no-answer leaving planned-stop config-cut)
+lycheestand_fault_cases(long budget-killed budget-frozen answers-broken once-race once-cut
+                        config-one-way config-frozen config-restart)
--- /dev/null
+++ b/test/faults/configuration_test.cc
@@ -0,0 +1,188 @@
+// Promise 8: an accepted configuration is in force everywhere within 7 s and
+// never reverts.
+
+#include "fleet.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+
+namespace lycheestand::faults {
+
+namespace {
+
+// Time within which a change is in force on every instance.
+constexpr Duration kLimit = 7s;
+
+// Callers that ask for a model at each router all the time, and remember when
+// an answer to a call begun last was given.
+class OldModelProbe
+{
+public:
+  explicit OldModelProbe(Fleet& aFleet)
+    : fleet(aFleet)
+  {
+    for (int i = 0; i < aFleet.Options().routers; ++i) {
+      this->lastServed.push_back({});
+      this->answered.push_back(0);
+    }
+    for (int i = 0; i < aFleet.Options().routers; ++i) {
+      this->threads.emplace_back([this, i] { this->Run(i); });
+    }
+  }
+
+  ~OldModelProbe() { this->Stop(); }
+
+  void Stop()
+  {
+    this->isStopped = true;
+    for (auto& thread : this->threads) {
+      if (thread.joinable()) {
+        thread.join();
+      }
+    }
+  }
+
+  // Returns how long after the change a call was begun that was served under
+  // the old configuration; negative if none was.
+  Duration LastServedAfter(TimePoint aChange) const
+  {
+    TimePoint last{};
+    for (auto at : this->lastServed) {
+      last = std::max(last, at);
+    }
+    return last - aChange;
+  }
+
+  int Answered(int aRouter) const { return this->answered[aRouter]; }
+
+private:
+  void Run(int aRouter)
+  {
+    while (!this->isStopped) {
+      ChatRequest request;
+      request.content = "probe";
+      request.model = "old";
+      request.maxTokens = 8;
+      request.limit = 60s;
+      auto begin = Clock::now();
+      ChatAnswer answer = this->fleet.Chat(aRouter, request);
+      // A call sent to a frozen router is served later or not at all; it
+      // counts by the time of its answer, since the router took it then.
+      if (answer.ending == Ending::Whole) {
+        this->lastServed[aRouter] =
+          Clock::now() - begin > 2s ? Clock::now() : begin;
+        ++this->answered[aRouter];
+      }
+      std::this_thread::sleep_for(10ms);
+    }
+  }
+
+  Fleet& fleet;
+  std::atomic<bool> isStopped{ false };
+  std::vector<TimePoint> lastServed;
+  std::vector<int> answered;
+  std::vector<std::thread> threads;
+};
+
+// Runs faults around a change that removes a model, and checks when the last
+// call was served under the old configuration.
+void
+CheckChange(Fleet& aFleet,
+            const std::function<void()>& aBefore,
+            const std::function<void()>& aAfter)
+{
+  REQUIRE(aFleet.ApplyModels({ "chat", "old" }, 1, "add").status == 200);
+  OldModelProbe probe(aFleet);
+  for (int i = 0; i < aFleet.Options().routers; ++i) {
+    REQUIRE(WaitFor(10s, [&] { return probe.Answered(i) > 0; }));
+  }
+  aBefore();
+  REQUIRE(aFleet.ApplyModels({ "chat" }, 2, "remove").status == 200);
+  auto changedAt = Clock::now();
+  std::this_thread::sleep_until(changedAt + kLimit);
+  aAfter();
+  std::this_thread::sleep_for(4s);
+  probe.Stop();
+  auto last =
+    std::chrono::duration_cast<Milliseconds>(probe.LastServedAfter(changedAt));
+  aFleet.Figure("old_served_until_ms", last.count());
+  REQUIRE(last < kLimit);
+  // All routers serve the new configuration in the end.
+  for (int i = 0; i < aFleet.Options().routers; ++i) {
+    REQUIRE(aFleet.WaitUntilReady(i));
+    ChatRequest request;
+    request.content = "end";
+    REQUIRE(aFleet.Chat(i, request).ending == Ending::Whole);
+    request.model = "old";
+    REQUIRE(aFleet.Chat(i, request).status == 404);
+  }
+}
+
+// The engines serve any model; the platform's list names one.
+FleetOptions
+MakeOptions()
+{
+  FleetOptions options;
+  options.serves = { "chat", "old" };
+  return options;
+}
+
+} // namespace
+
+// Guards against a router that goes on with an old configuration while it is
+// cut off from control.
+TEST_CASE("a cut-off router stops serving the old configuration",
+          "[config-cut]")
+{
+  Fleet fleet("config-cut", 51, MakeOptions());
+  CheckChange(
+    fleet,
+    [&] { fleet.FaultRouter(0, "block"); },
+    [&] { fleet.FaultRouter(0, "heal"); });
+}
+
+// Guards against heartbeats that confirm a configuration although the other
+// direction of the link is lost.
+TEST_CASE("a router that hears nothing stops serving the old configuration",
+          "[config-one-way]")
+{
+  Fleet fleet("config-one-way", 52, MakeOptions());
+  CheckChange(
+    fleet,
+    [&] {
+      fleet.FaultRouter(0, "drop_backward");
+      fleet.FaultRouter(1, "drop_forward");
+    },
+    [&] {
+      fleet.FaultRouter(0, "heal");
+      fleet.FaultRouter(1, "heal");
+    });
+}
+
+// Guards against a frozen router that serves what it knew when it goes on.
+TEST_CASE("a frozen router does not serve the old configuration afterwards",
+          "[config-frozen]")
+{
+  Fleet fleet("config-frozen", 53, MakeOptions());
+  CheckChange(
+    fleet,
+    [&] { fleet.Router(0).Signal(SIGSTOP); },
+    [&] { fleet.Router(0).Signal(SIGCONT); });
+}
+
+// Guards against a router that starts again with an old configuration.
+TEST_CASE("a restarted router serves only the new configuration",
+          "[config-restart]")
+{
+  Fleet fleet("config-restart", 54, MakeOptions());
+  CheckChange(
+    fleet,
+    [&] {
+      fleet.Router(0).Kill();
+      fleet.FaultRouter(0, "drop_backward");
+      fleet.Router(0).Start();
+    },
+    [&] { fleet.FaultRouter(0, "heal"); });
+}
+
+} // namespace lycheestand::faults
--- /dev/null
+++ b/test/faults/fleet.cc
@@ -0,0 +1,556 @@
+#include "fleet.h"
+
+#include "../standins/answer_text.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <lycheestand/net.h>
+#include <stdexcept>
+
+namespace lycheestand::faults {
+
+namespace {
+
+constexpr const char* kOperatorKey = "operator-key-of-the-fault-tests";
+constexpr const char* kCallerKey = "caller-key-of-the-fault-tests";
+constexpr const char* kFleetKey =
+  "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+
+// Tests run from the build folder, beside the programs that they start.
+std::string
+Program(const char* aName)
+{
+  return (std::filesystem::read_symlink("/proc/self/exe").parent_path() / aName)
+    .string();
+}
+
+std::string
+Numbered(const char* aPrefix, int aIndex)
+{
+  return aPrefix + std::to_string(aIndex);
+}
+
+} // namespace
+
+Fleet::Fleet(std::string aCase, unsigned aSeed, FleetOptions aOptions)
+  : name(std::move(aCase))
+  , seed(aSeed)
+  , options(std::move(aOptions))
+  , exceptions(std::uncaught_exceptions())
+  , paid(this->options.paid)
+{
+  this->MakeAddresses();
+  this->StartProxy();
+  this->StartBackends();
+  this->StartControls();
+  this->StartRouters();
+  this->SetUpWorkspace();
+  for (int i = 0; i < this->options.routers; ++i) {
+    if (!this->WaitUntilReady(i)) {
+      throw std::runtime_error("a router did not become ready: " +
+                               this->routers[i]->LogTail());
+    }
+  }
+}
+
+// A failed assertion leaves the test by an exception.
+Fleet::~Fleet()
+{
+  bool hasFailed = std::uncaught_exceptions() > this->exceptions;
+  std::ostringstream line;
+  line << "case " << this->name << " seed=" << this->seed;
+  for (const auto& [figure, value] : this->figures) {
+    line << " " << figure << "=" << value;
+  }
+  line << " result=" << (hasFailed ? "FAILED" : "passed");
+  std::cout << line.str() << std::endl;
+  if (const char* path = std::getenv("LYCHEESTAND_FAULTS_REPORT")) {
+    std::ofstream(path, std::ios::app) << line.str() << "\n";
+  }
+  if (hasFailed) {
+    for (const auto* group :
+         { &this->controls, &this->routers, &this->engines, &this->records }) {
+      for (const auto& process : *group) {
+        std::cout << "---- " << process->Name() << "\n"
+                  << process->LogTail() << "\n";
+      }
+    }
+    std::cout << "all logs are kept in " << this->place.Folder() << std::endl;
+    this->place.Keep();
+  }
+}
+
+void
+Fleet::MakeAddresses()
+{
+  auto add = [this](const std::string& aName) {
+    this->addresses[aName] = this->place.NextAddress();
+  };
+  auto link = [this](const std::string& aName, const std::string& aTarget) {
+    this->links[aName] = { this->place.NextAddress(),
+                           this->addresses[aTarget] };
+  };
+  add("proxy");
+  add("platform");
+  for (int i = 0; i < this->options.controls; ++i) {
+    add(Numbered("c", i));
+    add(Numbered("c", i) + "-admin");
+  }
+  for (int i = 0; i < this->options.routers; ++i) {
+    add(Numbered("r", i));
+    add(Numbered("r", i) + "-admin");
+    this->routerAddresses.push_back(this->addresses[Numbered("r", i)]);
+  }
+  for (int i = 0; i < this->options.engines; ++i) {
+    add(Numbered("e", i));
+    link(Numbered("e", i), Numbered("e", i));
+  }
+  for (int i = 0; i < this->options.records; ++i) {
+    add(Numbered("s", i));
+    link(Numbered("s", i), Numbered("s", i));
+  }
+  for (int i = 0; i < this->options.controls; ++i) {
+    std::string control = Numbered("c", i);
+    for (int k = 0; k < this->options.routers; ++k) {
+      link(Numbered("r", k) + "-" + control, control);
+    }
+    for (int k = 0; k < this->options.controls; ++k) {
+      if (k != i) {
+        link(Numbered("c", k) + "-" + control, control);
+      }
+    }
+  }
+}
+
+std::unique_ptr<Process>
+Fleet::Start(const std::string& aName, std::vector<std::string> aCommand) const
+{
+  return std::make_unique<Process>(
+    aName, this->place.Folder() / (aName + ".log"), std::move(aCommand));
+}
+
+void
+Fleet::StartProxy()
+{
+  std::vector<std::string> command{ Program("standin_proxy"),
+                                    "-a",
+                                    ToString(this->addresses["proxy"]) };
+  for (const auto& [linkName, ends] : this->links) {
+    command.emplace_back("-l");
+    command.push_back(linkName + "=" + ToString(ends.first) + "," +
+                      ToString(ends.second));
+  }
+  this->others.push_back(this->Start("proxy", command));
+}
+
+// Back ends are listed with the proxy's addresses.
+void
+Fleet::WritePlatformList() const
+{
+  json::array list;
+  auto add =
+    [&](const std::string& aId, const char* aKind, const std::string& aServes) {
+      list.push_back({ { "id", aId },
+                       { "zone", "z1" },
+                       { "address", ToString(this->links.at(aId).first) },
+                       { "kind", aKind },
+                       { "serves", aServes },
+                       { "state", "live" } });
+    };
+  for (int i = 0; i < this->options.engines; ++i) {
+    const auto& serves = this->options.serves;
+    add(Numbered("e", i),
+        "model",
+        serves[static_cast<std::size_t>(i) % serves.size()]);
+  }
+  for (int i = 0; i < this->options.records; ++i) {
+    add(Numbered("s", i), "service", "records");
+  }
+  std::ofstream(this->place.Folder() / "platform.json")
+    << json::serialize(list);
+}
+
+void
+Fleet::StartBackends()
+{
+  this->WritePlatformList();
+  this->others.push_back(
+    this->Start("platform",
+                { Program("standin_platform"),
+                  "-a",
+                  ToString(this->addresses["platform"]),
+                  "-f",
+                  (this->place.Folder() / "platform.json").string(),
+                  "-l",
+                  std::to_string(this->options.platformLagMs) }));
+  auto start = [this](const std::string& aName,
+                      const char* aProgram,
+                      const std::vector<std::string>& aArguments) {
+    std::vector<std::string> command{ Program(aProgram),
+                                      "-a",
+                                      ToString(this->addresses[aName]) };
+    command.insert(command.end(), aArguments.begin(), aArguments.end());
+    return this->Start(aName, command);
+  };
+  for (int i = 0; i < this->options.engines; ++i) {
+    this->engines.push_back(
+      start(Numbered("e", i), "standin_engine", this->options.engineArguments));
+  }
+  for (int i = 0; i < this->options.records; ++i) {
+    this->records.push_back(start(
+      Numbered("s", i), "standin_records", this->options.recordsArguments));
+  }
+}
+
+// Returns the control instances as one process reaches them.
+json::array
+Fleet::ControlMembers(const std::string& aFrom) const
+{
+  json::array members;
+  for (int i = 0; i < this->options.controls; ++i) {
+    std::string control = Numbered("c", i);
+    auto found = this->links.find(aFrom + "-" + control);
+    const Address& peer = found == this->links.end()
+                            ? this->addresses.at(control)
+                            : found->second.first;
+    members.push_back(
+      { { "instance", control },
+        { "peer", ToString(peer) },
+        { "admin", ToString(this->addresses.at(control + "-admin")) } });
+  }
+  return members;
+}
+
+std::string
+Fleet::WriteSettings(const std::string& aName, json::object aSettings) const
+{
+  auto key = this->place.Folder() / "fleet.key";
+  std::ofstream(key) << kFleetKey << "\n";
+  aSettings["instance"] = aName;
+  aSettings["zone"] = "z1";
+  aSettings["admin_address"] = ToString(this->addresses.at(aName + "-admin"));
+  aSettings["control"] = this->ControlMembers(aName);
+  aSettings["fleet_key_file"] = key.string();
+  aSettings["operator_key_hashes"] =
+    json::array{ net::HashKey(kOperatorKey).Get() };
+  auto file = this->place.Folder() / (aName + ".json");
+  std::ofstream(file) << json::serialize(aSettings);
+  return file.string();
+}
+
+void
+Fleet::StartControls()
+{
+  for (int i = 0; i < this->options.controls; ++i) {
+    std::string instance = Numbered("c", i);
+    auto data = this->place.Folder() / (instance + "-data");
+    std::string file = this->WriteSettings(
+      instance,
+      { { "role", "control" },
+        { "peer_address", ToString(this->addresses[instance]) },
+        { "data_folder", data.string() },
+        { "platform_list", ToString(this->addresses["platform"]) } });
+    if (this->options.controls > 1) {
+      this
+        ->Start(instance + "-format",
+                { Program("lycheestandd"), "--format", "-s", file })
+        ->WaitForExit(10s);
+    }
+    this->controls.push_back(
+      this->Start(instance, { Program("lycheestandd"), "-s", file }));
+  }
+}
+
+void
+Fleet::StartRouters()
+{
+  for (int i = 0; i < this->options.routers; ++i) {
+    std::string instance = Numbered("r", i);
+    std::string file = this->WriteSettings(
+      instance,
+      { { "role", "router" },
+        { "caller_address", ToString(this->routerAddresses[i]) },
+        { "entry_keep_ms", this->options.entryKeepMs } });
+    this->routers.push_back(
+      this->Start(instance, { Program("lycheestandd"), "-s", file }));
+  }
+}
+
+void
+Fleet::SetUpWorkspace()
+{
+  bool isReady = WaitFor(20s, [this] {
+    return this->ApplyModels({ "chat" }, 0, "first-configuration").status ==
+           200;
+  });
+  if (!isReady) {
+    throw std::runtime_error("control did not become ready: " +
+                             this->controls[0]->LogTail());
+  }
+  this->Operate("POST",
+                "/admin/keys",
+                { { "change_id", "first-key" },
+                  { "key", "k1" },
+                  { "hash", net::HashKey(kCallerKey).Get() },
+                  { "workspace", "w1" },
+                  { "site", "site" } });
+}
+
+void
+Fleet::Fault(const std::string& aLink,
+             const std::string& aFault,
+             json::object aMore)
+{
+  aMore["fault"] = aFault;
+  Call call{ "POST", "/links/" + aLink, {}, json::serialize(aMore) };
+  if (Send(this->addresses["proxy"], call).status != 200) {
+    throw std::runtime_error("the proxy refused a fault of " + aLink);
+  }
+}
+
+void
+Fleet::FaultRouter(int aRouter, const std::string& aFault)
+{
+  for (int i = 0; i < this->options.controls; ++i) {
+    this->Fault(Numbered("r", aRouter) + "-" + Numbered("c", i), aFault);
+  }
+}
+
+void
+Fleet::IsolateControl(int aControl, const std::string& aFault)
+{
+  std::string control = Numbered("c", aControl);
+  for (const auto& [linkName, ends] : this->links) {
+    if (linkName.ends_with("-" + control) ||
+        linkName.starts_with(control + "-")) {
+      this->Fault(linkName, aFault);
+    }
+  }
+}
+
+Reply
+Fleet::OperateAt(int aControl,
+                 const std::string& aMethod,
+                 const std::string& aTarget,
+                 const json::object& aBody,
+                 Duration aLimit)
+{
+  Call call{ aMethod,
+             aTarget,
+             { { "Authorization", std::string("Bearer ") + kOperatorKey } },
+             aMethod == "GET" ? "" : json::serialize(aBody),
+             aLimit };
+  return Send(this->addresses[Numbered("c", aControl) + "-admin"], call);
+}
+
+// Changes carry ids, so a change may be sent to one instance after another.
+Reply
+Fleet::Operate(const std::string& aMethod,
+               const std::string& aTarget,
+               const json::object& aBody)
+{
+  Reply reply;
+  WaitFor(20s, [&] {
+    for (int i = 0; i < this->options.controls; ++i) {
+      reply = this->OperateAt(i, aMethod, aTarget, aBody);
+      if (reply.isComplete && reply.status != 503) {
+        return true;
+      }
+    }
+    return false;
+  });
+  return reply;
+}
+
+json::value
+Fleet::Read(const std::string& aTarget)
+{
+  Reply reply = this->Operate("GET", aTarget);
+  json::error_code error;
+  return json::parse(reply.body, error);
+}
+
+Budget
+Fleet::ReadBudget()
+{
+  Budget budget;
+  auto all = this->Read("/admin/workspaces");
+  if (!all.is_array() || all.as_array().empty()) {
+    return budget;
+  }
+  const auto& object = all.as_array().front().as_object();
+  auto read = [&](const char* aName) {
+    return object.at(aName).to_number<std::int64_t>();
+  };
+  return { read("paid"),       read("spent"), read("granted"),
+           read("unreported"), read("free"),  read("requests") };
+}
+
+void
+Fleet::TopUp(std::int64_t aTokens)
+{
+  this->Operate("POST",
+                "/admin/topups",
+                { { "change_id", Numbered("top-up-", ++this->nextChange) },
+                  { "workspace", "w1" },
+                  { "tokens", aTokens } });
+  this->paid += aTokens;
+}
+
+Reply
+Fleet::ApplyModels(const std::vector<std::string>& aModels,
+                   std::uint64_t aBase,
+                   const std::string& aChange)
+{
+  json::object models;
+  for (const auto& model : aModels) {
+    models[model] = { { "max_output_tokens", 64 }, { "min_output_tokens", 8 } };
+  }
+  auto route = [](const char* aMethod,
+                  const char* aPath,
+                  bool aRepeatable) -> json::value {
+    return { { "method", aMethod },
+             { "path", aPath },
+             { "repeatable", aRepeatable } };
+  };
+  json::object document{
+    { "models", models },
+    { "services",
+      { { "records",
+          { { "timeout_ms", 4000 },
+            { "routes",
+              json::array{ route("POST", "/visits", false),
+                           route("GET", "/units/", true) } } } } } },
+    { "workspaces", { { "w1", { { "first_tokens", this->options.paid } } } } }
+  };
+  return this->Operate("POST",
+                       "/admin/config",
+                       { { "change_id", aChange },
+                         { "base_version", aBase },
+                         { "document", json::serialize(document) } });
+}
+
+int
+Fleet::FindLeader()
+{
+  for (int i = 0; i < this->options.controls; ++i) {
+    if (this->controls[i]->IsRunning() &&
+        this->OperateAt(i, "GET", "/admin/status", {}, 1s).status == 200) {
+      return i;
+    }
+  }
+  return -1;
+}
+
+Reply
+Fleet::Book(int aRouter,
+            const std::string& aKey,
+            const std::string& aBody,
+            Duration aLimit)
+{
+  Call call{ "POST",
+             "/services/records/visits",
+             { { "Authorization", std::string("Bearer ") + kCallerKey },
+               { "Idempotency-Key", aKey },
+               { "Content-Type", "application/json" } },
+             aBody,
+             aLimit };
+  return Send(this->routerAddresses[aRouter], call);
+}
+
+Reply
+Fleet::GetFromRouter(int aRouter, const std::string& aTarget)
+{
+  Call call{ "GET",
+             aTarget,
+             { { "Authorization", std::string("Bearer ") + kCallerKey } },
+             "",
+             5s };
+  return Send(this->routerAddresses[aRouter], call);
+}
+
+Reply
+Fleet::AskEngine(int aIndex,
+                 const std::string& aTarget,
+                 const std::string& aMethod)
+{
+  return Send(this->addresses[Numbered("e", aIndex)],
+              { aMethod, aTarget, {}, "", 5s });
+}
+
+json::object
+Fleet::Executions()
+{
+  json::object all;
+  for (int i = 0; i < this->options.records; ++i) {
+    Reply reply =
+      Send(this->addresses[Numbered("s", i)], { "GET", "/executions" });
+    json::error_code error;
+    auto parsed = json::parse(reply.body, error);
+    if (!parsed.is_object()) {
+      continue;
+    }
+    for (const auto& [key, count] : parsed.as_object()) {
+      auto& sum = all[key];
+      sum = (sum.is_null() ? 0 : sum.as_int64()) + count.as_int64();
+    }
+  }
+  return all;
+}
+
+bool
+Fleet::WaitUntilSettled(Duration aLimit)
+{
+  return WaitFor(aLimit, [this] { return this->ReadBudget().granted == 0; });
+}
+
+// A router is ready when it serves the configuration and knows all back ends.
+bool
+Fleet::WaitUntilReady(int aRouter, Duration aLimit)
+{
+  auto all =
+    static_cast<std::size_t>(this->options.engines + this->options.records);
+  return WaitFor(aLimit, [&] {
+    if (this->GetFromRouter(aRouter, "/v1/models").status != 200) {
+      return false;
+    }
+    Call call{ "GET",
+               "/dump",
+               { { "Authorization", std::string("Bearer ") + kOperatorKey } },
+               "",
+               5s };
+    Reply reply =
+      Send(this->addresses[Numbered("r", aRouter) + "-admin"], call);
+    json::error_code error;
+    auto dump = json::parse(reply.body, error);
+    const auto* known = dump.find_pointer("/router/endpoint", error);
+    return known != nullptr && known->is_array() &&
+           known->as_array().size() == all;
+  });
+}
+
+bool
+Fleet::HasRun(const std::string& aId) const
+{
+  for (const auto* group : { &this->engines, &this->records }) {
+    for (const auto& process : *group) {
+      std::string log = process->Log();
+      if (log.find("begun " + aId + "\n") != std::string::npos ||
+          log.find("ran " + aId + "\n") != std::string::npos) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+void
+Fleet::Figure(const std::string& aName, std::int64_t aValue)
+{
+  this->figures.emplace_back(aName, aValue);
+}
+
+} // namespace lycheestand::faults
--- /dev/null
+++ b/test/faults/http_client.cc
@@ -0,0 +1,108 @@
+#include "http_client.h"
+
+#include <boost/beast/http.hpp>
+
+namespace lycheestand::faults {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+// Starts an operation and runs it to its end.
+template<class Start>
+beast::error_code
+RunOperation(boost::asio::io_context& aIo, const Start& aStart)
+{
+  beast::error_code result;
+  aStart([&](beast::error_code aError, auto...) { result = aError; });
+  aIo.restart();
+  aIo.run();
+  return result;
+}
+
+} // namespace
+
+HttpClient::HttpClient(Address aAddress)
+  : address(std::move(aAddress))
+{
+}
+
+bool
+HttpClient::Connect(Duration aLimit)
+{
+  this->stream.emplace(this->io);
+  this->buffer.clear();
+  this->stream->expires_after(aLimit);
+  auto error = RunOperation(this->io, [&](auto aDone) {
+    this->stream->async_connect(
+      { boost::asio::ip::make_address(this->address.host), this->address.port },
+      aDone);
+  });
+  if (error) {
+    this->stream.reset();
+    return false;
+  }
+  return true;
+}
+
+Reply
+HttpClient::Send(const Call& aCall)
+{
+  Reply reply;
+  if (!this->stream && !this->Connect(aCall.limit)) {
+    return reply;
+  }
+  reply.isConnected = true;
+  this->stream->expires_after(aCall.limit);
+  this->Exchange(aCall, reply);
+  return reply;
+}
+
+void
+HttpClient::Exchange(const Call& aCall, Reply& aReply)
+{
+  http::request<http::string_body> request;
+  request.method_string(aCall.method);
+  request.target(aCall.target);
+  request.version(11);
+  request.set(http::field::host, ToString(this->address));
+  for (const auto& [name, value] : aCall.headers) {
+    request.set(name, value);
+  }
+  request.body() = aCall.body;
+  request.prepare_payload();
+  auto error = RunOperation(this->io, [&](auto aDone) {
+    http::async_write(*this->stream, request, aDone);
+  });
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(boost::none);
+  bool isLeft = false;
+  while (!error && !parser.is_done() && !isLeft) {
+    error = RunOperation(this->io, [&](auto aDone) {
+      http::async_read_some(*this->stream, this->buffer, parser, aDone);
+    });
+    isLeft = aCall.onBody && parser.is_header_done() &&
+             !aCall.onBody(parser.get().body());
+  }
+  aReply.isTimeout = error == beast::error::timeout;
+  aReply.isComplete = !error && parser.is_done();
+  if (parser.is_header_done()) {
+    aReply.status = parser.get().result_int();
+    for (const auto& field : parser.get()) {
+      aReply.headers[std::string(field.name_string())] = field.value();
+    }
+    aReply.body = parser.get().body();
+  }
+  if (!aReply.isComplete || !parser.keep_alive()) {
+    this->stream.reset();
+  }
+}
+
+Reply
+Send(const Address& aAddress, const Call& aCall)
+{
+  return HttpClient(aAddress).Send(aCall);
+}
+
+} // namespace lycheestand::faults
--- /dev/null
+++ b/test/faults/process.cc
@@ -0,0 +1,176 @@
+#include "process.h"
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <spawn.h>
+#include <sstream>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+namespace lycheestand::faults {
+
+namespace {
+
+constexpr std::uint16_t kFirstPort = 35000;
+constexpr int kPlaces = 250;
+constexpr std::size_t kTailBytes = 3000;
+
+// Returns a socket bound to the address, or -1 if another test holds it.
+int
+HoldAddress(const std::string& aHost)
+{
+  int held = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(kFirstPort);
+  ::inet_pton(AF_INET, aHost.c_str(), &address.sin_addr);
+  if (::bind(held, reinterpret_cast<sockaddr*>(&address), sizeof(address)) ==
+        0 &&
+      ::listen(held, 1) == 0) {
+    return held;
+  }
+  ::close(held);
+  return -1;
+}
+
+} // namespace
+
+bool
+WaitFor(Duration aLimit, const std::function<bool()>& aCondition)
+{
+  auto end = Clock::now() + aLimit;
+  while (!aCondition()) {
+    if (Clock::now() >= end) {
+      return false;
+    }
+    std::this_thread::sleep_for(20ms);
+  }
+  return true;
+}
+
+TestPlace::TestPlace()
+  : nextPort(kFirstPort + 1)
+{
+  for (int i = 0; i < kPlaces && this->guard < 0; ++i) {
+    this->host = "127.35." + std::to_string((::getpid() + i) % kPlaces) + ".1";
+    this->guard = HoldAddress(this->host);
+  }
+  std::string pattern =
+    (std::filesystem::temp_directory_path() / "lycheestand-faults-XXXXXX")
+      .string();
+  if (this->guard < 0 || ::mkdtemp(pattern.data()) == nullptr) {
+    throw std::runtime_error("no free address or folder for the test");
+  }
+  this->folder = pattern;
+}
+
+TestPlace::~TestPlace()
+{
+  ::close(this->guard);
+  if (!this->isKept) {
+    std::error_code ignored;
+    std::filesystem::remove_all(this->folder, ignored);
+  }
+}
+
+Address
+TestPlace::NextAddress()
+{
+  return { this->host, this->nextPort++ };
+}
+
+Process::Process(std::string aName,
+                 std::filesystem::path aLog,
+                 std::vector<std::string> aCommand)
+  : name(std::move(aName))
+  , log(std::move(aLog))
+  , command(std::move(aCommand))
+{
+  this->Start();
+}
+
+Process::~Process()
+{
+  this->Kill();
+}
+
+void
+Process::Start()
+{
+  posix_spawn_file_actions_t actions;
+  ::posix_spawn_file_actions_init(&actions);
+  ::posix_spawn_file_actions_addopen(&actions,
+                                     STDOUT_FILENO,
+                                     this->log.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND,
+                                     0600);
+  ::posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  std::vector<char*> arguments;
+  for (auto& argument : this->command) {
+    arguments.push_back(argument.data());
+  }
+  arguments.push_back(nullptr);
+  int error = ::posix_spawn(
+    &this->id, arguments[0], &actions, nullptr, arguments.data(), environ);
+  ::posix_spawn_file_actions_destroy(&actions);
+  if (error != 0) {
+    this->id = 0;
+    throw std::runtime_error("can't start " + this->command[0]);
+  }
+}
+
+void
+Process::Signal(int aSignal) const
+{
+  if (this->id > 0) {
+    ::kill(this->id, aSignal);
+  }
+}
+
+void
+Process::Kill()
+{
+  if (this->id > 0) {
+    ::kill(this->id, SIGKILL);
+    ::waitpid(this->id, nullptr, 0);
+    this->id = 0;
+  }
+}
+
+int
+Process::WaitForExit(Duration aLimit)
+{
+  int status = 0;
+  bool ended = WaitFor(aLimit, [&] {
+    return this->id > 0 && ::waitpid(this->id, &status, WNOHANG) == this->id;
+  });
+  if (!ended) {
+    return -1;
+  }
+  this->id = 0;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+std::string
+Process::Log() const
+{
+  std::ifstream file(this->log);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::string
+Process::LogTail() const
+{
+  std::string text = this->Log();
+  return text.size() > kTailBytes ? text.substr(text.size() - kTailBytes)
+                                  : text;
+}
+
+} // namespace lycheestand::faults
--- a/test/standins/engine.cc
+++ b/test/standins/engine.cc
@@ -139,6 +139,7 @@
   void Enqueue(const StreamPtr& aStream)
   {
     if (this->isLeaving) {
+      ++this->refused;
       Respond(aStream, { 503, { { "X-Endpoint-Leaving", "true" } }, "" });
       return;
     }
@@ -260,6 +261,7 @@
         json::serialize(json::object{ { "begun", this->begun },
                                       { "finished", this->finished },
                                       { "cancelled", this->cancelled },
+                                      { "refused", this->refused },
                                       { "tokens", this->tokens } }));
     }
     if (target == "/leave" && aRequest.method == "POST") {
@@ -313,6 +315,7 @@
   std::uint64_t begun = 0;
   std::uint64_t finished = 0;
   std::uint64_t cancelled = 0;
+  std::uint64_t refused = 0;
   std::uint64_t tokens = 0;
 };
 
