--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -8,6 +8,7 @@
 lycheestand_package(settings DEPS lycheestand_core Boost::json)
 lycheestand_package(net DEPS lycheestand_core Boost::log Boost::json ${CAF_TARGETS} ${SODIUM_LIBRARY})
 lycheestand_package(state DEPS lycheestand_core)
+lycheestand_package(journal DEPS lycheestand_state)
 lycheestand_package(budget DEPS lycheestand_core)
 lycheestand_package(router DEPS lycheestand_net lycheestand_settings lycheestand_budget lycheestand_wire)
 lycheestand_package(control DEPS lycheestand_net lycheestand_settings lycheestand_state lycheestand_wire)
@@ -43,3 +44,5 @@
                         once-no-answer leaving planned-stop config-cut)
 lycheestand_fault_cases(long budget-killed budget-frozen answers-broken once-race once-cut
                         config-one-way config-frozen config-restart)
+
+lycheestand_program(bench_load bench/load DEPS lycheestand_net)
