End broken answers in an error, and refuse with not_run only when true

Cause: a request whose engine broke off was refused with no_endpoint and ran=not_run when no other endpoint was left, although the engine had begun it; a stream that had begun was then left open without an end. An engine that broke off after the finish reason but before the end of its stream was resumed and gave one token too many. The leaving mark of one attempt was taken over by the next one.

Change: a request keeps what may have happened at the endpoints tried, and refusals say it; a stream that can't go on ends in an error event; an answer with its finish reason is complete; each attempt starts without the last one's head. A 5xx other than 503 counts as having run.

--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -66,6 +66,8 @@
   // Set by Forward.
   Usage usage;
   net::CallHandle upstream;
+  // What may have happened at the endpoints that were tried.
+  RanState ran = RanState::NotRun;
   std::set<EndpointId> tried;
   EndpointId endpoint;
   bool isAssigned = false;
--- a/packages/router/src/forward.cc
+++ b/packages/router/src/forward.cc
@@ -5,18 +5,15 @@
 void
 ChooseAndCall(const RequestPtr& aRequest,
               const ChooseEndpoint& aChoose,
-              std::function<void(const Address&)> aCall)
+              std::function<void(const Address&)> aCall,
+              std::function<void()> aNone)
 {
   aRequest->exchange->Task()
     .request(aRequest->controllers.endpoint, caf::infinite, aChoose)
-    .then([aRequest, call = std::move(aCall)](EndpointChosen& aChosen) {
+    .then([aRequest, call = std::move(aCall), none = std::move(aNone)](
+            EndpointChosen& aChosen) {
       if (!aChosen.endpoint) {
-        Refuse(aRequest,
-               { 503,
-                 "no_endpoint",
-                 "no endpoint can take this request now",
-                 RanState::NotRun,
-                 1 });
+        none();
         return;
       }
       aRequest->endpoint = *aChosen.endpoint;
@@ -26,6 +23,25 @@
     });
 }
 
+void
+RefuseNoEndpoint(const RequestPtr& aRequest)
+{
+  Refuse(aRequest,
+         { 503,
+           "no_endpoint",
+           "no endpoint can take this request now",
+           aRequest->ran,
+           1 });
+}
+
+void
+NoteFailure(const RequestPtr& aRequest, net::CallFailure aFailure)
+{
+  if (aFailure != net::CallFailure::NotSent) {
+    aRequest->ran = RanState::Unknown;
+  }
+}
+
 void
 ReleaseEndpoint(const RequestPtr& aRequest, bool aSucceeded, bool aLeaving)
 {
--- a/packages/router/src/forward.h
+++ b/packages/router/src/forward.h
@@ -14,7 +14,16 @@
 void
 ChooseAndCall(const RequestPtr& aRequest,
               const ChooseEndpoint& aChoose,
-              std::function<void(const Address&)> aCall);
+              std::function<void(const Address&)> aCall,
+              std::function<void()> aNone);
+
+// Refuses a request for which no endpoint is left.
+void
+RefuseNoEndpoint(const RequestPtr& aRequest);
+
+// Notes that a call which failed may have run at its endpoint.
+void
+NoteFailure(const RequestPtr& aRequest, net::CallFailure aFailure);
 
 // Tells the endpoint controller how the call ended.
 void
--- a/packages/router/src/forward_chat.cc
+++ b/packages/router/src/forward_chat.cc
@@ -39,9 +39,17 @@
     choose.promptBound = this->call.promptBound;
     choose.excluded = this->request->tried;
     auto self = this->shared_from_this();
-    ChooseAndCall(this->request, choose, [self](const Address& aAddress) {
-      self->Send(aAddress);
-    });
+    ChooseAndCall(
+      this->request,
+      choose,
+      [self](const Address& aAddress) { self->Send(aAddress); },
+      [self] {
+        if (self->request->ran == RanState::NotRun) {
+          RefuseNoEndpoint(self->request);
+        } else {
+          self->EndInterrupted("no other endpoint can go on with it");
+        }
+      });
   }
 
 private:
@@ -56,6 +64,8 @@
     this->base = this->request->usage;
     this->events = {};
     this->isDone = false;
+    this->isLeaving = false;
+    this->status = 0;
     auto model =
       this->request->snapshot->settings.models.find(this->call.model);
     net::CallOptions options;
@@ -71,7 +81,8 @@
     return { [self](const net::CallHead& aHead) { self->HandleHead(aHead); },
              [self](const std::string& aPiece) { self->HandleBody(aPiece); },
              [self] { self->HandleEnd(); },
-             [self](net::CallFailure, const std::string& aReason) {
+             [self](net::CallFailure aFailure, const std::string& aReason) {
+               NoteFailure(self->request, aFailure);
                self->HandleBreak(aReason);
              } };
   }
@@ -167,6 +178,7 @@
     if (this->status != 200) {
       this->HandleRefusal();
     } else if (!this->isDone || this->finishReason.empty()) {
+      NoteFailure(this->request, net::CallFailure::Interrupted);
       this->HandleBreak("the stream ended early");
     } else {
       this->Complete();
@@ -195,25 +207,20 @@
   }
 
   // The engine did not take the request. One that is busy or leaving is
-  // avoided; a request that it can't serve would fail elsewhere too.
+  // avoided; a request that it can't serve would fail elsewhere too. Another
+  // failure of the engine may have come after it had begun.
   void HandleRefusal()
   {
-    bool isBusy = this->status == 429 || this->status >= 500;
-    ReleaseEndpoint(this->request, !isBusy, this->isLeaving);
-    if (isBusy && this->request->tried.size() < kMaxAttempts) {
-      this->errorBody.clear();
-      this->Start();
-      return;
+    bool isBusy = this->status == 429 || this->status == 503;
+    bool hasFailed = this->status >= 500 && !isBusy;
+    if (hasFailed) {
+      this->request->ran = RanState::Unknown;
     }
-    if (this->request->exchange->IsAnswered()) {
-      this->EndInterrupted("the engine refused to resume the answer");
-    } else if (isBusy) {
-      Refuse(this->request,
-             { 503,
-               "endpoints_busy",
-               "the endpoints refused the request",
-               RanState::NotRun,
-               1 });
+    ReleaseEndpoint(this->request, !isBusy && !hasFailed, this->isLeaving);
+    if (isBusy || hasFailed) {
+      this->TryAgain("the endpoints refused the request");
+    } else if (this->request->ran != RanState::NotRun) {
+      this->EndInterrupted("another endpoint refused to go on with it");
     } else {
       Refuse(this->request,
              { 400,
@@ -223,6 +230,20 @@
     }
   }
 
+  // Goes on at another endpoint, unless too many were tried.
+  void TryAgain(const std::string& aReason)
+  {
+    if (this->request->tried.size() < kMaxAttempts) {
+      this->errorBody.clear();
+      this->Start();
+    } else if (this->request->ran != RanState::NotRun) {
+      this->EndInterrupted(aReason);
+    } else {
+      Refuse(this->request,
+             { 503, "endpoints_busy", aReason, RanState::NotRun, 1 });
+    }
+  }
+
   void HandleBreak(const std::string& aReason)
   {
     net::Log(net::LogLevel::Warning,
@@ -232,12 +253,18 @@
                { "endpoint", this->request->endpoint.Get() },
                { "reason", aReason } });
     ReleaseEndpoint(this->request, false, this->isLeaving);
-    bool hasRoom = this->request->usage.outputTokens < this->outputLimit;
-    if (hasRoom && this->request->tried.size() < kMaxAttempts) {
-      this->Start();
+    // The engine broke off after the end of the text; resumed, it would go on
+    // beyond it.
+    if (!this->finishReason.empty()) {
+      this->Complete();
       return;
     }
-    this->EndInterrupted(aReason);
+    bool hasRoom = this->request->usage.outputTokens < this->outputLimit;
+    if (hasRoom) {
+      this->TryAgain(aReason);
+    } else {
+      this->EndInterrupted(aReason);
+    }
   }
 
   // Nothing of a plain answer has reached the caller, so nothing is charged for
--- a/packages/router/src/forward_service.cc
+++ b/packages/router/src/forward_service.cc
@@ -68,6 +68,9 @@
         options,
         [aRequest](Result<net::HttpResponse, net::CallFailure> aResult) {
           bool succeeded = aResult.has_value() && aResult.value().status != 503;
+          if (aResult.has_error()) {
+            NoteFailure(aRequest, aResult.error());
+          }
           ReleaseEndpoint(aRequest, succeeded, false);
           if (succeeded) {
             Answer(aRequest, ToAnswer(aResult.value()));
@@ -78,11 +81,12 @@
                    { 502,
                      "service_failed",
                      "the service's endpoints did not answer",
-                     RanState::Unknown,
+                     aRequest->ran,
                      1 });
           }
         });
-    });
+    },
+    [aRequest] { RefuseNoEndpoint(aRequest); });
 }
 
 void
@@ -131,7 +135,8 @@
       aRequest->exchange->Task()
         .request(aRequest->controllers.operation, caf::infinite, std::move(run))
         .then([aRequest](OperationRun& aRun) { HandleRun(aRequest, aRun); });
-    });
+    },
+    [aRequest] { RefuseNoEndpoint(aRequest); });
 }
 
 } // namespace
