--- a/test/faults/configuration_test.cc
+++ b/test/faults/configuration_test.cc
@@ -3,6 +3,7 @@
 
 #include "fleet.h"
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <csignal>
 
@@ -21,10 +22,8 @@
   explicit OldModelProbe(Fleet& aFleet)
     : fleet(aFleet)
   {
-    for (int i = 0; i < aFleet.Options().routers; ++i) {
-      this->lastServed.push_back({});
-      this->answered.push_back(0);
-    }
+    this->lastServed.resize(aFleet.Options().routers);
+    this->answered.resize(aFleet.Options().routers);
     for (int i = 0; i < aFleet.Options().routers; ++i) {
       this->threads.emplace_back([this, i] { this->Run(i); });
     }
@@ -55,6 +54,14 @@
 
   int Answered(int aRouter) const { return this->answered[aRouter]; }
 
+  // Runs something while no call is in flight, so that none that was taken
+  // before it can end after it.
+  void RunBetweenCalls(const std::function<void()>& aRun)
+  {
+    std::scoped_lock lock(this->calls[0], this->calls[1]);
+    aRun();
+  }
+
 private:
   void Run(int aRouter)
   {
@@ -64,21 +71,25 @@
       request.model = "old";
       request.maxTokens = 8;
       request.limit = 60s;
+      std::unique_lock lock(this->calls[aRouter]);
       auto begin = Clock::now();
       ChatAnswer answer = this->fleet.Chat(aRouter, request);
       // A call sent to a frozen router is served later or not at all; it
-      // counts by the time of its answer, since the router took it then.
+      // counts by the time of its answer, since the router took it then: no
+      // call was in flight when the router was frozen.
       if (answer.ending == Ending::Whole) {
         this->lastServed[aRouter] =
           Clock::now() - begin > 2s ? Clock::now() : begin;
         ++this->answered[aRouter];
       }
+      lock.unlock();
       std::this_thread::sleep_for(10ms);
     }
   }
 
   Fleet& fleet;
   std::atomic<bool> isStopped{ false };
+  std::array<std::mutex, 2> calls;
   std::vector<TimePoint> lastServed;
   std::vector<int> answered;
   std::vector<std::thread> threads;
@@ -96,7 +107,7 @@
   for (int i = 0; i < aFleet.Options().routers; ++i) {
     REQUIRE(WaitFor(10s, [&] { return probe.Answered(i) > 0; }));
   }
-  aBefore();
+  probe.RunBetweenCalls(aBefore);
   REQUIRE(aFleet.ApplyModels({ "chat" }, 2, "remove").status == 200);
   auto changedAt = Clock::now();
   std::this_thread::sleep_until(changedAt + kLimit);
--- a/test/faults/fleet.cc
+++ b/test/faults/fleet.cc
@@ -42,6 +42,7 @@
   , exceptions(std::uncaught_exceptions())
   , paid(this->options.paid)
 {
+  std::ofstream(this->place.Folder() / "fleet.key") << kFleetKey << "\n";
   this->MakeAddresses();
   this->StartProxy();
   this->StartBackends();
@@ -227,13 +228,11 @@
 std::string
 Fleet::WriteSettings(const std::string& aName, json::object aSettings) const
 {
-  auto key = this->place.Folder() / "fleet.key";
-  std::ofstream(key) << kFleetKey << "\n";
   aSettings["instance"] = aName;
   aSettings["zone"] = "z1";
   aSettings["admin_address"] = ToString(this->addresses.at(aName + "-admin"));
   aSettings["control"] = this->ControlMembers(aName);
-  aSettings["fleet_key_file"] = key.string();
+  aSettings["fleet_key_file"] = (this->place.Folder() / "fleet.key").string();
   aSettings["operator_key_hashes"] =
     json::array{ net::HashKey(kOperatorKey).Get() };
   auto file = this->place.Folder() / (aName + ".json");
--- a/test/standins/proxy_link.h
+++ b/test/standins/proxy_link.h
@@ -18,7 +18,7 @@
 // Faults in force on a link. Forward is from the caller to the target.
 struct LinkFaults
 {
-  // Open connections are closed and new ones too.
+  // Open connections are closed and new ones refused.
   bool isCut = false;
   // Bytes are held in that direction. They are delivered after the fault, as
   // TCP resends what a partition has lost.
@@ -237,8 +237,8 @@
 public:
   ProxyLink(net::IoTask& aTask, const Address& aListen, const Address& aTarget)
     : state(std::make_shared<LinkState>(LinkState{ &aTask, aTarget }))
-    , acceptor(*aTask.GetRuntime().io,
-               { asio::ip::make_address(aListen.host), aListen.port })
+    , endpoint(asio::ip::make_address(aListen.host), aListen.port)
+    , acceptor(*aTask.GetRuntime().io, this->endpoint)
   {
     this->Accept();
   }
@@ -249,6 +249,13 @@
   void SetFaults(const LinkFaults& aFaults)
   {
     this->state->faults = aFaults;
+    if (aFaults.isCut && this->acceptor.is_open()) {
+      this->acceptor.close();
+    } else if (!aFaults.isCut && !this->acceptor.is_open()) {
+      this->acceptor =
+        tcp::acceptor(*this->state->task->GetRuntime().io, this->endpoint);
+      this->Accept();
+    }
     auto all = this->connections;
     for (const auto& connection : all) {
       connection->Advance();
@@ -261,6 +268,9 @@
     this->acceptor.async_accept(asio::bind_executor(
       this->state->task->Executor(),
       [this](const ErrorCode& aError, tcp::socket aSocket) {
+        if (aError == asio::error::operation_aborted) {
+          return;
+        }
         if (!aError) {
           ++this->state->counts.accepted;
           std::erase_if(this->connections, [](const auto& aConnection) {
@@ -276,6 +286,7 @@
   }
 
   std::shared_ptr<LinkState> state;
+  tcp::endpoint endpoint;
   tcp::acceptor acceptor;
   std::set<std::shared_ptr<ProxyConnection>> connections;
 };
