--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -73,6 +73,8 @@
   // Set by Forward.
   Usage usage;
   net::CallHandle upstream;
+  // What may have happened at the endpoints that were tried.
+  RanState ran = RanState::NotRun;
   std::set<EndpointId> tried;
   EndpointId endpoint;
   // True while an endpoint is being chosen or is called.
--- a/packages/router/src/forward.cc
+++ b/packages/router/src/forward.cc
@@ -41,10 +41,18 @@
          { 503,
            "no_endpoint",
            "no endpoint can take this request now",
-           RanState::NotRun,
+           aRequest->ran,
            1 });
 }
 
+void
+NoteFailure(const RequestPtr& aRequest, net::CallFailure aFailure)
+{
+  if (aFailure != net::CallFailure::NotSent) {
+    aRequest->ran = RanState::Unknown;
+  }
+}
+
 void
 ReleaseEndpoint(const RequestPtr& aRequest,
                 routing::Outcome aOutcome,
--- a/packages/router/src/forward.h
+++ b/packages/router/src/forward.h
@@ -18,10 +18,14 @@
               std::function<void(const Address&)> aCall,
               std::function<void()> aOnNone);
 
-// Refuses a request for which no endpoint was found and none was tried.
+// Refuses a request for which no endpoint is left.
 void
 RefuseNoEndpoint(const RequestPtr& aRequest);
 
+// Notes that a call which failed may have run at its endpoint.
+void
+NoteFailure(const RequestPtr& aRequest, net::CallFailure aFailure);
+
 // Tells the endpoint controller how the call ended.
 void
 ReleaseEndpoint(const RequestPtr& aRequest,
--- a/packages/router/src/forward_chat.cc
+++ b/packages/router/src/forward_chat.cc
@@ -91,6 +91,8 @@
     this->base = this->request->usage;
     this->events = {};
     this->isDone = false;
+    this->isLeaving = false;
+    this->status = 0;
     auto model = this->request->snapshot->settings.ModelFor(this->request->site,
                                                             this->call.model);
     net::CallOptions options;
@@ -107,7 +109,8 @@
              [self](const std::string& aPiece) { self->HandleBody(aPiece); },
              [self] { self->HandleEnd(); },
              [self](net::CallFailure aFailure, const std::string& aReason) {
-               self->HandleBreak(aFailure, aReason);
+               NoteFailure(self->request, aFailure);
+               self->HandleBreak(aReason);
              } };
   }
 
@@ -202,8 +205,8 @@
     if (this->status != 200) {
       this->HandleRefusal();
     } else if (!this->isDone || this->finishReason.empty()) {
-      this->HandleBreak(net::CallFailure::Interrupted,
-                        "the stream ended early");
+      NoteFailure(this->request, net::CallFailure::Interrupted);
+      this->HandleBreak("the stream ended early");
     } else {
       this->Complete();
     }
@@ -232,21 +235,19 @@
   }
 
   // The engine did not take the request. One that is busy or leaving is
-  // avoided; a request that it can't serve would fail elsewhere too.
+  // avoided; a request that it can't serve would fail elsewhere too. Another
+  // failure of the engine may have come after it had begun.
   void HandleRefusal()
   {
-    bool isBusy = this->status == 429 || this->status >= 500;
     routing::Outcome outcome = OutcomeOf(this->status);
-    // Only 429 and 503 say that the request was not taken.
-    this->hasBroken |= outcome == routing::Outcome::Failed;
-    ReleaseEndpoint(this->request, outcome, this->isLeaving);
-    if (isBusy && this->request->tried.size() < kMaxAttempts) {
-      this->errorBody.clear();
-      this->Start();
-      return;
+    if (outcome == routing::Outcome::Failed) {
+      this->request->ran = RanState::Unknown;
     }
-    if (isBusy || this->hasBroken) {
-      this->EndAfterAttempts("the engine refused to resume the answer");
+    ReleaseEndpoint(this->request, outcome, this->isLeaving);
+    if (outcome != routing::Outcome::Succeeded) {
+      this->TryAgain("the endpoints refused the request");
+    } else if (this->request->ran != RanState::NotRun) {
+      this->EndInterrupted("another endpoint refused to go on with it");
     } else {
       Refuse(this->request,
              { 400,
@@ -256,23 +257,16 @@
     }
   }
 
-  void HandleBreak(net::CallFailure aFailure, const std::string& aReason)
+  // Goes on at another endpoint, unless too many were tried.
+  void TryAgain(const std::string& aReason)
   {
-    net::Log(net::LogLevel::Warning,
-             "call to engine broke",
-             { { "request", this->request->id.Get() },
-               { "workspace", this->request->workspace.Get() },
-               { "endpoint", this->request->endpoint.Get() },
-               { "reason", aReason } });
-    ReleaseEndpoint(this->request, routing::Outcome::Failed, this->isLeaving);
-    this->hasBroken |= aFailure != net::CallFailure::NotSent;
-    this->lastBreak = aReason;
-    bool hasRoom = this->request->usage.outputTokens < this->outputLimit;
-    if (hasRoom && this->request->tried.size() < kMaxAttempts) {
+    this->lastReason = aReason;
+    if (this->request->tried.size() < kMaxAttempts) {
+      this->errorBody.clear();
       this->Start();
-      return;
+    } else {
+      this->EndAfterAttempts();
     }
-    this->EndAfterAttempts(aReason);
   }
 
   // No endpoint is left, or the retry budget is used up.
@@ -281,24 +275,43 @@
     if (this->request->tried.empty()) {
       RefuseNoEndpoint(this->request);
     } else {
-      this->EndAfterAttempts(this->lastBreak);
+      this->EndAfterAttempts();
     }
   }
 
   // Ends a request whose attempts have failed. If all of them were refused, it
   // did not run.
-  void EndAfterAttempts(const std::string& aReason)
+  void EndAfterAttempts()
   {
-    if (this->hasBroken || this->request->exchange->IsAnswered()) {
-      this->EndInterrupted(aReason);
+    if (this->request->ran != RanState::NotRun) {
+      this->EndInterrupted(this->lastReason);
       return;
     }
     Refuse(this->request,
-           { 503,
-             "endpoints_busy",
-             "the endpoints refused the request or could not be reached",
-             RanState::NotRun,
-             1 });
+           { 503, "endpoints_busy", this->lastReason, RanState::NotRun, 1 });
+  }
+
+  void HandleBreak(const std::string& aReason)
+  {
+    net::Log(net::LogLevel::Warning,
+             "call to engine broke",
+             { { "request", this->request->id.Get() },
+               { "workspace", this->request->workspace.Get() },
+               { "endpoint", this->request->endpoint.Get() },
+               { "reason", aReason } });
+    ReleaseEndpoint(this->request, routing::Outcome::Failed, this->isLeaving);
+    // The engine broke off after the end of the text; resumed, it would go on
+    // beyond it.
+    if (!this->finishReason.empty()) {
+      this->Complete();
+      return;
+    }
+    bool hasRoom = this->request->usage.outputTokens < this->outputLimit;
+    if (hasRoom) {
+      this->TryAgain(aReason);
+    } else {
+      this->EndInterrupted(aReason);
+    }
   }
 
   // Nothing of a plain answer has reached the caller, so nothing is charged for
@@ -336,9 +349,8 @@
   unsigned status = 0;
   bool isDone = false;
   bool isLeaving = false;
-  // An attempt ended without the engine's word that it did not run.
-  bool hasBroken = false;
-  std::string lastBreak;
+  // Why the last attempt failed.
+  std::string lastReason;
 };
 
 } // namespace
