Build the bench of a fleet and format the data folders of fault tests

Cause: a control instance with an empty, unformatted folder now joins as a learner, so fleets of one control instance never became ready in the tests. The bench needs the harness without its proxy. Change: the harness formats in any case, can run without the proxy, and tells addresses and process ids; bench_fleet is built.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all install build check format format-check lint test faults clean demo demo-up demo-down
+.PHONY: all install build check format format-check lint test faults bench clean demo demo-up demo-down
 
 all: build
 
@@ -29,6 +29,10 @@
 faults: build
 	tools/run-faults $(BUILD)
 
+# Measures a fleet of real processes; takes some minutes on an idle machine.
+bench: build
+	$(BUILD)/bench_fleet
+
 check: install format-check build lint test
 
 # Both users' work on loopback, with a verdict; demo-up leaves the fleet running.
--- a/bench/fleet/router_sections.cc
+++ b/bench/fleet/router_sections.cc
@@ -101,7 +101,10 @@
   auto options = BenchOptions();
   options.routers = 1;
   options.engines = 4;
-  options.engineArguments = { "--slots", "512" };
+  options.engineArguments = { "--slots",         "512",
+                              "--per-stream-us", "0",
+                              "--per-token-us",  "20000",
+                              "--length",        "200" };
   faults::Fleet fleet("bench-streams", 1, options);
   std::vector<std::pair<double, double>> memory;
   std::vector<std::pair<double, double>> cpu;
@@ -148,7 +151,7 @@
   options.routers = 3;
   options.engines = 4;
   options.records = 3;
-  options.engineArguments = { "--slots", "16" };
+  options.engineArguments = { "--slots", "16", "--length", "100" };
   faults::Fleet fleet("bench-capacity", 1, options);
   std::vector<Address> routers;
   for (int i = 0; i < options.routers; ++i) {
--- a/test/faults/fleet.cc
+++ b/test/faults/fleet.cc
@@ -44,7 +44,9 @@
 {
   std::ofstream(this->place.Folder() / "fleet.key") << kFleetKey << "\n";
   this->MakeAddresses();
-  this->StartProxy();
+  if (this->options.isProxied) {
+    this->StartProxy();
+  }
   this->StartBackends();
   this->StartControls();
   this->StartRouters();
@@ -91,8 +93,10 @@
     this->addresses[aName] = this->place.NextAddress();
   };
   auto link = [this](const std::string& aName, const std::string& aTarget) {
-    this->links[aName] = { this->place.NextAddress(),
-                           this->addresses[aTarget] };
+    const Address& target = this->addresses[aTarget];
+    this->links[aName] = { this->options.isProxied ? this->place.NextAddress()
+                                                   : target,
+                           target };
   };
   add("proxy");
   add("platform");
@@ -252,12 +256,10 @@
         { "peer_address", ToString(this->addresses[instance]) },
         { "data_folder", data.string() },
         { "platform_list", ToString(this->addresses["platform"]) } });
-    if (this->options.controls > 1) {
-      this
-        ->Start(instance + "-format",
-                { Program("lycheestandd"), "--format", "-s", file })
-        ->WaitForExit(10s);
-    }
+    this
+      ->Start(instance + "-format",
+              { Program("lycheestandd"), "--format", "-s", file })
+      ->WaitForExit(10s);
     this->controls.push_back(
       this->Start(instance, { Program("lycheestandd"), "-s", file }));
   }
@@ -272,6 +274,7 @@
       instance,
       { { "role", "router" },
         { "caller_address", ToString(this->routerAddresses[i]) },
+        { "threads", this->options.threads },
         { "entry_keep_ms", this->options.entryKeepMs } });
     this->routers.push_back(
       this->Start(instance, { Program("lycheestandd"), "-s", file }));
@@ -298,6 +301,24 @@
                   { "site", "site" } });
 }
 
+std::string
+Fleet::CallerKey()
+{
+  return kCallerKey;
+}
+
+Address
+Fleet::EngineAddress(int aIndex) const
+{
+  return this->addresses.at(Numbered("e", aIndex));
+}
+
+Address
+Fleet::AdminAddress(const std::string& aName) const
+{
+  return this->addresses.at(aName + "-admin");
+}
+
 void
 Fleet::Fault(const std::string& aLink,
              const std::string& aFault,
--- a/test/faults/fleet.h
+++ b/test/faults/fleet.h
@@ -28,6 +28,10 @@
   std::vector<std::string> serves{ "chat" };
   int platformLagMs = 300;
   int entryKeepMs = 1000;
+  // Task threads of a router.
+  int threads = 4;
+  // False for measurements: the proxy's time would be counted too.
+  bool isProxied = true;
   // Tokens paid for the one workspace at first.
   std::int64_t paid = 1000000;
 };
@@ -105,6 +109,10 @@
   const FleetOptions& Options() const { return this->options; }
   unsigned Seed() const { return this->seed; }
 
+  static std::string CallerKey();
+  Address EngineAddress(int aIndex) const;
+  // Returns where a router ("r0") or control instance ("c0") has its metrics.
+  Address AdminAddress(const std::string& aName) const;
   Address RouterAddress(int aIndex) const
   {
     return this->routerAddresses[aIndex];
--- a/test/faults/process.h
+++ b/test/faults/process.h
@@ -64,6 +64,7 @@
   void Kill();
   // Returns the exit code once the process has ended by itself, or -1.
   int WaitForExit(Duration aLimit);
+  pid_t Id() const { return this->id; }
   bool IsRunning() const { return this->id > 0; }
 
   const std::string& Name() const { return this->name; }
