--- a/packages/routing/src/endpoint_table.cc
+++ b/packages/routing/src/endpoint_table.cc
@@ -68,6 +68,7 @@
       known.report.reset();
       known.breaker = CircuitBreaker(this->options.breaker);
       known.prefixes = PrefixMap(this->options.prefixesPerEndpoint);
+      known.nextEvent = 0;
     }
     known.endpoint = endpoint;
     known.isListed = true;
@@ -250,9 +251,10 @@
   }
   PrefixMap& prefixes = found->second.prefixes;
   // Numbers that go back mean that the endpoint has restarted.
-  if (aNext < prefixes.NextSequence()) {
+  if (aNext < found->second.nextEvent) {
     prefixes.Clear();
   }
+  found->second.nextEvent = aNext;
   for (const auto& event : aEvents) {
     prefixes.LearnEvent(event);
   }
@@ -263,8 +265,7 @@
 EndpointTable::NextEvent(const EndpointId& aEndpoint) const
 {
   auto found = this->endpoints.find(aEndpoint);
-  return found == this->endpoints.end() ? 0
-                                        : found->second.prefixes.NextSequence();
+  return found == this->endpoints.end() ? 0 : found->second.nextEvent;
 }
 
 // What is free at the endpoint is divided among the routers; each can count on
--- a/packages/routing/test/choice_test.cc
+++ b/packages/routing/test/choice_test.cc
@@ -180,3 +180,18 @@
   }
   REQUIRE(late.size() > 1);
 }
+
+// Guards against a restarted engine whose old cache is still counted on, and
+// against a feed that is read from the wrong place.
+TEST_CASE_METHOD(TableFixture, "Event numbers that go back mean a restart")
+{
+  const EndpointId id("a");
+  this->table.LearnEvents(id, { { 7, PrefixHash(1), true } }, 7);
+  REQUIRE(this->table.NextEvent(id) == 7);
+  this->table.LearnEvents(id, {}, 7);
+  REQUIRE(this->table.Status(this->now)[0].prefixes == 1);
+  this->table.LearnEvents(id, { { 1, PrefixHash(2), true } }, 1);
+  REQUIRE(this->table.NextEvent(id) == 1);
+  REQUIRE(this->table.Status(this->now)[0].prefixes == 1);
+  REQUIRE(this->Choose(1, this->MakeQuery(2)) == "a");
+}
