--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all install build check format format-check lint test faults bench clean demo demo-up demo-down
+.PHONY: all install build check format format-check lint test faults bench bench-micro bench-policy clean demo demo-up demo-down
 
 all: build
 
@@ -33,6 +33,12 @@
 bench: build
 	$(BUILD)/bench_fleet
 
+bench-micro: build
+	$(BUILD)/bench_micro
+
+bench-policy: build
+	$(BUILD)/bench_policy
+
 check: install format-check build lint test
 
 # Both users' work on loopback, with a verdict; demo-up leaves the fleet running.
--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -57,3 +57,8 @@
 lycheestand_program(bench_fleet bench/fleet DEPS lycheestand_net)
 target_sources(bench_fleet PRIVATE test/faults/fleet.cc test/faults/chat.cc test/faults/process.cc test/faults/http_client.cc)
 add_dependencies(bench_fleet lycheestandd standin_engine standin_platform standin_records standin_proxy bench_load)
+
+# Measurements; built with everything else, run by make bench-micro.
+find_package(benchmark REQUIRED)
+lycheestand_program(bench_micro bench/micro DEPS lycheestand_routing lycheestand_membership lycheestand_budget lycheestand_wire benchmark::benchmark)
+lycheestand_program(bench_policy bench/policy DEPS lycheestand_routing)
