--- a/tools/demo-lib.sh
+++ b/tools/demo-lib.sh
@@ -65,5 +65,6 @@
 
 # True if the process runs the program that was recorded for its id.
 is_ours() {
-  tr '\0' ' ' <"/proc/$1/cmdline" 2>/dev/null | grep -q -- "$2"
+  [ -r "/proc/$1/cmdline" ] || return 1
+  { tr '\0' ' ' <"/proc/$1/cmdline"; } 2>/dev/null | grep -q -- "$2"
 }
