--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all install build check format format-check lint test clean demo demo-up demo-down
+.PHONY: all install build check format format-check lint test faults clean demo demo-up demo-down
 
 all: build
 
@@ -26,6 +26,9 @@
 test: build
 	tools/run-tests $(BUILD) $(JOBS)
 
+faults: build
+	tools/run-faults $(BUILD)
+
 check: install format-check build lint test
 
 # Both users' work on loopback, with a verdict; demo-up leaves the fleet running.
--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -59,6 +59,7 @@
   Ticket ticket;
   TimePoint startedAt;
   std::shared_ptr<const settings::FleetSnapshot> snapshot;
+  KeyHash keyHash;
   WorkspaceId workspace;
   SiteId site;
   std::variant<std::monostate, ChatCall, ServiceCall, ListModels> call;
@@ -72,6 +73,8 @@
   // Set by Forward.
   Usage usage;
   net::CallHandle upstream;
+  // What may have happened at the endpoints that were tried.
+  RanState ran = RanState::NotRun;
   std::set<EndpointId> tried;
   EndpointId endpoint;
   // True while an endpoint is being chosen or is called.
@@ -137,6 +140,10 @@
 void
 Refuse(const RequestPtr& aRequest, const Refusal& aRefusal);
 
+// Refuses because the configuration is not confirmed as current.
+void
+RefuseUnconfirmed(const RequestPtr& aRequest);
+
 // Releases whatever the request holds; safe to call more than once.
 void
 FinishRequest(const RequestPtr& aRequest);
@@ -153,6 +160,8 @@
 Filter
 MakeReserve();
 Filter
+MakeRecheck();
+Filter
 MakeForward();
 
 } // namespace lycheestand::router
--- a/packages/router/src/forward_service.cc
+++ b/packages/router/src/forward_service.cc
@@ -67,6 +67,9 @@
              const Result<net::HttpResponse, net::CallFailure>& aResult)
 {
   routing::Outcome outcome = OutcomeOf(aResult);
+  if (aResult.has_error()) {
+    NoteFailure(aRequest, aResult.error());
+  }
   ReleaseEndpoint(aRequest, outcome, false);
   if (outcome == routing::Outcome::Succeeded) {
     Answer(aRequest, ToAnswer(aResult.value()));
@@ -86,7 +89,7 @@
          { 502,
            "service_failed",
            "the service's endpoints did not answer",
-           RanState::Unknown,
+           aRequest->ran,
            1 });
 }
 
