Read the daemon's help whole in the demo's scripts

grep -q ended the pipe early, and with pipefail an instance was started without its data folder being formatted.

--- a/tools/demo-lib.sh
+++ b/tools/demo-lib.sh
@@ -8,9 +8,10 @@
 routers=${ROUTERS:-3}
 # Number of control instances. Without replicated control there can be one.
 control=${CONTROL:-3}
-if ! "$build/lycheestandd" --help 2>/dev/null | grep -q -- '--format'; then
-  control=1
-fi
+# The help is read whole: grep -q would end a pipe early, and pipefail would
+# take that for a missing option.
+daemon_help=$("$build/lycheestandd" --help 2>/dev/null || true)
+[[ $daemon_help == *--format* ]] || control=1
 
 peer_of() { echo "127.0.0.1:$((34000 + $1))"; }
 control_admin_of() { echo "127.0.0.1:$((34020 + $1))"; }
