Put small remainders of a budget together, and compare budget guards

Cause: with a budget that is nearly used up, several routers kept parts too small for their own claims and refused, a large claim blocked smaller ones behind it, and a return on its way to control was not counted before a claim was refused as exhausted. Change: a router whose claims wait answers a recall; claims that fit pass one that does not; returns on their way count as prospect. budget_comparison prints the project's figures against a central check, with and without a hold, and fixed equal shares; docs/budgets.md has them with the reasons.

--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -22,3 +22,8 @@
 endfunction()
 lycheestand_standin(engine)
 lycheestand_standin(platform)
+
+# Prints the figures of docs/budgets.md.
+add_executable(budget_comparison test/models/budget_comparison.cc packages/budget/test/exchange.cc)
+target_include_directories(budget_comparison PRIVATE packages/budget/test)
+target_link_libraries(budget_comparison PRIVATE lycheestand_budget lycheestand_state)
--- a/packages/budget/include/lycheestand/budget.h
+++ b/packages/budget/include/lycheestand/budget.h
@@ -187,9 +187,12 @@
   void Serve(Account& aAccount,
              TimePoint aNow,
              std::vector<Decision>& aDecisions);
+  void ServeSmaller(Account& aAccount, std::vector<Decision>& aDecisions);
   void UpdateRate(Account& aAccount, TimePoint aNow) const;
   void ReturnSurplus(Account& aAccount, TimePoint aNow) const;
   static void Return(Account& aAccount, Tokens aTokens);
+  // Returns what may become available to this router without a grant.
+  Tokens Prospect(const WorkspaceId& aWorkspace, const Account& aAccount) const;
 
   PurseOptions options;
   std::map<WorkspaceId, Account> accounts;
--- a/packages/budget/src/purse.cc
+++ b/packages/budget/src/purse.cc
@@ -51,8 +51,7 @@
   this->UpdateRate(account, aNow);
   account.lastClaim = aNow;
   account.recentTokens += static_cast<double>(aClaim.wanted.Get());
-  // Earlier claims are served first.
-  if (account.queue.empty() && account.available >= aClaim.minimum) {
+  if (account.available >= aClaim.minimum) {
     return this->Grant(
       account, aClaim, std::min(account.available, aClaim.wanted));
   }
@@ -102,8 +101,8 @@
   return decisions;
 }
 
-// A claim is refused as exhausted only when this router's own reservations,
-// which may settle for less, can't make room either.
+// A claim is refused as exhausted only when what this router has reserved,
+// which may settle for less, and what it is returning can't make room either.
 void
 Purse::Serve(Account& aAccount,
              TimePoint aNow,
@@ -116,12 +115,13 @@
       aDecisions.push_back(this->Grant(
         aAccount, claim, std::min(aAccount.available, claim.wanted)));
     } else if (aAccount.exhausted &&
-               aAccount.available + aAccount.reserved < claim.minimum) {
+               this->Prospect(claim.workspace, aAccount) < claim.minimum) {
       aDecisions.push_back({ claim.ticket, Tokens(0), Refusal::Exhausted });
     } else if (head.deadline <= aNow) {
       auto refusal = aAccount.exhausted ? Refusal::Exhausted : Refusal::NoGrant;
       aDecisions.push_back({ claim.ticket, Tokens(0), refusal });
     } else {
+      this->ServeSmaller(aAccount, aDecisions);
       return;
     }
     aAccount.queue.pop_front();
@@ -130,6 +130,23 @@
   }
 }
 
+// Claims that fit pass an earlier one that does not. The earlier one waits no
+// longer than its deadline either way, and in the model of docs/budgets.md
+// fewer claims are refused in all.
+void
+Purse::ServeSmaller(Account& aAccount, std::vector<Decision>& aDecisions)
+{
+  std::erase_if(aAccount.queue, [&](const Waiting& aWaiting) {
+    const Claim& claim = aWaiting.claim;
+    if (aAccount.available < claim.minimum) {
+      return false;
+    }
+    aDecisions.push_back(
+      this->Grant(aAccount, claim, std::min(aAccount.available, claim.wanted)));
+    return true;
+  });
+}
+
 std::vector<GrantNeed>
 Purse::TakeNeeds(TimePoint aNow)
 {
@@ -184,11 +201,14 @@
   }
 }
 
+// A router whose own claims wait gives up what does not cover them, too: if
+// several routers keep parts that are too small, nobody is served, while
+// control can put the parts together for one of them.
 void
 Purse::Recall(const WorkspaceId& aWorkspace, Tokens aTokens)
 {
   auto found = this->accounts.find(aWorkspace);
-  if (found == this->accounts.end() || !found->second.queue.empty()) {
+  if (found == this->accounts.end()) {
     return;
   }
   Return(found->second, std::min(aTokens, found->second.available));
@@ -201,6 +221,19 @@
   aAccount.unreported.returned += aTokens;
 }
 
+// Returns what may still become available to this router without a grant.
+Tokens
+Purse::Prospect(const WorkspaceId& aWorkspace, const Account& aAccount) const
+{
+  Tokens sum = aAccount.available + aAccount.reserved;
+  if (this->inTransit) {
+    for (const auto& part : this->inTransit->parts) {
+      sum += part.workspace == aWorkspace ? part.returned : Tokens(0);
+    }
+  }
+  return sum;
+}
+
 void
 Purse::ReturnSurplus(Account& aAccount, TimePoint aNow) const
 {
--- a/packages/budget/test/purse_test.cc
+++ b/packages/budget/test/purse_test.cc
@@ -98,3 +98,53 @@
   this->purse.Settle(Ticket(1), Tokens(0), this->now);
   REQUIRE(this->purse.TakeNeeds(this->now).empty());
 }
+
+// Guards against a small request that is refused because a large one, which can
+// be covered only later, came first.
+TEST_CASE_METHOD(PurseFixture, "A small claim passes a large one that waits")
+{
+  this->purse.Reserve(this->MakeClaim(1, 1000), this->now);
+  this->AnswerNeed(Tokens(0));
+  this->purse.Reserve(this->MakeClaim(2, 50), this->now);
+  this->now += 100ms;
+  this->AnswerNeed(Tokens(60));
+  auto decisions = this->purse.Poll(this->now);
+  REQUIRE(decisions.size() == 1);
+  REQUIRE(decisions[0].ticket == Ticket(2));
+  REQUIRE(this->purse.Reserve(this->MakeClaim(3, 10), this->now));
+  this->now += 2s;
+  decisions = this->purse.Poll(this->now);
+  REQUIRE(decisions.size() == 1);
+  REQUIRE(decisions[0].ticket == Ticket(1));
+  REQUIRE(decisions[0].refusal == Refusal::NoGrant);
+}
+
+// Guards against routers that each keep a part too small for their own claim.
+TEST_CASE_METHOD(PurseFixture, "A waiting router gives up too small a part")
+{
+  this->purse.Reserve(this->MakeClaim(1, 1000), this->now);
+  this->AnswerNeed(Tokens(400));
+  REQUIRE(this->purse.Poll(this->now).empty());
+  this->purse.Recall(this->workspace, Tokens(900));
+  auto batch = this->purse.TakeBatch(this->now);
+  REQUIRE(batch);
+  REQUIRE(batch->parts[0].returned == Tokens(400));
+}
+
+// Guards against "used up" while control has not counted this router's own
+// return yet.
+TEST_CASE_METHOD(PurseFixture, "A return on its way counts as room")
+{
+  this->purse.Reserve(this->MakeClaim(1, 100), this->now);
+  this->AnswerNeed(Tokens(400));
+  this->purse.Poll(this->now);
+  this->purse.Settle(Ticket(1), Tokens(100), this->now);
+  this->purse.Recall(this->workspace, Tokens(300));
+  auto batch = this->purse.TakeBatch(this->now);
+  REQUIRE(batch);
+  this->purse.Reserve(this->MakeClaim(2, 300), this->now);
+  this->AnswerNeed(Tokens(0), true);
+  REQUIRE(this->purse.Poll(this->now).empty());
+  this->purse.Acknowledge(batch->number);
+  REQUIRE(this->purse.Poll(this->now).size() == 1);
+}
