--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -62,3 +62,8 @@
 find_package(benchmark REQUIRED)
 lycheestand_program(bench_micro bench/micro DEPS lycheestand_routing lycheestand_membership lycheestand_budget lycheestand_wire benchmark::benchmark)
 lycheestand_program(bench_policy bench/policy DEPS lycheestand_routing)
+
+# Prints the figures of docs/budgets.md.
+add_executable(budget_comparison test/models/budget_comparison.cc packages/budget/test/exchange.cc)
+target_include_directories(budget_comparison PRIVATE packages/budget/test)
+target_link_libraries(budget_comparison PRIVATE lycheestand_budget lycheestand_state)
