Test that learners catch up first and that reads wait for their round

Two variants had failed no case: promoting a learner at once, and letting a read join an open round.

--- a/packages/consensus/test/member_test.cc
+++ b/packages/consensus/test/member_test.cc
@@ -35,6 +35,16 @@
                                { GroupId(0), aFrom, aTo, aTerm, aBody });
   }
 
+  // Makes the node the leader of term 2; its first entry is not yet durable.
+  Effects Elect()
+  {
+    this->node->Tick(this->start + std::chrono::seconds(2));
+    auto effects =
+      this->Receive(this->second, this->self, Term(2), VoteReply{ true, true });
+    this->Receive(this->second, this->self, Term(2), VoteReply{ false, true });
+    return this->node->Persisted(effects.write->number);
+  }
+
   VoteRequest RequestVote() const { return { false, LogIndex(1), Term(1) }; }
 
   AppendRequest AppendSecond(Term aTerm) const
@@ -123,11 +133,7 @@
 // that a leader of a later term may still replace.
 TEST_CASE_METHOD(MemberFixture, "an earlier term's entry commits with a newer")
 {
-  this->node->Tick(this->start + std::chrono::seconds(2));
-  auto effects =
-    this->Receive(this->second, this->self, Term(2), VoteReply{ true, true });
-  this->Receive(this->second, this->self, Term(2), VoteReply{ false, true });
-  auto elected = this->node->Persisted(effects.write->number);
+  auto elected = this->Elect();
   REQUIRE(this->node->IsReady() == false);
   this->node->Persisted(elected.write->number);
   this->Receive(
@@ -137,3 +143,20 @@
     this->second, this->self, Term(2), AppendReply{ true, LogIndex(2) });
   CHECK(this->node->CommitIndex() == LogIndex(2));
 }
+
+// Guards against a read confirmed by answers to a question asked before it.
+TEST_CASE_METHOD(MemberFixture, "a read waits for a round that starts after it")
+{
+  this->node->Persisted(this->Elect().write->number);
+  this->Receive(
+    this->second, this->self, Term(2), AppendReply{ true, LogIndex(2) });
+  REQUIRE(this->node->IsReady());
+  this->node->Read(ReadId(1));
+  this->node->Read(ReadId(2));
+  auto first =
+    this->Receive(this->second, this->self, Term(2), HeartbeatReply{ 1 });
+  CHECK(first.confirmed == std::vector{ ReadId(1) });
+  auto second =
+    this->Receive(this->second, this->self, Term(2), HeartbeatReply{ 2 });
+  CHECK(second.confirmed == std::vector{ ReadId(2) });
+}
--- a/packages/consensus/test/node_test.cc
+++ b/packages/consensus/test/node_test.cc
@@ -105,6 +105,23 @@
   CHECK(applied.back() == "a59");
 }
 
+// Guards against a voter whose empty log a quorum would depend on.
+TEST_CASE_METHOD(GroupFixture, "a learner counts only once it has caught up")
+{
+  for (int i = 0; i < 600; ++i) {
+    REQUIRE(this->simulation.Propose(this->leader, "c" + std::to_string(i)));
+  }
+  this->Host(this->third).isDiskStalled = true;
+  this->ReplaceDisk(this->third);
+  auto joined = this->Host(this->third).node->Self();
+  const auto& members = this->Host(this->leader).node->Members();
+  this->simulation.Run(Milliseconds(5000));
+  CHECK(members.learners.contains(joined));
+  CHECK_FALSE(members.voters.contains(joined));
+  this->Host(this->third).isDiskStalled = false;
+  CHECK(this->Settle());
+}
+
 // Guards against stale reads, and against a return that forces an election.
 TEST_CASE_METHOD(GroupFixture, "an isolated leader confirms nothing")
 {
