--- a/packages/storage/include/lycheestand/storage.h
+++ b/packages/storage/include/lycheestand/storage.h
@@ -137,6 +137,9 @@
 {
   // A segment that is larger is followed by a new one.
   std::uint64_t segmentBytes = 4 * 1024 * 1024;
+  // So is one with more records. A snapshot keeps the segment that holds the
+  // entry after it, so this bounds what a start reads in vain.
+  std::uint64_t segmentRecords = 128;
 };
 
 // ---------------------------------------------------------------- store
@@ -171,6 +174,7 @@
   struct Segment
   {
     std::uint64_t bytes = 0;
+    std::uint64_t records = 0;
     LogIndex highest;
   };
 
--- a/packages/storage/src/load.cc
+++ b/packages/storage/src/load.cc
@@ -171,6 +171,7 @@
     }
     offset += kFrameHeaderBytes + body->size();
     segment.highest = std::max(segment.highest, record->index);
+    ++segment.records;
     BOOST_OUTCOME_TRYV(this->TakeRecord(path, std::move(*record)));
   }
   segment.bytes = offset;
--- a/packages/storage/src/store.cc
+++ b/packages/storage/src/store.cc
@@ -121,7 +121,9 @@
     return FileError(path, "sync", synced);
   }
   segment.bytes += bytes.size();
-  if (segment.bytes >= this->options.segmentBytes) {
+  segment.records += aRecords.size();
+  if (segment.bytes >= this->options.segmentBytes ||
+      segment.records >= this->options.segmentRecords) {
     this->CloseSegment();
     this->isSegmentClosed = true;
   }
--- a/packages/storage/test/store_test.cc
+++ b/packages/storage/test/store_test.cc
@@ -199,6 +199,22 @@
   CHECK(contents.snapshot->data == "data");
 }
 
+// Guards against a start that reads all entries because one of them is newer
+// than the snapshot.
+TEST_CASE_METHOD(StoreFixture, "a snapshot drops segments that it covers")
+{
+  this->Fill(1, 800);
+  {
+    auto store = this->Open();
+    Batch batch;
+    batch.snapshot = SnapshotRecord{ LogIndex(790), Term(1), "m", "data" };
+    REQUIRE(store.value().Write(batch).has_value());
+  }
+  auto contents = this->Read();
+  CHECK(contents.records.size() == 10);
+  CHECK(contents.recordsRead <= 128);
+}
+
 // Guards against entries that disagree with a leader's snapshot, also when a
 // crash came before their files were removed.
 TEST_CASE_METHOD(StoreFixture, "a discarded log does not come back")
