--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -43,6 +43,7 @@
 lycheestand_fault_cases(short budget-partition answers-killed not-run once-killed once-retry
                         once-no-answer leaving planned-stop config-cut)
 lycheestand_fault_cases(long budget-killed budget-frozen answers-broken once-race once-cut
-                        config-one-way config-frozen config-restart)
+                        config-one-way config-frozen config-restart control-race control-resent
+                        pair-85 pair-88 pair-90 pair-100 pair-110 pair-118)
 
 lycheestand_program(bench_load bench/load DEPS lycheestand_net)
--- a/test/faults/fleet.cc
+++ b/test/faults/fleet.cc
@@ -432,6 +432,25 @@
                          { "document", json::serialize(document) } });
 }
 
+void
+Fleet::RemoveData(int aControl)
+{
+  std::filesystem::remove_all(this->place.Folder() /
+                              (Numbered("c", aControl) + "-data"));
+}
+
+bool
+Fleet::WaitForFullQuorum(Duration aLimit)
+{
+  return WaitFor(aLimit, [this] {
+    auto status = this->Read("/admin/status");
+    json::error_code error;
+    const auto* voters = status.find_pointer("/voters", error);
+    return voters != nullptr &&
+           voters->to_number<int>(error) == this->options.controls;
+  });
+}
+
 int
 Fleet::FindLeader()
 {
--- a/test/faults/fleet.h
+++ b/test/faults/fleet.h
@@ -136,6 +136,10 @@
   Reply ApplyModels(const std::vector<std::string>& aModels,
                     std::uint64_t aBase,
                     const std::string& aChange);
+  // Removes the data of a control instance that is not running.
+  void RemoveData(int aControl);
+  // Waits until every control instance is a voting member again.
+  bool WaitForFullQuorum(Duration aLimit = 30s);
   // Returns the control instance that leads, or -1.
   int FindLeader();
 
