Run the fault tests of control with three instances

Control tests format the data folders, isolate the leader both ways or one way, lose disks and restart all instances.

--- a/test/faults/control_test.cc
+++ b/test/faults/control_test.cc
@@ -238,7 +238,7 @@
 // that hears the others but is not heard.
 TEST_CASE("a leader isolated one way accepts nothing", "[control-one-way]")
 {
-  const char* fault = GENERATE("drop_forward", "drop_backward");
+  const char* fault = GENERATE("mute", "deaf");
   Fleet fleet("control-one-way", 75, MakeReplicated());
   CheckIsolation(fleet, fault);
 }
--- a/test/faults/fleet.cc
+++ b/test/faults/fleet.cc
@@ -252,12 +252,10 @@
         { "peer_address", ToString(this->addresses[instance]) },
         { "data_folder", data.string() },
         { "platform_list", ToString(this->addresses["platform"]) } });
-    if (this->options.controls > 1) {
-      this
-        ->Start(instance + "-format",
-                { Program("lycheestandd"), "--format", "-s", file })
-        ->WaitForExit(10s);
-    }
+    this
+      ->Start(instance + "-format",
+              { Program("lycheestandd"), "--format", "-s", file })
+      ->WaitForExit(10s);
     this->controls.push_back(
       this->Start(instance, { Program("lycheestandd"), "-s", file }));
   }
@@ -318,14 +316,19 @@
   }
 }
 
+// The two faults of one direction are named as seen from the instance.
 void
 Fleet::IsolateControl(int aControl, const std::string& aFault)
 {
   std::string control = Numbered("c", aControl);
+  auto choose = [&](const char* aMute, const char* aDeaf) -> std::string {
+    return aFault == "mute" ? aMute : (aFault == "deaf" ? aDeaf : aFault);
+  };
   for (const auto& [linkName, ends] : this->links) {
-    if (linkName.ends_with("-" + control) ||
-        linkName.starts_with(control + "-")) {
-      this->Fault(linkName, aFault);
+    if (linkName.starts_with(control + "-")) {
+      this->Fault(linkName, choose("drop_forward", "drop_backward"));
+    } else if (linkName.ends_with("-" + control)) {
+      this->Fault(linkName, choose("drop_backward", "drop_forward"));
     }
   }
 }
@@ -439,15 +442,30 @@
                               (Numbered("c", aControl) + "-data"));
 }
 
+// An instance that has lost its disk counts again once its new disk votes.
 bool
 Fleet::WaitForFullQuorum(Duration aLimit)
 {
   return WaitFor(aLimit, [this] {
-    auto status = this->Read("/admin/status");
-    json::error_code error;
-    const auto* voters = status.find_pointer("/voters", error);
-    return voters != nullptr &&
-           voters->to_number<int>(error) == this->options.controls;
+    std::set<std::string> disks;
+    std::set<std::string> voters;
+    for (int i = 0; i < this->options.controls; ++i) {
+      json::error_code error;
+      auto dump = json::parse(this->OperateAt(i, "GET", "/dump").body, error);
+      const auto* disk = dump.find_pointer("/control/replica/disk", error);
+      const auto* role = dump.find_pointer("/control/replica/role", error);
+      const auto* list = dump.find_pointer("/control/replica/voters", error);
+      if (disk == nullptr || role == nullptr || list == nullptr) {
+        return false;
+      }
+      disks.emplace(disk->as_string());
+      if (*role == "leader") {
+        for (const auto& voter : list->as_array()) {
+          voters.emplace(voter.at("disk").as_string());
+        }
+      }
+    }
+    return disks == voters;
   });
 }
 
--- a/test/faults/fleet.h
+++ b/test/faults/fleet.h
@@ -9,6 +9,7 @@
 #include <boost/json.hpp>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <thread>
 
 namespace lycheestand::faults {
@@ -116,7 +117,8 @@
              json::object aMore = {});
   // Cuts a router off from every control instance.
   void FaultRouter(int aRouter, const std::string& aFault);
-  // Cuts a control instance off from routers and the other instances.
+  // Cuts a control instance off from routers and the other instances; "mute"
+  // and "deaf" hold only what it sends or what it is sent.
   void IsolateControl(int aControl, const std::string& aFault);
 
   // Sends an operator's request to the instance that leads.
