--- a/test/faults/fleet.cc
+++ b/test/faults/fleet.cc
@@ -339,14 +339,19 @@
   }
 }
 
+// The two faults of one direction are named as seen from the instance.
 void
 Fleet::IsolateControl(int aControl, const std::string& aFault)
 {
   std::string control = Numbered("c", aControl);
+  auto choose = [&](const char* aMute, const char* aDeaf) -> std::string {
+    return aFault == "mute" ? aMute : (aFault == "deaf" ? aDeaf : aFault);
+  };
   for (const auto& [linkName, ends] : this->links) {
-    if (linkName.ends_with("-" + control) ||
-        linkName.starts_with(control + "-")) {
-      this->Fault(linkName, aFault);
+    if (linkName.starts_with(control + "-")) {
+      this->Fault(linkName, choose("drop_forward", "drop_backward"));
+    } else if (linkName.ends_with("-" + control)) {
+      this->Fault(linkName, choose("drop_backward", "drop_forward"));
     }
   }
 }
@@ -453,6 +458,40 @@
                          { "document", json::serialize(document) } });
 }
 
+void
+Fleet::RemoveData(int aControl)
+{
+  std::filesystem::remove_all(this->place.Folder() /
+                              (Numbered("c", aControl) + "-data"));
+}
+
+// An instance that has lost its disk counts again once its new disk votes.
+bool
+Fleet::WaitForFullQuorum(Duration aLimit)
+{
+  return WaitFor(aLimit, [this] {
+    std::set<std::string> disks;
+    std::set<std::string> voters;
+    for (int i = 0; i < this->options.controls; ++i) {
+      json::error_code error;
+      auto dump = json::parse(this->OperateAt(i, "GET", "/dump").body, error);
+      const auto* disk = dump.find_pointer("/control/replica/disk", error);
+      const auto* role = dump.find_pointer("/control/replica/role", error);
+      const auto* list = dump.find_pointer("/control/replica/voters", error);
+      if (disk == nullptr || role == nullptr || list == nullptr) {
+        return false;
+      }
+      disks.emplace(disk->as_string());
+      if (*role == "leader") {
+        for (const auto& voter : list->as_array()) {
+          voters.emplace(voter.at("disk").as_string());
+        }
+      }
+    }
+    return disks == voters;
+  });
+}
+
 int
 Fleet::FindLeader()
 {
--- a/test/faults/fleet.h
+++ b/test/faults/fleet.h
@@ -9,6 +9,7 @@
 #include <boost/json.hpp>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <thread>
 
 namespace lycheestand::faults {
@@ -124,7 +125,8 @@
              json::object aMore = {});
   // Cuts a router off from every control instance.
   void FaultRouter(int aRouter, const std::string& aFault);
-  // Cuts a control instance off from routers and the other instances.
+  // Cuts a control instance off from routers and the other instances; "mute"
+  // and "deaf" hold only what it sends or what it is sent.
   void IsolateControl(int aControl, const std::string& aFault);
 
   // Sends an operator's request to the instance that leads.
@@ -144,6 +146,10 @@
   Reply ApplyModels(const std::vector<std::string>& aModels,
                     std::uint64_t aBase,
                     const std::string& aChange);
+  // Removes the data of a control instance that is not running.
+  void RemoveData(int aControl);
+  // Waits until every control instance is a voting member again.
+  bool WaitForFullQuorum(Duration aLimit = 30s);
   // Returns the control instance that leads, or -1.
   int FindLeader();
 
