Withdraw an operation's intent when its caller leaves early

Cause: a caller who left before the intent was answered left it in progress, so a retry was told 409 in_progress for as long as the router lived. Change: the request owns the intent from the moment it is asked for; ending the request sends the abort, which control refuses for an intent that is not its own.

--- a/packages/router/src/operation.cc
+++ b/packages/router/src/operation.cc
@@ -29,9 +29,9 @@
              const OperationAnswer& aAnswer,
              const Next& aNext)
 {
+  aRequest->isOperationOpen = aAnswer.state == OperationState::Started;
   switch (aAnswer.state) {
     case OperationState::Started:
-      aRequest->isOperationOpen = true;
       aNext();
       return;
     case OperationState::Completed:
@@ -91,6 +91,9 @@
       return;
     }
     aRequest->operation = NextOperationNumber();
+    // Set before the reply: a caller who leaves meanwhile has the intent
+    // withdrawn, or a retry would be told for ever that it is in progress.
+    aRequest->isOperationOpen = true;
     wire::OperationRequest step;
     step.request = aRequest->operation;
     step.workspace = aRequest->workspace;
