--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all install build check format format-check lint test faults bench bench-micro bench-policy clean demo demo-up demo-down
+.PHONY: all install build check format format-check lint test faults bench bench-micro bench-policy model clean demo demo-up demo-down
 
 all: build
 
@@ -39,6 +39,10 @@
 bench-policy: build
 	$(BUILD)/bench_policy
 
+# Runs Spin on spec/; one line per run.
+model: install
+	tools/run-model
+
 check: install format-check build lint test
 
 # Both users' work on loopback, with a verdict; demo-up leaves the fleet running.
