--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -47,10 +47,11 @@
   endforeach()
 endfunction()
 lycheestand_fault_cases(short budget-partition answers-killed not-run once-killed once-retry
-                        once-no-answer leaving planned-stop config-cut)
+                        once-no-answer once-left leaving planned-stop config-cut)
 lycheestand_fault_cases(long budget-killed budget-frozen answers-broken once-race once-cut
                         config-one-way config-frozen config-restart control-race control-resent
                         control-killed control-isolated control-one-way control-disk control-restart
+                        orders-fenced orders-ignored
                         pair-85 pair-88 pair-90 pair-100 pair-110 pair-118)
 
 lycheestand_program(bench_load bench/load DEPS lycheestand_net)
--- a/test/faults/operations_test.cc
+++ b/test/faults/operations_test.cc
@@ -213,6 +213,28 @@
   REQUIRE(executions["key"] == 1);
 }
 
+// Guards against an intent that stays in progress because its caller left
+// before control had answered: every retry would be refused.
+TEST_CASE("a booking whose caller left early can be retried", "[once-left]")
+{
+  FleetOptions options;
+  options.records = 1;
+  options.engines = 0;
+  Fleet fleet("once-left", 36, options);
+  fleet.FaultRouter(0, "block");
+  Reply left = fleet.Book(0, "key", "{}", 400ms);
+  REQUIRE(left.isTimeout);
+  fleet.FaultRouter(0, "heal");
+  Reply retried;
+  REQUIRE(WaitFor(20s, [&] {
+    retried = fleet.Book(1, "key", "{}");
+    return retried.status == 201;
+  }));
+  auto executions = fleet.Executions();
+  fleet.Figure("executions", executions["key"].as_int64());
+  REQUIRE(executions["key"] == 1);
+}
+
 // Guards against a refusal that says not_run of a call that reached a service,
 // when connections to services are cut, blocked or closed.
 TEST_CASE("a booking refused as not_run has not run", "[once-cut]")
--- /dev/null
+++ b/test/faults/orders_test.cc
@@ -0,0 +1,99 @@
+// Orders to engines: an earlier leader's late order does not stay in force.
+
+#include "fleet.h"
+
+#include <catch2/catch.hpp>
+
+namespace lycheestand::faults {
+
+namespace {
+
+// Returns what the engine says is in force.
+json::object
+ReadOrders(Fleet& aFleet)
+{
+  json::error_code error;
+  auto value = json::parse(aFleet.AskEngine(0, "/orders").body, error);
+  return value.is_object() ? value.as_object() : json::object();
+}
+
+bool
+HasVersion(Fleet& aFleet, const char* aVersion)
+{
+  auto orders = ReadOrders(aFleet);
+  const auto* version = orders.if_contains("version");
+  return version != nullptr && *version == json::value(aVersion);
+}
+
+Reply
+OrderVersion(Fleet& aFleet, const char* aVersion)
+{
+  return aFleet.Operate("POST",
+                        "/admin/orders",
+                        { { "change_id", std::string("order-") + aVersion },
+                          { "endpoint", "e0" },
+                          { "kind", "set_version" },
+                          { "argument", aVersion } });
+}
+
+// Sends an order to the engine as an earlier leader would, whose message was
+// held up on its way.
+Reply
+SendLate(Fleet& aFleet, std::uint64_t aFencing, const char* aVersion)
+{
+  json::object order{ { "kind", "set_version" },
+                      { "argument", aVersion },
+                      { "fencing", aFencing } };
+  return Send(aFleet.EngineAddress(0),
+              { "POST", "/orders", {}, json::serialize(order) });
+}
+
+// Orders two versions and waits until the second is in force.
+void
+OrderTwice(Fleet& aFleet)
+{
+  REQUIRE(OrderVersion(aFleet, "1").status == 200);
+  REQUIRE(WaitFor(20s, [&] { return HasVersion(aFleet, "1"); }));
+  aFleet.Control(aFleet.FindLeader()).Kill();
+  REQUIRE(
+    WaitFor(20s, [&] { return OrderVersion(aFleet, "2").status == 200; }));
+  REQUIRE(WaitFor(20s, [&] { return HasVersion(aFleet, "2"); }));
+}
+
+} // namespace
+
+// Guards against a late order that an engine takes although it checks numbers.
+TEST_CASE("An engine refuses a late order of an earlier leader",
+          "[orders-fenced]")
+{
+  FleetOptions options;
+  options.controls = 3;
+  options.engines = 1;
+  Fleet fleet("orders-fenced", 1, options);
+  OrderTwice(fleet);
+  REQUIRE(SendLate(fleet, 1, "1").status == 409);
+  REQUIRE(HasVersion(fleet, "2"));
+}
+
+// Guards against a late order that stays in force at an engine that ignores
+// the number.
+TEST_CASE("The newest order is restored at an engine that ignores numbers",
+          "[orders-ignored]")
+{
+  FleetOptions options;
+  options.controls = 3;
+  options.engines = 1;
+  options.engineArguments = { "--ignore-fencing" };
+  Fleet fleet("orders-ignored", 1, options);
+  OrderTwice(fleet);
+  REQUIRE(SendLate(fleet, 1, "1").status == 200);
+  REQUIRE(HasVersion(fleet, "1"));
+  auto begun = std::chrono::steady_clock::now();
+  REQUIRE(WaitFor(20s, [&] { return HasVersion(fleet, "2"); }));
+  fleet.Figure("restored_ms",
+               std::chrono::duration_cast<std::chrono::milliseconds>(
+                 std::chrono::steady_clock::now() - begun)
+                 .count());
+}
+
+} // namespace lycheestand::faults
--- a/tools/demo-lib.sh
+++ b/tools/demo-lib.sh
@@ -13,13 +13,13 @@
 daemon_help=$("$build/lycheestandd" --help 2>/dev/null || true)
 [[ $daemon_help == *--format* ]] || control=1
 
-peer_of() { echo "127.0.0.1:$((34000 + $1))"; }
-control_admin_of() { echo "127.0.0.1:$((34020 + $1))"; }
-caller_of() { echo "127.0.0.1:$((34100 + $1))"; }
-router_admin_of() { echo "127.0.0.1:$((34200 + $1))"; }
-engine_of() { echo "127.0.0.1:$((34300 + $1))"; }
-service_of() { echo "127.0.0.1:$((34400 + $1))"; }
-platform=127.0.0.1:34500
+peer_of() { echo "127.0.0.1:$((24000 + $1))"; }
+control_admin_of() { echo "127.0.0.1:$((24020 + $1))"; }
+caller_of() { echo "127.0.0.1:$((24100 + $1))"; }
+router_admin_of() { echo "127.0.0.1:$((24200 + $1))"; }
+engine_of() { echo "127.0.0.1:$((24300 + $1))"; }
+service_of() { echo "127.0.0.1:$((24400 + $1))"; }
+platform=127.0.0.1:24500
 
 client() { "$build/lycheestand" "$@" --client "$state/client.json"; }
 
