Keep a task alive when a message that it sent is answered with an error

Cause: a task that answered a message whose sender did not wait got an error back, and an error ends a task by default. The replica of the leader ended after the first confirmed order to an engine, so the instance went on without serving or voting; the operation controller would have ended after a refused booking. Ruled out: the log and the order codec (the other instances elected a leader and had applied the same entries). Change: tasks report such errors and go on, connections close; the two senders that do not wait say so with anon_send.

--- a/packages/control/src/order_sender.cc
+++ b/packages/control/src/order_sender.cc
@@ -2,6 +2,7 @@
 #include "tasks.h"
 
 #include <boost/json.hpp>
+#include <caf/send.hpp>
 
 // Sends orders to engines while this instance leads. Orders of one engine are
 // sent one at a time, in the order of their numbers, each over a new
@@ -165,8 +166,10 @@
       return;
     }
     if (!aOrders.at(aNumber).confirmed) {
-      this->send(this->replica,
-                 Propose{ state::ConfirmOrder{ aEndpoint.endpoint, aNumber } });
+      // Nobody waits for the answer: an order that stays open is sent again.
+      caf::anon_send(
+        this->replica,
+        Propose{ state::ConfirmOrder{ aEndpoint.endpoint, aNumber } });
     }
     this->SendFrom(aEndpoint, aOrders, FencingNumber(aNumber.Get() + 1));
   }
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -57,6 +57,10 @@
     , options(aOptions)
     , handler(std::move(aHandler))
   {
+    // A task that was asked for the answer has failed or was too slow; without
+    // the close the caller would wait for ever.
+    this->set_error_handler(
+      [this](caf::scheduled_actor*, caf::error&) { this->quit(); });
   }
 
   void on_exit() override
--- a/packages/net/src/io_task.cc
+++ b/packages/net/src/io_task.cc
@@ -28,6 +28,11 @@
   , runtime(aRuntime)
   , pool(std::move(aPool))
 {
+  // An answer that nobody waits for is sent back as an error, and an error ends
+  // a task by default. A stray message must not end the task that sent it.
+  this->set_error_handler([](caf::scheduled_actor*, caf::error&) {
+    Log(LogLevel::Error, "a task received an error for a message it sent");
+  });
 }
 
 IoTask::~IoTask() = default;
--- /dev/null
+++ b/packages/net/test/io_task_test.cc
@@ -0,0 +1,65 @@
+#include "net_fixture.h"
+
+using namespace lycheestand;
+using namespace lycheestand::net;
+
+namespace {
+
+// Answers each number with a text, and counts them.
+class AnsweringTask : public IoTask
+{
+public:
+  AnsweringTask(caf::actor_config& aConfig, Runtime aRuntime, int* aCount)
+    : IoTask(aConfig, aRuntime)
+    , count(aCount)
+  {
+  }
+
+protected:
+  caf::message_handler Handlers() override
+  {
+    return { [this](int) {
+      ++*this->count;
+      return std::string("answer");
+    } };
+  }
+
+private:
+  int* count;
+};
+
+// Sends a number without waiting for the answer.
+class SendingTask : public IoTask
+{
+public:
+  SendingTask(caf::actor_config& aConfig, Runtime aRuntime, caf::actor aTarget)
+    : IoTask(aConfig, aRuntime)
+    , target(std::move(aTarget))
+  {
+  }
+
+  void on_exit() override { this->target = nullptr; }
+
+protected:
+  void Start() override { this->send(this->target, 1); }
+
+private:
+  caf::actor target;
+};
+
+} // namespace
+
+// Guards against a task that is ended by an answer which nobody expected: it
+// stopped the replica of a control instance.
+TEST_CASE_METHOD(NetFixture, "An unexpected answer ends no task")
+{
+  int count = 0;
+  auto answering = this->system.spawn<AnsweringTask>(this->runtime, &count);
+  this->started.push_back(answering);
+  for (int sent = 1; sent <= 3; ++sent) {
+    this->started.push_back(
+      this->system.spawn<SendingTask>(this->runtime, answering));
+    this->PumpUntil([&] { return count == sent; });
+    this->Advance(std::chrono::seconds(1));
+  }
+}
--- a/packages/router/src/finish.cc
+++ b/packages/router/src/finish.cc
@@ -1,5 +1,7 @@
 #include "chat_protocol.h"
 
+#include <caf/send.hpp>
+
 namespace lycheestand::router {
 
 void
@@ -57,7 +59,8 @@
     step.workspace = aRequest->workspace;
     step.key = *std::get<ServiceCall>(aRequest->call).key;
     step.phase = OperationPhase::Abort;
-    task.send(aRequest->controllers.operation, Operate{ std::move(step) });
+    // Nobody waits for the answer.
+    caf::anon_send(aRequest->controllers.operation, Operate{ std::move(step) });
   }
   net::Metrics().GetGauge("lycheestand_requests_in_flight").Add(-1);
   net::Metrics()
--- a/test/faults/orders_test.cc
+++ b/test/faults/orders_test.cc
@@ -54,7 +54,9 @@
 {
   REQUIRE(OrderVersion(aFleet, "1").status == 200);
   REQUIRE(WaitFor(20s, [&] { return HasVersion(aFleet, "1"); }));
-  aFleet.Control(aFleet.FindLeader()).Kill();
+  int leader = -1;
+  REQUIRE(WaitFor(20s, [&] { return (leader = aFleet.FindLeader()) >= 0; }));
+  aFleet.Control(leader).Kill();
   REQUIRE(
     WaitFor(20s, [&] { return OrderVersion(aFleet, "2").status == 200; }));
   REQUIRE(WaitFor(20s, [&] { return HasVersion(aFleet, "2"); }));
