--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -63,7 +63,8 @@
 
 # Measurements; built with everything else, run by make bench-micro.
 find_package(benchmark REQUIRED)
-lycheestand_program(bench_micro bench/micro DEPS lycheestand_routing lycheestand_membership lycheestand_budget lycheestand_wire benchmark::benchmark)
+lycheestand_program(bench_micro bench/micro DEPS lycheestand_routing lycheestand_membership lycheestand_budget
+                    lycheestand_settings lycheestand_wire benchmark::benchmark)
 lycheestand_program(bench_policy bench/policy DEPS lycheestand_routing)
 
 # Prints the figures of docs/budgets.md.
