Say not_run when no endpoint could be reached

A chat call to an endpoint that refused connections was answered with 502 and ran=unknown, although no byte of it was sent. Such a failure no longer counts as a break: seven of seven calls to a killed engine are now answered with 503 and not_run. make check passes.

--- a/packages/router/src/forward_chat.cc
+++ b/packages/router/src/forward_chat.cc
@@ -106,7 +106,10 @@
     return { [self](const net::CallHead& aHead) { self->HandleHead(aHead); },
              [self](const std::string& aPiece) { self->HandleBody(aPiece); },
              [self] { self->HandleEnd(); },
-             [self](net::CallFailure, const std::string& aReason) {
+             [self](net::CallFailure aFailure, const std::string& aReason) {
+               // Of a request that was not sent it is known that it did not
+               // run.
+               self->hasBroken |= aFailure != net::CallFailure::NotSent;
                self->HandleBreak(aReason);
              } };
   }
@@ -202,6 +205,7 @@
     if (this->status != 200) {
       this->HandleRefusal();
     } else if (!this->isDone || this->finishReason.empty()) {
+      this->hasBroken = true;
       this->HandleBreak("the stream ended early");
     } else {
       this->Complete();
@@ -261,14 +265,13 @@
                { "endpoint", this->request->endpoint.Get() },
                { "reason", aReason } });
     ReleaseEndpoint(this->request, routing::Outcome::Failed, this->isLeaving);
-    this->hasBroken = true;
     this->lastBreak = aReason;
     bool hasRoom = this->request->usage.outputTokens < this->outputLimit;
     if (hasRoom && this->request->tried.size() < kMaxAttempts) {
       this->Start();
       return;
     }
-    this->EndInterrupted(aReason);
+    this->EndAfterAttempts(aReason);
   }
 
   // No endpoint is left, or the retry budget is used up.
@@ -281,8 +284,8 @@
     }
   }
 
-  // Ends a request whose attempts have failed. If all of them were refused, it
-  // did not run.
+  // Ends a request whose attempts have failed. If each was refused or could not
+  // be sent, it did not run.
   void EndAfterAttempts(const std::string& aReason)
   {
     if (this->hasBroken || this->request->exchange->IsAnswered()) {
@@ -292,7 +295,7 @@
     Refuse(this->request,
            { 503,
              "endpoints_busy",
-             "the endpoints refused the request",
+             "the endpoints refused the request or could not be reached",
              RanState::NotRun,
              1 });
   }
