Split the fault tests' fleet by job

Change: addresses, settings and starts are in fleet_start.cc; nothing else changes. Measured: faults_test and bench_fleet build.

--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -58,7 +58,7 @@
 
 # Measures a fleet with the harness of the fault tests.
 lycheestand_program(bench_fleet bench/fleet DEPS lycheestand_net)
-target_sources(bench_fleet PRIVATE test/faults/fleet.cc test/faults/chat.cc test/faults/process.cc test/faults/http_client.cc)
+target_sources(bench_fleet PRIVATE test/faults/fleet.cc test/faults/fleet_start.cc test/faults/chat.cc test/faults/process.cc test/faults/http_client.cc)
 add_dependencies(bench_fleet lycheestandd standin_engine standin_platform standin_records standin_proxy bench_load)
 
 # Measurements; built with everything else, run by make bench-micro.
