--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -78,7 +78,6 @@
   {
     beast::error_code ignored;
     this->socket.set_option(tcp::no_delay(true), ignored);
-    this->socket.non_blocking(true, ignored);
     auto remote = this->socket.remote_endpoint(ignored);
     this->peer = remote.address().to_string();
     this->Touch();
@@ -362,26 +361,7 @@
     }
   }
 
-  // Most writes fit into the socket's buffer. They are done at once: a turn of
-  // the I/O thread for each token was the largest part of a stream's cost.
   void WriteNext()
-  {
-    beast::error_code error;
-    std::size_t done =
-      this->socket.write_some(asio::buffer(this->writes.front().bytes), error);
-    if (error && error != asio::error::would_block) {
-      this->quit();
-      return;
-    }
-    if (done == this->writes.front().bytes.size()) {
-      this->HandleWritten({});
-      return;
-    }
-    this->writes.front().bytes.erase(0, done);
-    this->WriteRest();
-  }
-
-  void WriteRest()
   {
     asio::async_write(
       this->socket,
