Stop the demo's routers before control

Cause: demo-down stopped all processes at once; a router that had grants could not report to control and was killed after 30 s. Change: routers are asked first.

--- a/tools/demo-lib.sh
+++ b/tools/demo-lib.sh
@@ -43,25 +43,33 @@
 # program has taken since is left alone.
 stop_recorded() {
   [ -f "$state/pids" ] || return 0
+  local pid name
+  # Routers first: they report to control what they spent.
+  stop_matching router
+  stop_matching .
+  while read -r pid name; do
+    if is_ours "$pid" "$name"; then
+      echo "demo: process $pid ($name) did not stop; it is killed" >&2
+      kill -KILL "$pid"
+    fi
+  done <"$state/pids"
+  rm -f "$state/pids"
+}
+
+# Asks the recorded processes whose name matches to stop, and waits up to 30 s.
+stop_matching() {
   local pid name left i
   while read -r pid name; do
-    is_ours "$pid" "$name" && kill -TERM "$pid"
+    [[ $name =~ $1 ]] && is_ours "$pid" "$name" && kill -TERM "$pid"
   done <"$state/pids"
   for ((i = 0; i < 300; ++i)); do
     left=0
     while read -r pid name; do
-      is_ours "$pid" "$name" && left=1
+      [[ $name =~ $1 ]] && is_ours "$pid" "$name" && left=1
     done <"$state/pids"
     [ "$left" -eq 0 ] && break
     sleep 0.1
   done
-  while read -r pid name; do
-    if is_ours "$pid" "$name"; then
-      echo "demo: process $pid ($name) did not stop; it is killed" >&2
-      kill -KILL "$pid"
-    fi
-  done <"$state/pids"
-  rm -f "$state/pids"
 }
 
 # True if the process runs the program that was recorded for its id.
