Let a control instance finish operators' requests before it stops

Cause: SIGTERM ended a control instance at once, also with an operator's request in flight, against the promise that a planned stop cuts off none. Change: net::StopServer stops a server and reports its last connection's end; the daemon uses it for the admin server, and the router's drain in place of its own loop. The new net test covers the wait; no case with processes.

--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -15,6 +15,9 @@
 constexpr int kExitSettings = 2;
 constexpr int kExitStart = 3;
 
+// Longest wait for operators' requests in flight.
+constexpr Duration kAdminStopLimit = std::chrono::seconds(5);
+
 net::LogLevel
 ParseLevel(const std::string& aText)
 {
@@ -86,7 +89,7 @@
         return router.error();
       }
       this->router = std::move(router.value());
-      this->router->OnDrainRequest([this] { this->Stop(); });
+      this->router->OnDrainRequest([this] { this->StopAdmin(); });
     }
     auto admin = StartAdminServer(this->runtime,
                                   pool,
@@ -96,6 +99,7 @@
     if (admin.has_error()) {
       return admin.error();
     }
+    this->admin = admin.value();
     return boost::outcome_v2::success();
   }
 
@@ -106,13 +110,20 @@
         return;
       }
       if (this->router) {
-        this->router->Drain([this] { this->Stop(); });
+        this->router->Drain([this] { this->StopAdmin(); });
       } else {
-        this->Stop();
+        this->StopAdmin();
       }
     });
   }
 
+  // Operators' requests in flight finish before the process ends.
+  void StopAdmin()
+  {
+    net::StopServer(
+      this->runtime, this->admin, kAdminStopLimit, [this] { this->Stop(); });
+  }
+
   void Stop()
   {
     boost::asio::post(this->io, [this] { this->io.stop(); });
@@ -124,6 +135,7 @@
   caf::actor_system system;
   net::Runtime runtime;
   boost::asio::signal_set signals;
+  caf::actor admin;
   std::unique_ptr<control::Control> control;
   std::unique_ptr<router::Router> router;
 };
--- a/packages/net/include/lycheestand/net.h
+++ b/packages/net/include/lycheestand/net.h
@@ -309,6 +309,15 @@
 struct OpenConnections
 {};
 
+// Stops a server gracefully: it accepts no more connections and finishes the
+// requests in flight. aDone runs, in a task of its own, when the last
+// connection has closed or the limit has passed.
+void
+StopServer(const Runtime& aRuntime,
+           const caf::actor& aServer,
+           Duration aLimit,
+           std::function<void()> aDone);
+
 // ---------------------------------------------------------------- links
 
 // The secret that all processes of a fleet share.
--- a/packages/net/test/http_server_test.cc
+++ b/packages/net/test/http_server_test.cc
@@ -124,6 +124,28 @@
   REQUIRE(caller.Received().find("whole") != std::string::npos);
 }
 
+// Guards against a stop that is reported before the last answer is sent.
+TEST_CASE_METHOD(NetFixture, "A server's stop waits for its last connection")
+{
+  ExchangePtr open;
+  bool isStopped = false;
+  auto address =
+    this->Serve([&](const ExchangePtr& aExchange) { open = aExchange; });
+  RawCaller caller(address);
+  caller.Send(kGet);
+  this->PumpUntil([&] { return open != nullptr; });
+  StopServer(
+    this->runtime, this->started.front(), 60s, [&] { isStopped = true; });
+  this->Advance(5s);
+  REQUIRE_FALSE(isStopped);
+  open->Respond({ 200, {}, "whole" });
+  this->PumpUntil([&] {
+    this->Advance(500ms);
+    return isStopped;
+  });
+  REQUIRE(caller.Received().find("whole") != std::string::npos);
+}
+
 // Guards against bytes from a hostile caller that crash the front.
 TEST_CASE_METHOD(NetFixture, "Malformed requests end the connection")
 {
--- a/packages/router/src/router.cc
+++ b/packages/router/src/router.cc
@@ -46,27 +46,19 @@
     this->send(this->controllers.link, SetLeaving{});
     this->After(this->keepTime + std::chrono::seconds(1), [this] {
       net::Log(net::LogLevel::Info, "leaving: finishing requests in flight");
-      this->send(this->server, net::StopListening{});
-      this->deadline = net::Now(this->GetRuntime()) + kDrainLimit;
-      this->WaitForConnections();
+      // The stop runs in a task of its own; what follows runs in this one.
+      auto executor = this->Executor();
+      net::StopServer(
+        this->GetRuntime(), this->server, kDrainLimit, [this, executor] {
+          executor.Post(std::make_shared<std::function<void()>>([this] {
+            this->deadline = net::Now(this->GetRuntime()) + kReportLimit;
+            this->WaitForOperations();
+          }));
+        });
     });
   }
 
 private:
-  void WaitForConnections()
-  {
-    this->request(this->server, caf::infinite, net::OpenConnections{})
-      .then([this](std::size_t aOpen) {
-        if (aOpen == 0 || this->IsOverdue()) {
-          this->deadline = net::Now(this->GetRuntime()) + kReportLimit;
-          this->WaitForOperations();
-        } else {
-          this->After(kDrainPollInterval,
-                      [this] { this->WaitForConnections(); });
-        }
-      });
-  }
-
   void WaitForOperations()
   {
     this->request(this->controllers.operation, caf::infinite, IsIdle{})
