--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -1,5 +1,8 @@
+# A deployment builds only what runs.
+option(LYCHEESTAND_TESTS "build tests, samples, stand-ins and benches" ON)
+
 # The packages, in the order in which they may depend on each other.
-add_library(lycheestand_catch_main STATIC test/catch_main.cc)
+add_library(lycheestand_catch_main STATIC EXCLUDE_FROM_ALL test/catch_main.cc)
 
 set(CAF_TARGETS ${CAF_CORE_LIBRARY} Threads::Threads)
 
@@ -14,13 +17,20 @@
 lycheestand_package(storage DEPS lycheestand_core ${XXHASH_LIBRARY})
 lycheestand_package(routing DEPS lycheestand_core)
 lycheestand_package(membership DEPS lycheestand_core)
-lycheestand_package(router DEPS lycheestand_net lycheestand_settings lycheestand_budget lycheestand_routing lycheestand_membership lycheestand_wire)
-lycheestand_package(control DEPS lycheestand_net lycheestand_settings lycheestand_state lycheestand_membership lycheestand_wire lycheestand_journal lycheestand_consensus lycheestand_storage)
+lycheestand_package(routes DEPS lycheestand_core)
+lycheestand_package(discovery DEPS lycheestand_net lycheestand_membership)
+lycheestand_package(router DEPS lycheestand_routes lycheestand_discovery lycheestand_net lycheestand_settings lycheestand_budget lycheestand_routing lycheestand_membership lycheestand_wire)
+lycheestand_package(control DEPS lycheestand_discovery lycheestand_net lycheestand_settings lycheestand_state lycheestand_membership lycheestand_wire lycheestand_journal lycheestand_consensus lycheestand_storage)
 lycheestand_package(client DEPS lycheestand_net lycheestand_settings)
+lycheestand_package(platform FOLDER platform DEPS lycheestand_router lycheestand_control)
 
-lycheestand_program(lycheestandd packages/daemon/src DEPS lycheestand_router lycheestand_control)
+lycheestand_program(lycheestandd packages/daemon/src DEPS lycheestand_platform)
 lycheestand_program(lycheestand packages/client/main DEPS lycheestand_client)
 
+if(NOT LYCHEESTAND_TESTS)
+  return()
+endif()
+
 # Stand-ins for the platform; test programs that never ship.
 function(lycheestand_standin NAME)
   add_executable(standin_${NAME} test/standins/${NAME}.cc)
--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -1,9 +1,13 @@
-# Defines a library package: packages/NAME/{include,src,test,samples}.
+# Defines a library package: packages/NAME/{include,src,test,samples}, or
+# another folder with these.
 # DEPS are the libraries that its public header needs; TEST_DEPS are those that
 # only its tests need. Files in test/ not named *_test.cc are listed in HELPERS.
 function(lycheestand_package NAME)
-  cmake_parse_arguments(ARG "" "" "DEPS;TEST_DEPS;HELPERS" ${ARGN})
+  cmake_parse_arguments(ARG "" "FOLDER" "DEPS;TEST_DEPS;HELPERS" ${ARGN})
   set(root ${CMAKE_SOURCE_DIR}/packages/${NAME})
+  if(ARG_FOLDER)
+    set(root ${CMAKE_SOURCE_DIR}/${ARG_FOLDER})
+  endif()
   file(GLOB sources CONFIGURE_DEPENDS ${root}/src/*.cc)
   set(target lycheestand_${NAME})
   if(sources)
@@ -18,6 +22,9 @@
     target_include_directories(${target} INTERFACE ${root}/include)
     target_link_libraries(${target} INTERFACE ${ARG_DEPS})
   endif()
+  if(NOT LYCHEESTAND_TESTS)
+    return()
+  endif()
   file(GLOB tests CONFIGURE_DEPENDS ${root}/test/*.cc)
   if(tests)
     list(TRANSFORM ARG_HELPERS PREPEND ${root}/test/)
--- a/packages/budget/include/lycheestand/budget.h
+++ b/packages/budget/include/lycheestand/budget.h
@@ -55,6 +55,8 @@
   WorkspaceId workspace;
   Tokens minimum;
   Tokens wanted;
+  // No claim waits for it, so others need not give up theirs.
+  bool isAhead = false;
 };
 
 // Control's answer to a GrantNeed.
@@ -91,6 +93,11 @@
   Duration retryPause = std::chrono::milliseconds(100);
   // Demand that a grant should cover.
   Duration grantHorizon = std::chrono::seconds(2);
+  // More is asked for when what is available covers less of the demand than
+  // this; zero to ask only when a claim waits.
+  Duration askBelow{};
+  // Weight of the newest window in the smoothed rate of demand.
+  double rateWeight = 0.5;
   // Time without a claim after which everything unused is returned.
   Duration idleReturn = std::chrono::seconds(3);
   // Varies the size of a grant request: recent tokens per second to tokens.
--- a/packages/budget/src/purse.cc
+++ b/packages/budget/src/purse.cc
@@ -11,9 +11,6 @@
 
 constexpr Duration kRateWindow = std::chrono::milliseconds(500);
 
-// Weight of the newest window in the smoothed rate.
-constexpr double kRateWeight = 0.5;
-
 // A busy router keeps twice what it would ask for, so that it does not return
 // tokens and ask for them again in the same second.
 constexpr std::int64_t kSurplusFactor = 2;
@@ -152,19 +149,26 @@
 {
   std::vector<GrantNeed> needs;
   for (auto& [workspace, account] : this->accounts) {
-    if (account.asked || account.queue.empty() || aNow < account.askAgain) {
+    Tokens low =
+      this->options.sizeGrant(account.tokensPerSecond, this->options.askBelow);
+    bool isLow = account.queue.empty() && account.available < low;
+    if (account.asked || aNow < account.askAgain ||
+        (account.queue.empty() && !isLow)) {
       continue;
     }
     Tokens queued;
     for (const auto& waiting : account.queue) {
       queued += waiting.claim.wanted;
     }
-    Tokens minimum = account.queue.front().claim.minimum - account.available;
+    Tokens minimum =
+      isLow ? Tokens(1)
+            : account.queue.front().claim.minimum - account.available;
     Tokens ahead = this->options.sizeGrant(account.tokensPerSecond,
                                            this->options.grantHorizon);
     GrantNeed need;
     need.request = this->nextRequest++;
     need.workspace = workspace;
+    need.isAhead = isLow;
     need.minimum = std::max(minimum, Tokens(1));
     need.wanted = std::max(queued + ahead - account.available, need.minimum);
     account.asked = need;
@@ -195,7 +199,10 @@
   }
   account.asked.reset();
   account.available += aAnswer.tokens;
-  account.exhausted = aAnswer.tokens == Tokens(0) && aAnswer.exhausted;
+  // An answer to a request made ahead says nothing about claims that come after
+  // it: more may have been paid by then.
+  account.exhausted =
+    aAnswer.tokens == Tokens(0) && aAnswer.exhausted && !account.queue.empty();
   if (aAnswer.tokens == Tokens(0)) {
     account.askAgain = aNow + this->options.retryPause;
   }
@@ -334,7 +341,8 @@
   double rate =
     aAccount.recentTokens / std::chrono::duration<double>(elapsed).count();
   aAccount.tokensPerSecond =
-    kRateWeight * rate + (1 - kRateWeight) * aAccount.tokensPerSecond;
+    this->options.rateWeight * rate +
+    (1 - this->options.rateWeight) * aAccount.tokensPerSecond;
   aAccount.recentTokens = 0;
   aAccount.rateSince = aNow;
 }
--- a/packages/control/src/control.cc
+++ b/packages/control/src/control.cc
@@ -1,3 +1,4 @@
+#include "storage_task.h"
 #include "tasks.h"
 
 #include <caf/send.hpp>
@@ -7,6 +8,22 @@
 
 namespace {
 
+// Longest wait for a quorum; operators give up after about a second.
+constexpr Duration kCallLimit = std::chrono::milliseconds(2500);
+
+RoutesReply
+MakeReply(bool aIsAnswered, const InstanceId& aLeader)
+{
+  RoutesReply reply;
+  if (aIsAnswered) {
+    reply.standing = Standing::Leads;
+  } else if (!aLeader.Get().empty()) {
+    reply.standing = Standing::Follows;
+    reply.leader = aLeader;
+  }
+  return reply;
+}
+
 class RunningControl : public Control
 {
 public:
@@ -21,6 +38,49 @@
     return MakeOperatorHandler(this->replica, this->fleet);
   }
 
+  void ReplaceRoutes(net::IoTask& aTask,
+                     RoutesDocument aDocument,
+                     RoutesDone aDone) override
+  {
+    state::ReplaceRoutes command{ aDocument.version,
+                                  std::move(aDocument.text),
+                                  std::move(aDocument.prepaid) };
+    aTask.request(this->replica, kCallLimit, Propose{ std::move(command) })
+      .then(
+        [aDone](const ProposalResult& aResult) {
+          RoutesReply reply =
+            MakeReply(aResult.outcome.has_value(), aResult.leader);
+          if (aResult.outcome) {
+            const auto* applied =
+              std::get_if<state::ConfigurationApplied>(&*aResult.outcome);
+            reply.isRejected = applied == nullptr;
+            reply.document.version =
+              applied != nullptr ? applied->version : ConfigVersion();
+          } else if (aResult.isUnknown) {
+            reply.standing = Standing::Unknown;
+          }
+          aDone(reply);
+        },
+        [aDone](const caf::error&) { aDone({}); });
+  }
+
+  void ReadRoutes(net::IoTask& aTask, RoutesDone aDone) override
+  {
+    aTask.request(this->replica, kCallLimit, FindRoutes{})
+      .then(
+        [aDone](const RoutesFound& aFound) {
+          RoutesReply reply =
+            MakeReply(aFound.routes.has_value(), aFound.leader);
+          if (aFound.routes) {
+            reply.document = { aFound.routes->Version(),
+                               aFound.routes->Document(),
+                               {} };
+          }
+          aDone(reply);
+        },
+        [aDone](const caf::error&) { aDone({}); });
+  }
+
   void Dump(net::IoTask& aTask, std::function<void(std::string)> aDone) override
   {
     auto askFleet = [&task = aTask, fleetTask = this->fleet, aDone](
@@ -45,9 +105,17 @@
 StartControl(const net::Runtime& aRuntime,
              caf::actor aPool,
              const settings::ProcessSettings& aSettings,
-             const net::FleetKey& aKey)
+             const net::FleetKey& aKey,
+             discovery::ListFormat aListFormat)
 {
   using R = Result<std::unique_ptr<Control>, std::string>;
+  if (aSettings.formsGroup) {
+    auto formatted = FormatIfEmpty(aSettings);
+    if (formatted.has_error()) {
+      return R(boost::outcome_v2::in_place_type<std::string>,
+               formatted.error());
+    }
+  }
   auto spawned = SpawnReplica(aRuntime, aSettings, aKey);
   if (spawned.has_error()) {
     return R(boost::outcome_v2::in_place_type<std::string>, spawned.error());
@@ -56,14 +124,25 @@
   auto fleet = SpawnFleetController(aRuntime, aSettings, replica);
   caf::anon_send(replica, fleet);
   auto server =
-    net::SpawnLinkServer(aRuntime, aKey, aSettings.peerAddress, {}, fleet);
+    net::SpawnLinkServer(aRuntime,
+                         aKey,
+                         aSettings.peerAddress,
+                         settings::MakeLinkOptions<net::LinkOptions>(aSettings),
+                         fleet);
   if (server.has_error()) {
     return R(boost::outcome_v2::in_place_type<std::string>, server.error());
   }
-  SpawnOrderSender(aRuntime, aPool, replica, fleet);
+  // A fleet that serves a table of routes gives no orders to engines.
+  if (!aSettings.routes) {
+    SpawnOrderSender(aRuntime, aPool, replica, fleet);
+  }
   if (aSettings.platformList) {
-    SpawnPlatformPoller(
-      aRuntime, std::move(aPool), *aSettings.platformList, fleet);
+    auto reader = discovery::SpawnListReader(aRuntime,
+                                             std::move(aPool),
+                                             *aSettings.platformList,
+                                             std::move(aListFormat),
+                                             fleet);
+    caf::anon_send(fleet, UseListReader{ reader });
   }
   return R(std::make_unique<RunningControl>(replica, fleet));
 }
--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -13,26 +13,16 @@
 // Least time between two views, so that many changes make one push.
 constexpr Duration kViewInterval = std::chrono::milliseconds(250);
 
+// Time in which routers find a new leader, before it publishes its view.
+constexpr Duration kSettleTime = std::chrono::milliseconds(800);
+
+// Longest time for which a new leader holds its view back for want of a list.
+constexpr Duration kListWait = std::chrono::seconds(5);
+
 // Least time between two published loads of an instance. Entry answers, which
 // the load is for, are kept as long; every load is in the view of every node.
 constexpr Duration kLoadInterval = std::chrono::seconds(10);
 
-std::vector<membership::Endpoint>
-ToEndpoints(const std::vector<wire::EndpointEntry>& aEntries)
-{
-  std::vector<membership::Endpoint> out;
-  out.reserve(aEntries.size());
-  for (const auto& entry : aEntries) {
-    out.push_back({ entry.endpoint,
-                    entry.zone,
-                    entry.address,
-                    entry.serves,
-                    entry.isService,
-                    entry.leaving });
-  }
-  return out;
-}
-
 // Serves the links of routers while this instance leads, and passes those of
 // other control instances to the replica.
 class FleetController : public net::IoTask
@@ -59,7 +49,11 @@
       [this](net::LinkDown& aDown) { this->HandleDown(aDown.link); },
       [this](LeadershipChanged& aChanged) { this->Change(aChanged); },
       [this](RevisionChanged& aChanged) { this->PushRevision(aChanged); },
-      [this](EndpointList& aList) { this->endpoints = aList.endpoints; },
+      [this](discovery::ListRead& aList) { this->TakeList(aList); },
+      [this](UseListReader& aUse) {
+        this->listReader = aUse.reader;
+        this->send(this->listReader, discovery::SetReading{ this->isLeader });
+      },
       [this](FindEndpoints) { return EndpointList{ this->endpoints }; },
       [this](ListInstances) { return this->FormatInstances(); },
       [this](ListEndpoints) { return this->FormatEndpoints(); },
@@ -232,7 +226,7 @@
       reply.exhausted = true;
     }
     this->SendTo(aState, reply);
-    if (reply.tokens == Tokens(0) && !reply.exhausted) {
+    if (reply.tokens == Tokens(0) && !reply.exhausted && !aRequest.isAhead) {
       this->RecallFromOthers(aState.hello.session, aRequest);
     }
   }
@@ -367,8 +361,17 @@
 
   void Change(const LeadershipChanged& aChanged)
   {
+    bool isNew = aChanged.isLeader && !this->isLeader;
     this->isLeader = aChanged.isLeader;
     this->leader = aChanged.leader;
+    if (this->listReader) {
+      this->send(this->listReader, discovery::SetReading{ this->isLeader });
+    }
+    if (isNew) {
+      this->leadsSince = net::Now(this->GetRuntime());
+      this->hasList = false;
+      this->view = {};
+    }
     if (this->isLeader) {
       return;
     }
@@ -412,9 +415,29 @@
     this->After(kViewInterval, [this] { this->UpdateViewPeriodically(); });
   }
 
+  void TakeList(discovery::ListRead& aList)
+  {
+    this->endpoints = std::move(aList.endpoints);
+    this->hasList = true;
+    this->UpdateView();
+  }
+
+  // A new leader knows neither the routers nor the endpoints. Until they have
+  // connected and the list is read, routers keep the view that they have.
+  bool IsViewKnown(TimePoint aNow) const
+  {
+    auto age = aNow - this->leadsSince;
+    bool isListDue = this->listReader && !this->hasList;
+    return this->isLeader && age >= kSettleTime &&
+           (!isListDue || age >= kListWait);
+  }
+
   void UpdateView()
   {
     auto now = net::Now(this->GetRuntime());
+    if (!this->IsViewKnown(now)) {
+      return;
+    }
     for (const auto& instance : this->detector.Forget(now)) {
       this->members.erase(instance);
     }
@@ -427,7 +450,7 @@
       member.PublishLoad(now);
       instances.push_back(member.entry);
     }
-    if (!this->view.Update(instances, ToEndpoints(this->endpoints))) {
+    if (!this->view.Update(instances, this->endpoints)) {
       return;
     }
     for (auto& [id, link] : this->links) {
@@ -491,7 +514,12 @@
   std::map<net::LinkId, LinkState> links;
   std::map<InstanceId, Member> members;
   membership::FailureDetector detector;
-  std::vector<wire::EndpointEntry> endpoints;
+  caf::actor listReader;
+  // When this instance's lead began.
+  TimePoint leadsSince{};
+  // A list was read since then.
+  bool hasList = false;
+  std::vector<membership::Endpoint> endpoints;
   membership::View view;
 };
 
--- a/packages/control/src/messages.h
+++ b/packages/control/src/messages.h
@@ -5,6 +5,7 @@
 
 #include <caf/allowed_unsafe_message_type.hpp>
 #include <lycheestand/core.h>
+#include <lycheestand/discovery.h>
 #include <lycheestand/net.h>
 #include <lycheestand/settings.h>
 #include <lycheestand/state.h>
@@ -92,7 +93,17 @@
 // The platform's newest list of endpoints.
 struct EndpointList
 {
-  std::vector<wire::EndpointEntry> endpoints;
+  std::vector<membership::Endpoint> endpoints;
+};
+
+// Reads the table of routes after a confirmation; the answer is RoutesFound.
+struct FindRoutes
+{};
+struct RoutesFound
+{
+  // None if this instance does not lead.
+  std::optional<state::RouteRegister> routes;
+  InstanceId leader;
 };
 
 // Asks for the orders to engines after a confirmation; none if this instance
@@ -104,6 +115,12 @@
   std::map<EndpointId, state::OrderRegister::Orders> byEndpoint;
 };
 
+// To the fleet controller: this task reads the platform's list.
+struct UseListReader
+{
+  caf::actor reader;
+};
+
 // Asks for the newest EndpointList.
 struct FindEndpoints
 {};
@@ -139,8 +156,11 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::PeerLink)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::PeerMessage)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::EndpointList)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::FindRoutes)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::RoutesFound)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::FindOrders)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::OrdersFound)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::UseListReader)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::FindEndpoints)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::ListInstances)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::ListEndpoints)
--- a/packages/control/src/order_sender.cc
+++ b/packages/control/src/order_sender.cc
@@ -123,7 +123,7 @@
   }
 
   // Sends the order with the number, then the later ones.
-  void SendFrom(const wire::EndpointEntry& aEndpoint,
+  void SendFrom(const membership::Endpoint& aEndpoint,
                 const Orders& aOrders,
                 FencingNumber aNumber)
   {
@@ -150,7 +150,7 @@
 
   // A refusal means that the engine has a newer order: this instance no longer
   // leads, or an older order of several is sent again and is in force.
-  void HandleAnswer(const wire::EndpointEntry& aEndpoint,
+  void HandleAnswer(const membership::Endpoint& aEndpoint,
                     const Orders& aOrders,
                     FencingNumber aNumber,
                     const Result<net::HttpResponse, net::CallFailure>& aResult)
@@ -174,7 +174,7 @@
     this->SendFrom(aEndpoint, aOrders, FencingNumber(aNumber.Get() + 1));
   }
 
-  void ReadBack(const wire::EndpointEntry& aEndpoint, const Orders& aOrders)
+  void ReadBack(const membership::Endpoint& aEndpoint, const Orders& aOrders)
   {
     this->Fetch(
       aEndpoint.address,
--- a/packages/control/src/peer_links.cc
+++ b/packages/control/src/peer_links.cc
@@ -52,11 +52,12 @@
 
   void Dial(const settings::ControlMember& aMember)
   {
-    auto link = net::OpenLink(this->GetRuntime(),
-                              this->key,
-                              aMember.peer,
-                              {},
-                              caf::actor_cast<caf::actor>(this));
+    auto link =
+      net::OpenLink(this->GetRuntime(),
+                    this->key,
+                    aMember.peer,
+                    settings::MakeLinkOptions<net::LinkOptions>(this->settings),
+                    caf::actor_cast<caf::actor>(this));
     this->links[link].member = aMember;
   }
 
--- a/packages/control/src/replica.cc
+++ b/packages/control/src/replica.cc
@@ -12,9 +12,6 @@
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(50);
 
-// Both sides of a link send at least once a second.
-constexpr Duration kKeepAliveInterval = std::chrono::seconds(1);
-
 constexpr int kExitStorage = 4;
 
 // Carries the replicated log and the state machine: gives the node its inputs
@@ -58,6 +55,7 @@
         return this->state.FindHolders(aFind.workspace);
       },
       [this](FindOrders) { return this->HandleFindOrders(); },
+      [this](FindRoutes) { return this->HandleFindRoutes(); },
       [this](PeerLink& aLink) { this->HandleLink(aLink); },
       [this](PeerMessage& aMessage) { this->HandleMessage(aMessage); },
       [this](DumpState) {
@@ -87,7 +85,8 @@
     for (const auto& [instance, task] : this->links) {
       this->send(task, net::LinkSend{ body });
     }
-    this->After(kKeepAliveInterval, [this] { this->KeepLinksAlive(); });
+    this->After(this->settings.heartbeatInterval,
+                [this] { this->KeepLinksAlive(); });
   }
 
   // ------------------------------------------------------------ inputs
@@ -144,6 +143,19 @@
     return promise;
   }
 
+  caf::typed_response_promise<RoutesFound> HandleFindRoutes()
+  {
+    auto promise = this->make_response_promise<RoutesFound>();
+    this->ReadThen([this, promise](bool aIsConfirmed) mutable {
+      RoutesFound found{ std::nullopt, this->LeaderId() };
+      if (aIsConfirmed) {
+        found.routes = this->state.Machine().Routes();
+      }
+      promise.deliver(std::move(found));
+    });
+    return promise;
+  }
+
   void ReadThen(std::function<void(bool)> aDone)
   {
     consensus::ReadId read(this->nextRead++);
@@ -317,6 +329,7 @@
     net::Log(net::LogLevel::Error,
              "the replicated log stops this instance",
              { { "reason", aReason } });
+    net::FlushLog();
     std::_Exit(kExitStorage);
   }
 
--- a/packages/control/src/replica_state.cc
+++ b/packages/control/src/replica_state.cc
@@ -100,7 +100,9 @@
   }
   const auto& records = this->machine.Configuration().Records();
   return settings::FormatFleetSnapshot(
-    records.empty() ? "" : records.back().document, keys);
+    records.empty() ? "" : records.back().document,
+    keys,
+    this->machine.Routes().Document());
 }
 
 Holders
--- a/packages/control/src/storage_task.cc
+++ b/packages/control/src/storage_task.cc
@@ -69,6 +69,18 @@
   return R(std::make_shared<storage::Store>(std::move(opened.value())));
 }
 
+// A folder that has been formatted, also one of a crashed first start, stays.
+Result<void, std::string>
+FormatIfEmpty(const settings::ProcessSettings& aSettings)
+{
+  auto opened =
+    storage::Store::Open(aSettings.dataFolder, storage::SystemFiles(), {});
+  bool isEmpty = opened.has_error() &&
+                 opened.error().kind == storage::ErrorKind::NotFormatted;
+  return isEmpty ? FormatDataFolder(aSettings)
+                 : Result<void, std::string>(boost::outcome_v2::success());
+}
+
 Result<void, std::string>
 FormatDataFolder(const settings::ProcessSettings& aSettings)
 {
--- a/packages/control/src/storage_task.h
+++ b/packages/control/src/storage_task.h
@@ -27,6 +27,10 @@
 Result<std::shared_ptr<storage::Store>, std::string>
 OpenDataFolder(const std::string& aFolder, const RandomSource& aRandom);
 
+// Formats an empty data folder as one of the first members'.
+Result<void, std::string>
+FormatIfEmpty(const settings::ProcessSettings& aSettings);
+
 // Starts the detached task that writes to a store.
 caf::actor
 SpawnStorageTask(const net::Runtime& aRuntime,
--- a/packages/control/src/tasks.h
+++ b/packages/control/src/tasks.h
@@ -26,13 +26,6 @@
                      const settings::ProcessSettings& aSettings,
                      caf::actor aReplica);
 
-// Reads the platform's list of endpoints again and again.
-caf::actor
-SpawnPlatformPoller(const net::Runtime& aRuntime,
-                    caf::actor aPool,
-                    const Address& aPlatform,
-                    caf::actor aFleet);
-
 // Sends orders to engines while this instance leads.
 caf::actor
 SpawnOrderSender(const net::Runtime& aRuntime,
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -6,7 +6,10 @@
 #include <caf/actor_system_config.hpp>
 #include <csignal>
 #include <iostream>
+#include <optional>
 #include <sodium.h>
+#include <utility>
+#include <vector>
 
 namespace lycheestand::daemon {
 
@@ -34,8 +37,10 @@
 class Process
 {
 public:
-  explicit Process(const settings::ProcessSettings& aSettings)
+  Process(const settings::ProcessSettings& aSettings,
+          std::optional<platform::Node> aNode)
     : settings(aSettings)
+    , node(std::move(aNode))
     , system(Configure(this->config, aSettings.threads))
     , runtime{ &this->system, &this->io }
     , signals(this->io, SIGTERM, SIGINT)
@@ -44,7 +49,7 @@
 
   int Run()
   {
-    auto key = net::FleetKey::Load(this->settings.fleetKeyFile);
+    auto key = LoadKey(this->settings);
     if (key.has_error()) {
       std::cerr << "lycheestandd: " << key.error() << "\n";
       return kExitSettings;
@@ -62,6 +67,15 @@
   }
 
 private:
+  static Result<net::FleetKey, std::string> LoadKey(
+    const settings::ProcessSettings& aSettings)
+  {
+    if (aSettings.trustsNetwork) {
+      return net::FleetKey::OfTrustedNetwork();
+    }
+    return net::FleetKey::Load(aSettings.fleetKeyFile);
+  }
+
   // The default policy polls while idle; "sharing" waits.
   static caf::actor_system_config& Configure(caf::actor_system_config& aConfig,
                                              std::size_t aThreads)
@@ -75,16 +89,24 @@
   {
     auto pool = net::SpawnConnectionPool(this->runtime);
     if (this->settings.role != settings::Role::Router) {
-      auto control =
-        control::StartControl(this->runtime, pool, this->settings, aKey);
+      auto control = control::StartControl(
+        this->runtime,
+        pool,
+        this->settings,
+        aKey,
+        this->node ? platform::MakeListFormat() : discovery::MakePlainFormat());
       if (control.has_error()) {
         return control.error();
       }
       this->control = std::move(control.value());
     }
     if (this->settings.role != settings::Role::Control) {
-      auto router =
-        router::StartRouter(this->runtime, pool, this->settings, aKey);
+      std::optional<router::RouteProtocol> protocol;
+      if (this->node) {
+        protocol = platform::MakeRouteProtocol();
+      }
+      auto router = router::StartRouter(
+        this->runtime, pool, this->settings, aKey, protocol);
       if (router.has_error()) {
         return router.error();
       }
@@ -100,6 +122,37 @@
       return admin.error();
     }
     this->admin = admin.value();
+    return this->StartPlatformServers(pool);
+  }
+
+  // Starts the servers that only the platform's callers know.
+  Result<void, std::string> StartPlatformServers(const caf::actor& aPool)
+  {
+    if (!this->node) {
+      return boost::outcome_v2::success();
+    }
+    std::vector<std::pair<Address, net::HttpHandler>> servers;
+    if (this->router && this->node->readyAddress) {
+      servers.emplace_back(*this->node->readyAddress,
+                           platform::MakeReadyHandler(*this->router));
+    }
+    if (this->router && this->node->directoryAddress) {
+      servers.emplace_back(*this->node->directoryAddress,
+                           platform::MakeDirectoryHandler(*this->router));
+    }
+    if (this->control && this->node->operatorAddress) {
+      const auto& address = *this->node->operatorAddress;
+      servers.emplace_back(
+        address, platform::MakeOperatorHandler(*this->control, address.port));
+    }
+    for (auto& [address, handler] : servers) {
+      auto server =
+        net::SpawnHttpServer(this->runtime, aPool, address, {}, handler);
+      if (server.has_error()) {
+        return server.error();
+      }
+      this->platformServers.push_back(server.value());
+    }
     return boost::outcome_v2::success();
   }
 
@@ -130,12 +183,14 @@
   }
 
   settings::ProcessSettings settings;
+  std::optional<platform::Node> node;
   caf::actor_system_config config;
   boost::asio::io_context io;
   caf::actor_system system;
   net::Runtime runtime;
   boost::asio::signal_set signals;
   caf::actor admin;
+  std::vector<caf::actor> platformServers;
   std::unique_ptr<control::Control> control;
   std::unique_ptr<router::Router> router;
 };
@@ -161,11 +216,14 @@
   return 0;
 }
 
+namespace {
+
 // The tasks hold sockets of the I/O context and handlers of each other, so the
 // process ends without taking them apart; all that must last is on disk or at
 // control by now.
 int
-Run(const settings::ProcessSettings& aSettings)
+RunProcess(const settings::ProcessSettings& aSettings,
+           std::optional<platform::Node> aNode)
 {
   if (sodium_init() < 0) {
     std::cerr << "lycheestandd: no source of random numbers\n";
@@ -175,10 +233,24 @@
                     aSettings.logFormat == "json" ? net::LogFormat::Json
                                                   : net::LogFormat::Text,
                     aSettings.instance);
-  auto* process = new Process(aSettings);
+  auto* process = new Process(aSettings, std::move(aNode));
   int code = process->Run();
-  std::cout.flush();
+  net::FlushLog();
   std::_Exit(code);
 }
 
+} // namespace
+
+int
+Run(const settings::ProcessSettings& aSettings)
+{
+  return RunProcess(aSettings, std::nullopt);
+}
+
+int
+RunOnPlatform(const platform::Node& aNode)
+{
+  return RunProcess(aNode.process, aNode);
+}
+
 } // namespace lycheestand::daemon
--- a/packages/daemon/src/daemon.h
+++ b/packages/daemon/src/daemon.h
@@ -2,6 +2,7 @@
 #define LYCHEESTAND_DAEMON_SRC_DAEMON_H
 
 #include <lycheestand/control.h>
+#include <lycheestand/platform.h>
 #include <lycheestand/router.h>
 #include <lycheestand/settings.h>
 
@@ -13,6 +14,10 @@
 int
 Run(const settings::ProcessSettings& aSettings);
 
+// Runs a process on the users' platform until it is stopped.
+int
+RunOnPlatform(const platform::Node& aNode);
+
 // Creates the data folder of one of the first control instances; returns the
 // exit code.
 int
--- a/packages/daemon/src/main.cc
+++ b/packages/daemon/src/main.cc
@@ -1,19 +1,48 @@
 #include "daemon.h"
 
+#include <cstdlib>
 #include <iostream>
 #include <tclap/CmdLine.h>
 
+namespace {
+
+using namespace lycheestand;
+
+// Runs on the users' platform, or only checks its settings file.
+int
+RunPlatform(std::string aPath, bool aOnlyCheck)
+{
+  const char* named = std::getenv(platform::kSettingsVariable);
+  if (aPath.empty() && named != nullptr) {
+    aPath = named;
+  }
+  auto node = platform::LoadNode(aPath);
+  if (node.has_error()) {
+    std::cerr << "lycheestandd: " << settings::ToString(node.error()) << "\n";
+    return 2;
+  }
+  return aOnlyCheck ? 0 : daemon::RunOnPlatform(node.value());
+}
+
+} // namespace
+
 int
 main(int aCount, char** aArguments)
 {
-  using namespace lycheestand;
   try {
     TCLAP::CmdLine line("lycheestandd: router and control daemon of a "
                         "lycheestand fleet",
                         ' ',
                         daemon::kVersion);
     TCLAP::ValueArg<std::string> file(
-      "s", "settings", "JSON settings file", true, "", "file", line);
+      "s", "settings", "JSON settings file", false, "", "file", line);
+    TCLAP::SwitchArg platformSwitch("p",
+                                    "platform",
+                                    "read the settings of the users' platform "
+                                    "from --settings or from the file that "
+                                    "LYCHEESTAND_NODE_FILE names",
+                                    line,
+                                    false);
     TCLAP::SwitchArg check(
       "c", "check", "check the settings and exit", line, false);
     TCLAP::SwitchArg format("f",
@@ -23,6 +52,9 @@
                             line,
                             false);
     line.parse(aCount, aArguments);
+    if (platformSwitch.getValue()) {
+      return RunPlatform(file.getValue(), check.getValue());
+    }
     auto settings = settings::LoadProcessSettings(file.getValue());
     if (settings.has_error()) {
       std::cerr << "lycheestandd: " << settings::ToString(settings.error())
--- /dev/null
+++ b/packages/discovery/src/plain_format.cc
@@ -0,0 +1,64 @@
+#include <boost/json.hpp>
+#include <lycheestand/discovery.h>
+
+namespace lycheestand::discovery {
+
+namespace json = boost::json;
+
+namespace {
+
+// Returns the endpoint in an item of the list, if it is one.
+std::optional<membership::Endpoint>
+ReadEndpoint(const json::value& aItem)
+{
+  json::error_code error;
+  auto read = [&](const char* aPointer) -> std::string {
+    const auto* value = aItem.find_pointer(aPointer, error);
+    return value != nullptr && value->is_string()
+             ? std::string(value->get_string())
+             : "";
+  };
+  auto address = ParseAddress(read("/address"));
+  const std::string kind = read("/kind");
+  if (address.has_error() || (kind != "model" && kind != "service")) {
+    return std::nullopt;
+  }
+  membership::Endpoint entry;
+  entry.endpoint = EndpointId(read("/id"));
+  entry.zone = ZoneId(read("/zone"));
+  entry.address = address.value();
+  entry.serves = read("/serves");
+  entry.isService = kind == "service";
+  entry.leaving = read("/state") == "leaving";
+  return entry;
+}
+
+std::optional<ListPage>
+ReadList(const std::string& aBody)
+{
+  json::error_code error;
+  json::value parsed = json::parse(aBody, error);
+  if (error || !parsed.is_array()) {
+    return std::nullopt;
+  }
+  ListPage page;
+  for (const auto& item : parsed.get_array()) {
+    if (auto entry = ReadEndpoint(item)) {
+      page.endpoints.push_back(std::move(*entry));
+    } else {
+      ++page.unreadable;
+    }
+  }
+  return page;
+}
+
+} // namespace
+
+ListFormat
+MakePlainFormat()
+{
+  return { [](const std::string&) { return std::string("/instances"); },
+           ReadList };
+}
+
+} // namespace lycheestand::discovery
--- a/packages/journal/src/command_codec.cc
+++ b/packages/journal/src/command_codec.cc
@@ -241,6 +241,34 @@
                              aIn.argument };
 }
 
+fb::ReplaceRoutesT
+PackBody(const state::ReplaceRoutes& aIn)
+{
+  fb::ReplaceRoutesT out;
+  out.version = aIn.version.Get();
+  out.document = aIn.document;
+  for (const auto& [workspace, tokens] : aIn.prepaid) {
+    auto& entry =
+      *out.prepaid.emplace_back(std::make_unique<fb::FirstTokensT>());
+    entry.workspace = workspace.Get();
+    entry.tokens = tokens.Get();
+  }
+  return out;
+}
+
+state::Command
+UnpackBody(const fb::ReplaceRoutesT& aIn)
+{
+  state::ReplaceRoutes out;
+  out.version = ConfigVersion(aIn.version);
+  out.document = aIn.document;
+  for (const auto& entry : aIn.prepaid) {
+    out.prepaid.emplace_back(WorkspaceId(entry->workspace),
+                             Tokens(entry->tokens));
+  }
+  return out;
+}
+
 fb::ConfirmOrderT
 PackBody(const state::ConfirmOrder& aIn)
 {
@@ -327,6 +355,8 @@
       return UnpackBody(*aIn.body.AsOrderEngine());
     case fb::CommandBody::ConfirmOrder:
       return UnpackBody(*aIn.body.AsConfirmOrder());
+    case fb::CommandBody::ReplaceRoutes:
+      return UnpackBody(*aIn.body.AsReplaceRoutes());
     case fb::CommandBody::NONE:
       break;
   }
--- a/packages/journal/src/snapshot_codec.cc
+++ b/packages/journal/src/snapshot_codec.cc
@@ -334,6 +334,8 @@
   Save(aFrom.sessions, aTo);
   Save(aFrom.changes, aTo);
   Save(aFrom.orders, aTo);
+  aTo.routes_version = aFrom.routes.version.Get();
+  aTo.routes_document = aFrom.routes.document;
 }
 
 void
@@ -347,6 +349,8 @@
   Restore(aFrom, aTo.sessions);
   Restore(aFrom, aTo.changes);
   Restore(aFrom, aTo.orders);
+  aTo.routes.version = ConfigVersion(aFrom.routes_version);
+  aTo.routes.document = aFrom.routes_document;
 }
 
 } // namespace lycheestand::state
--- a/packages/membership/include/lycheestand/membership.h
+++ b/packages/membership/include/lycheestand/membership.h
@@ -203,6 +203,13 @@
 std::vector<EntryAddress>
 WeighEntries(const std::vector<Instance>& aInstances, const ZoneId& aZone);
 
+// Returns the instances that take callers of a zone: those of the zone if there
+// are enough of them, or else all.
+std::vector<Instance>
+ChooseEntries(const std::vector<Instance>& aInstances,
+              const ZoneId& aZone,
+              std::size_t aEnough);
+
 } // namespace lycheestand::membership
 
 #endif
--- a/packages/membership/src/entry_weights.cc
+++ b/packages/membership/src/entry_weights.cc
@@ -50,4 +50,22 @@
   return out;
 }
 
+std::vector<Instance>
+ChooseEntries(const std::vector<Instance>& aInstances,
+              const ZoneId& aZone,
+              std::size_t aEnough)
+{
+  std::vector<Instance> all;
+  std::vector<Instance> near;
+  for (const auto& entry : aInstances) {
+    if (entry.alive && !entry.leaving) {
+      all.push_back(entry);
+      if (entry.zone == aZone) {
+        near.push_back(entry);
+      }
+    }
+  }
+  return near.size() >= aEnough ? near : all;
+}
+
 } // namespace lycheestand::membership
--- a/packages/net/include/lycheestand/net.h
+++ b/packages/net/include/lycheestand/net.h
@@ -148,6 +148,8 @@
   Duration connectTimeout = std::chrono::seconds(2);
   // Longest time without a byte from the other side.
   Duration idleTimeout = std::chrono::seconds(30);
+  // Longest time until the answer begins; zero if idleTimeout limits that, too.
+  Duration answerTimeout{};
   // False for a call that must not run twice: a kept connection may have been
   // closed by the other side, and then it is not known whether the call ran.
   bool reuseConnection = true;
@@ -297,6 +299,11 @@
 struct StopListening
 {};
 
+// Tells a server to close each connection after its next answer, and to accept
+// new ones meanwhile.
+struct CloseAfterAnswers
+{};
+
 // Starts an HTTP server on an address; returns its task or why it can't listen.
 Result<caf::actor, std::string>
 SpawnHttpServer(const Runtime& aRuntime,
@@ -327,6 +334,10 @@
   // Returns the key in a file of 64 hexadecimal digits.
   static Result<FleetKey, std::string> Load(const std::string& aPath);
 
+  // Returns the key of fleets whose network keeps others out. It is known to
+  // everybody: links then only notice damage and foreign protocols.
+  static FleetKey OfTrustedNetwork();
+
   explicit FleetKey(std::string aBytes)
     : bytes(std::move(aBytes))
   {
@@ -429,10 +440,15 @@
 
 using LogFields = std::vector<std::pair<const char*, std::string>>;
 
-// Sets the form and the lowest level; lines go to standard error.
+// Sets the form and the lowest level; a thread writes the lines to standard
+// output.
 void
 SetUpLogging(LogLevel aLevel, LogFormat aFormat, const InstanceId& aInstance);
 
+// Waits until the lines so far are written; for the end of a process.
+void
+FlushLog();
+
 // Writes one line with fields such as request, workspace and endpoint.
 void
 Log(LogLevel aLevel, std::string_view aMessage, const LogFields& aFields = {});
@@ -508,6 +524,7 @@
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::Work)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::StopListening)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::CloseAfterAnswers)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::OpenConnections)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::LinkUp)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::LinkFrame)
--- a/packages/net/src/client_connection.cc
+++ b/packages/net/src/client_connection.cc
@@ -1,10 +1,12 @@
 #include "calls.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/bind_executor.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <caf/send.hpp>
+#include <charconv>
 
 namespace lycheestand::net {
 
@@ -19,6 +21,34 @@
 
 constexpr std::size_t kReadBufferBytes = 16 * 1024;
 
+// Least time between two looks at the time.
+constexpr Duration kShortestWatch = std::chrono::milliseconds(50);
+
+// Longest time for which an idle connection is kept if the endpoint names none.
+constexpr Duration kIdleLimit = std::chrono::seconds(15);
+
+// An idle connection is closed this long before the endpoint would close it, so
+// that no request crosses the close.
+constexpr Duration kIdleMargin = std::chrono::milliseconds(500);
+
+// Returns the seconds of a header such as "Keep-Alive: timeout=5".
+std::optional<Duration>
+ReadKeepAlive(std::string_view aValue)
+{
+  constexpr std::string_view kName = "timeout=";
+  auto at = aValue.find(kName);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  unsigned seconds = 0;
+  const char* begin = aValue.data() + at + kName.size();
+  auto read = std::from_chars(begin, aValue.data() + aValue.size(), seconds);
+  if (read.ec != std::errc{}) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(seconds);
+}
+
 // One TCP connection to an endpoint; runs one call at a time.
 class ClientConnection : public IoTask
 {
@@ -71,15 +101,27 @@
     this->WatchTime(this->callNumber);
   }
 
-  // Checks once a second that the call makes progress.
+  // Returns the longest time without progress in the call's present phase.
+  Duration TimeLimit() const
+  {
+    const auto& limits = this->call.options;
+    if (!this->isConnected) {
+      return limits.connectTimeout;
+    }
+    bool waitsForHead = !this->gotHead && limits.answerTimeout > Duration(0);
+    return waitsForHead ? limits.answerTimeout : limits.idleTimeout;
+  }
+
+  // Checks at least once a second that the call makes progress.
   void WatchTime(std::uint64_t aCall)
   {
-    this->After(std::chrono::seconds(1), [this, aCall] {
+    auto pause = std::clamp<Duration>(
+      this->TimeLimit() / 2, kShortestWatch, std::chrono::seconds(1));
+    this->After(pause, [this, aCall] {
       if (!this->isBusy || aCall != this->callNumber) {
         return;
       }
-      auto limit = this->isConnected ? this->call.options.idleTimeout
-                                     : this->call.options.connectTimeout;
+      auto limit = this->TimeLimit();
       // Time in which the owner itself holds the call back does not count.
       bool waitsForOwner = this->unacknowledged >= kMaxUnacknowledgedPieces;
       auto now = Now(this->GetRuntime());
@@ -125,26 +167,37 @@
     this->outgoing.version(11);
     this->outgoing.set(http::field::host, ToString(this->address));
     for (const auto& [name, value] : this->call.request.headers) {
-      this->outgoing.set(name, value);
+      if (http::string_to_field(name) == http::field::host) {
+        this->outgoing.set(http::field::host, value);
+      } else {
+        this->outgoing.insert(name, value);
+      }
     }
     this->outgoing.body() = std::move(this->call.request.body);
     this->outgoing.prepare_payload();
     this->sent = true;
+    this->isWriting = true;
     http::async_write(
       this->socket,
       this->outgoing,
       asio::bind_executor(this->Executor(),
                           [this](beast::error_code aError, std::size_t) {
-                            if (!this->isBusy) {
-                              return;
-                            }
-                            if (aError) {
-                              this->Fail(aError.message());
-                              return;
-                            }
-                            this->lastProgress = Now(this->GetRuntime());
-                            this->ReadHead();
+                            this->HandleWritten(aError);
                           }));
+    this->ReadHead();
+  }
+
+  // The endpoint may answer before it has read the whole request, and then
+  // close its side; the reading tells how the call ends.
+  void HandleWritten(beast::error_code aError)
+  {
+    if (aError) {
+      return;
+    }
+    this->isWriting = false;
+    if (this->isBusy) {
+      this->lastProgress = Now(this->GetRuntime());
+    }
   }
 
   void ReadHead()
@@ -237,7 +290,11 @@
 
   void Finish()
   {
-    bool keep = this->parser->keep_alive();
+    // The endpoint takes the next bytes for the rest of a request that is not
+    // wholly written, so such a connection is of no more use.
+    bool keep = this->parser->keep_alive() && !this->isWriting;
+    auto keepAlive = this->parser->get()[http::field::keep_alive];
+    this->idleLimit = ReadKeepAlive(keepAlive).value_or(kIdleLimit);
     this->isBusy = false;
     this->Report(CallEnded{});
     this->call = {};
@@ -250,6 +307,13 @@
       this->connectionPool,
       ConnectionIdle{ this->address, caf::actor_cast<caf::actor>(this) });
     this->WatchIdle(this->callNumber);
+    this->After(
+      std::max<Duration>(this->idleLimit - kIdleMargin, kShortestWatch),
+      [this, aCall = this->callNumber] {
+        if (!this->isBusy && aCall == this->callNumber) {
+          this->Close();
+        }
+      });
   }
 
   // Notices that the endpoint closes the idle connection.
@@ -305,6 +369,9 @@
   bool isConnected = false;
   bool isBusy = false;
   bool isPaused = false;
+  // A request is not wholly written, or its writing failed.
+  bool isWriting = false;
+  Duration idleLimit{};
   bool sent = false;
   bool gotHead = false;
   TimePoint lastProgress;
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -40,6 +40,17 @@
 
 namespace {
 
+// Returns whether the bytes that were read are no HTTP request; otherwise the
+// connection has ended.
+bool
+IsMalformed(beast::error_code aError)
+{
+  static const auto& kHttp =
+    beast::error_code(http::error::bad_method).category();
+  return aError.category() == kHttp && aError != http::error::end_of_stream &&
+         aError != http::error::partial_message;
+}
+
 // Owns a caller's socket and answers its requests one after the other.
 class HttpConnection : public IoTask
 {
@@ -87,7 +98,8 @@
 
   caf::message_handler Handlers() override
   {
-    return { [this](StopListening) { this->StopAfterRequest(); } };
+    return { [this](StopListening) { this->StopAfterRequest(); },
+             [this](CloseAfterAnswers) { this->keepAlive = false; } };
   }
 
 private:
@@ -229,6 +241,10 @@
       this->RefuseOversized(aError == http::error::body_limit ? 413 : 431);
       return;
     }
+    if (aError && IsMalformed(aError)) {
+      this->RefuseMalformed(aError);
+      return;
+    }
     if (aError) {
       this->quit();
       return;
@@ -253,6 +269,23 @@
     this->handler(this->exchange);
   }
 
+  // What follows a malformed request can't be told from its body.
+  void RefuseMalformed(beast::error_code aError)
+  {
+    Log(LogLevel::Warning,
+        "a request is malformed",
+        { { "event", "malformed_request" },
+          { "peer", this->peer },
+          { "reason", aError.message() } });
+    this->keepAlive = false;
+    this->exchange = std::make_shared<ServerExchange>(this, HttpRequest{});
+    this->exchange->Respond(
+      { 400,
+        { { "Content-Type", "application/json" } },
+        R"({"error":{"code":"malformed_request","message":")" +
+          aError.message() + R"(","ran":"not_run"}})" });
+  }
+
   void RefuseOversized(unsigned aStatus)
   {
     this->keepAlive = false;
@@ -310,7 +343,7 @@
     message.version(11);
     message.result(aResponse.status);
     for (const auto& [name, value] : aResponse.headers) {
-      message.set(name, value);
+      message.insert(name, value);
     }
     message.keep_alive(this->keepAlive);
     message.body() = std::move(aResponse.body);
@@ -330,7 +363,7 @@
     message.version(11);
     message.result(aStatus);
     for (const auto& [name, value] : aHeaders) {
-      message.set(name, value);
+      message.insert(name, value);
     }
     message.keep_alive(this->keepAlive);
     message.chunked(true);
@@ -467,6 +500,7 @@
         this->AcceptNext();
       },
       [this](StopListening) { this->Stop(); },
+      [this](CloseAfterAnswers) { this->CloseEach(); },
       [this](OpenConnections) { return this->connections.size(); },
     };
   }
@@ -502,6 +536,17 @@
       this->handler);
     this->connections.insert(
       caf::actor_cast<caf::strong_actor_ptr>(connection));
+    if (this->closesEach) {
+      this->send(connection, CloseAfterAnswers{});
+    }
+  }
+
+  void CloseEach()
+  {
+    this->closesEach = true;
+    for (const auto& connection : this->connections) {
+      this->send(caf::actor_cast<caf::actor>(connection), CloseAfterAnswers{});
+    }
   }
 
   void Stop()
@@ -521,6 +566,7 @@
   std::set<caf::strong_actor_ptr> connections;
   bool isAccepting = false;
   bool isStopped = false;
+  bool closesEach = false;
 };
 
 } // namespace
--- a/packages/net/src/link_cipher.cc
+++ b/packages/net/src/link_cipher.cc
@@ -61,6 +61,12 @@
   return FleetKey(std::move(bytes));
 }
 
+FleetKey
+FleetKey::OfTrustedNetwork()
+{
+  return FleetKey(std::string(crypto_generichash_KEYBYTES, '\0'));
+}
+
 LinkCipher::LinkCipher(const FleetKey& aKey, bool aIsDialer)
   : key(aKey)
   , isDialer(aIsDialer)
--- a/packages/net/src/log.cc
+++ b/packages/net/src/log.cc
@@ -1,7 +1,9 @@
 #include <boost/json.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/trivial.hpp>
@@ -19,6 +21,17 @@
 
 namespace {
 
+// Lines that may wait to be written. More are dropped, so that a reader that
+// does not keep up never holds a task up.
+constexpr std::size_t kMostWaitingLines = 4096;
+
+using Backend = logging::sinks::text_ostream_backend;
+using Sink = logging::sinks::asynchronous_sink<
+  Backend,
+  logging::sinks::bounded_fifo_queue<kMostWaitingLines,
+                                     logging::sinks::drop_on_overflow>>;
+
+boost::shared_ptr<Sink> gSink;
 LogFormat gFormat = LogFormat::Text;
 std::string gInstance;
 
@@ -95,19 +108,25 @@
 {
   gFormat = aFormat;
   gInstance = aInstance.Get();
-  using Backend = logging::sinks::text_ostream_backend;
   auto backend = boost::make_shared<Backend>();
   backend->add_stream(
-    boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {}));
+    boost::shared_ptr<std::ostream>(&std::cout, [](std::ostream*) {}));
   backend->auto_flush(true);
-  auto sink =
-    boost::make_shared<logging::sinks::synchronous_sink<Backend>>(backend);
+  gSink = boost::make_shared<Sink>(backend);
   logging::core::get()->remove_all_sinks();
-  logging::core::get()->add_sink(sink);
+  logging::core::get()->add_sink(gSink);
   logging::core::get()->set_filter(logging::trivial::severity >=
                                    ToSeverity(aLevel));
 }
 
+void
+FlushLog()
+{
+  if (gSink) {
+    gSink->flush();
+  }
+}
+
 void
 Log(LogLevel aLevel, std::string_view aMessage, const LogFields& aFields)
 {
--- a/packages/router/src/budget_controller.cc
+++ b/packages/router/src/budget_controller.cc
@@ -17,9 +17,11 @@
 class BudgetController : public net::IoTask
 {
 public:
-  BudgetController(caf::actor_config& aConfig, net::Runtime aRuntime)
+  BudgetController(caf::actor_config& aConfig,
+                   net::Runtime aRuntime,
+                   budget::PurseOptions aOptions)
     : net::IoTask(aConfig, aRuntime)
-    , purse({})
+    , purse(std::move(aOptions))
   {
   }
 
@@ -116,6 +118,7 @@
   void ReportPeriodically()
   {
     this->Report();
+    this->Advance();
     this->After(kReportInterval, [this] { this->ReportPeriodically(); });
   }
 
@@ -143,10 +146,12 @@
 
   void SendNeed(const budget::GrantNeed& aNeed)
   {
-    this->send(
-      this->link,
-      ToControl{ wire::GrantRequest{
-        aNeed.request, aNeed.workspace, aNeed.minimum, aNeed.wanted } });
+    this->send(this->link,
+               ToControl{ wire::GrantRequest{ aNeed.request,
+                                              aNeed.workspace,
+                                              aNeed.minimum,
+                                              aNeed.wanted,
+                                              aNeed.isAhead } });
   }
 
   void SendBatch(const budget::UsageBatch& aBatch)
@@ -180,9 +185,11 @@
 } // namespace
 
 caf::actor
-SpawnBudgetController(const net::Runtime& aRuntime)
+SpawnBudgetController(const net::Runtime& aRuntime,
+                      budget::PurseOptions aOptions)
 {
-  return aRuntime.system->spawn<BudgetController>(aRuntime);
+  return aRuntime.system->spawn<BudgetController>(aRuntime,
+                                                  std::move(aOptions));
 }
 
 } // namespace lycheestand::router
--- a/packages/router/src/configuration_controller.cc
+++ b/packages/router/src/configuration_controller.cc
@@ -10,9 +10,11 @@
 public:
   ConfigurationController(caf::actor_config& aConfig,
                           net::Runtime aRuntime,
-                          Duration aConfirmationLimit)
+                          Duration aConfirmationLimit,
+                          RouteTableReader aReadTable)
     : net::IoTask(aConfig, aRuntime)
     , confirmationLimit(aConfirmationLimit)
+    , readTable(std::move(aReadTable))
   {
   }
 
@@ -22,8 +24,9 @@
     return {
       [this](FromControl& aMessage) { this->Handle(aMessage.message); },
       [this](GetConfiguration) {
-        return ConfigurationInForce{ this->IsConfirmed() ? this->snapshot
-                                                         : nullptr };
+        return this->IsConfirmed()
+                 ? ConfigurationInForce{ this->snapshot, this->table }
+                 : ConfigurationInForce{};
       },
       [this](DumpState) { return this->Dump(); },
     };
@@ -56,6 +59,7 @@
       this->AskAgain(parsed.error());
       return;
     }
+    this->TakeTable(parsed.value().routes);
     this->revision = aPush.revision;
     this->document = std::move(text.value());
     this->snapshot = std::make_shared<const settings::FleetSnapshot>(
@@ -65,6 +69,33 @@
              { { "revision", std::to_string(this->revision.Get()) } });
   }
 
+  // Control has checked the table before it was accepted; a router of another
+  // build may still not be able to read it, and then keeps the one in force.
+  void TakeTable(const std::string& aText)
+  {
+    if (!this->readTable || aText.empty() ||
+        (this->snapshot && this->snapshot->routes == aText)) {
+      return;
+    }
+    auto table = this->readTable(aText);
+    if (table.has_error()) {
+      net::Log(
+        net::LogLevel::Error,
+        "can't read the table of routes from control",
+        { { "event", "routes_unreadable" }, { "problem", table.error() } });
+      return;
+    }
+    this->table =
+      std::make_shared<const routes::RouteTable>(std::move(table.value()));
+    net::Log(net::LogLevel::Info,
+             "table of routes in force",
+             { { "event", "routes_in_force" },
+               { "version", std::to_string(this->table->Version().Get()) } });
+    net::Metrics()
+      .GetGauge("lycheestand_routes_version")
+      .Set(static_cast<std::int64_t>(this->table->Version().Get()));
+  }
+
   // Returns the whole text of a push.
   Result<std::string, settings::SettingsError> Expand(
     const wire::ConfigPush& aPush) const
@@ -114,9 +145,11 @@
   }
 
   Duration confirmationLimit;
+  RouteTableReader readTable;
   Revision revision;
   std::string document;
   std::shared_ptr<const settings::FleetSnapshot> snapshot;
+  std::shared_ptr<const routes::RouteTable> table;
   TimePoint confirmedAt{};
 };
 
@@ -124,10 +157,11 @@
 
 caf::actor
 SpawnConfigurationController(const net::Runtime& aRuntime,
-                             Duration aConfirmationLimit)
+                             Duration aConfirmationLimit,
+                             RouteTableReader aReadTable)
 {
-  return aRuntime.system->spawn<ConfigurationController>(aRuntime,
-                                                         aConfirmationLimit);
+  return aRuntime.system->spawn<ConfigurationController>(
+    aRuntime, aConfirmationLimit, std::move(aReadTable));
 }
 
 } // namespace lycheestand::router
--- a/packages/router/src/control_link.cc
+++ b/packages/router/src/control_link.cc
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr Duration kHeartbeatInterval = std::chrono::seconds(1);
-
 // Pause before the next control instance is tried; doubled by jitter so that
 // routers do not all come back to a new leader at once.
 constexpr std::uint64_t kReconnectMilliseconds = 100;
@@ -69,11 +67,12 @@
   void Dial()
   {
     const auto& member = this->settings.control[this->nextMember];
-    this->link = net::OpenLink(this->GetRuntime(),
-                               this->key,
-                               member.peer,
-                               {},
-                               caf::actor_cast<caf::actor>(this));
+    this->link =
+      net::OpenLink(this->GetRuntime(),
+                    this->key,
+                    member.peer,
+                    settings::MakeLinkOptions<net::LinkOptions>(this->settings),
+                    caf::actor_cast<caf::actor>(this));
   }
 
   // Tries the leader that a refusal named, or the next instance in turn.
@@ -211,7 +210,7 @@
   void Beat()
   {
     this->SendHeartbeat();
-    this->After(kHeartbeatInterval, [this] { this->Beat(); });
+    this->After(this->settings.heartbeatInterval, [this] { this->Beat(); });
   }
 
   void SendHeartbeat()
--- a/packages/router/src/controllers.h
+++ b/packages/router/src/controllers.h
@@ -15,24 +15,47 @@
                  const Controllers& aControllers,
                  std::function<void()> aDrainRequested);
 
+// Reads a table of routes as its operator sent it; none if there is none.
+using RouteTableReader =
+  std::function<Result<routes::RouteTable, std::string>(const std::string&)>;
+
 // Owns the configuration and the time of its last confirmation.
 caf::actor
 SpawnConfigurationController(const net::Runtime& aRuntime,
-                             Duration aConfirmationLimit);
+                             Duration aConfirmationLimit,
+                             RouteTableReader aReadTable);
 
 // Owns the grants that this router holds.
 caf::actor
-SpawnBudgetController(const net::Runtime& aRuntime);
+SpawnBudgetController(const net::Runtime& aRuntime,
+                      budget::PurseOptions aOptions);
 
 // Owns the calls whose steps control has not answered yet.
 caf::actor
 SpawnOperationController(const net::Runtime& aRuntime, caf::actor aPool);
 
+// How an endpoint controller works.
+struct EndpointOptions
+{
+  routing::TableOptions table;
+  routing::ChoicePolicy policy;
+  // Endpoints are asked for their load and cache events. Otherwise only what
+  // their answers say is known.
+  bool asksEndpoints = true;
+  // Retries as a share of the requests of a service, and beyond that.
+  double retryShare = 0.1;
+  double retryBurst = 10;
+  // The burst is that of all routers together.
+  bool sharesBurst = false;
+  // A retry waits before it is made.
+  bool pausesRetries = true;
+};
+
 // Owns what is known about endpoints, and tells aAdmission what they take.
 caf::actor
 SpawnEndpointController(const net::Runtime& aRuntime,
                         caf::actor aPool,
-                        const ZoneId& aZone,
+                        EndpointOptions aOptions,
                         caf::actor aAdmission);
 
 // Owns the turns of requests.
--- a/packages/router/src/endpoint_controller.cc
+++ b/packages/router/src/endpoint_controller.cc
@@ -25,6 +25,13 @@
 // endpoints: each costs about 500 bytes with its headers.
 constexpr std::int64_t kMostReportsPerSecond = 16;
 
+// Routers that are assumed before the fleet's view is known.
+constexpr std::size_t kLeastRouters = 8;
+
+// A router that restarts has its part of a shared burst anew; this leaves room
+// for half of them doing so within one window.
+constexpr double kRestartMargin = 1.5;
+
 using FetchResult = Result<net::HttpResponse, net::CallFailure>;
 
 std::vector<routing::Endpoint>
@@ -65,14 +72,13 @@
   EndpointController(caf::actor_config& aConfig,
                      net::Runtime aRuntime,
                      caf::actor aPool,
-                     ZoneId aZone,
+                     EndpointOptions aOptions,
                      caf::actor aAdmission)
     : net::IoTask(aConfig, aRuntime, std::move(aPool))
+    , options(std::move(aOptions))
     , admission(std::move(aAdmission))
     , random(net::MakeRandomSource())
-    , table({ .zone = std::move(aZone) },
-            routing::MakeCostPolicy(),
-            net::MakeRandomSource())
+    , table(this->options.table, this->options.policy, net::MakeRandomSource())
   {
   }
 
@@ -85,6 +91,10 @@
       [this](ViewChanged& aChanged) { this->Update(*aChanged.view); },
       [this](ChooseEndpoint& aChoose) { return this->HandleChoose(aChoose); },
       [this](CallFinished& aFinished) { this->Finish(aFinished); },
+      [this](LoadLearnt& aLearnt) {
+        aLearnt.report.takenAt = this->Time();
+        this->table.LearnReport(aLearnt.endpoint, std::move(aLearnt.report));
+      },
       [this](DumpState) { return this->Dump(); },
     };
   }
@@ -134,16 +144,22 @@
   caf::result<EndpointChosen> HandleChoose(ChooseEndpoint& aChoose)
   {
     this->table.SetMaxInFlight(aChoose.maxInFlight);
-    const auto tries = static_cast<unsigned>(aChoose.query.excluded.size());
-    if (tries == 0) {
-      this->retryBudget.NoteRequest();
+    auto& budget = this->RetryBudgetOf(aChoose.query.serves);
+    if (aChoose.query.excluded.empty()) {
+      budget.NoteRequest();
+    }
+    if (aChoose.arrivals == 0) {
       return this->Choose(aChoose);
     }
-    if (!this->retryBudget.TakeRetry()) {
+    if (!budget.TakeRetry()) {
       net::Metrics().GetCounter("lycheestand_retries_denied_total").Add();
       return EndpointChosen{};
     }
     net::Metrics().GetCounter("lycheestand_retries_total").Add();
+    if (!this->options.pausesRetries) {
+      return this->Choose(aChoose);
+    }
+    const unsigned tries = aChoose.arrivals;
     auto promise = this->make_response_promise<EndpointChosen>();
     const Ticket ticket = aChoose.ticket;
     this->retries.insert_or_assign(ticket,
@@ -153,6 +169,24 @@
     return promise;
   }
 
+  // A burst that all routers share is divided among those that may have been
+  // there in the window, so that together they stay below it.
+  routing::RetryBudget& RetryBudgetOf(const std::string& aServes)
+  {
+    auto found = this->retryBudgets.find(aServes);
+    if (found != this->retryBudgets.end()) {
+      return found->second;
+    }
+    double burst = this->options.retryBurst;
+    if (this->options.sharesBurst) {
+      burst /= kRestartMargin *
+               static_cast<double>(std::max(kLeastRouters, this->routers));
+    }
+    return this->retryBudgets
+      .emplace(aServes, routing::RetryBudget(this->options.retryShare, burst))
+      .first->second;
+  }
+
   EndpointChosen Choose(const ChooseEndpoint& aChoose)
   {
     auto choice =
@@ -188,7 +222,7 @@
   {
     auto now = this->Time();
     for (auto& [id, polled] : this->polled) {
-      if (polled.isAsked) {
+      if (polled.isAsked || !this->options.asksEndpoints) {
         continue;
       }
       if (now >= polled.nextLoad) {
@@ -319,10 +353,11 @@
     return boost::json::serialize(out);
   }
 
+  EndpointOptions options;
   caf::actor admission;
   RandomSource random;
   routing::EndpointTable table;
-  routing::RetryBudget retryBudget;
+  std::map<std::string, routing::RetryBudget> retryBudgets;
   std::map<Ticket, Retry> retries;
   std::map<EndpointId, Polled> polled;
   std::map<std::string, unsigned> published;
@@ -334,11 +369,11 @@
 caf::actor
 SpawnEndpointController(const net::Runtime& aRuntime,
                         caf::actor aPool,
-                        const ZoneId& aZone,
+                        EndpointOptions aOptions,
                         caf::actor aAdmission)
 {
   return aRuntime.system->spawn<EndpointController>(
-    aRuntime, std::move(aPool), aZone, std::move(aAdmission));
+    aRuntime, std::move(aPool), std::move(aOptions), std::move(aAdmission));
 }
 
 } // namespace lycheestand::router
--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -41,6 +41,21 @@
 struct ListModels
 {};
 
+// A request that a table of routes serves. It is passed on as it is.
+struct RoutedCall
+{
+  std::shared_ptr<const RouteProtocol> protocol;
+  CallDescription description;
+  std::shared_ptr<const routes::RouteTable> table;
+  // Points into the table.
+  const routes::Route* route = nullptr;
+  ServiceName service;
+  Tokens tokensPerEvent{ 1 };
+  std::optional<unsigned> workspacePriority;
+  // Time by which the request is given up.
+  TimePoint giveUpAt{};
+};
+
 // How forwarding ended, for the Settle filter.
 struct Usage
 {
@@ -62,7 +77,8 @@
   KeyHash keyHash;
   WorkspaceId workspace;
   SiteId site;
-  std::variant<std::monostate, ChatCall, ServiceCall, ListModels> call;
+  std::variant<std::monostate, ChatCall, ServiceCall, ListModels, RoutedCall>
+    call;
   // Time by which the answer must begin, if the caller names one.
   std::optional<TimePoint> deadline;
   // Set by Admit; true while it waits for its turn or holds it.
@@ -76,6 +92,8 @@
   // What may have happened at the endpoints that were tried.
   RanState ran = RanState::NotRun;
   std::set<EndpointId> tried;
+  // Endpoints that the request was sent to.
+  unsigned arrivals = 0;
   EndpointId endpoint;
   // True while an endpoint is being chosen or is called.
   bool isAssigned = false;
@@ -83,6 +101,12 @@
   std::uint64_t operation = 0;
   bool isOperationOpen = false;
   bool isFinished = false;
+  // For the log: when the current attempt and the answer began, the status of
+  // the answer or 0, and how the request ended if not by an answer.
+  TimePoint attemptAt{};
+  std::optional<TimePoint> answerAt;
+  unsigned status = 0;
+  const char* outcome = "";
 };
 
 using RequestPtr = std::shared_ptr<Request>;
@@ -133,7 +157,7 @@
   std::string message;
   RanState ran = RanState::NotRun;
   // Seconds after which a retry may help; 0 for no such hint.
-  unsigned retryAfter = 0;
+  double retryAfter = 0;
 };
 
 // Answers with a refusal and ends the request.
@@ -148,6 +172,11 @@
 void
 FinishRequest(const RequestPtr& aRequest);
 
+// The first filter for requests that a table of routes serves: finds the route
+// and the workspace of the key.
+Filter
+MakeMatchRoute(std::shared_ptr<const RouteProtocol> aProtocol);
+
 // The filters, in their order.
 Filter
 MakeAuthenticate();
--- a/packages/router/src/finish.cc
+++ b/packages/router/src/finish.cc
@@ -1,17 +1,74 @@
 #include "chat_protocol.h"
 
 #include <caf/send.hpp>
+#include <cmath>
 
 namespace lycheestand::router {
 
+namespace {
+
+// Returns whole seconds without a fraction, and others with one digit.
+std::string
+FormatSeconds(double aSeconds)
+{
+  auto tenths = std::llround(aSeconds * 10);
+  std::string text = std::to_string(tenths / 10);
+  return tenths % 10 == 0 ? text : text + "." + std::to_string(tenths % 10);
+}
+
+std::string
+FormatMilliseconds(Duration aTime)
+{
+  return std::to_string(
+    std::chrono::duration_cast<Milliseconds>(aTime).count());
+}
+
+// Writes the one line that tells how a routed request ended.
+void
+LogRouted(const Request& aRequest, const RoutedCall& aCall, TimePoint aNow)
+{
+  const char* outcome = aRequest.outcome;
+  if (*outcome == '\0') {
+    outcome = aRequest.status == 0 ? "caller_left" : "answered";
+  }
+  net::LogFields fields{
+    { "event", "request" },
+    { "request", aRequest.id.Get() },
+    { "outcome", outcome },
+    { "status", std::to_string(aRequest.status) },
+    { "ran", ToString(aRequest.ran) },
+    { "route", aCall.route->name },
+    { "routes_version", std::to_string(aCall.table->Version().Get()) },
+    { "workspace", aRequest.workspace.Get() },
+    { "service", aCall.service.Get() },
+    { "endpoint", aRequest.endpoint.Get() },
+    { "attempts", std::to_string(aRequest.arrivals) },
+    { "reserved", std::to_string(aRequest.reserved.Get()) },
+    { "spent", std::to_string(aRequest.usage.Total().Get()) },
+    { "ms", FormatMilliseconds(aNow - aRequest.startedAt) }
+  };
+  if (aRequest.answerAt) {
+    fields.emplace_back(
+      "first_ms", FormatMilliseconds(*aRequest.answerAt - aRequest.startedAt));
+  }
+  net::Log(net::LogLevel::Info, "request ended", fields);
+}
+
+} // namespace
+
 void
 Refuse(const RequestPtr& aRequest, const Refusal& aRefusal)
 {
+  aRequest->status = aRefusal.status;
+  aRequest->outcome = "refused";
   net::Log(net::LogLevel::Info,
            "refused",
-           { { "request", aRequest->id.Get() },
+           { { "event", "refused" },
+             { "request", aRequest->id.Get() },
              { "workspace", aRequest->workspace.Get() },
+             { "status", std::to_string(aRefusal.status) },
              { "code", aRefusal.code },
+             { "reason", aRefusal.message },
              { "ran", ToString(aRefusal.ran) } });
   net::Metrics()
     .GetCounter("lycheestand_refusals_total",
@@ -20,7 +77,7 @@
   net::Headers headers{ { "Content-Type", "application/json" },
                         { "X-Request-Id", aRequest->id.Get() } };
   if (aRefusal.retryAfter > 0) {
-    headers.emplace_back("Retry-After", std::to_string(aRefusal.retryAfter));
+    headers.emplace_back("Retry-After", FormatSeconds(aRefusal.retryAfter));
   }
   aRequest->exchange->Respond(
     { aRefusal.status,
@@ -62,6 +119,9 @@
     // Nobody waits for the answer.
     caf::anon_send(aRequest->controllers.operation, Operate{ std::move(step) });
   }
+  if (const auto* routed = std::get_if<RoutedCall>(&aRequest->call)) {
+    LogRouted(*aRequest, *routed, net::Now(task.GetRuntime()));
+  }
   net::Metrics().GetGauge("lycheestand_requests_in_flight").Add(-1);
   net::Metrics()
     .GetHistogram("lycheestand_request_seconds")
--- a/packages/router/src/forward.cc
+++ b/packages/router/src/forward.cc
@@ -12,6 +12,7 @@
   choose.ticket = aRequest->ticket;
   choose.query = std::move(aQuery);
   choose.query.excluded = aRequest->tried;
+  choose.arrivals = aRequest->arrivals;
   choose.maxInFlight = aRequest->snapshot->settings.maxInFlightPerEndpoint;
   // Set before the reply, so that a request that ends meanwhile withdraws the
   // choice.
@@ -30,6 +31,7 @@
       }
       aRequest->endpoint = *aChosen.endpoint;
       aRequest->tried.insert(*aChosen.endpoint);
+      ++aRequest->arrivals;
       call(aChosen.address);
     });
 }
@@ -78,6 +80,8 @@
     }
     if (std::holds_alternative<ChatCall>(aRequest->call)) {
       ForwardChat(aRequest);
+    } else if (std::holds_alternative<RoutedCall>(aRequest->call)) {
+      ForwardRouted(aRequest);
     } else {
       ForwardService(aRequest);
     }
--- a/packages/router/src/forward.h
+++ b/packages/router/src/forward.h
@@ -36,6 +36,10 @@
 void
 ForwardChat(const RequestPtr& aRequest);
 
+// Forwards a request that a table of routes serves.
+void
+ForwardRouted(const RequestPtr& aRequest);
+
 // Forwards a call of a plain service.
 void
 ForwardService(const RequestPtr& aRequest);
--- a/packages/router/src/membership_controller.cc
+++ b/packages/router/src/membership_controller.cc
@@ -7,6 +7,9 @@
 
 namespace {
 
+// Addresses of a caller's own zone that are enough for it.
+constexpr std::size_t kLeastEntries = 2;
+
 // Keeps the view of the fleet's instances and answers GET /v1/entry from it.
 class MembershipController : public net::IoTask
 {
@@ -25,11 +28,30 @@
     return {
       [this](ViewChanged& aChanged) { this->view = aChanged.view; },
       [this](GetEntry) { return this->FormatEntry(); },
+      [this](FindEntriesIn& aFind) { return this->FindEntries(aFind.zone); },
       [this](DumpState) { return this->FormatEntry(); },
     };
   }
 
 private:
+  // Callers pick one of the addresses at random, so those of other zones are
+  // left out while their own zone has enough of them.
+  Entries FindEntries(const ZoneId& aZone) const
+  {
+    Entries out;
+    out.keepTime = this->settings.routes ? this->settings.routes->entryKeepTime
+                                         : this->settings.entryKeepTime;
+    if (!this->view) {
+      return out;
+    }
+    auto instances = this->view->Instances();
+    for (const auto& instance :
+         membership::ChooseEntries(instances, aZone, kLeastEntries)) {
+      out.addresses.push_back(instance.callerAddress);
+    }
+    return out;
+  }
+
   std::string FormatEntry() const
   {
     boost::json::array addresses;
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -8,6 +8,8 @@
 #include <lycheestand/core.h>
 #include <lycheestand/membership.h>
 #include <lycheestand/net.h>
+#include <lycheestand/router.h>
+#include <lycheestand/routes.h>
 #include <lycheestand/routing.h>
 #include <lycheestand/settings.h>
 #include <lycheestand/wire.h>
@@ -55,6 +57,8 @@
 struct ConfigurationInForce
 {
   std::shared_ptr<const settings::FleetSnapshot> snapshot;
+  // Null if no table of routes is in force.
+  std::shared_ptr<const routes::RouteTable> table;
 };
 
 // To the control link: a push could not be applied; the whole configuration is
@@ -135,6 +139,9 @@
   Ticket ticket;
   routing::Query query;
   unsigned maxInFlight = 0;
+  // Endpoints that the request has reached; above 0 it takes from the retry
+  // budget.
+  unsigned arrivals = 0;
 };
 struct EndpointChosen
 {
@@ -142,6 +149,13 @@
   Address address;
 };
 
+// An endpoint's answer said how loaded it is.
+struct LoadLearnt
+{
+  EndpointId endpoint;
+  routing::LoadReport report;
+};
+
 // How a call to an endpoint ended; also withdraws a choice in progress.
 struct CallFinished
 {
@@ -194,6 +208,12 @@
 struct GetEntry
 {};
 
+// Asks for the addresses for callers in a zone; the answer is Entries.
+struct FindEntriesIn
+{
+  ZoneId zone;
+};
+
 // Tells a controller about the newest view.
 struct ViewChanged
 {
@@ -241,6 +261,9 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::AdmitReply)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ReleaseTurn)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CapacityChanged)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::LoadLearnt)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::FindEntriesIn)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::Entries)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::GetEntry)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ViewChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::DumpState)
--- a/packages/router/src/recheck.cc
+++ b/packages/router/src/recheck.cc
@@ -1,5 +1,7 @@
 #include "filter_chain.h"
 
+#include <algorithm>
+
 namespace lycheestand::router {
 
 namespace {
@@ -8,6 +10,9 @@
 // force.
 constexpr Duration kShortWait = std::chrono::milliseconds(500);
 
+// Pause before a caller asks again where nothing stands in its way.
+constexpr double kAskAgainSeconds = 0.1;
+
 // Returns whether a newer configuration still lets the caller make the call.
 bool
 IsStillAllowed(const Request& aRequest,
@@ -24,15 +29,54 @@
          settings.AllowsService(aRequest.workspace, aRequest.site, service);
 }
 
+// Returns whether the newest table of routes sends the request to the same
+// service for the same workspace.
+bool
+IsStillRouted(const Request& aRequest, const routes::RouteTable& aTable)
+{
+  const auto& call = std::get<RoutedCall>(aRequest.call);
+  const auto* route =
+    aTable.Find(call.description.host, aRequest.exchange->Request().target);
+  if (route == nullptr ||
+      std::none_of(route->splits.begin(),
+                   route->splits.end(),
+                   [&call](const routes::Split& aSplit) {
+                     return aSplit.service == call.service && aSplit.weight > 0;
+                   })) {
+    return false;
+  }
+  if (aRequest.workspace.Get().empty()) {
+    return route->isPublic || !aTable.HasWorkspaces();
+  }
+  const auto* holder = aTable.FindHolder(call.description.key.value_or(""));
+  return holder != nullptr && holder->workspace == aRequest.workspace;
+}
+
 void
 CheckNewest(const RequestPtr& aRequest,
-            const std::shared_ptr<const settings::FleetSnapshot>& aSnapshot,
+            const ConfigurationInForce& aNewest,
             const Next& aNext)
 {
+  const auto& aSnapshot = aNewest.snapshot;
   if (!aSnapshot) {
     RefuseUnconfirmed(aRequest);
     return;
   }
+  if (auto* routed = std::get_if<RoutedCall>(&aRequest->call)) {
+    // The caller may ask again, and is then served by the newest table.
+    if (aNewest.table != routed->table &&
+        !IsStillRouted(*aRequest, *aNewest.table)) {
+      Refuse(aRequest,
+             { 503,
+               "routes_changed",
+               "the routes changed while the request waited",
+               RanState::NotRun,
+               kAskAgainSeconds });
+      return;
+    }
+    aNext();
+    return;
+  }
   if (!IsStillAllowed(*aRequest, *aSnapshot)) {
     Refuse(aRequest,
            { 404,
@@ -63,7 +107,7 @@
         aRequest->controllers.configuration, caf::infinite, GetConfiguration{})
       .then([aRequest, next = std::move(aNext)](ConfigurationInForce& aReply) {
         if (!aRequest->isFinished) {
-          CheckNewest(aRequest, aReply.snapshot, next);
+          CheckNewest(aRequest, aReply, next);
         }
       });
   };
--- a/packages/router/src/reserve.cc
+++ b/packages/router/src/reserve.cc
@@ -4,6 +4,31 @@
 
 namespace {
 
+// Tokens that a request uses at least, if it is to be of use, and at most.
+struct Need
+{
+  Tokens least;
+  Tokens most;
+};
+
+// Returns what a request needs of its workspace's budget, if anything.
+std::optional<Need>
+FindNeed(const Request& aRequest)
+{
+  if (const auto* chat = std::get_if<ChatCall>(&aRequest.call)) {
+    return Need{ chat->promptBound + chat->minOutput,
+                 chat->promptBound + chat->maxOutput };
+  }
+  if (const auto* routed = std::get_if<RoutedCall>(&aRequest.call)) {
+    const auto& description = routed->description;
+    Tokens most = description.promptTokens + description.maxOutput;
+    if (most > Tokens(0) && !aRequest.workspace.Get().empty()) {
+      return Need{ most, most };
+    }
+  }
+  return std::nullopt;
+}
+
 void
 RefuseClaim(const RequestPtr& aRequest, budget::Refusal aReason)
 {
@@ -29,16 +54,16 @@
 MakeReserve()
 {
   return [](const RequestPtr& aRequest, Next aNext) {
-    const auto* call = std::get_if<ChatCall>(&aRequest->call);
-    if (call == nullptr) {
+    auto need = FindNeed(*aRequest);
+    if (!need) {
       aNext();
       return;
     }
     budget::Claim claim;
     claim.ticket = aRequest->ticket;
     claim.workspace = aRequest->workspace;
-    claim.minimum = call->promptBound + call->minOutput;
-    claim.wanted = call->promptBound + call->maxOutput;
+    claim.minimum = need->least;
+    claim.wanted = need->most;
     aRequest->hasClaim = true;
     aRequest->exchange->Task()
       .request(aRequest->controllers.budget, caf::infinite, Reserve{ claim })
--- /dev/null
+++ b/packages/router/src/route_attempt.cc
@@ -0,0 +1,184 @@
+#include "route_attempt.h"
+
+namespace lycheestand::router {
+
+namespace {
+
+// Pauses that callers are told before they ask again: when endpoints are busy,
+// and when none is known.
+constexpr double kBusyRetrySeconds = 0.2;
+constexpr double kNoEndpointRetrySeconds = 0.5;
+
+// Calls that did not reach an endpoint, after which a request is refused.
+constexpr std::size_t kMostUnreached = 3;
+
+// Priorities that endpoints know.
+constexpr unsigned kMostUrgency = 9;
+
+routing::Query
+MakeQuery(const RoutedCall& aCall)
+{
+  routing::Query query;
+  query.serves = aCall.service.Get();
+  query.isService = true;
+  query.prefix = aCall.description.prefix;
+  query.promptTokens = aCall.description.promptTokens;
+  return query;
+}
+
+std::optional<unsigned>
+UrgencyOf(const RoutedCall& aCall)
+{
+  if (aCall.description.promptTokens == Tokens(0)) {
+    return std::nullopt;
+  }
+  unsigned rank = aCall.workspacePriority.value_or(aCall.route->priority);
+  return std::min(rank, kMostUrgency);
+}
+
+net::HttpRequest
+MakeRequest(const Request& aRequest,
+            const RoutedCall& aCall,
+            std::optional<std::uint64_t> aLastEvent,
+            TimePoint aNow)
+{
+  AttemptDescription attempt;
+  attempt.endpoint = aRequest.endpoint;
+  attempt.workspace = aRequest.workspace;
+  attempt.lastEvent = aLastEvent;
+  attempt.urgency = UrgencyOf(aCall);
+  attempt.patience = std::max(
+    Milliseconds(1),
+    std::chrono::duration_cast<Milliseconds>(*aRequest.deadline - aNow));
+  return aCall.protocol->writeAttempt(aRequest.exchange->Request(), attempt);
+}
+
+} // namespace
+
+void
+AttemptRouted(const RequestPtr& aRequest,
+              std::optional<std::uint64_t> aLastEvent,
+              net::CallOptions aOptions,
+              net::CallObserver aObserver,
+              std::function<void()> aOnNone)
+{
+  const auto& call = std::get<RoutedCall>(aRequest->call);
+  ChooseAndCall(
+    aRequest,
+    MakeQuery(call),
+    [aRequest, &call, aLastEvent, aOptions, aObserver](
+      const Address& aAddress) {
+      auto& task = aRequest->exchange->Task();
+      auto now = net::Now(task.GetRuntime());
+      aRequest->attemptAt = now;
+      aRequest->upstream =
+        task.StartCall(aAddress,
+                       MakeRequest(*aRequest, call, aLastEvent, now),
+                       aOptions,
+                       aObserver);
+    },
+    std::move(aOnNone));
+}
+
+bool
+MayTryAgain(const Request& aRequest)
+{
+  const auto& call = std::get<RoutedCall>(aRequest.call);
+  return aRequest.arrivals < call.route->maxAttempts &&
+         aRequest.tried.size() < aRequest.arrivals + kMostUnreached;
+}
+
+routing::Outcome
+OutcomeOf(const AnswerDescription& aAnswer, unsigned aStatus)
+{
+  if (aAnswer.isNotRun) {
+    return routing::Outcome::Busy;
+  }
+  return aStatus >= 500 ? routing::Outcome::Failed
+                        : routing::Outcome::Succeeded;
+}
+
+std::optional<AnswerDescription>
+ReadHead(const RequestPtr& aRequest, const net::CallHead& aHead)
+{
+  const auto& call = std::get<RoutedCall>(aRequest->call);
+  auto answer = call.protocol->readAnswer(aHead);
+  bool isOther = answer.id && *answer.id != call.description.id;
+  bool isForeign = aHead.status < 300 && (!answer.isSigned || answer.isEncoded);
+  if (isOther || isForeign) {
+    return std::nullopt;
+  }
+  if (answer.load && !answer.isOtherEndpoint) {
+    aRequest->exchange->Task().send(
+      aRequest->controllers.endpoint,
+      LoadLearnt{ aRequest->endpoint, *answer.load });
+  }
+  return answer;
+}
+
+void
+EndAttempt(const RequestPtr& aRequest,
+           routing::Outcome aOutcome,
+           bool aIsGone,
+           const std::string& aReason)
+{
+  auto now = net::Now(aRequest->exchange->Task().GetRuntime());
+  if (aOutcome != routing::Outcome::Succeeded) {
+    net::Log(net::LogLevel::Info,
+             "attempt ended",
+             { { "event", "attempt" },
+               { "request", aRequest->id.Get() },
+               { "endpoint", aRequest->endpoint.Get() },
+               { "attempt", std::to_string(aRequest->arrivals) },
+               { "ms",
+                 std::to_string(std::chrono::duration_cast<Milliseconds>(
+                                  now - aRequest->attemptAt)
+                                  .count()) },
+               { "reason", aReason } });
+  }
+  aRequest->upstream = {};
+  ReleaseEndpoint(aRequest, aOutcome, aIsGone);
+}
+
+void
+EndFailedAttempt(const RequestPtr& aRequest,
+                 net::CallFailure aFailure,
+                 const std::string& aReason)
+{
+  NoteFailure(aRequest, aFailure);
+  if (aFailure == net::CallFailure::NotSent) {
+    --aRequest->arrivals;
+  }
+  EndAttempt(aRequest,
+             routing::Outcome::Failed,
+             false,
+             std::string(net::ToString(aFailure)) + ": " + aReason);
+}
+
+void
+RefuseRouted(const RequestPtr& aRequest, const std::string& aReason)
+{
+  if (aRequest->ran != RanState::NotRun) {
+    Refuse(aRequest, { 502, "endpoint_failed", aReason, RanState::Unknown });
+    return;
+  }
+  bool wasBusy = !aRequest->tried.empty();
+  Refuse(aRequest,
+         { 503,
+           wasBusy ? "endpoints_busy" : "no_endpoint",
+           aReason,
+           RanState::NotRun,
+           wasBusy ? kBusyRetrySeconds : kNoEndpointRetrySeconds });
+}
+
+void
+ForwardRouted(const RequestPtr& aRequest)
+{
+  if (std::get<RoutedCall>(aRequest->call).route->isStream) {
+    ForwardEvents(aRequest);
+  } else {
+    ForwardWhole(aRequest);
+  }
+}
+
+} // namespace lycheestand::router
--- a/packages/router/src/router.cc
+++ b/packages/router/src/router.cc
@@ -11,12 +11,104 @@
 
 constexpr Duration kDrainPollInterval = std::chrono::milliseconds(50);
 
-// Longest wait for requests in flight.
-constexpr Duration kDrainLimit = std::chrono::minutes(10);
+// Longest wait of a question to a controller.
+constexpr Duration kAnswerLimit = std::chrono::seconds(1);
 
-// Longest wait for control to count what was spent; after that it stays charged
-// to the session as unreported.
-constexpr Duration kReportLimit = std::chrono::seconds(60);
+// Times of a graceful stop.
+struct DrainTimes
+{
+  // Callers may still come, since they keep entry answers.
+  Duration serve{};
+  // Longest wait for requests in flight after that.
+  Duration finish = std::chrono::minutes(10);
+  // Longest wait for control to count what was spent; after that it stays
+  // charged to the session as unreported.
+  Duration report = std::chrono::seconds(60);
+};
+
+// Time after the keep time of an answer in which other routers learn that this
+// one is leaving.
+constexpr Duration kLearnTime = std::chrono::seconds(1);
+
+// Parts of the time until the process is killed: most of it callers may still
+// come, and the last part is for reports to control.
+constexpr double kServePart = 0.6;
+constexpr double kReportPart = 0.06;
+
+DrainTimes
+MakeDrainTimes(const settings::ProcessSettings& aSettings)
+{
+  if (!aSettings.routes) {
+    return { aSettings.entryKeepTime + kLearnTime };
+  }
+  auto part = [&](double aPart) {
+    return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(aSettings.routes->stopTime) * aPart);
+  };
+  DrainTimes times{ part(kServePart) };
+  times.report = part(kReportPart);
+  times.finish = part(1 - kServePart - 2 * kReportPart);
+  return times;
+}
+
+// Budgets of routed requests must outlast the time in which routers are cut off
+// from control.
+budget::PurseOptions
+MakePurseOptions(const settings::ProcessSettings& aSettings)
+{
+  budget::PurseOptions options;
+  if (aSettings.routes) {
+    options.claimTimeout = std::chrono::milliseconds(400);
+    options.grantHorizon = std::chrono::seconds(12);
+    options.askBelow = std::chrono::seconds(9);
+    options.idleReturn = std::chrono::seconds(20);
+    options.rateWeight = 0.1;
+  }
+  return options;
+}
+
+// Prompt tokens that an engine of the platform processes in a second, until
+// measured: the least of the engines that the sites name.
+constexpr double kPromptTokensPerSecond = 70000;
+
+// Part of the allowed share of retries that is used: a request may be counted
+// in another window than its retry.
+constexpr double kRetrySharePart = 0.8;
+
+EndpointOptions
+MakeEndpointOptions(const settings::ProcessSettings& aSettings)
+{
+  EndpointOptions options;
+  options.table.zone = aSettings.zone;
+  if (!aSettings.routes) {
+    options.policy = routing::MakeCostPolicy();
+    return options;
+  }
+  const auto& routes = *aSettings.routes;
+  options.table.promptTokensPerSecond = kPromptTokensPerSecond;
+  routing::CostOptions cost;
+  cost.promptTokensPerSecond = kPromptTokensPerSecond;
+  cost.nearSeconds = 0.005;
+  options.policy = routing::MakeHomePolicy(cost);
+  options.asksEndpoints = false;
+  options.retryShare = routes.retryShare * kRetrySharePart;
+  options.retryBurst = routes.fleetRetryBurst;
+  options.sharesBurst = true;
+  options.pausesRetries = false;
+  return options;
+}
+
+std::vector<Filter>
+MakeFilters(const std::shared_ptr<const RouteProtocol>& aProtocol)
+{
+  if (aProtocol) {
+    return {
+      MakeMatchRoute(aProtocol), MakeReserve(), MakeRecheck(), MakeForward()
+    };
+  }
+  return { MakeAuthenticate(), MakeDescribe(), MakeAdmit(),  MakeOperation(),
+           MakeReserve(),      MakeRecheck(),  MakeForward() };
+}
 
 // Stops a router: first it drops out of entry answers, then it finishes.
 class DrainTask : public net::IoTask
@@ -26,32 +118,36 @@
             net::Runtime aRuntime,
             Controllers aControllers,
             caf::actor aServer,
-            Duration aKeepTime,
+            DrainTimes aTimes,
             std::function<void()> aStopped)
     : net::IoTask(aConfig, aRuntime)
     , controllers(std::move(aControllers))
     , server(std::move(aServer))
-    , keepTime(aKeepTime)
+    , times(aTimes)
     , stopped(std::move(aStopped))
   {
   }
 
 protected:
   // Callers may use a kept answer until it has run out, so the router serves
-  // for that long after it has told control that it is leaving. One second
-  // more covers the time in which other routers learn it.
+  // for that long after it has told control that it is leaving.
   void Start() override
   {
-    net::Log(net::LogLevel::Info, "leaving: no longer in entry answers");
+    net::Log(net::LogLevel::Info,
+             "leaving: no longer in entry answers",
+             { { "event", "leaving" } });
     this->send(this->controllers.link, SetLeaving{});
-    this->After(this->keepTime + std::chrono::seconds(1), [this] {
-      net::Log(net::LogLevel::Info, "leaving: finishing requests in flight");
+    this->send(this->server, net::CloseAfterAnswers{});
+    this->After(this->times.serve, [this] {
+      net::Log(net::LogLevel::Info,
+               "leaving: finishing requests in flight",
+               { { "event", "finishing" } });
       // The stop runs in a task of its own; what follows runs in this one.
       auto executor = this->Executor();
       net::StopServer(
-        this->GetRuntime(), this->server, kDrainLimit, [this, executor] {
+        this->GetRuntime(), this->server, this->times.finish, [this, executor] {
           executor.Post(std::make_shared<std::function<void()>>([this] {
-            this->deadline = net::Now(this->GetRuntime()) + kReportLimit;
+            this->deadline = net::Now(this->GetRuntime()) + this->times.report;
             this->WaitForOperations();
           }));
         });
@@ -93,7 +189,7 @@
 
   Controllers controllers;
   caf::actor server;
-  Duration keepTime;
+  DrainTimes times;
   std::function<void()> stopped;
   TimePoint deadline{};
 };
@@ -102,16 +198,13 @@
 {
 public:
   RunningRouter(const net::Runtime& aRuntime,
-                const settings::ProcessSettings& aSettings)
+                const settings::ProcessSettings& aSettings,
+                std::optional<RouteProtocol> aProtocol)
     : runtime(aRuntime)
     , settings(aSettings)
-    , chain({ MakeAuthenticate(),
-              MakeDescribe(),
-              MakeAdmit(),
-              MakeOperation(),
-              MakeReserve(),
-              MakeRecheck(),
-              MakeForward() })
+    , protocol(aProtocol ? std::make_shared<const RouteProtocol>(*aProtocol)
+                         : nullptr)
+    , chain(MakeFilters(this->protocol))
   {
   }
 
@@ -120,12 +213,15 @@
   {
     Controllers& all = this->controllers;
     all.configuration = SpawnConfigurationController(
-      this->runtime, this->settings.confirmationLimit);
-    all.budget = SpawnBudgetController(this->runtime);
+      this->runtime,
+      this->settings.confirmationLimit,
+      this->protocol ? this->protocol->readTable : RouteTableReader());
+    all.budget =
+      SpawnBudgetController(this->runtime, MakePurseOptions(this->settings));
     all.operation = SpawnOperationController(this->runtime, aPool);
     all.admission = SpawnAdmissionController(this->runtime);
     all.endpoint = SpawnEndpointController(
-      this->runtime, aPool, this->settings.zone, all.admission);
+      this->runtime, aPool, MakeEndpointOptions(this->settings), all.admission);
     all.membership = SpawnMembershipController(this->runtime, this->settings);
     auto server = net::SpawnHttpServer(
       this->runtime,
@@ -154,7 +250,7 @@
     this->runtime.system->spawn<DrainTask>(this->runtime,
                                            this->controllers,
                                            this->server,
-                                           this->settings.entryKeepTime,
+                                           MakeDrainTimes(this->settings),
                                            std::move(aStopped));
   }
 
@@ -163,6 +259,32 @@
     this->onDrained = std::move(aStopped);
   }
 
+  // A router without a configuration could only refuse.
+  void AskReady(net::IoTask& aTask, std::function<void(bool)> aDone) override
+  {
+    aTask
+      .request(
+        this->controllers.configuration, kAnswerLimit, GetConfiguration{})
+      .then(
+        [this, aDone](const ConfigurationInForce& aReply) {
+          bool isSet = this->protocol ? aReply.table != nullptr
+                                      : aReply.snapshot != nullptr;
+          aDone(isSet && !this->isDraining);
+        },
+        [aDone](const caf::error&) { aDone(false); });
+  }
+
+  void FindEntries(net::IoTask& aTask,
+                   const ZoneId& aZone,
+                   std::function<void(const Entries&)> aDone) override
+  {
+    aTask
+      .request(
+        this->controllers.membership, kAnswerLimit, FindEntriesIn{ aZone })
+      .then([aDone](const Entries& aEntries) { aDone(aEntries); },
+            [aDone](const caf::error&) { aDone({}); });
+  }
+
   void Dump(net::IoTask& aTask, std::function<void(std::string)> aDone) override
   {
     auto out = std::make_shared<std::string>("{");
@@ -219,6 +341,7 @@
 
   net::Runtime runtime;
   settings::ProcessSettings settings;
+  std::shared_ptr<const RouteProtocol> protocol;
   FilterChain chain;
   RandomSource random = net::MakeRandomSource();
   Controllers controllers;
@@ -233,9 +356,11 @@
 StartRouter(const net::Runtime& aRuntime,
             caf::actor aPool,
             const settings::ProcessSettings& aSettings,
-            const net::FleetKey& aKey)
+            const net::FleetKey& aKey,
+            std::optional<RouteProtocol> aProtocol)
 {
-  auto router = std::make_unique<RunningRouter>(aRuntime, aSettings);
+  auto router =
+    std::make_unique<RunningRouter>(aRuntime, aSettings, std::move(aProtocol));
   auto started = router->Start(aPool, aKey);
   if (started.has_error()) {
     return Result<std::unique_ptr<Router>, std::string>(
--- /dev/null
+++ b/packages/routes/test/routes_test.cc
@@ -0,0 +1,90 @@
+#include <catch2/catch.hpp>
+#include <lycheestand/routes.h>
+
+namespace lycheestand::routes {
+
+namespace {
+
+// Builds a table with one service and the routes that a test adds.
+struct RoutesFixture
+{
+  RoutesFixture()
+  {
+    REQUIRE(this->table.Add(Service{ ServiceName("s") }) == "");
+  }
+
+  Route MakeRoute(const std::string& aPrefix, const std::string& aName = "r")
+  {
+    Route route;
+    route.name = aName;
+    route.host = "a.example";
+    route.pathPrefix = aPrefix;
+    route.timeout = Milliseconds(1000);
+    route.splits = { { ServiceName("s"), 1 } };
+    return route;
+  }
+
+  RouteTable table{ ConfigVersion(1) };
+};
+
+} // namespace
+
+// Guards against a request that reaches the service of a shorter prefix.
+TEST_CASE_METHOD(RoutesFixture, "the longest prefix of the path wins")
+{
+  REQUIRE(this->table.Add(this->MakeRoute("/", "root")) == "");
+  REQUIRE(this->table.Add(this->MakeRoute("/a/", "a")) == "");
+  REQUIRE(this->table.Add(this->MakeRoute("/a/b/", "ab")) == "");
+  CHECK(this->table.Find("a.example", "/a/b/c?x=/a/")->name == "ab");
+  CHECK(this->table.Find("A.example:80", "/a/bc")->name == "a");
+  CHECK(this->table.Find("a.example", "/other")->name == "root");
+  CHECK(this->table.Find("b.example", "/a/b/c") == nullptr);
+}
+
+// Guards against a table in force that names what does not exist.
+TEST_CASE_METHOD(RoutesFixture, "an invalid route is refused with its reason")
+{
+  Route unknown = this->MakeRoute("/a/");
+  unknown.splits = { { ServiceName("other"), 1 } };
+  CHECK(this->table.Add(unknown) == "there is no service \"other\"");
+  Route weightless = this->MakeRoute("/a/");
+  weightless.splits = { { ServiceName("s"), 0 } };
+  CHECK(this->table.Add(weightless) == "the weights add up to 0");
+  Route timeless = this->MakeRoute("/a/");
+  timeless.timeout = Milliseconds(0);
+  CHECK(this->table.Add(timeless) == "a timeout must be above 0");
+  CHECK(this->table.Add(this->MakeRoute("/a/")) == "");
+  CHECK(this->table.Add(this->MakeRoute("/a/")) ==
+        "two routes share host and prefix a.example/a/");
+}
+
+// Guards against requests that are charged to another workspace.
+TEST_CASE_METHOD(RoutesFixture, "two workspaces may not share a key")
+{
+  Workspace first{ WorkspaceId("w1"), 0, Tokens(10), { "k1", "k2" } };
+  Workspace second{ WorkspaceId("w2"), 0, Tokens(10), { "k3", "k2" } };
+  REQUIRE(this->table.Add(first) == "");
+  CHECK(this->table.FindHolder("k2")->workspace == WorkspaceId("w1"));
+  CHECK(this->table.FindHolder("k9") == nullptr);
+  CHECK(this->table.Add(second) == "two workspaces share a key");
+}
+
+// Guards against a split that sends requests to a service of weight 0.
+TEST_CASE_METHOD(RoutesFixture, "services are chosen by their weights")
+{
+  Route route = this->MakeRoute("/a/");
+  route.splits = { { ServiceName("x"), 0 },
+                   { ServiceName("y"), 3 },
+                   { ServiceName("z"), 1 } };
+  auto choose = [&](std::uint64_t aPoint) {
+    return ChooseService(route, [aPoint](std::uint64_t aBound) {
+      REQUIRE(aBound == 4);
+      return aPoint;
+    });
+  };
+  CHECK(choose(0) == ServiceName("y"));
+  CHECK(choose(2) == ServiceName("y"));
+  CHECK(choose(3) == ServiceName("z"));
+}
+
+} // namespace lycheestand::routes
--- a/packages/routing/include/lycheestand/routing.h
+++ b/packages/routing/include/lycheestand/routing.h
@@ -273,6 +273,12 @@
 ChoicePolicy
 MakeCostPolicy(CostOptions aOptions = {});
 
+// Returns the project's policy for requests whose prompts share beginnings: the
+// cost policy, which expects the shared beginning to be cached at one endpoint
+// that all routers find alike by the beginning's hash.
+ChoicePolicy
+MakeHomePolicy(CostOptions aOptions = {});
+
 // Baselines to compare with.
 ChoicePolicy
 MakeRandomPolicy();
--- a/packages/routing/src/policies.cc
+++ b/packages/routing/src/policies.cc
@@ -108,6 +108,33 @@
   return last;
 }
 
+// Part of a shared beginning that is expected to be cached at its home.
+constexpr double kHomeTrust = 0.9;
+
+// Returns the candidate whose id, hashed with the beginning, is highest. When
+// an endpoint comes or goes, only the beginnings that it wins move.
+std::size_t
+FindHome(PrefixHash aShared, Candidates aCandidates)
+{
+  std::size_t home = 0;
+  std::uint64_t highest = 0;
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    // FNV-1a, the same in every build: all routers must agree.
+    std::uint64_t hash = 0xcbf29ce484222325ULL ^ aShared.Get();
+    for (unsigned char c : aCandidates[i].endpoint->Get()) {
+      hash = (hash ^ c) * 0x100000001b3ULL;
+    }
+    hash ^= hash >> 32;
+    hash *= 0x9E3779B97F4A7C15ULL;
+    hash ^= hash >> 29;
+    if (hash >= highest) {
+      highest = hash;
+      home = i;
+    }
+  }
+  return home;
+}
+
 // Returns the load that the reports alone give.
 double
 ReportedLoad(const Candidate& aCandidate)
@@ -139,6 +166,31 @@
   };
 }
 
+ChoicePolicy
+MakeHomePolicy(CostOptions aOptions)
+{
+  return [aOptions](const Query& aQuery,
+                    Candidates aCandidates,
+                    const RandomSource& aRandom) {
+    std::vector<Candidate> candidates(aCandidates.begin(), aCandidates.end());
+    // The last part is the request's own.
+    if (aQuery.prefix.size() > 1) {
+      const auto& shared = aQuery.prefix[aQuery.prefix.size() - 2];
+      Candidate& home = candidates[FindHome(shared.hash, aCandidates)];
+      home.cachedTokens =
+        std::max(home.cachedTokens,
+                 kHomeTrust * static_cast<double>(shared.tokens.Get()));
+    }
+    Means means = MeanOfReports(candidates);
+    std::vector<double> costs;
+    costs.reserve(candidates.size());
+    for (const auto& candidate : candidates) {
+      costs.push_back(EstimateCost(aOptions, aQuery, candidate, means));
+    }
+    return PickNearLeast(costs, aOptions.nearSeconds, aRandom);
+  };
+}
+
 ChoicePolicy
 MakeRandomPolicy()
 {
--- a/packages/settings/include/lycheestand/settings.h
+++ b/packages/settings/include/lycheestand/settings.h
@@ -55,6 +55,20 @@
   Address admin;
 };
 
+// How requests of the table of routes are served.
+struct RouteSettings
+{
+  // Retries to a service as a share of its requests, and beyond that in one
+  // window, of all routers together. The operator of the services sets them.
+  double retryShare = 0.1;
+  double fleetRetryBurst = 10;
+  Milliseconds retryWindow{ 10000 };
+  // Time from the order to stop until the process is killed.
+  Milliseconds stopTime{ 8000 };
+  // Time for which callers may keep an entry answer.
+  Milliseconds entryKeepTime{ 2000 };
+};
+
 // The settings of one process.
 struct ProcessSettings
 {
@@ -70,6 +84,19 @@
   // All control instances, this one included.
   std::vector<ControlMember> control;
   std::string fleetKeyFile;
+  // Only the fleet's own processes can reach the peers' ports, so links need no
+  // secret key.
+  bool trustsNetwork = false;
+  // An empty data folder is formatted as one of the first members'.
+  bool formsGroup = false;
+  // Both sides of a link send at least this often.
+  Milliseconds heartbeatInterval{ 1000 };
+  // Longest silence of a link's other side.
+  Milliseconds linkIdleTimeout{ 4000 };
+  // Longest time for opening a link.
+  Milliseconds linkConnectTimeout{ 2000 };
+  // Set if this process serves requests by a table of routes.
+  std::optional<RouteSettings> routes;
   // Hashes of the operators' bearer keys.
   std::vector<KeyHash> operatorKeyHashes;
   // Folder of the replicated state; control only.
@@ -90,6 +117,17 @@
   Milliseconds requestTimeout{ 20000 };
 };
 
+// Returns the limits of a process's links.
+template<class LinkOptions>
+LinkOptions
+MakeLinkOptions(const ProcessSettings& aSettings)
+{
+  LinkOptions options;
+  options.connectTimeout = aSettings.linkConnectTimeout;
+  options.idleTimeout = aSettings.linkIdleTimeout;
+  return options;
+}
+
 // Returns the settings in a process's JSON file.
 Result<ProcessSettings, SettingsError>
 LoadProcessSettings(const std::string& aPath);
@@ -285,12 +323,15 @@
 {
   FleetSettings settings;
   std::map<KeyHash, CallerKey> keys;
+  // The table of routes as the operator sent it; empty if there is none.
+  std::string routes;
 };
 
 // Returns the text that control pushes.
 std::string
 FormatFleetSnapshot(std::string_view aDocument,
-                    const std::map<KeyHash, CallerKey>& aKeys);
+                    const std::map<KeyHash, CallerKey>& aKeys,
+                    std::string_view aRoutes = "");
 
 // Returns the JSON merge patch (RFC 7396) that turns one snapshot's text into
 // another's. Both must be valid.
--- a/packages/settings/src/fleet_settings.cc
+++ b/packages/settings/src/fleet_settings.cc
@@ -391,7 +391,8 @@
 
 std::string
 FormatFleetSnapshot(std::string_view aDocument,
-                    const std::map<KeyHash, CallerKey>& aKeys)
+                    const std::map<KeyHash, CallerKey>& aKeys,
+                    std::string_view aRoutes)
 {
   boost::json::object keys;
   for (const auto& [hash, key] : aKeys) {
@@ -400,8 +401,12 @@
   }
   // The document has been checked before it was accepted.
   std::string document = aDocument.empty() ? "{}" : std::string(aDocument);
+  std::string routes =
+    aRoutes.empty()
+      ? ""
+      : ",\"routes\":" + boost::json::serialize(boost::json::value(aRoutes));
   return "{\"keys\":" + boost::json::serialize(keys) +
-         ",\"settings\":" + document + "}";
+         ",\"settings\":" + document + routes + "}";
 }
 
 Result<FleetSnapshot, SettingsError>
@@ -412,6 +417,9 @@
     Reader reader(json, "");
     FleetSnapshot snapshot;
     snapshot.settings = ReadFleet(reader.Get("settings"));
+    if (reader.Object().contains("routes")) {
+      snapshot.routes = reader.Get("routes").String();
+    }
     Reader keys = reader.Get("keys");
     for (const auto& member : keys.Object()) {
       std::string hash(member.key());
--- a/packages/state/include/lycheestand/state.h
+++ b/packages/state/include/lycheestand/state.h
@@ -72,6 +72,18 @@
                          const ApplyConfiguration&) = default;
 };
 
+// Puts a table of routes in force unless the one held has its version or a
+// higher one. Each budget's paid tokens are raised to the amount named.
+struct ReplaceRoutes
+{
+  ConfigVersion version;
+  // As the operator sent it; routers read it.
+  std::string document;
+  std::vector<std::pair<WorkspaceId, Tokens>> prepaid;
+
+  friend bool operator==(const ReplaceRoutes&, const ReplaceRoutes&) = default;
+};
+
 // Begins a router process's session and closes its instance's earlier one.
 struct RegisterSession
 {
@@ -171,7 +183,8 @@
                              ReportUsage,
                              RecordOperation,
                              OrderEngine,
-                             ConfirmOrder>;
+                             ConfirmOrder,
+                             ReplaceRoutes>;
 
 // ---------------------------------------------------------------- outcomes
 
@@ -325,6 +338,9 @@
 
   void Open(const WorkspaceId& aWorkspace);
   Outcome TopUp(const WorkspaceId& aWorkspace, Tokens aTokens);
+
+  // Raises what is paid to an amount; a lower one changes nothing.
+  void RaiseTo(const WorkspaceId& aWorkspace, Tokens aPaid);
   Outcome Grant(const GrantTokens& aCommand);
 
   // Returns whether every entry is covered by what the session holds.
@@ -383,6 +399,24 @@
   std::deque<ConfigurationRecord> records;
 };
 
+// Owns the table of routes in force; the highest version wins.
+class RouteRegister
+{
+public:
+  // Returns whether the table was replaced.
+  bool Replace(const ReplaceRoutes& aCommand);
+
+  ConfigVersion Version() const { return this->version; }
+  const std::string& Document() const { return this->document; }
+
+  friend bool operator==(const RouteRegister&, const RouteRegister&) = default;
+
+private:
+  friend struct SnapshotAccess;
+  ConfigVersion version;
+  std::string document;
+};
+
 // A call that must run at most once.
 struct Operation
 {
@@ -550,6 +584,7 @@
   const OperationRegister& Operations() const { return this->operations; }
   const SessionController& Sessions() const { return this->sessions; }
   const OrderRegister& Orders() const { return this->orders; }
+  const RouteRegister& Routes() const { return this->routes; }
 
   friend bool operator==(const StateMachine&, const StateMachine&) = default;
 
@@ -569,6 +604,7 @@
   Outcome Handle(const RecordOperation& aCommand);
   Outcome Handle(const OrderEngine& aCommand);
   Outcome Handle(const ConfirmOrder& aCommand);
+  Outcome Handle(const ReplaceRoutes& aCommand);
 
   // Releases what is kept only for an open session.
   void EndSession(SessionId aSession);
@@ -582,6 +618,7 @@
   SessionController sessions;
   ChangeRegister changes;
   OrderRegister orders;
+  RouteRegister routes;
 };
 
 } // namespace lycheestand::state
--- a/packages/state/src/budget_ledger.cc
+++ b/packages/state/src/budget_ledger.cc
@@ -47,6 +47,13 @@
   return BudgetToppedUp{ found->second.paid };
 }
 
+void
+BudgetLedger::RaiseTo(const WorkspaceId& aWorkspace, Tokens aPaid)
+{
+  Budget& budget = this->budgets[aWorkspace];
+  budget.paid = std::max(budget.paid, aPaid);
+}
+
 // A router repeats a request with the same number until it gets the reply, so a
 // lost reply strands nothing. A request older than the last one was delayed on
 // an earlier link; its router waits for no reply and would never use a grant.
--- a/packages/state/src/state_machine.cc
+++ b/packages/state/src/state_machine.cc
@@ -270,6 +270,29 @@
   return this->orders.Confirm(aCommand);
 }
 
+// A table that is not newer changes nothing and is answered with the version in
+// force, so that a resent or overtaken change is never refused.
+Outcome
+StateMachine::Handle(const ReplaceRoutes& aCommand)
+{
+  for (const auto& [workspace, tokens] : aCommand.prepaid) {
+    if (tokens < Tokens(0) || tokens > BudgetLedger::kMostPaid) {
+      return Rejected{ Rejection::InvalidAmount };
+    }
+  }
+  if (this->routes.Replace(aCommand)) {
+    for (const auto& [workspace, tokens] : aCommand.prepaid) {
+      if (!this->workspaces.Contains(workspace)) {
+        this->workspaces.Create(workspace);
+        this->budgets.Open(workspace);
+      }
+      this->budgets.RaiseTo(workspace, tokens);
+    }
+    this->AdvanceRevision();
+  }
+  return ConfigurationApplied{ this->routes.Version() };
+}
+
 void
 StateMachine::EndSession(SessionId aSession)
 {
--- a/packages/wire/include/lycheestand/wire.h
+++ b/packages/wire/include/lycheestand/wire.h
@@ -109,6 +109,8 @@
   WorkspaceId workspace;
   Tokens minimum;
   Tokens wanted;
+  // No request waits for the tokens.
+  bool isAhead = false;
 };
 
 // Tokens that the router may now spend; none when tokens is 0.
--- a/packages/wire/src/codec.cc
+++ b/packages/wire/src/codec.cc
@@ -315,6 +315,7 @@
   out.workspace = aIn.workspace.Get();
   out.minimum = aIn.minimum.Get();
   out.wanted = aIn.wanted.Get();
+  out.ahead = aIn.isAhead;
   return out;
 }
 
@@ -324,7 +325,8 @@
   return { aIn.request,
            WorkspaceId(aIn.workspace),
            Tokens(aIn.minimum),
-           Tokens(aIn.wanted) };
+           Tokens(aIn.wanted),
+           aIn.ahead };
 }
 
 fb::GrantReplyT
