Grant budgets ahead of demand and keep serving while cut off from control

Ruled out: larger grants alone, since the first router to ask then holds what others need.

Change: a router asks ahead when what it holds covers less than 9 s of demand; such a grant takes at most an eighth of what is free beyond a reserve, and recalls nothing. Recalls go to the largest holders only. A claim that can't be covered without control is refused at once.

--- a/packages/budget/include/lycheestand/budget.h
+++ b/packages/budget/include/lycheestand/budget.h
@@ -122,6 +122,10 @@
   // Reserves now or queues the claim; a queued one is decided by Poll.
   std::optional<Decision> Reserve(const Claim& aClaim, TimePoint aNow);
 
+  // Sets whether control can be asked; if not, a claim that is not covered is
+  // refused at once.
+  void SetOnline(bool aIsOnline) { this->isOnline = aIsOnline; }
+
   // Ends a reservation with what was spent, or withdraws a queued claim. More
   // spent than reserved can't be covered and is cut to the reservation.
   void Settle(Ticket aTicket, Tokens aSpent, TimePoint aNow);
@@ -182,6 +186,9 @@
     double tokensPerSecond = 0;
     double recentTokens = 0;
     TimePoint rateSince{};
+    unsigned rateWindows = 0;
+    // What the last claim wanted.
+    Tokens lastWanted;
   };
 
   struct Reservation
@@ -198,12 +205,14 @@
   void UpdateRate(Account& aAccount, TimePoint aNow) const;
   void ReturnSurplus(Account& aAccount, TimePoint aNow) const;
   static void Return(Account& aAccount, Tokens aTokens);
+  Tokens LowMark(const Account& aAccount) const;
   // Returns what may become available to this router without a grant.
   Tokens Prospect(const WorkspaceId& aWorkspace, const Account& aAccount) const;
 
   PurseOptions options;
   std::map<WorkspaceId, Account> accounts;
   std::map<Ticket, Reservation> reservations;
+  bool isOnline = true;
   std::optional<UsageBatch> inTransit;
   std::uint64_t nextRequest = 1;
   std::uint64_t nextBatch = 1;
--- a/packages/budget/src/purse.cc
+++ b/packages/budget/src/purse.cc
@@ -9,6 +9,9 @@
 constexpr std::int64_t kTokensPerMessage = 16;
 constexpr std::int64_t kTokensPerPrompt = 32;
 
+// Tokens per second below which nothing is asked for ahead.
+constexpr double kLeastRate = 1;
+
 constexpr Duration kRateWindow = std::chrono::milliseconds(500);
 
 // A busy router keeps twice what it would ask for, so that it does not return
@@ -47,11 +50,15 @@
   Account& account = this->accounts[aClaim.workspace];
   this->UpdateRate(account, aNow);
   account.lastClaim = aNow;
+  account.lastWanted = aClaim.wanted;
   account.recentTokens += static_cast<double>(aClaim.wanted.Get());
   if (account.available >= aClaim.minimum) {
     return this->Grant(
       account, aClaim, std::min(account.available, aClaim.wanted));
   }
+  if (!this->isOnline) {
+    return Decision{ aClaim.ticket, Tokens(0), Refusal::NoGrant };
+  }
   account.queue.push_back({ aClaim, aNow + this->options.claimTimeout });
   return std::nullopt;
 }
@@ -170,13 +177,28 @@
     need.workspace = workspace;
     need.isAhead = isLow;
     need.minimum = std::max(minimum, Tokens(1));
-    need.wanted = std::max(queued + ahead - account.available, need.minimum);
+    Tokens target = std::max(ahead, low);
+    need.wanted = std::max(queued + target - account.available, need.minimum);
     account.asked = need;
     needs.push_back(need);
   }
   return needs;
 }
 
+// Returns what must be available so that nothing is asked for ahead: the demand
+// of some time, and at least one request like the last one.
+Tokens
+Purse::LowMark(const Account& aAccount) const
+{
+  if (this->options.askBelow == Duration(0) ||
+      aAccount.tokensPerSecond < kLeastRate) {
+    return Tokens(0);
+  }
+  return std::max(this->options.sizeGrant(aAccount.tokensPerSecond,
+                                          this->options.askBelow),
+                  aAccount.lastWanted);
+}
+
 std::vector<GrantNeed>
 Purse::Unanswered() const
 {
@@ -253,6 +275,7 @@
   }
   Tokens keep = this->options.sizeGrant(aAccount.tokensPerSecond,
                                         this->options.grantHorizon);
+  keep = std::max(keep, this->LowMark(aAccount));
   Tokens limit(keep.Get() * kSurplusFactor + 1);
   if (aAccount.tokensPerSecond > 0 && aAccount.available > limit) {
     Return(aAccount, aAccount.available - limit);
@@ -340,9 +363,11 @@
   }
   double rate =
     aAccount.recentTokens / std::chrono::duration<double>(elapsed).count();
+  // The first windows count alike, so that the rate is known early.
+  double weight =
+    std::max(this->options.rateWeight, 1.0 / ++aAccount.rateWindows);
   aAccount.tokensPerSecond =
-    this->options.rateWeight * rate +
-    (1 - this->options.rateWeight) * aAccount.tokensPerSecond;
+    weight * rate + (1 - weight) * aAccount.tokensPerSecond;
   aAccount.recentTokens = 0;
   aAccount.rateSince = aNow;
 }
--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -10,6 +10,10 @@
 
 namespace {
 
+// What is recalled, as a multiple of what is missing: part of what sessions
+// hold is reserved by their requests.
+constexpr std::int64_t kRecallFactor = 3;
+
 // Least time between two views, so that many changes make one push.
 constexpr Duration kViewInterval = std::chrono::milliseconds(250);
 
@@ -197,7 +201,8 @@
                           aRequest.request,
                           aRequest.workspace,
                           aRequest.minimum,
-                          aRequest.wanted },
+                          aRequest.wanted,
+                          aRequest.isAhead },
       [this, aRequest](LinkState& aLinkState, const state::Outcome& aOutcome) {
         this->AnswerGrant(aLinkState, aRequest, aOutcome);
       });
@@ -231,23 +236,37 @@
     }
   }
 
+  // Asks the largest holders first, and no more of them than can cover the
+  // request: each return makes its router ask anew later.
   void RecallFromOthers(SessionId aSession, const wire::GrantRequest& aRequest)
   {
     this
       ->request(this->replica, caf::infinite, FindHolders{ aRequest.workspace })
-      .then([this, aSession, aRequest](const Holders& aHolders) {
-        for (auto& [id, link] : this->links) {
-          bool holds = std::find(aHolders.sessions.begin(),
-                                 aHolders.sessions.end(),
-                                 link.hello.session) != aHolders.sessions.end();
-          if (link.isWelcome && holds && link.hello.session != aSession) {
-            this->SendTo(link,
-                         wire::Recall{ aRequest.workspace, aRequest.wanted });
+      .then([this, aSession, aRequest](Holders& aHolders) {
+        Tokens left(aRequest.minimum.Get() * kRecallFactor);
+        for (const auto& [tokens, session] : aHolders.byTokens) {
+          LinkState* link = this->FindRouter(session);
+          if (left <= Tokens(0) || session == aSession || link == nullptr) {
+            continue;
           }
+          Tokens part = std::min(tokens, left);
+          left -= part;
+          this->SendTo(*link, wire::Recall{ aRequest.workspace, part });
         }
       });
   }
 
+  // Returns the open link of a router's session, if there is one.
+  LinkState* FindRouter(SessionId aSession)
+  {
+    for (auto& [id, link] : this->links) {
+      if (link.isWelcome && link.hello.session == aSession) {
+        return &link;
+      }
+    }
+    return nullptr;
+  }
+
   void Handle(net::LinkId aLink,
               LinkState& aState,
               const wire::UsageReport& aReport)
--- a/packages/control/src/messages.h
+++ b/packages/control/src/messages.h
@@ -75,7 +75,8 @@
 };
 struct Holders
 {
-  std::vector<SessionId> sessions;
+  // The largest holder first.
+  std::vector<std::pair<Tokens, SessionId>> byTokens;
 };
 
 // A link with another control instance is open, or closed when task is null.
--- a/packages/control/src/replica_state.cc
+++ b/packages/control/src/replica_state.cc
@@ -1,5 +1,6 @@
 #include "replica_state.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 namespace lycheestand::control {
@@ -111,9 +112,10 @@
   Holders holders;
   if (const auto* budget = this->machine.Budgets().Find(aWorkspace)) {
     for (const auto& [session, tokens] : budget->outstanding) {
-      holders.sessions.push_back(session);
+      holders.byTokens.emplace_back(tokens, session);
     }
   }
+  std::sort(holders.byTokens.rbegin(), holders.byTokens.rend());
   return holders;
 }
 
--- a/packages/journal/src/command_codec.cc
+++ b/packages/journal/src/command_codec.cc
@@ -149,6 +149,7 @@
   out.workspace = aIn.workspace.Get();
   out.minimum = aIn.minimum.Get();
   out.wanted = aIn.wanted.Get();
+  out.ahead = aIn.isAhead;
   return out;
 }
 
@@ -159,7 +160,8 @@
                              aIn.request,
                              WorkspaceId(aIn.workspace),
                              Tokens(aIn.minimum),
-                             Tokens(aIn.wanted) };
+                             Tokens(aIn.wanted),
+                             aIn.ahead };
 }
 
 fb::ReportUsageT
--- a/packages/router/src/budget_controller.cc
+++ b/packages/router/src/budget_controller.cc
@@ -10,7 +10,7 @@
 constexpr Duration kReportInterval = std::chrono::milliseconds(200);
 
 // Pace at which waiting claims are looked at again.
-constexpr Duration kPollInterval = std::chrono::milliseconds(50);
+constexpr Duration kPollInterval = std::chrono::milliseconds(20);
 
 // Carries the purse: passes claims in, and grants and usage to and from
 // control.
@@ -34,7 +34,14 @@
       [this](Reserve& aReserve) { return this->HandleReserve(aReserve); },
       [this](Settle& aSettle) { this->HandleSettle(aSettle); },
       [this](FromControl& aMessage) { this->Handle(aMessage.message); },
-      [this](ControlUp) { this->Resend(); },
+      [this](ControlUp) {
+        this->purse.SetOnline(true);
+        this->Resend();
+      },
+      [this](ControlDown) {
+        this->purse.SetOnline(false);
+        this->Advance();
+      },
       [this](caf::actor& aLink) { this->link = aLink; },
       [this](ReturnGrants) {
         this->isReturning = true;
--- a/packages/router/src/control_link.cc
+++ b/packages/router/src/control_link.cc
@@ -121,7 +121,8 @@
     if (this->isWelcome) {
       net::Log(net::LogLevel::Warning,
                "lost the link to control",
-               { { "reason", aDown.reason } });
+               { { "event", "control_lost" }, { "reason", aDown.reason } });
+      this->send(this->controllers.budget, ControlDown{});
     }
     this->isWelcome = false;
     this->linkTask = nullptr;
--- a/packages/router/src/forward_events.cc
+++ b/packages/router/src/forward_events.cc
@@ -14,6 +14,9 @@
 constexpr int kSilenceFactor = 4;
 constexpr Duration kLeastSilence = std::chrono::milliseconds(1200);
 
+// The request is given up at the route's timeout, before this.
+constexpr Duration kTimeoutMargin = std::chrono::seconds(1);
+
 Duration
 SilenceLimit(Milliseconds aExpected)
 {
@@ -65,7 +68,7 @@
     const auto& route = *this->call.route;
     net::CallOptions options;
     options.connectTimeout = kConnectTimeout;
-    options.idleTimeout = route.timeout;
+    options.idleTimeout = route.timeout + kTimeoutMargin;
     options.reuseConnection = route.isRepeatable;
     if (route.isResumable && this->request->arrivals + 1 < route.maxAttempts) {
       options.answerTimeout = SilenceLimit(route.latencyTarget);
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -37,6 +37,10 @@
 struct ControlUp
 {};
 
+// From the control link to the controllers: the link with the leader is lost.
+struct ControlDown
+{};
+
 // From the control link to a controller: a message from control.
 struct FromControl
 {
@@ -240,6 +244,7 @@
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ToControl)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ControlUp)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ControlDown)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::FromControl)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::SetLeaving)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::GetConfiguration)
--- a/packages/router/src/reserve.cc
+++ b/packages/router/src/reserve.cc
@@ -4,6 +4,9 @@
 
 namespace {
 
+// Pause before a caller asks again; another router may hold tokens.
+constexpr double kNoGrantRetrySeconds = 0.2;
+
 // Tokens that a request uses at least, if it is to be of use, and at most.
 struct Need
 {
@@ -44,7 +47,7 @@
            "budget_unavailable",
            "no part of the workspace's budget could be had in time",
            RanState::NotRun,
-           1 });
+           kNoGrantRetrySeconds });
 }
 
 } // namespace
--- a/packages/router/src/router.cc
+++ b/packages/router/src/router.cc
@@ -62,6 +62,7 @@
     options.grantHorizon = std::chrono::seconds(12);
     options.askBelow = std::chrono::seconds(9);
     options.idleReturn = std::chrono::seconds(20);
+    options.retryPause = std::chrono::milliseconds(40);
     options.rateWeight = 0.1;
   }
   return options;
--- a/packages/state/include/lycheestand/state.h
+++ b/packages/state/include/lycheestand/state.h
@@ -112,6 +112,9 @@
   WorkspaceId workspace;
   Tokens minimum;
   Tokens wanted;
+  // No request waits for the tokens, so most of what is free is kept for those
+  // that do.
+  bool isAhead = false;
 
   friend bool operator==(const GrantTokens&, const GrantTokens&) = default;
 };
--- a/packages/state/src/budget_ledger.cc
+++ b/packages/state/src/budget_ledger.cc
@@ -9,6 +9,11 @@
 // ask does not take a small budget whole and leave others to recall it.
 constexpr std::int64_t kLargestShare = 4;
 
+// A grant that no request waits for takes at most this part of what is free
+// beyond the reserve, a part of what is paid.
+constexpr std::int64_t kAheadShare = 8;
+constexpr std::int64_t kReserveShare = 16;
+
 } // namespace
 
 Tokens
@@ -54,6 +59,27 @@
   budget.paid = std::max(budget.paid, aPaid);
 }
 
+namespace {
+
+// Returns how much of a budget a grant may take; 0 if it has too little room.
+Tokens
+SizeGrant(const Budget& aBudget, const GrantTokens& aCommand)
+{
+  std::int64_t free = aBudget.Free().Get();
+  if (!aCommand.isAhead) {
+    Tokens share(free / kLargestShare);
+    return free >= aCommand.minimum.Get()
+             ? std::max(aCommand.minimum, std::min(aCommand.wanted, share))
+             : Tokens(0);
+  }
+  std::int64_t room = free - aBudget.paid.Get() / kReserveShare;
+  Tokens share(std::max<std::int64_t>(0, room / kAheadShare));
+  Tokens size = std::min(aCommand.wanted, share);
+  return size >= aCommand.minimum ? size : Tokens(0);
+}
+
+} // namespace
+
 // A router repeats a request with the same number until it gets the reply, so a
 // lost reply strands nothing. A request older than the last one was delayed on
 // an earlier link; its router waits for no reply and would never use a grant.
@@ -75,11 +101,9 @@
                                                     : TokensGranted{};
   }
   Budget& budget = found->second;
-  Tokens free = budget.Free();
   TokensGranted reply;
-  if (free >= aCommand.minimum) {
-    Tokens share(free.Get() / kLargestShare);
-    reply.tokens = std::max(aCommand.minimum, std::min(aCommand.wanted, share));
+  reply.tokens = SizeGrant(budget, aCommand);
+  if (reply.tokens > Tokens(0)) {
     reply.grant = GrantId(this->nextGrant++);
     budget.outstanding[aCommand.session] += reply.tokens;
   } else {
@@ -89,7 +113,7 @@
     if (own != budget.outstanding.end()) {
       others -= own->second;
     }
-    reply.exhausted = free + others < aCommand.minimum;
+    reply.exhausted = budget.Free() + others < aCommand.minimum;
   }
   this->lastGrants.insert_or_assign(key, LastGrant{ aCommand.request, reply });
   return reply;
