Return the grants of a stopping router and decide claims at once

Claims waited 400 ms for tokens that only processes that had ended held.

Change: a closing purse asks for nothing ahead; a stop shortens the horizon of grants at once. What closed sessions hold no longer counts as returnable, so such claims are refused at once. SIGHUP and a changed settings file reload the seeds. The leader logs where the tokens of the largest budgets are.

--- a/packages/budget/include/lycheestand/budget.h
+++ b/packages/budget/include/lycheestand/budget.h
@@ -96,6 +96,9 @@
   // More is asked for when what is available covers less of the demand than
   // this; zero to ask only when a claim waits.
   Duration askBelow{};
+  // What a busy router keeps, as a multiple of what it would ask for, so that it
+  // does not return tokens and ask for them again in the same second.
+  double surplusFactor = 2;
   // Weight of the newest window in the smoothed rate of demand.
   double rateWeight = 0.5;
   // Time without a claim after which everything unused is returned.
@@ -156,9 +159,14 @@
 
   void Acknowledge(BatchNumber aNumber);
 
-  // Makes the next batch return everything that is not reserved.
+  // Makes the next batch return everything that is not reserved; from then on
+  // nothing is asked for ahead.
   void ReturnAll();
 
+  // Sets the time for which claims will still come; more than that is neither
+  // kept nor asked for.
+  void SetHorizon(Duration aTime);
+
   // Returns whether nothing is held, reserved or unreported.
   bool IsEmpty() const;
 
@@ -213,6 +221,7 @@
   std::map<WorkspaceId, Account> accounts;
   std::map<Ticket, Reservation> reservations;
   bool isOnline = true;
+  bool isClosing = false;
   std::optional<UsageBatch> inTransit;
   std::uint64_t nextRequest = 1;
   std::uint64_t nextBatch = 1;
--- a/packages/budget/src/purse.cc
+++ b/packages/budget/src/purse.cc
@@ -14,10 +14,6 @@
 
 constexpr Duration kRateWindow = std::chrono::milliseconds(500);
 
-// A busy router keeps twice what it would ask for, so that it does not return
-// tokens and ask for them again in the same second.
-constexpr std::int64_t kSurplusFactor = 2;
-
 Tokens
 SizeByDemand(double aTokensPerSecond, Duration aHorizon)
 {
@@ -156,8 +152,7 @@
 {
   std::vector<GrantNeed> needs;
   for (auto& [workspace, account] : this->accounts) {
-    Tokens low =
-      this->options.sizeGrant(account.tokensPerSecond, this->options.askBelow);
+    Tokens low = this->LowMark(account);
     bool isLow = account.queue.empty() && account.available < low;
     if (account.asked || aNow < account.askAgain ||
         (account.queue.empty() && !isLow)) {
@@ -170,8 +165,10 @@
     Tokens minimum =
       isLow ? Tokens(1)
             : account.queue.front().claim.minimum - account.available;
-    Tokens ahead = this->options.sizeGrant(account.tokensPerSecond,
-                                           this->options.grantHorizon);
+    Tokens ahead = this->isClosing
+                     ? Tokens(0)
+                     : this->options.sizeGrant(account.tokensPerSecond,
+                                               this->options.grantHorizon);
     GrantNeed need;
     need.request = this->nextRequest++;
     need.workspace = workspace;
@@ -190,7 +187,7 @@
 Tokens
 Purse::LowMark(const Account& aAccount) const
 {
-  if (this->options.askBelow == Duration(0) ||
+  if (this->options.askBelow == Duration(0) || this->isClosing ||
       aAccount.tokensPerSecond < kLeastRate) {
     return Tokens(0);
   }
@@ -276,7 +273,9 @@
   Tokens keep = this->options.sizeGrant(aAccount.tokensPerSecond,
                                         this->options.grantHorizon);
   keep = std::max(keep, this->LowMark(aAccount));
-  Tokens limit(keep.Get() * kSurplusFactor + 1);
+  Tokens limit(static_cast<std::int64_t>(static_cast<double>(keep.Get()) *
+                                         this->options.surplusFactor) +
+               1);
   if (aAccount.tokensPerSecond > 0 && aAccount.available > limit) {
     Return(aAccount, aAccount.available - limit);
   }
@@ -320,11 +319,19 @@
 void
 Purse::ReturnAll()
 {
+  this->isClosing = true;
   for (auto& [workspace, account] : this->accounts) {
     Return(account, account.available);
   }
 }
 
+void
+Purse::SetHorizon(Duration aTime)
+{
+  this->options.grantHorizon = std::min(this->options.grantHorizon, aTime);
+  this->options.askBelow = std::min(this->options.askBelow, aTime / 2);
+}
+
 bool
 Purse::IsEmpty() const
 {
--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -23,6 +23,9 @@
 // Longest time for which a new leader holds its view back for want of a list.
 constexpr Duration kListWait = std::chrono::seconds(5);
 
+// Time between two log lines of one budget.
+constexpr Duration kBudgetLogInterval = std::chrono::seconds(2);
+
 // Least time between two published loads of an instance. Entry answers, which
 // the load is for, are kept as long; every load is in the view of every node.
 constexpr Duration kLoadInterval = std::chrono::seconds(10);
@@ -43,7 +46,11 @@
   }
 
 protected:
-  void Start() override { this->UpdateViewPeriodically(); }
+  void Start() override
+  {
+    this->UpdateViewPeriodically();
+    this->LogBudgetsPeriodically();
+  }
 
   caf::message_handler Handlers() override
   {
@@ -159,7 +166,10 @@
     this->PushTo(aState);
     net::Log(net::LogLevel::Info,
              "router connected",
-             { { "router", aState.hello.instance.Get() } });
+             { { "event", "router_connected" },
+               { "router", aState.hello.instance.Get() },
+               { "session", std::to_string(aState.hello.session.Get()) },
+               { "revision", std::to_string(aState.hello.revision.Get()) } });
   }
 
   void Refuse(LinkState& aState, const std::string& aReason)
@@ -428,6 +438,14 @@
     }
   }
 
+  void LogBudgetsPeriodically()
+  {
+    if (this->isLeader) {
+      this->send(this->replica, LogBudgets{});
+    }
+    this->After(kBudgetLogInterval, [this] { this->LogBudgetsPeriodically(); });
+  }
+
   void UpdateViewPeriodically()
   {
     this->UpdateView();
--- a/packages/control/src/messages.h
+++ b/packages/control/src/messages.h
@@ -138,6 +138,10 @@
   InstanceId instance;
 };
 
+// To the replica: log where the tokens of the largest budgets are.
+struct LogBudgets
+{};
+
 // Asks a task for its state as JSON text.
 struct DumpState
 {};
@@ -166,6 +170,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::ListInstances)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::ListEndpoints)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::DrainInstance)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::LogBudgets)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::DumpState)
 
 #endif
--- a/packages/control/src/replica.cc
+++ b/packages/control/src/replica.cc
@@ -58,6 +58,7 @@
       [this](FindRoutes) { return this->HandleFindRoutes(); },
       [this](PeerLink& aLink) { this->HandleLink(aLink); },
       [this](PeerMessage& aMessage) { this->HandleMessage(aMessage); },
+      [this](LogBudgets) { LogLargestBudgets(this->state.Machine()); },
       [this](DumpState) {
         return FormatReplica(this->node, this->state, this->links.size());
       },
--- a/packages/control/src/replica_state.cc
+++ b/packages/control/src/replica_state.cc
@@ -14,6 +14,9 @@
 // of the log, and a restart reads at most about twice the state.
 constexpr std::uint64_t kSnapshotEntries = 256;
 
+// Budgets that are logged at a time.
+constexpr std::size_t kMostBudgetLines = 16;
+
 json::array
 FormatMembers(const std::set<consensus::Member>& aMembers)
 {
@@ -119,6 +122,49 @@
   return holders;
 }
 
+void
+LogLargestBudgets(const state::StateMachine& aMachine)
+{
+  struct Line
+  {
+    Tokens held;
+    Tokens unreported;
+    const WorkspaceId* workspace = nullptr;
+    const state::Budget* budget = nullptr;
+  };
+  std::vector<Line> lines;
+  for (const auto& [workspace, budget] : aMachine.Budgets().Budgets()) {
+    Line line{ Tokens(0), Tokens(0), &workspace, &budget };
+    for (const auto& [session, tokens] : budget.outstanding) {
+      const auto* known = aMachine.Sessions().Find(session);
+      bool isOpen = known != nullptr && !known->closed;
+      (isOpen ? line.held : line.unreported) += tokens;
+    }
+    lines.push_back(line);
+  }
+  auto count = std::min(lines.size(), kMostBudgetLines);
+  std::partial_sort(lines.begin(),
+                    lines.begin() + static_cast<std::ptrdiff_t>(count),
+                    lines.end(),
+                    [](const Line& aLeft, const Line& aRight) {
+                      return aLeft.held + aLeft.unreported >
+                             aRight.held + aRight.unreported;
+                    });
+  for (std::size_t i = 0; i < count; ++i) {
+    const Line& line = lines[i];
+    net::Log(net::LogLevel::Info,
+             "budget",
+             { { "event", "budget" },
+               { "workspace", line.workspace->Get() },
+               { "paid", std::to_string(line.budget->paid.Get()) },
+               { "spent", std::to_string(line.budget->spent.Get()) },
+               { "held", std::to_string(line.held.Get()) },
+               { "unreported", std::to_string(line.unreported.Get()) },
+               { "holders",
+                 std::to_string(line.budget->outstanding.size()) } });
+  }
+}
+
 std::string
 FormatReplica(const consensus::Node& aNode,
               const ReplicaState& aState,
--- a/packages/control/src/replica_state.h
+++ b/packages/control/src/replica_state.h
@@ -47,6 +47,10 @@
               const ReplicaState& aState,
               std::size_t aLinks);
 
+// Logs where the tokens of the budgets with the most of them outstanding are.
+void
+LogLargestBudgets(const state::StateMachine& aMachine);
+
 } // namespace lycheestand::control
 
 #endif
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -3,8 +3,10 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <caf/actor_system_config.hpp>
 #include <csignal>
+#include <filesystem>
 #include <iostream>
 #include <optional>
 #include <sodium.h>
@@ -18,6 +20,10 @@
 constexpr int kExitSettings = 2;
 constexpr int kExitStart = 3;
 
+// Pause between two looks at the settings file; its seeds are of use only once
+// they are needed, which is when a link is lost.
+constexpr Duration kFileWatchInterval = std::chrono::seconds(1);
+
 // Longest wait for operators' requests in flight.
 constexpr Duration kAdminStopLimit = std::chrono::seconds(5);
 
@@ -44,6 +50,8 @@
     , system(Configure(this->config, aSettings.threads))
     , runtime{ &this->system, &this->io }
     , signals(this->io, SIGTERM, SIGINT)
+    , reloadSignal(this->io, SIGHUP)
+    , fileTimer(this->io)
   {
   }
 
@@ -61,6 +69,8 @@
     }
     net::Log(net::LogLevel::Info, "started");
     this->WaitForSignal();
+    this->WaitForReload();
+    this->WatchFile();
     this->io.run();
     net::Log(net::LogLevel::Info, "stopped");
     return 0;
@@ -170,6 +180,69 @@
     });
   }
 
+  void WaitForReload()
+  {
+    this->reloadSignal.async_wait(
+      [this](boost::system::error_code aError, int) {
+        if (!aError) {
+          this->Reload("signal");
+          this->WaitForReload();
+        }
+      });
+  }
+
+  // The platform may change its settings file without a signal.
+  void WatchFile()
+  {
+    if (!this->node) {
+      return;
+    }
+    std::error_code error;
+    auto changed = std::filesystem::last_write_time(this->node->file, error);
+    if (!error && changed != this->fileChanged) {
+      if (this->fileChanged != std::filesystem::file_time_type{}) {
+        this->Reload("file");
+      }
+      this->fileChanged = changed;
+    }
+    this->fileTimer.expires_after(kFileWatchInterval);
+    this->fileTimer.async_wait([this](boost::system::error_code aError) {
+      if (!aError) {
+        this->WatchFile();
+      }
+    });
+  }
+
+  // Of a process that runs, only the seeds can change; the product's own
+  // settings are read at the start only.
+  void Reload(const char* aCause)
+  {
+    if (!this->node) {
+      net::Log(net::LogLevel::Info,
+               "settings are read at the start only",
+               { { "event", "reload" }, { "cause", aCause } });
+      return;
+    }
+    auto read = platform::LoadNode(this->node->file);
+    if (read.has_error()) {
+      net::Log(net::LogLevel::Error,
+               "the settings file can't be used; the settings stay",
+               { { "event", "reload" },
+                 { "cause", aCause },
+                 { "problem", settings::ToString(read.error()) } });
+      return;
+    }
+    const auto& members = read.value().process.control;
+    net::Log(net::LogLevel::Info,
+             "settings reloaded",
+             { { "event", "reload" },
+               { "cause", aCause },
+               { "seeds", std::to_string(members.size()) } });
+    if (this->router && !members.empty()) {
+      this->router->SetControl(members);
+    }
+  }
+
   // Operators' requests in flight finish before the process ends.
   void StopAdmin()
   {
@@ -189,6 +262,9 @@
   caf::actor_system system;
   net::Runtime runtime;
   boost::asio::signal_set signals;
+  boost::asio::signal_set reloadSignal;
+  boost::asio::steady_timer fileTimer;
+  std::filesystem::file_time_type fileChanged{};
   caf::actor admin;
   std::vector<caf::actor> platformServers;
   std::unique_ptr<control::Control> control;
--- a/packages/net/test/calls_test.cc
+++ b/packages/net/test/calls_test.cc
@@ -121,3 +121,101 @@
   });
   REQUIRE(this->results[0].error() == CallFailure::NoAnswer);
 }
+
+namespace {
+
+// An endpoint with a plain socket, to answer at any moment.
+class RawEndpoint
+{
+public:
+  RawEndpoint()
+    : acceptor(this->io, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+    , socket(this->io)
+  {
+    this->acceptor.non_blocking(true);
+  }
+
+  Address GetAddress() const
+  {
+    return { "127.0.0.1", this->acceptor.local_endpoint().port() };
+  }
+
+  // Accepts a connection if one waits.
+  bool Accept()
+  {
+    boost::system::error_code error;
+    this->acceptor.accept(this->socket, error);
+    return !error;
+  }
+
+  void Send(const std::string& aText)
+  {
+    boost::asio::write(this->socket, boost::asio::buffer(aText));
+  }
+
+  void Close() { this->socket.close(); }
+
+private:
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor acceptor;
+  boost::asio::ip::tcp::socket socket;
+};
+
+constexpr const char* kEarlyAnswer =
+  "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno";
+
+} // namespace
+
+// Guards against a call that waits for its own long request to be read while
+// the endpoint has already answered, and against the next request being taken
+// for the rest of the body.
+TEST_CASE_METHOD(CallFixture, "An answer before the request's end is taken")
+{
+  RawEndpoint endpoint;
+  this->RunInTask([&](IoTask& aTask) {
+    // More than the sockets' buffers hold.
+    aTask.Fetch(endpoint.GetAddress(),
+                { "POST", "/", {}, std::string(32 * 1024 * 1024, 'x') },
+                {},
+                [this](Result<HttpResponse, CallFailure> aResult) {
+                  this->results.push_back(std::move(aResult));
+                });
+  });
+  this->PumpUntil([&] { return endpoint.Accept(); });
+  endpoint.Send(kEarlyAnswer);
+  this->PumpUntil([&] { return !this->results.empty(); });
+  REQUIRE(this->results[0].has_value());
+  CHECK(this->results[0].value().status == 413);
+  this->Fetch(endpoint.GetAddress());
+  // The next call opens a connection of its own.
+  this->PumpUntil([&] { return endpoint.Accept(); });
+}
+
+// Guards against an endpoint that is dark and holds a request until the limit
+// for pauses in its answer, which is longer.
+TEST_CASE_METHOD(CallFixture, "An answer must begin within its own limit")
+{
+  RawEndpoint endpoint;
+  CallOptions options;
+  options.idleTimeout = 30s;
+  options.answerTimeout = 1s;
+  this->Fetch(endpoint.GetAddress(), options);
+  this->PumpUntil([&] { return endpoint.Accept(); });
+  this->Advance(2s);
+  this->PumpUntil([&] { return !this->results.empty(); });
+  CHECK(this->results[0].error() == CallFailure::NoAnswer);
+}
+
+// Guards against an answer without a length that counts as whole when its
+// connection is closed, or as broken.
+TEST_CASE_METHOD(CallFixture, "An answer without a length ends with its link")
+{
+  RawEndpoint endpoint;
+  this->Fetch(endpoint.GetAddress());
+  this->PumpUntil([&] { return endpoint.Accept(); });
+  endpoint.Send("HTTP/1.1 200 OK\r\n\r\nwhole");
+  endpoint.Close();
+  this->PumpUntil([&] { return !this->results.empty(); });
+  REQUIRE(this->results[0].has_value());
+  CHECK(this->results[0].value().body == "whole");
+}
--- a/packages/net/test/http_server_test.cc
+++ b/packages/net/test/http_server_test.cc
@@ -168,3 +168,50 @@
   this->PumpUntil(
     [&] { return caller.Received().find("ok") != std::string::npos; });
 }
+
+// Guards against a caller that is cut off and can't tell that its request did
+// not run and why.
+TEST_CASE_METHOD(NetFixture, "A malformed request is refused with a reason")
+{
+  auto address = this->Serve([](const ExchangePtr& aExchange) {
+    aExchange->Respond({ 200, {}, "ok" });
+  });
+  const std::vector<std::string> heads{
+    "POST /a HTTP/1.1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+    "POST /a HTTP/1.1\r\nContent-Length: 2\r\nContent-Length: 3\r\n",
+    "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n",
+  };
+  for (const auto& head : heads) {
+    RawCaller caller(address);
+    caller.Send(head + "\r\n");
+    this->PumpUntil([&] { return caller.IsClosed(); });
+    CHECK(caller.Received().starts_with("HTTP/1.1 400"));
+    CHECK(caller.Received().find("Connection: close") != std::string::npos);
+    CHECK(caller.Received().find("malformed_request") != std::string::npos);
+  }
+}
+
+// Guards against a stop that cuts callers' kept connections before they have
+// learnt of it.
+TEST_CASE_METHOD(NetFixture, "A server that will stop says so in its answers")
+{
+  auto address = this->Serve([](const ExchangePtr& aExchange) {
+    aExchange->Respond({ 200, {}, "ok" });
+  });
+  RawCaller kept(address);
+  kept.Send(kGet);
+  this->PumpUntil(
+    [&] { return kept.Received().find("ok") != std::string::npos; });
+  caf::anon_send(this->started.front(), CloseAfterAnswers{});
+  this->Advance(1s);
+  REQUIRE_FALSE(kept.IsClosed());
+  for (RawCaller* caller : { &kept }) {
+    caller->Send(kGet);
+    this->PumpUntil([&] { return caller->IsClosed(); });
+    CHECK(caller->Received().find("Connection: close") != std::string::npos);
+  }
+  RawCaller later(address);
+  later.Send(kGet);
+  this->PumpUntil([&] { return later.IsClosed(); });
+  CHECK(later.Received().find("ok") != std::string::npos);
+}
--- a/packages/router/include/lycheestand/router.h
+++ b/packages/router/include/lycheestand/router.h
@@ -103,6 +103,9 @@
   // what they spent is reported.
   virtual void Drain(std::function<void()> aStopped) = 0;
 
+  // Sets the control instances through which the leader is found.
+  virtual void SetControl(std::vector<settings::ControlMember> aMembers) = 0;
+
   // Sets what runs when a stop that control asked for is complete.
   virtual void OnDrainRequest(std::function<void()> aStopped) = 0;
 
--- a/packages/router/src/budget_controller.cc
+++ b/packages/router/src/budget_controller.cc
@@ -10,7 +10,7 @@
 constexpr Duration kReportInterval = std::chrono::milliseconds(200);
 
 // Pace at which waiting claims are looked at again.
-constexpr Duration kPollInterval = std::chrono::milliseconds(20);
+constexpr Duration kPollInterval = std::chrono::milliseconds(10);
 
 // Carries the purse: passes claims in, and grants and usage to and from
 // control.
@@ -43,6 +43,7 @@
         this->Advance();
       },
       [this](caf::actor& aLink) { this->link = aLink; },
+      [this](ExpectClaims& aExpect) { this->purse.SetHorizon(aExpect.time); },
       [this](ReturnGrants) {
         this->isReturning = true;
         return this->purse.IsEmpty();
@@ -179,6 +180,9 @@
                                { "reserved", holding.reserved.Get() },
                                { "unreported", holding.unreported.Get() } };
     }
+    if (const auto& batch = this->purse.UnacknowledgedBatch()) {
+      out["unacknowledged_batch"] = batch->number.Get();
+    }
     return boost::json::serialize(out);
   }
 
--- a/packages/router/src/control_link.cc
+++ b/packages/router/src/control_link.cc
@@ -51,6 +51,10 @@
           this->SendToControl(aMessage.message);
         }
       },
+      [this](SetMembers& aSet) {
+        this->settings.control = std::move(aSet.members);
+        this->nextMember = 0;
+      },
       [this](SetLeaving) {
         this->isLeaving = true;
         this->SendHeartbeat();
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -47,6 +47,12 @@
   wire::Message message;
 };
 
+// To the control link: the control instances to connect to.
+struct SetMembers
+{
+  std::vector<settings::ControlMember> members;
+};
+
 // To the control link: report that this router is leaving.
 struct SetLeaving
 {};
@@ -90,6 +96,12 @@
   Tokens spent;
 };
 
+// To the budget controller: claims will come only for this time.
+struct ExpectClaims
+{
+  Duration time{};
+};
+
 // Returns all grants and answers with true once nothing is held.
 struct ReturnGrants
 {};
@@ -246,6 +258,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ControlUp)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ControlDown)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::FromControl)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::SetMembers)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::SetLeaving)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::GetConfiguration)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ConfigurationInForce)
@@ -253,6 +266,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::Reserve)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ReserveReply)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::Settle)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ExpectClaims)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ReturnGrants)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::Operate)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::OperationAnswer)
--- a/packages/router/src/router.cc
+++ b/packages/router/src/router.cc
@@ -32,8 +32,8 @@
 
 // Parts of the time until the process is killed: most of it callers may still
 // come, and the last part is for reports to control.
-constexpr double kServePart = 0.6;
-constexpr double kReportPart = 0.06;
+constexpr double kServePart = 0.55;
+constexpr double kReportPart = 0.12;
 
 DrainTimes
 MakeDrainTimes(const settings::ProcessSettings& aSettings)
@@ -58,11 +58,12 @@
 {
   budget::PurseOptions options;
   if (aSettings.routes) {
-    options.claimTimeout = std::chrono::milliseconds(400);
-    options.grantHorizon = std::chrono::seconds(12);
-    options.askBelow = std::chrono::seconds(9);
+    options.claimTimeout = std::chrono::milliseconds(100);
+    options.grantHorizon = std::chrono::seconds(10);
+    options.askBelow = std::chrono::seconds(8);
+    options.surplusFactor = 1.3;
     options.idleReturn = std::chrono::seconds(20);
-    options.retryPause = std::chrono::milliseconds(40);
+    options.retryPause = std::chrono::milliseconds(15);
     options.rateWeight = 0.1;
   }
   return options;
@@ -138,6 +139,7 @@
              "leaving: no longer in entry answers",
              { { "event", "leaving" } });
     this->send(this->controllers.link, SetLeaving{});
+    this->send(this->controllers.budget, ExpectClaims{ this->times.serve });
     this->send(this->server, net::CloseAfterAnswers{});
     this->After(this->times.serve, [this] {
       net::Log(net::LogLevel::Info,
@@ -174,15 +176,32 @@
     this->request(this->controllers.budget, caf::infinite, ReturnGrants{})
       .then([this](bool aEmpty) {
         if (aEmpty || this->IsOverdue()) {
-          net::Log(net::LogLevel::Info, "left");
-          this->stopped();
-          this->quit();
+          this->LogLeft(aEmpty);
+          this->After(kDrainPollInterval, [this] {
+            this->stopped();
+            this->quit();
+          });
         } else {
           this->After(kDrainPollInterval, [this] { this->WaitForGrants(); });
         }
       });
   }
 
+  // Grants that are not returned stay charged to this session.
+  void LogLeft(bool aEmpty)
+  {
+    if (aEmpty) {
+      net::Log(net::LogLevel::Info, "left", { { "event", "left" } });
+      return;
+    }
+    this->request(this->controllers.budget, kAnswerLimit, DumpState{})
+      .then([](const std::string& aState) {
+        net::Log(net::LogLevel::Warning,
+                 "left with grants that were not returned",
+                 { { "event", "left" }, { "budgets", aState } });
+      });
+  }
+
   bool IsOverdue() const
   {
     return net::Now(this->GetRuntime()) >= this->deadline;
@@ -243,6 +262,11 @@
     return boost::outcome_v2::success();
   }
 
+  void SetControl(std::vector<settings::ControlMember> aMembers) override
+  {
+    caf::anon_send(this->controllers.link, SetMembers{ std::move(aMembers) });
+  }
+
   void Drain(std::function<void()> aStopped) override
   {
     if (this->isDraining.exchange(true)) {
--- /dev/null
+++ b/packages/router/test/event_stream_test.cc
@@ -0,0 +1,47 @@
+#include "event_stream.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lycheestand::router;
+
+// Guards against bytes that are lost or doubled when pieces cut events.
+TEST_CASE("Events are passed on byte for byte, whatever the pieces")
+{
+  const std::string text =
+    "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\n\n";
+  for (std::size_t size = 1; size <= text.size(); ++size) {
+    EventSplitter splitter;
+    std::string joined;
+    std::vector<std::uint64_t> ids;
+    for (std::size_t at = 0; at < text.size(); at += size) {
+      for (const auto& event : splitter.Feed(text.substr(at, size))) {
+        joined += event.bytes;
+        REQUIRE(event.id);
+        ids.push_back(*event.id);
+      }
+    }
+    CHECK(joined == text);
+    CHECK(ids == std::vector<std::uint64_t>{ 1, 2, 3 });
+    CHECK(splitter.Rest().empty());
+  }
+}
+
+// Guards against half an event that reaches the caller before the stream goes
+// on elsewhere with the whole one.
+TEST_CASE("An event that broke off is kept back")
+{
+  EventSplitter splitter;
+  CHECK(splitter.Feed("id: 1\ndata: x\n\nid: 2\nda").size() == 1);
+  CHECK(splitter.Rest() == "id: 2\nda");
+}
+
+// Guards against streams with events that are missing or come twice.
+TEST_CASE("Events go on after the last one that was passed on")
+{
+  StreamedEvent event{ "id: 5\n\n", 5 };
+  CHECK(CheckOrder(std::nullopt, event) == EventStep::Deliver);
+  CHECK(CheckOrder(4, event) == EventStep::Deliver);
+  CHECK(CheckOrder(5, event) == EventStep::Skip);
+  CHECK(CheckOrder(3, event) == EventStep::Gap);
+  CHECK(CheckOrder(3, { ": comment\n\n", std::nullopt }) == EventStep::Deliver);
+}
--- a/packages/state/include/lycheestand/state.h
+++ b/packages/state/include/lycheestand/state.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <lycheestand/core.h>
 #include <map>
 #include <optional>
@@ -344,7 +345,9 @@
 
   // Raises what is paid to an amount; a lower one changes nothing.
   void RaiseTo(const WorkspaceId& aWorkspace, Tokens aPaid);
-  Outcome Grant(const GrantTokens& aCommand);
+  // The sessions that are closed return nothing.
+  Outcome Grant(const GrantTokens& aCommand,
+                const std::function<bool(SessionId)>& aIsOpen);
 
   // Returns whether every entry is covered by what the session holds.
   bool IsCovered(const ReportUsage& aCommand) const;
--- a/packages/state/src/budget_ledger.cc
+++ b/packages/state/src/budget_ledger.cc
@@ -84,7 +84,8 @@
 // lost reply strands nothing. A request older than the last one was delayed on
 // an earlier link; its router waits for no reply and would never use a grant.
 Outcome
-BudgetLedger::Grant(const GrantTokens& aCommand)
+BudgetLedger::Grant(const GrantTokens& aCommand,
+                    const std::function<bool(SessionId)>& aIsOpen)
 {
   auto found = this->budgets.find(aCommand.workspace);
   if (found == this->budgets.end()) {
@@ -108,10 +109,10 @@
     budget.outstanding[aCommand.session] += reply.tokens;
   } else {
     // What other sessions hold might come back.
-    Tokens others = budget.Outstanding();
-    auto own = budget.outstanding.find(aCommand.session);
-    if (own != budget.outstanding.end()) {
-      others -= own->second;
+    Tokens others;
+    for (const auto& [session, tokens] : budget.outstanding) {
+      bool mayReturn = session != aCommand.session && aIsOpen(session);
+      others += mayReturn ? tokens : Tokens(0);
     }
     reply.exhausted = budget.Free() + others < aCommand.minimum;
   }
--- a/packages/state/src/state_machine.cc
+++ b/packages/state/src/state_machine.cc
@@ -219,7 +219,10 @@
   if (session->closed) {
     return Rejected{ Rejection::SessionClosed };
   }
-  return this->budgets.Grant(aCommand);
+  return this->budgets.Grant(aCommand, [this](SessionId aSession) {
+    const Session* known = this->sessions.Find(aSession);
+    return known != nullptr && !known->closed;
+  });
 }
 
 // A closed session may still report: what it spent and what it gives back are
--- /dev/null
+++ b/packages/state/test/routes_test.cc
@@ -0,0 +1,97 @@
+#include <catch2/catch.hpp>
+#include <lycheestand/state.h>
+
+using namespace lycheestand;
+using namespace lycheestand::state;
+
+namespace {
+
+// A state machine whose budgets come with the table of routes.
+class RouteRegisterFixture
+{
+public:
+  Outcome Replace(std::uint64_t aVersion,
+                  const std::string& aDocument,
+                  std::int64_t aPrepaid)
+  {
+    return this->machine.Apply(
+      ReplaceRoutes{ ConfigVersion(aVersion),
+                     aDocument,
+                     { { this->workspace, Tokens(aPrepaid) } } });
+  }
+
+  TokensGranted Grant(SessionId aSession,
+                      std::uint64_t aRequest,
+                      std::int64_t aMinimum,
+                      std::int64_t aWanted,
+                      bool aIsAhead)
+  {
+    return std::get<TokensGranted>(
+      this->machine.Apply(GrantTokens{ aSession,
+                                       aRequest,
+                                       this->workspace,
+                                       Tokens(aMinimum),
+                                       Tokens(aWanted),
+                                       aIsAhead }));
+  }
+
+  WorkspaceId workspace{ "kalkki" };
+  StateMachine machine;
+};
+
+} // namespace
+
+// Guards against an older change that arrives late and takes a newer one back,
+// and against a refusal of a change that is sent again.
+TEST_CASE_METHOD(RouteRegisterFixture, "The highest version of routes stays")
+{
+  CHECK(this->Replace(7, "seven", 100) ==
+        Outcome(ConfigurationApplied{ ConfigVersion(7) }));
+  auto revision = this->machine.CurrentRevision();
+  CHECK(this->Replace(5, "five", 900) ==
+        Outcome(ConfigurationApplied{ ConfigVersion(7) }));
+  CHECK(this->Replace(7, "other", 900) ==
+        Outcome(ConfigurationApplied{ ConfigVersion(7) }));
+  CHECK(this->machine.Routes().Document() == "seven");
+  CHECK(this->machine.CurrentRevision() == revision);
+  CHECK(this->machine.Budgets().Find(this->workspace)->paid == Tokens(100));
+}
+
+// Guards against a top-up that counts twice or takes tokens back.
+TEST_CASE_METHOD(RouteRegisterFixture, "A table raises budgets and lowers none")
+{
+  this->Replace(1, "a", 1000);
+  this->Replace(2, "b", 1500);
+  CHECK(this->machine.Budgets().Find(this->workspace)->paid == Tokens(1500));
+  this->Replace(3, "c", 200);
+  CHECK(this->machine.Budgets().Find(this->workspace)->paid == Tokens(1500));
+}
+
+// Guards against routers that take ahead what a waiting request needs.
+TEST_CASE_METHOD(RouteRegisterFixture, "A grant ahead leaves a reserve")
+{
+  this->Replace(1, "a", 1600);
+  this->machine.Apply(RegisterSession{ InstanceId("r1"), SessionId(1) });
+  std::uint64_t request = 1;
+  Tokens last(1);
+  for (int i = 0; i < 200; ++i) {
+    last = this->Grant(SessionId(1), request++, 1, 1600, true).tokens;
+  }
+  CHECK(last == Tokens(0));
+  const auto* budget = this->machine.Budgets().Find(this->workspace);
+  CHECK(budget->Free() >= Tokens(100));
+  CHECK(this->Grant(SessionId(1), request, 50, 50, false).tokens == Tokens(50));
+}
+
+// Guards against claims that wait for tokens of a process that has ended.
+TEST_CASE_METHOD(RouteRegisterFixture,
+                 "What a closed session held does not come back")
+{
+  this->Replace(1, "a", 1000);
+  this->machine.Apply(RegisterSession{ InstanceId("r1"), SessionId(1) });
+  this->machine.Apply(RegisterSession{ InstanceId("r2"), SessionId(2) });
+  this->Grant(SessionId(1), 1, 900, 900, false);
+  CHECK_FALSE(this->Grant(SessionId(2), 1, 200, 200, false).exhausted);
+  this->machine.Apply(RegisterSession{ InstanceId("r1"), SessionId(3) });
+  CHECK(this->Grant(SessionId(2), 2, 200, 200, false).exhausted);
+}
