Send callers to routers beside control while others are cut off

Ruled out: reporting what is spent more often (it is reported each 200 ms; what is lost is what is held). Returning it by evidence of the old process's end needs a witness or a clock, and is not done.

Change: a router that has lost control answers callers that ask for addresses with the routers beside control, if these are a fifth of all. The leader suspects a silent router after 1.05 s. A new leader pushes its first view at once to routers that have none.

--- a/packages/budget/include/lycheestand/budget.h
+++ b/packages/budget/include/lycheestand/budget.h
@@ -66,6 +66,8 @@
   WorkspaceId workspace;
   Tokens tokens;
   bool exhausted = false;
+  // This router holds most of what routers hold of the budget.
+  bool holdsMost = false;
 };
 
 // One workspace's part of a usage batch.
@@ -96,8 +98,11 @@
   // More is asked for when what is available covers less of the demand than
   // this; zero to ask only when a claim waits.
   Duration askBelow{};
-  // What a busy router keeps, as a multiple of what it would ask for, so that it
-  // does not return tokens and ask for them again in the same second.
+  // Multiplies both times for a budget of which this router holds most: its
+  // callers come to no other router, also while this one is cut off.
+  double mostHeldFactor = 1;
+  // What a busy router keeps, as a multiple of what it would ask for, so that
+  // it does not return tokens and ask for them again in the same second.
   double surplusFactor = 2;
   // Weight of the newest window in the smoothed rate of demand.
   double rateWeight = 0.5;
@@ -190,6 +195,8 @@
     TimePoint lastClaim{};
     // Set when the last answer said that the budget itself is used up.
     bool exhausted = false;
+    // By the last answer, this router holds most of the budget's grants.
+    bool holdsMost = false;
     // Tokens reserved in the current second, and the smoothed rate.
     double tokensPerSecond = 0;
     double recentTokens = 0;
@@ -214,6 +221,8 @@
   void ReturnSurplus(Account& aAccount, TimePoint aNow) const;
   static void Return(Account& aAccount, Tokens aTokens);
   Tokens LowMark(const Account& aAccount) const;
+  // Returns the demand of a time, longer for a budget that is mostly held here.
+  Tokens DemandOf(const Account& aAccount, Duration aTime) const;
   // Returns what may become available to this router without a grant.
   Tokens Prospect(const WorkspaceId& aWorkspace, const Account& aAccount) const;
 
--- a/packages/budget/src/purse.cc
+++ b/packages/budget/src/purse.cc
@@ -167,8 +167,7 @@
             : account.queue.front().claim.minimum - account.available;
     Tokens ahead = this->isClosing
                      ? Tokens(0)
-                     : this->options.sizeGrant(account.tokensPerSecond,
-                                               this->options.grantHorizon);
+                     : this->DemandOf(account, this->options.grantHorizon);
     GrantNeed need;
     need.request = this->nextRequest++;
     need.workspace = workspace;
@@ -191,11 +190,17 @@
       aAccount.tokensPerSecond < kLeastRate) {
     return Tokens(0);
   }
-  return std::max(this->options.sizeGrant(aAccount.tokensPerSecond,
-                                          this->options.askBelow),
+  return std::max(this->DemandOf(aAccount, this->options.askBelow),
                   aAccount.lastWanted);
 }
 
+Tokens
+Purse::DemandOf(const Account& aAccount, Duration aTime) const
+{
+  double factor = aAccount.holdsMost ? this->options.mostHeldFactor : 1;
+  return this->options.sizeGrant(aAccount.tokensPerSecond * factor, aTime);
+}
+
 std::vector<GrantNeed>
 Purse::Unanswered() const
 {
@@ -218,6 +223,7 @@
   }
   account.asked.reset();
   account.available += aAnswer.tokens;
+  account.holdsMost = aAnswer.holdsMost;
   // An answer to a request made ahead says nothing about claims that come after
   // it: more may have been paid by then.
   account.exhausted =
@@ -270,8 +276,7 @@
     Return(aAccount, aAccount.available);
     return;
   }
-  Tokens keep = this->options.sizeGrant(aAccount.tokensPerSecond,
-                                        this->options.grantHorizon);
+  Tokens keep = this->DemandOf(aAccount, this->options.grantHorizon);
   keep = std::max(keep, this->LowMark(aAccount));
   Tokens limit(static_cast<std::int64_t>(static_cast<double>(keep.Get()) *
                                          this->options.surplusFactor) +
--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -30,6 +30,15 @@
 // the load is for, are kept as long; every load is in the view of every node.
 constexpr Duration kLoadInterval = std::chrono::seconds(10);
 
+// An instance is suspected after three missed heartbeats and a margin.
+membership::DetectorOptions
+MakeDetectorOptions(const settings::ProcessSettings& aSettings)
+{
+  membership::DetectorOptions options;
+  options.suspectAfter = aSettings.heartbeatInterval * 7 / 2;
+  return options;
+}
+
 // Serves the links of routers while this instance leads, and passes those of
 // other control instances to the replica.
 class FleetController : public net::IoTask
@@ -42,6 +51,7 @@
     : net::IoTask(aConfig, aRuntime)
     , settings(std::move(aSettings))
     , replica(std::move(aReplica))
+    , detector(MakeDetectorOptions(this->settings))
   {
   }
 
@@ -236,6 +246,7 @@
       reply.grant = granted->grant;
       reply.tokens = granted->tokens;
       reply.exhausted = granted->exhausted;
+      reply.holdsMost = granted->holdsMost;
     } else {
       // There is no such workspace, so nothing was paid for it.
       reply.exhausted = true;
@@ -432,7 +443,10 @@
       this->SendTo(aState, this->snapshots.MakePush(aState.pushed));
       aState.pushed = current;
     }
-    if (aState.pushedView != this->view.Version()) {
+    // A router that has just started has no view, so part of one is better.
+    bool isNew = aState.hello.revision == Revision(0);
+    if (aState.pushedView != this->view.Version() &&
+        (isNew || this->IsSettled())) {
       this->SendTo(aState, MakeViewPush(this->view, aState.pushedView));
       aState.pushedView = this->view.Version();
     }
@@ -449,6 +463,9 @@
   void UpdateViewPeriodically()
   {
     this->UpdateView();
+    for (auto& [id, link] : this->links) {
+      this->PushTo(link);
+    }
     this->After(kViewInterval, [this] { this->UpdateViewPeriodically(); });
   }
 
@@ -459,14 +476,18 @@
     this->UpdateView();
   }
 
-  // A new leader knows neither the routers nor the endpoints. Until they have
-  // connected and the list is read, routers keep the view that they have.
+  // A new leader knows neither the routers nor the endpoints. Until the list is
+  // read and routers have had time to connect, those that have a view keep it.
   bool IsViewKnown(TimePoint aNow) const
   {
-    auto age = aNow - this->leadsSince;
     bool isListDue = this->listReader && !this->hasList;
-    return this->isLeader && age >= kSettleTime &&
-           (!isListDue || age >= kListWait);
+    return this->isLeader &&
+           (!isListDue || aNow - this->leadsSince >= kListWait);
+  }
+
+  bool IsSettled() const
+  {
+    return net::Now(this->GetRuntime()) - this->leadsSince >= kSettleTime;
   }
 
   void UpdateView()
@@ -487,11 +508,10 @@
       member.PublishLoad(now);
       instances.push_back(member.entry);
     }
-    if (!this->view.Update(instances, this->endpoints)) {
-      return;
-    }
-    for (auto& [id, link] : this->links) {
-      this->PushTo(link);
+    if (this->view.Update(instances, this->endpoints)) {
+      for (auto& [id, link] : this->links) {
+        this->PushTo(link);
+      }
     }
   }
 
--- a/packages/control/src/replica.cc
+++ b/packages/control/src/replica.cc
@@ -360,6 +360,7 @@
 {
   consensus::Options options;
   options.self = aSettings.instance;
+  options.electionTimeout = aSettings.electionTimeout;
   for (const auto& member : aSettings.control) {
     options.instances.push_back(member.instance);
   }
--- a/packages/control/src/replica_state.cc
+++ b/packages/control/src/replica_state.cc
@@ -152,16 +152,16 @@
                     });
   for (std::size_t i = 0; i < count; ++i) {
     const Line& line = lines[i];
-    net::Log(net::LogLevel::Info,
-             "budget",
-             { { "event", "budget" },
-               { "workspace", line.workspace->Get() },
-               { "paid", std::to_string(line.budget->paid.Get()) },
-               { "spent", std::to_string(line.budget->spent.Get()) },
-               { "held", std::to_string(line.held.Get()) },
-               { "unreported", std::to_string(line.unreported.Get()) },
-               { "holders",
-                 std::to_string(line.budget->outstanding.size()) } });
+    net::Log(
+      net::LogLevel::Info,
+      "budget",
+      { { "event", "budget" },
+        { "workspace", line.workspace->Get() },
+        { "paid", std::to_string(line.budget->paid.Get()) },
+        { "spent", std::to_string(line.budget->spent.Get()) },
+        { "held", std::to_string(line.held.Get()) },
+        { "unreported", std::to_string(line.unreported.Get()) },
+        { "holders", std::to_string(line.budget->outstanding.size()) } });
   }
 }
 
--- a/packages/journal/src/command_codec.cc
+++ b/packages/journal/src/command_codec.cc
@@ -156,12 +156,9 @@
 state::Command
 UnpackBody(const fb::GrantTokensT& aIn)
 {
-  return state::GrantTokens{ SessionId(aIn.session),
-                             aIn.request,
-                             WorkspaceId(aIn.workspace),
-                             Tokens(aIn.minimum),
-                             Tokens(aIn.wanted),
-                             aIn.ahead };
+  return state::GrantTokens{ SessionId(aIn.session),     aIn.request,
+                             WorkspaceId(aIn.workspace), Tokens(aIn.minimum),
+                             Tokens(aIn.wanted),         aIn.ahead };
 }
 
 fb::ReportUsageT
--- a/packages/journal/src/outcome_codec.cc
+++ b/packages/journal/src/outcome_codec.cc
@@ -68,13 +68,16 @@
   out.grant = aIn.grant.Get();
   out.tokens = aIn.tokens.Get();
   out.exhausted = aIn.exhausted;
+  out.most_held = aIn.holdsMost;
   return out;
 }
 
 state::TokensGranted
 Unpack(const fb::TokensGrantedT& aIn)
 {
-  return { GrantId(aIn.grant), Tokens(aIn.tokens), aIn.exhausted };
+  return {
+    GrantId(aIn.grant), Tokens(aIn.tokens), aIn.exhausted, aIn.most_held
+  };
 }
 
 fb::OutcomeT
--- a/packages/membership/include/lycheestand/membership.h
+++ b/packages/membership/include/lycheestand/membership.h
@@ -9,6 +9,7 @@
 #include <lycheestand/core.h>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -203,12 +204,28 @@
 std::vector<EntryAddress>
 WeighEntries(const std::vector<Instance>& aInstances, const ZoneId& aZone);
 
+// What is known where entries are chosen.
+struct EntryOptions
+{
+  // Instances of the caller's own zone that are enough for it.
+  std::size_t enoughInZone = 2;
+  // Hosts of the control instances.
+  std::set<std::string> controlHosts;
+  // The chooser itself is in touch with control.
+  bool isInTouch = true;
+  // Least part of all instances that must be beside control for callers to be
+  // sent only there.
+  double leastBesideControl = 0.2;
+};
+
 // Returns the instances that take callers of a zone: those of the zone if there
-// are enough of them, or else all.
+// are enough of them, or else all. A chooser that is cut off from control
+// assumes that others of its kind are, too, and sends callers to instances
+// beside control, unless these are too few to carry them.
 std::vector<Instance>
 ChooseEntries(const std::vector<Instance>& aInstances,
               const ZoneId& aZone,
-              std::size_t aEnough);
+              const EntryOptions& aOptions);
 
 } // namespace lycheestand::membership
 
--- a/packages/membership/src/entry_weights.cc
+++ b/packages/membership/src/entry_weights.cc
@@ -50,22 +50,49 @@
   return out;
 }
 
+namespace {
+
+// Returns the instances beside control, or all if those are too few.
+std::vector<Instance>
+KeepBesideControl(std::vector<Instance> aInstances,
+                  const EntryOptions& aOptions)
+{
+  std::vector<Instance> beside;
+  for (const auto& entry : aInstances) {
+    if (aOptions.controlHosts.contains(entry.callerAddress.host)) {
+      beside.push_back(entry);
+    }
+  }
+  auto least =
+    aOptions.leastBesideControl * static_cast<double>(aInstances.size());
+  bool isEnough =
+    !beside.empty() && static_cast<double>(beside.size()) >= least;
+  return isEnough ? beside : aInstances;
+}
+
+} // namespace
+
 std::vector<Instance>
 ChooseEntries(const std::vector<Instance>& aInstances,
               const ZoneId& aZone,
-              std::size_t aEnough)
+              const EntryOptions& aOptions)
 {
   std::vector<Instance> all;
-  std::vector<Instance> near;
   for (const auto& entry : aInstances) {
     if (entry.alive && !entry.leaving) {
       all.push_back(entry);
-      if (entry.zone == aZone) {
-        near.push_back(entry);
-      }
     }
   }
-  return near.size() >= aEnough ? near : all;
+  if (!aOptions.isInTouch) {
+    all = KeepBesideControl(std::move(all), aOptions);
+  }
+  std::vector<Instance> near;
+  for (const auto& entry : all) {
+    if (entry.zone == aZone) {
+      near.push_back(entry);
+    }
+  }
+  return near.size() >= aOptions.enoughInZone ? near : all;
 }
 
 } // namespace lycheestand::membership
--- a/packages/net/src/link.cc
+++ b/packages/net/src/link.cc
@@ -18,6 +18,9 @@
 
 constexpr std::size_t kLengthBytes = 4;
 
+// How often a silent link is looked at within its limit.
+constexpr int kLooksPerLimit = 5;
+
 LinkId
 NextLinkId()
 {
@@ -99,9 +102,9 @@
 private:
   void WatchTime()
   {
-    this->After(std::chrono::milliseconds(500), [this] {
-      auto limit =
-        this->isUp ? this->options.idleTimeout : this->options.connectTimeout;
+    auto limit =
+      this->isUp ? this->options.idleTimeout : this->options.connectTimeout;
+    this->After(limit / kLooksPerLimit, [this, limit] {
       if (Now(this->GetRuntime()) - this->lastReceived >= limit) {
         this->Fail("the peer is silent");
         return;
--- a/packages/router/src/budget_controller.cc
+++ b/packages/router/src/budget_controller.cc
@@ -80,9 +80,12 @@
   void Handle(const wire::Message& aMessage)
   {
     if (const auto* reply = std::get_if<wire::GrantReply>(&aMessage)) {
-      this->purse.AddGrant(
-        { reply->request, reply->workspace, reply->tokens, reply->exhausted },
-        this->Time());
+      this->purse.AddGrant({ reply->request,
+                             reply->workspace,
+                             reply->tokens,
+                             reply->exhausted,
+                             reply->holdsMost },
+                           this->Time());
     } else if (const auto* ack = std::get_if<wire::UsageAck>(&aMessage)) {
       this->purse.Acknowledge(ack->batch);
     } else if (const auto* recall = std::get_if<wire::Recall>(&aMessage)) {
--- a/packages/router/src/control_link.cc
+++ b/packages/router/src/control_link.cc
@@ -52,6 +52,7 @@
         }
       },
       [this](SetMembers& aSet) {
+        this->send(this->controllers.membership, aSet);
         this->settings.control = std::move(aSet.members);
         this->nextMember = 0;
       },
@@ -127,6 +128,7 @@
                "lost the link to control",
                { { "event", "control_lost" }, { "reason", aDown.reason } });
       this->send(this->controllers.budget, ControlDown{});
+      this->send(this->controllers.membership, ControlDown{});
     }
     this->isWelcome = false;
     this->linkTask = nullptr;
@@ -184,6 +186,7 @@
     net::Log(net::LogLevel::Info, "connected to control");
     this->SendHeartbeat();
     this->send(this->controllers.budget, ControlUp{});
+    this->send(this->controllers.membership, ControlUp{});
     this->send(this->controllers.operation, ControlUp{});
   }
 
--- a/packages/router/src/membership_controller.cc
+++ b/packages/router/src/membership_controller.cc
@@ -7,9 +7,6 @@
 
 namespace {
 
-// Addresses of a caller's own zone that are enough for it.
-constexpr std::size_t kLeastEntries = 2;
-
 // Keeps the view of the fleet's instances and answers GET /v1/entry from it.
 class MembershipController : public net::IoTask
 {
@@ -27,6 +24,11 @@
   {
     return {
       [this](ViewChanged& aChanged) { this->view = aChanged.view; },
+      [this](ControlUp) { this->isInTouch = true; },
+      [this](ControlDown) { this->isInTouch = false; },
+      [this](SetMembers& aSet) {
+        this->settings.control = std::move(aSet.members);
+      },
       [this](GetEntry) { return this->FormatEntry(); },
       [this](FindEntriesIn& aFind) { return this->FindEntries(aFind.zone); },
       [this](DumpState) { return this->FormatEntry(); },
@@ -45,8 +47,13 @@
       return out;
     }
     auto instances = this->view->Instances();
+    membership::EntryOptions options;
+    options.isInTouch = this->isInTouch;
+    for (const auto& member : this->settings.control) {
+      options.controlHosts.insert(member.peer.host);
+    }
     for (const auto& instance :
-         membership::ChooseEntries(instances, aZone, kLeastEntries)) {
+         membership::ChooseEntries(instances, aZone, options)) {
       out.addresses.push_back(instance.callerAddress);
     }
     return out;
@@ -73,6 +80,7 @@
 
   settings::ProcessSettings settings;
   std::shared_ptr<const membership::View> view;
+  bool isInTouch = true;
 };
 
 } // namespace
--- a/packages/settings/include/lycheestand/settings.h
+++ b/packages/settings/include/lycheestand/settings.h
@@ -66,7 +66,7 @@
   // Time from the order to stop until the process is killed.
   Milliseconds stopTime{ 8000 };
   // Time for which callers may keep an entry answer.
-  Milliseconds entryKeepTime{ 2000 };
+  Milliseconds entryKeepTime{ 1000 };
 };
 
 // The settings of one process.
@@ -95,6 +95,9 @@
   Milliseconds linkIdleTimeout{ 4000 };
   // Longest time for opening a link.
   Milliseconds linkConnectTimeout{ 2000 };
+  // Control instances elect a leader after one to two times this time without
+  // one.
+  Milliseconds electionTimeout{ 1000 };
   // Set if this process serves requests by a table of routes.
   std::optional<RouteSettings> routes;
   // Hashes of the operators' bearer keys.
--- a/packages/state/include/lycheestand/state.h
+++ b/packages/state/include/lycheestand/state.h
@@ -241,6 +241,8 @@
   Tokens tokens;
   // True when no return of other routers' grants could make room.
   bool exhausted = false;
+  // True when the session holds most of what open sessions hold.
+  bool holdsMost = false;
 
   friend bool operator==(const TokensGranted&, const TokensGranted&) = default;
 };
--- a/packages/state/src/budget_ledger.cc
+++ b/packages/state/src/budget_ledger.cc
@@ -14,6 +14,10 @@
 constexpr std::int64_t kAheadShare = 8;
 constexpr std::int64_t kReserveShare = 16;
 
+// A session holds most of a budget if it holds this many times what all others
+// hold together.
+constexpr std::int64_t kMostFactor = 2;
+
 } // namespace
 
 Tokens
@@ -107,13 +111,17 @@
   if (reply.tokens > Tokens(0)) {
     reply.grant = GrantId(this->nextGrant++);
     budget.outstanding[aCommand.session] += reply.tokens;
-  } else {
-    // What other sessions hold might come back.
-    Tokens others;
-    for (const auto& [session, tokens] : budget.outstanding) {
-      bool mayReturn = session != aCommand.session && aIsOpen(session);
-      others += mayReturn ? tokens : Tokens(0);
-    }
+  }
+  // What other sessions hold might come back.
+  Tokens others;
+  for (const auto& [session, tokens] : budget.outstanding) {
+    bool mayReturn = session != aCommand.session && aIsOpen(session);
+    others += mayReturn ? tokens : Tokens(0);
+  }
+  auto own = budget.outstanding.find(aCommand.session);
+  reply.holdsMost = own != budget.outstanding.end() &&
+                    own->second.Get() >= kMostFactor * others.Get();
+  if (reply.tokens == Tokens(0)) {
     reply.exhausted = budget.Free() + others < aCommand.minimum;
   }
   this->lastGrants.insert_or_assign(key, LastGrant{ aCommand.request, reply });
--- a/packages/wire/include/lycheestand/wire.h
+++ b/packages/wire/include/lycheestand/wire.h
@@ -122,6 +122,8 @@
   Tokens tokens;
   // True when the budget itself is used up, not only granted elsewhere.
   bool exhausted = false;
+  // True when this router holds most of what routers hold of the budget.
+  bool holdsMost = false;
 };
 
 // Asks a router to return tokens that it does not need.
--- a/packages/wire/src/codec.cc
+++ b/packages/wire/src/codec.cc
@@ -338,17 +338,16 @@
   out.grant = aIn.grant.Get();
   out.tokens = aIn.tokens.Get();
   out.exhausted = aIn.exhausted;
+  out.most_held = aIn.holdsMost;
   return out;
 }
 
 GrantReply
 Unpack(const fb::GrantReplyT& aIn)
 {
-  return { aIn.request,
-           WorkspaceId(aIn.workspace),
-           GrantId(aIn.grant),
-           Tokens(aIn.tokens),
-           aIn.exhausted };
+  return { aIn.request,        WorkspaceId(aIn.workspace),
+           GrantId(aIn.grant), Tokens(aIn.tokens),
+           aIn.exhausted,      aIn.most_held };
 }
 
 fb::RecallT
