Close a caller's connection only after an answer has announced it

Change: the close is decided when a head is written. The operators' client has "explain", which joins the log lines of several processes into the story of a request.

--- a/packages/client/include/lycheestand/client.h
+++ b/packages/client/include/lycheestand/client.h
@@ -16,7 +16,7 @@
 
 inline constexpr const char* kVersion = "0.1.0";
 
-// Exit codes of the program; docs/operations.md lists them.
+// Exit codes of the program; docs/OPERATIONS.md lists them.
 enum class ExitCode
 {
   Done = 0,
--- a/packages/client/src/command_line.h
+++ b/packages/client/src/command_line.h
@@ -121,6 +121,8 @@
 FleetCommands();
 std::vector<Command>
 KeyCommands();
+std::vector<Command>
+LogCommands();
 
 } // namespace lycheestand::client
 
--- /dev/null
+++ b/packages/client/src/log_commands.cc
@@ -0,0 +1,57 @@
+#include "command_line.h"
+#include "log_story.h"
+
+#include <fstream>
+#include <iostream>
+
+namespace lycheestand::client {
+
+namespace {
+
+ExitCode
+RunExplain(CommandLine& aLine, const Arguments& aArguments)
+{
+  TCLAP::UnlabeledValueArg<std::string> request(
+    "request", "id of the request", true, "", "request-id");
+  TCLAP::UnlabeledMultiArg<std::string> files(
+    "files",
+    "log files of the processes in the JSON format; standard input if none",
+    false,
+    "file");
+  aLine.Line().add(request);
+  aLine.Line().add(files);
+  aLine.Parse(aArguments);
+  std::vector<LogLine> lines;
+  for (const auto& path : files.getValue()) {
+    std::ifstream file(path);
+    if (!file) {
+      throw CommandError{ { ExitCode::Usage, "can't read " + path } };
+    }
+    auto more = ReadLogLines(file);
+    lines.insert(lines.end(), more.begin(), more.end());
+  }
+  if (files.getValue().empty()) {
+    lines = ReadLogLines(std::cin);
+  }
+  auto story = TellStory(std::move(lines), request.getValue());
+  if (story.empty()) {
+    throw CommandError{ { ExitCode::Usage,
+                          "no line names the request " + request.getValue() } };
+  }
+  for (const auto& text : story) {
+    aLine.Out() << text << "\n";
+  }
+  return ExitCode::Done;
+}
+
+} // namespace
+
+std::vector<Command>
+LogCommands()
+{
+  return { { "explain",
+             "join the log lines that tell what became of a request",
+             RunExplain } };
+}
+
+} // namespace lycheestand::client
--- a/packages/client/src/run.cc
+++ b/packages/client/src/run.cc
@@ -15,7 +15,7 @@
 AllCommands()
 {
   std::vector<Command> all = ConfigCommands();
-  for (const auto& part : { FleetCommands(), KeyCommands() }) {
+  for (const auto& part : { FleetCommands(), KeyCommands(), LogCommands() }) {
     all.insert(all.end(), part.begin(), part.end());
   }
   return all;
--- a/packages/journal/test/journal_test.cc
+++ b/packages/journal/test/journal_test.cc
@@ -26,7 +26,7 @@
     ChangeId change(this->Name("change-", 2000));
     WorkspaceId workspace(this->Name("w", 4));
     SessionId session(this->Pick(12));
-    switch (this->Pick(12)) {
+    switch (this->Pick(13)) {
       case 0:
         return CreateWorkspace{ change, workspace };
       case 1:
@@ -49,11 +49,10 @@
       case 6:
         return CloseSession{ change, InstanceId(this->Name("r", 4)) };
       case 7:
-        return GrantTokens{ session,
-                            1 + this->Pick(50),
-                            workspace,
-                            this->Amount(),
-                            this->Amount() + Tokens(150) };
+        return GrantTokens{
+          session,        1 + this->Pick(50),           workspace,
+          this->Amount(), this->Amount() + Tokens(150), this->Pick(2) == 0
+        };
       case 8:
         return this->MakeReport(session, workspace);
       case 9:
@@ -64,6 +63,10 @@
       case 10:
         return ConfirmOrder{ EndpointId(this->Name("e", 3)),
                              FencingNumber(1 + this->Pick(300)) };
+      case 11:
+        return ReplaceRoutes{ ConfigVersion(1 + this->Pick(300)),
+                              this->Name("{}", 1000),
+                              { { workspace, this->Amount() } } };
       default:
         return this->MakeOperation(session, workspace);
     }
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -99,7 +99,7 @@
   caf::message_handler Handlers() override
   {
     return { [this](StopListening) { this->StopAfterRequest(); },
-             [this](CloseAfterAnswers) { this->keepAlive = false; } };
+             [this](CloseAfterAnswers) { this->closesNext = true; } };
   }
 
 private:
@@ -337,6 +337,14 @@
     }
   }
 
+  // An answer whose head has said that the connection is kept must not be
+  // followed by its close: the caller may have sent its next request.
+  bool DecideKeepAlive()
+  {
+    this->keepAlive = this->keepAlive && !this->closesNext;
+    return this->keepAlive;
+  }
+
   void WriteWhole(HttpResponse aResponse)
   {
     http::response<http::string_body> message;
@@ -345,7 +353,7 @@
     for (const auto& [name, value] : aResponse.headers) {
       message.insert(name, value);
     }
-    message.keep_alive(this->keepAlive);
+    message.keep_alive(this->DecideKeepAlive());
     message.body() = std::move(aResponse.body);
     message.prepare_payload();
     std::ostringstream text;
@@ -365,7 +373,7 @@
     for (const auto& [name, value] : aHeaders) {
       message.insert(name, value);
     }
-    message.keep_alive(this->keepAlive);
+    message.keep_alive(this->DecideKeepAlive());
     message.chunked(true);
     std::ostringstream text;
     text << message.base();
@@ -461,6 +469,8 @@
   TimePoint lastProgress;
   bool isFirstRequest = true;
   bool keepAlive = true;
+  // The next head says that the connection will be closed.
+  bool closesNext = false;
   bool isHead = false;
   bool isWatching = false;
 };
--- a/packages/net/test/calls_test.cc
+++ b/packages/net/test/calls_test.cc
@@ -144,7 +144,11 @@
   bool Accept()
   {
     boost::system::error_code error;
-    this->acceptor.accept(this->socket, error);
+    boost::asio::ip::tcp::socket next(this->io);
+    this->acceptor.accept(next, error);
+    if (!error) {
+      this->socket = std::move(next);
+    }
     return !error;
   }
 
