Log what a choice of an endpoint was based on; count routed requests

Cause: a late answer's line named the endpoint but not why it was chosen.

Change: the line has the candidates, the router's own requests there, the load reported and its age, and the tokens expected to be cached; new metrics for routed requests, first events, held tokens, the lead and its term. Routers that look for a leader log one line for each answer that differs.

--- a/packages/control/src/replica.cc
+++ b/packages/control/src/replica.cc
@@ -282,6 +282,10 @@
                { { "term", std::to_string(this->node.CurrentTerm().Get()) } });
     }
     this->published = current;
+    net::Metrics().GetGauge("lycheestand_leads").Set(current.isLeader ? 1 : 0);
+    net::Metrics()
+      .GetGauge("lycheestand_term")
+      .Set(static_cast<std::int64_t>(this->node.CurrentTerm().Get()));
     this->send(this->fleet, current);
   }
 
--- a/packages/router/src/budget_controller.cc
+++ b/packages/router/src/budget_controller.cc
@@ -141,6 +141,11 @@
     if (auto batch = this->purse.TakeBatch(this->Time())) {
       this->SendBatch(*batch);
     }
+    Tokens held;
+    for (const auto& [workspace, holding] : this->purse.Holdings()) {
+      held += holding.available + holding.reserved;
+    }
+    this->heldTokens.Set(held.Get());
   }
 
   // The link may have dropped what was sent before it broke; control counts
@@ -194,6 +199,7 @@
   std::map<Ticket, Promise> waiting;
   bool isPolling = false;
   bool isReturning = false;
+  net::Gauge heldTokens = net::Metrics().GetGauge("lycheestand_held_tokens");
 };
 
 } // namespace
--- a/packages/router/src/control_link.cc
+++ b/packages/router/src/control_link.cc
@@ -173,15 +173,23 @@
   void HandleWelcome(const wire::Welcome& aWelcome)
   {
     if (!aWelcome.accepted) {
-      net::Log(
-        net::LogLevel::Info,
-        "control refused this router",
-        { { "reason", aWelcome.reason }, { "leader", aWelcome.leader } });
+      // Routers ask in turn until there is a leader; one line for each answer
+      // that differs from the last is enough.
+      if (!this->wasRefused || this->refusedWith != aWelcome.leader) {
+        net::Log(net::LogLevel::Info,
+                 "control refused this router",
+                 { { "event", "control_refused" },
+                   { "reason", aWelcome.reason },
+                   { "leader", aWelcome.leader } });
+      }
+      this->wasRefused = true;
+      this->refusedWith = aWelcome.leader;
       this->leaderHint = aWelcome.leader;
       this->send(this->linkTask, net::LinkClose{});
       return;
     }
     this->isWelcome = true;
+    this->wasRefused = false;
     this->views.Reset();
     net::Log(net::LogLevel::Info, "connected to control");
     this->SendHeartbeat();
@@ -259,6 +267,8 @@
   SessionId session;
   std::size_t nextMember = 0;
   std::string leaderHint;
+  bool wasRefused = false;
+  std::string refusedWith;
   net::LinkId link;
   caf::actor linkTask;
   bool isDialing = false;
--- a/packages/router/src/endpoint_controller.cc
+++ b/packages/router/src/endpoint_controller.cc
@@ -191,7 +191,9 @@
   {
     auto choice =
       this->table.Choose(ToNumber(aChoose.ticket), aChoose.query, this->Time());
-    return choice ? EndpointChosen{ choice->endpoint, choice->address }
+    return choice ? EndpointChosen{ choice->endpoint,
+                                    choice->address,
+                                    choice->basis }
                   : EndpointChosen{};
   }
 
--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -103,6 +103,7 @@
   bool isFinished = false;
   // For the log: when the current attempt and the answer began, the status of
   // the answer or 0, and how the request ended if not by an answer.
+  routing::ChoiceBasis basis;
   TimePoint attemptAt{};
   std::optional<TimePoint> answerAt;
   unsigned status = 0;
--- a/packages/router/src/finish.cc
+++ b/packages/router/src/finish.cc
@@ -47,6 +47,20 @@
     { "spent", std::to_string(aRequest.usage.Total().Get()) },
     { "ms", FormatMilliseconds(aNow - aRequest.startedAt) }
   };
+  const auto& basis = aRequest.basis;
+  if (basis.candidates > 0) {
+    auto whole = [](double aValue) {
+      return std::to_string(std::llround(aValue));
+    };
+    fields.emplace_back("candidates", std::to_string(basis.candidates));
+    fields.emplace_back("own_in_flight", whole(basis.ownInFlight));
+    fields.emplace_back("cached_tokens", whole(basis.cachedTokens));
+    if (basis.hasReport) {
+      fields.emplace_back("reported_load", whole(basis.reported));
+      fields.emplace_back("report_age_ms",
+                          whole(basis.reportAgeSeconds * 1000));
+    }
+  }
   if (aRequest.answerAt) {
     fields.emplace_back(
       "first_ms", FormatMilliseconds(*aRequest.answerAt - aRequest.startedAt));
@@ -54,6 +68,21 @@
   net::Log(net::LogLevel::Info, "request ended", fields);
 }
 
+// Counts how a routed request ended, and the time to a stream's first event.
+void
+CountRouted(const Request& aRequest)
+{
+  net::Metrics()
+    .GetCounter("lycheestand_routed_requests_total",
+                "status=\"" + std::to_string(aRequest.status) + "\"")
+    .Add();
+  if (aRequest.answerAt) {
+    net::Metrics()
+      .GetHistogram("lycheestand_first_event_seconds")
+      .Record(*aRequest.answerAt - aRequest.startedAt);
+  }
+}
+
 } // namespace
 
 void
@@ -121,6 +150,7 @@
   }
   if (const auto* routed = std::get_if<RoutedCall>(&aRequest->call)) {
     LogRouted(*aRequest, *routed, net::Now(task.GetRuntime()));
+    CountRouted(*aRequest);
   }
   net::Metrics().GetGauge("lycheestand_requests_in_flight").Add(-1);
   net::Metrics()
--- a/packages/router/src/forward.cc
+++ b/packages/router/src/forward.cc
@@ -30,6 +30,7 @@
         return;
       }
       aRequest->endpoint = *aChosen.endpoint;
+      aRequest->basis = aChosen.basis;
       aRequest->tried.insert(*aChosen.endpoint);
       ++aRequest->arrivals;
       call(aChosen.address);
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -163,6 +163,7 @@
 {
   std::optional<EndpointId> endpoint;
   Address address;
+  routing::ChoiceBasis basis;
 };
 
 // An endpoint's answer said how loaded it is.
--- a/packages/router/src/reserve.cc
+++ b/packages/router/src/reserve.cc
@@ -4,8 +4,8 @@
 
 namespace {
 
-// Pause before a caller asks again: by then it has asked for addresses anew, and
-// is sent to a router that is in touch with control.
+// Pause before a caller asks again: by then it has asked for addresses anew,
+// and is sent to a router that is in touch with control.
 constexpr double kNoGrantRetrySeconds = 1;
 
 // Tokens that a request uses at least, if it is to be of use, and at most.
--- a/packages/routing/include/lycheestand/routing.h
+++ b/packages/routing/include/lycheestand/routing.h
@@ -323,11 +323,25 @@
   BreakerOptions breaker;
 };
 
+// What was known of an endpoint when it was chosen, for logs.
+struct ChoiceBasis
+{
+  std::size_t candidates = 0;
+  // Requests of this router there, and those by the last report with its age.
+  double ownInFlight = 0;
+  bool hasReport = false;
+  double reported = 0;
+  double reportAgeSeconds = 0;
+  // Prompt tokens that this router's earlier requests left there.
+  double cachedTokens = 0;
+};
+
 // The chosen endpoint.
 struct Choice
 {
   EndpointId endpoint;
   Address address;
+  ChoiceBasis basis;
 };
 
 // State of one endpoint for dumps.
--- a/packages/routing/src/endpoint_table.cc
+++ b/packages/routing/src/endpoint_table.cc
@@ -161,7 +161,15 @@
                 candidates[index].cachedTokens;
   this->Assign(aRequest, *known[index], aQuery, work, aNow);
   const auto& chosen = known[index]->endpoint;
-  return Choice{ chosen.endpoint, chosen.address };
+  const Candidate& best = candidates[index];
+  return Choice{ chosen.endpoint,
+                 chosen.address,
+                 { candidates.size(),
+                   best.ownInFlight,
+                   best.hasReport,
+                   best.reported,
+                   best.ageSeconds,
+                   best.cachedTokens } };
 }
 
 void
