--- a/packages/router/src/endpoint_controller.cc
+++ b/packages/router/src/endpoint_controller.cc
@@ -12,6 +12,9 @@
 // learns the capacity.
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 
+// Time between two ticks from which the process counts as stalled.
+constexpr Duration kStallTime = std::chrono::seconds(1);
+
 // Least time between two reports of one endpoint.
 constexpr Duration kReportInterval = std::chrono::milliseconds(500);
 
@@ -223,6 +226,7 @@
   void Tick()
   {
     auto now = this->Time();
+    this->NoteStall(now);
     for (auto& [id, polled] : this->polled) {
       if (polled.isAsked || !this->options.asksEndpoints) {
         continue;
@@ -237,6 +241,20 @@
     this->After(kTickInterval, [this] { this->Tick(); });
   }
 
+  // A machine that stood still shows only as silence in its log otherwise.
+  void NoteStall(TimePoint aNow)
+  {
+    if (this->lastTick != TimePoint{} && aNow - this->lastTick >= kStallTime) {
+      auto stalled =
+        std::chrono::duration_cast<Milliseconds>(aNow - this->lastTick);
+      net::Log(
+        net::LogLevel::Warning,
+        "this process did not run for a while",
+        { { "event", "stalled" }, { "ms", std::to_string(stalled.count()) } });
+    }
+    this->lastTick = aNow;
+  }
+
   // Each endpoint is asked for its load and its events once per interval.
   Duration Interval() const
   {
@@ -364,6 +382,7 @@
   std::map<EndpointId, Polled> polled;
   std::map<std::string, unsigned> published;
   std::size_t routers = 1;
+  TimePoint lastTick{};
 };
 
 } // namespace
--- a/packages/router/src/recheck.cc
+++ b/packages/router/src/recheck.cc
@@ -57,8 +57,8 @@
             const ConfigurationInForce& aNewest,
             const Next& aNext)
 {
-  const auto& aSnapshot = aNewest.snapshot;
-  if (!aSnapshot) {
+  const auto& snapshot = aNewest.snapshot;
+  if (!snapshot) {
     RefuseUnconfirmed(aRequest);
     return;
   }
@@ -77,7 +77,7 @@
     aNext();
     return;
   }
-  if (!IsStillAllowed(*aRequest, *aSnapshot)) {
+  if (!IsStillAllowed(*aRequest, *snapshot)) {
     Refuse(aRequest,
            { 404,
              "not_found",
@@ -85,7 +85,7 @@
              "service is no longer available to this key" });
     return;
   }
-  aRequest->snapshot = aSnapshot;
+  aRequest->snapshot = snapshot;
   aNext();
 }
 
