--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -463,9 +463,6 @@
   void UpdateViewPeriodically()
   {
     this->UpdateView();
-    for (auto& [id, link] : this->links) {
-      this->PushTo(link);
-    }
     this->After(kViewInterval, [this] { this->UpdateViewPeriodically(); });
   }
 
@@ -508,10 +505,11 @@
       member.PublishLoad(now);
       instances.push_back(member.entry);
     }
-    if (this->view.Update(instances, this->endpoints)) {
-      for (auto& [id, link] : this->links) {
-        this->PushTo(link);
-      }
+    this->view.Update(instances, this->endpoints);
+    // Also without a change: the view may have been held back from a router
+    // until this instance had led for some time.
+    for (auto& [id, link] : this->links) {
+      this->PushTo(link);
     }
   }
 
--- a/packages/router/src/forward_events.cc
+++ b/packages/router/src/forward_events.cc
@@ -5,18 +5,11 @@
 
 namespace {
 
-// Longest time for opening a connection: endpoints are within a few
-// milliseconds, and one that is dark does not answer at all.
-constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
-
 // A stream that can go on elsewhere does so when its endpoint is silent for
 // this many times what the caller expects, and for at least this long.
 constexpr int kSilenceFactor = 4;
 constexpr Duration kLeastSilence = std::chrono::milliseconds(1200);
 
-// The request is given up at the route's timeout, before this.
-constexpr Duration kTimeoutMargin = std::chrono::seconds(1);
-
 Duration
 SilenceLimit(Milliseconds aExpected)
 {
@@ -66,10 +59,7 @@
   net::CallOptions MakeOptions() const
   {
     const auto& route = *this->call.route;
-    net::CallOptions options;
-    options.connectTimeout = kConnectTimeout;
-    options.idleTimeout = route.timeout + kTimeoutMargin;
-    options.reuseConnection = route.isRepeatable;
+    net::CallOptions options = MakeCallOptions(route);
     if (route.isResumable && this->request->arrivals + 1 < route.maxAttempts) {
       options.answerTimeout = SilenceLimit(route.latencyTarget);
       options.idleTimeout = SilenceLimit(route.gapTarget);
--- a/packages/router/src/forward_whole.cc
+++ b/packages/router/src/forward_whole.cc
@@ -4,13 +4,6 @@
 
 namespace {
 
-// Longest time for opening a connection: endpoints are within a few
-// milliseconds, and one that is dark does not answer at all.
-constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
-
-// The request is given up at the route's timeout, before this.
-constexpr Duration kTimeoutMargin = std::chrono::seconds(1);
-
 // Passes one answer on when it is whole, so that one that breaks off can be
 // asked for again where the request may be repeated.
 class WholeForward : public std::enable_shared_from_this<WholeForward>
@@ -40,13 +33,9 @@
                                 const std::string& aReason) {
       self->TakeFailure(aFailure, aReason);
     };
-    net::CallOptions options;
-    options.connectTimeout = kConnectTimeout;
-    options.idleTimeout = this->call.route->timeout + kTimeoutMargin;
-    options.reuseConnection = this->call.route->isRepeatable;
     AttemptRouted(this->request,
                   this->call.description.lastEvent,
-                  options,
+                  MakeCallOptions(*this->call.route),
                   std::move(observer),
                   [self] { self->End(); });
   }
--- a/packages/router/src/route_attempt.cc
+++ b/packages/router/src/route_attempt.cc
@@ -9,6 +9,13 @@
 constexpr double kBusyRetrySeconds = 0.2;
 constexpr double kNoEndpointRetrySeconds = 0.5;
 
+// Longest time for opening a connection: endpoints are within a few
+// milliseconds, and one that is dark does not answer at all.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+
+// The request is given up at the route's timeout, before this.
+constexpr Duration kTimeoutMargin = std::chrono::seconds(1);
+
 // Calls that did not reach an endpoint, after which a request is refused.
 constexpr std::size_t kMostUnreached = 3;
 
@@ -55,6 +62,18 @@
 
 } // namespace
 
+// A request that must not run twice gets a connection of its own: on a kept one
+// that breaks it would not be known whether it ran.
+net::CallOptions
+MakeCallOptions(const routes::Route& aRoute)
+{
+  net::CallOptions options;
+  options.connectTimeout = kConnectTimeout;
+  options.idleTimeout = aRoute.timeout + kTimeoutMargin;
+  options.reuseConnection = aRoute.isRepeatable;
+  return options;
+}
+
 void
 AttemptRouted(const RequestPtr& aRequest,
               std::optional<std::uint64_t> aLastEvent,
--- a/packages/router/src/route_attempt.h
+++ b/packages/router/src/route_attempt.h
@@ -8,6 +8,10 @@
 
 namespace lycheestand::router {
 
+// Returns the limits of a call for a route's request.
+net::CallOptions
+MakeCallOptions(const routes::Route& aRoute);
+
 // Chooses an endpoint and calls it. If there is none, or the retry budget is
 // used up, aOnNone runs.
 void
