--- a/packages/budget/src/purse.cc
+++ b/packages/budget/src/purse.cc
@@ -17,7 +17,7 @@
 Tokens
 SizeByDemand(double aTokensPerSecond, Duration aHorizon)
 {
-  double seconds = std::chrono::duration<double>(aHorizon).count();
+  double seconds = ToSeconds(aHorizon);
   return Tokens(static_cast<std::int64_t>(aTokensPerSecond * seconds));
 }
 
@@ -373,8 +373,7 @@
   if (elapsed < kRateWindow) {
     return;
   }
-  double rate =
-    aAccount.recentTokens / std::chrono::duration<double>(elapsed).count();
+  double rate = aAccount.recentTokens / ToSeconds(elapsed);
   // The first windows count alike, so that the rate is known early.
   double weight =
     std::max(this->options.rateWeight, 1.0 / ++aAccount.rateWindows);
--- a/packages/core/include/lycheestand/core.h
+++ b/packages/core/include/lycheestand/core.h
@@ -133,6 +133,13 @@
 using Duration = Clock::duration;
 using Milliseconds = std::chrono::milliseconds;
 
+// Returns a time in seconds, for arithmetic with rates.
+inline double
+ToSeconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
 // A value of type T or a layer's own error of type E.
 template<class T, class E>
 using Result = boost::outcome_v2::checked<T, E>;
--- a/packages/net/src/metrics.cc
+++ b/packages/net/src/metrics.cc
@@ -69,7 +69,7 @@
 void
 DurationHistogram::Record(Duration aValue)
 {
-  this->data->counts(std::chrono::duration<double>(aValue).count());
+  this->data->counts(ToSeconds(aValue));
   this->data->sumMicroseconds.fetch_add(
     static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::microseconds>(aValue).count()),
--- a/packages/router/src/admission_controller.cc
+++ b/packages/router/src/admission_controller.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // Pace at which waiting requests are looked at when no turn becomes free.
-constexpr Duration kPollInterval = std::chrono::milliseconds(20);
+constexpr Duration kAdmissionPollInterval = std::chrono::milliseconds(20);
 
 // Carries the admission: gives turns to requests and takes them back.
 class AdmissionController : public net::IoTask
@@ -96,7 +96,7 @@
       return;
     }
     this->isPolling = true;
-    this->After(kPollInterval, [this] {
+    this->After(kAdmissionPollInterval, [this] {
       this->isPolling = false;
       this->Advance();
       if (!this->waiting.empty()) {
--- a/packages/router/src/budget_controller.cc
+++ b/packages/router/src/budget_controller.cc
@@ -7,10 +7,10 @@
 
 namespace {
 
-constexpr Duration kReportInterval = std::chrono::milliseconds(200);
+constexpr Duration kUsageReportInterval = std::chrono::milliseconds(200);
 
 // Pace at which waiting claims are looked at again.
-constexpr Duration kPollInterval = std::chrono::milliseconds(10);
+constexpr Duration kClaimPollInterval = std::chrono::milliseconds(10);
 
 // Carries the purse: passes claims in, and grants and usage to and from
 // control.
@@ -117,7 +117,7 @@
       return;
     }
     this->isPolling = true;
-    this->After(kPollInterval, [this] {
+    this->After(kClaimPollInterval, [this] {
       this->isPolling = false;
       this->Advance();
       if (!this->waiting.empty()) {
@@ -130,7 +130,7 @@
   {
     this->Report();
     this->Advance();
-    this->After(kReportInterval, [this] { this->ReportPeriodically(); });
+    this->After(kUsageReportInterval, [this] { this->ReportPeriodically(); });
   }
 
   void Report()
--- a/packages/router/src/membership_controller.cc
+++ b/packages/router/src/membership_controller.cc
@@ -74,7 +74,7 @@
     out["addresses"] = std::move(addresses);
     out["zone"] = this->settings.zone.Get();
     out["keep_seconds"] =
-      std::chrono::duration<double>(this->settings.entryKeepTime).count();
+      ToSeconds(this->settings.entryKeepTime);
     return boost::json::serialize(out);
   }
 
--- a/packages/routing/src/admission.cc
+++ b/packages/routing/src/admission.cc
@@ -8,12 +8,6 @@
 // Weight of the newest request in the mean time for which a turn is held.
 constexpr double kHoldWeight = 0.05;
 
-double
-ToSeconds(Duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
 std::size_t
 ClassOf(Priority aPriority)
 {
--- a/packages/routing/src/endpoint_table.cc
+++ b/packages/routing/src/endpoint_table.cc
@@ -15,12 +15,6 @@
 // a slot that becomes free is filled without a round trip.
 constexpr double kQueuePerSlot = 0.25;
 
-double
-ToSeconds(Duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
 void
 NoteChange(std::deque<std::pair<TimePoint, int>>& aChanges,
            int& aSum,
