--- a/packages/net/src/calls.h
+++ b/packages/net/src/calls.h
@@ -42,11 +42,16 @@
   std::variant<CallAccepted, CallHead, CallPiece, CallEnded, CallFailed> event;
 };
 
-// From the owner of a call to its connection.
+// From the owner of a call to its connection, which may run another call by
+// now.
 struct CallContinue
-{};
+{
+  std::uint64_t id = 0;
+};
 struct CallCancel
-{};
+{
+  std::uint64_t id = 0;
+};
 
 // From a connection to the pool: it can take another call.
 struct ConnectionIdle
@@ -62,6 +67,10 @@
   caf::actor connection;
 };
 
+// From the pool to a connection: it gets no more calls.
+struct ConnectionRemoved
+{};
+
 // Starts a connection to an endpoint that runs one call at a time.
 caf::actor
 SpawnClientConnection(const Runtime& aRuntime,
@@ -76,5 +85,6 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::CallCancel)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::ConnectionIdle)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::ConnectionClosed)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::ConnectionRemoved)
 
 #endif
--- a/packages/net/src/client_connection.cc
+++ b/packages/net/src/client_connection.cc
@@ -75,16 +75,38 @@
   {
     return {
       [this](CallStart& aStart) { this->Begin(aStart); },
-      [this](CallContinue) { this->Acknowledge(); },
-      [this](CallCancel) { this->Close(); },
+      [this](CallContinue aContinue) {
+        if (this->IsOfCall(aContinue.id)) {
+          this->Acknowledge();
+        }
+      },
+      [this](CallCancel aCancel) {
+        if (this->IsOfCall(aCancel.id)) {
+          this->Close();
+        }
+      },
+      [this](ConnectionRemoved) { this->quit(); },
     };
   }
 
 private:
   using Parser = http::response_parser<http::buffer_body>;
 
+  // Returns whether the message that is handled is about the present call.
+  bool IsOfCall(std::uint64_t aId)
+  {
+    return this->isBusy && aId == this->call.id &&
+           this->current_sender() == this->call.owner;
+  }
+
   void Begin(CallStart& aStart)
   {
+    if (this->isClosed || this->HasStrayBytes()) {
+      // Nothing of the call was sent, so any other connection can take it.
+      this->send(this->connectionPool, std::move(aStart));
+      this->Close();
+      return;
+    }
     this->call = std::move(aStart);
     this->Report(CallAccepted{ caf::actor_cast<caf::actor>(this) });
     this->isBusy = true;
@@ -101,6 +123,14 @@
     this->WatchTime(this->callNumber);
   }
 
+  // Returns whether there are bytes that belong to no call.
+  bool HasStrayBytes() const
+  {
+    beast::error_code ignored;
+    return this->isConnected &&
+           (this->buffer.size() > 0 || this->socket.available(ignored) > 0);
+  }
+
   // Returns the longest time without progress in the call's present phase.
   Duration TimeLimit() const
   {
@@ -292,7 +322,8 @@
   {
     // The endpoint takes the next bytes for the rest of a request that is not
     // wholly written, so such a connection is of no more use.
-    bool keep = this->parser->keep_alive() && !this->isWriting;
+    bool keep =
+      this->parser->keep_alive() && !this->isWriting && !this->HasStrayBytes();
     auto keepAlive = this->parser->get()[http::field::keep_alive];
     this->idleLimit = ReadKeepAlive(keepAlive).value_or(kIdleLimit);
     this->isBusy = false;
@@ -341,13 +372,20 @@
     this->Close();
   }
 
+  // Ends this task once the pool has answered, since a call may be on its way
+  // from there.
   void Close()
   {
+    if (this->isClosed) {
+      return;
+    }
+    this->isClosed = true;
     this->isBusy = false;
+    beast::error_code ignored;
+    this->socket.close(ignored);
     this->send(
       this->connectionPool,
       ConnectionClosed{ this->address, caf::actor_cast<caf::actor>(this) });
-    this->quit();
   }
 
   template<class Event>
@@ -369,6 +407,7 @@
   bool isConnected = false;
   bool isBusy = false;
   bool isPaused = false;
+  bool isClosed = false;
   // A request is not wholly written, or its writing failed.
   bool isWriting = false;
   Duration idleLimit{};
--- a/packages/net/src/connection_pool.cc
+++ b/packages/net/src/connection_pool.cc
@@ -46,7 +46,7 @@
   {
     auto& idle = this->idleByAddress[aIdle.address];
     if (idle.size() >= kMaxIdlePerAddress) {
-      this->send(aIdle.connection, CallCancel{});
+      this->send(aIdle.connection, ConnectionRemoved{});
       return;
     }
     idle.push_back(aIdle.connection);
@@ -56,6 +56,7 @@
   {
     auto& idle = this->idleByAddress[aClosed.address];
     std::erase(idle, aClosed.connection);
+    this->send(aClosed.connection, ConnectionRemoved{});
   }
 
   std::map<Address, std::deque<caf::actor>> idleByAddress;
--- a/packages/net/src/io_task.cc
+++ b/packages/net/src/io_task.cc
@@ -114,7 +114,7 @@
   if (found == this->calls.end()) {
     // The call was cancelled before a connection took it.
     if (auto* accepted = std::get_if<CallAccepted>(&aEvent.event)) {
-      this->send(accepted->connection, CallCancel{});
+      this->send(accepted->connection, CallCancel{ aEvent.id });
     }
     return;
   }
@@ -139,7 +139,7 @@
 {
   auto found = this->task->calls.find(this->id);
   if (found != this->task->calls.end()) {
-    this->task->send(found->second->connection, CallContinue{});
+    this->task->send(found->second->connection, CallContinue{ this->id });
   }
 }
 
@@ -154,7 +154,7 @@
     return;
   }
   if (found->second->connection) {
-    this->task->send(found->second->connection, CallCancel{});
+    this->task->send(found->second->connection, CallCancel{ this->id });
   }
   this->task->calls.erase(found);
 }
--- a/packages/net/test/calls_test.cc
+++ b/packages/net/test/calls_test.cc
@@ -223,3 +223,41 @@
   REQUIRE(this->results[0].has_value());
   CHECK(this->results[0].value().body == "whole");
 }
+
+// Guards against bytes after an answer, which belong to no request, that are
+// taken for the answer to the next one.
+TEST_CASE_METHOD(CallFixture, "Bytes after an answer end the connection's use")
+{
+  RawEndpoint endpoint;
+  this->Fetch(endpoint.GetAddress());
+  this->PumpUntil([&] { return endpoint.Accept(); });
+  endpoint.Send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown"
+                "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra");
+  this->PumpUntil([&] { return !this->results.empty(); });
+  CHECK(this->results[0].value().body == "own");
+  this->Fetch(endpoint.GetAddress());
+  this->PumpUntil([&] { return endpoint.Accept(); });
+}
+
+// Guards against a call that is handed to a connection which closes at the same
+// moment, and is then never answered.
+TEST_CASE_METHOD(CallFixture, "A late cancel leaves the next call alone")
+{
+  auto address = this->Serve([](const ExchangePtr& aExchange) {
+    aExchange->Respond({ 200, {}, "whole" });
+  });
+  bool isCancelled = false;
+  this->RunInTask([&](IoTask& aTask) {
+    auto handle = std::make_shared<CallHandle>();
+    CallObserver observer;
+    observer.onHead = [&, handle](const CallHead&) {
+      handle->Cancel();
+      isCancelled = true;
+      this->Fetch(address);
+    };
+    *handle =
+      aTask.StartCall(address, { "GET", "/", {}, "" }, {}, std::move(observer));
+  });
+  this->PumpUntil([&] { return isCancelled && !this->results.empty(); });
+  CHECK(this->results[0].value().body == "whole");
+}
--- a/packages/router/src/membership_controller.cc
+++ b/packages/router/src/membership_controller.cc
@@ -73,8 +73,7 @@
     boost::json::object out;
     out["addresses"] = std::move(addresses);
     out["zone"] = this->settings.zone.Get();
-    out["keep_seconds"] =
-      ToSeconds(this->settings.entryKeepTime);
+    out["keep_seconds"] = ToSeconds(this->settings.entryKeepTime);
     return boost::json::serialize(out);
   }
 
--- a/packages/router/src/route_attempt.cc
+++ b/packages/router/src/route_attempt.cc
@@ -117,14 +117,24 @@
                         : routing::Outcome::Succeeded;
 }
 
+// Bytes that an endpoint sent after an earlier answer may look like the answer
+// to this request; only the id tells them apart.
+bool
+IsAnswerTo(const AnswerDescription& aAnswer,
+           const RequestId& aRequest,
+           unsigned aStatus)
+{
+  bool isSuccess = aStatus < 300;
+  bool isWhole = aAnswer.isSigned && !aAnswer.isEncoded;
+  return aAnswer.id == aRequest && (!isSuccess || isWhole);
+}
+
 std::optional<AnswerDescription>
 ReadHead(const RequestPtr& aRequest, const net::CallHead& aHead)
 {
   const auto& call = std::get<RoutedCall>(aRequest->call);
   auto answer = call.protocol->readAnswer(aHead);
-  bool isOther = answer.id && *answer.id != call.description.id;
-  bool isForeign = aHead.status < 300 && (!answer.isSigned || answer.isEncoded);
-  if (isOther || isForeign) {
+  if (!IsAnswerTo(answer, call.description.id, aHead.status)) {
     return std::nullopt;
   }
   if (answer.load && !answer.isOtherEndpoint) {
--- a/packages/router/src/route_attempt.h
+++ b/packages/router/src/route_attempt.h
@@ -29,6 +29,12 @@
 routing::Outcome
 OutcomeOf(const AnswerDescription& aAnswer, unsigned aStatus);
 
+// Returns whether an answer belongs to a request and can be passed on.
+bool
+IsAnswerTo(const AnswerDescription& aAnswer,
+           const RequestId& aRequest,
+           unsigned aStatus);
+
 // Reads the head of an answer and passes its load on. Returns nothing if the
 // answer belongs to another request.
 std::optional<AnswerDescription>
