--- a/packages/router/src/router.cc
+++ b/packages/router/src/router.cc
@@ -59,10 +59,10 @@
   budget::PurseOptions options;
   if (aSettings.routes) {
     options.claimTimeout = std::chrono::milliseconds(100);
-    options.grantHorizon = std::chrono::seconds(4);
-    options.askBelow = std::chrono::seconds(3);
+    options.grantHorizon = std::chrono::seconds(1);
+    options.askBelow = std::chrono::milliseconds(700);
     options.surplusFactor = 1.2;
-    options.mostHeldFactor = 3;
+    options.mostHeldFactor = 12;
     options.idleReturn = std::chrono::seconds(20);
     options.retryPause = std::chrono::milliseconds(15);
     options.rateWeight = 0.1;
