Elect early after a start and when the leader's link ends

An election began 0.6 to 1.2 s after the start, and a link dialled a moment before its peer was up waited 0.8 s for the dark machine and another 0.3 s. A killed leader was replaced as late, although the links had told its end.

Ruled out: a shorter election timeout for all cases (a link that loses packets for 0.3 s would start elections).

Change: a member that has heard no leader since its start begins its pre-vote after a quarter to half of the election timeout, and so does one whose link to the leader has ended; a leader that others hear is not unseated. Links between control instances are first given 100 ms to open, then twice as long each time.

Figures: the two new tests of elections fail with the former times and pass now; a third shows that resets of the leader's links unseat nobody.

--- a/packages/consensus/include/lycheestand/consensus.h
+++ b/packages/consensus/include/lycheestand/consensus.h
@@ -215,7 +215,8 @@
   InstanceId self;
   // All instances that may be members.
   std::vector<InstanceId> instances;
-  // An election starts after one to two times this time without a leader.
+  // An election starts after one to two times this time without a leader; after
+  // a start, or the end of the leader's link, sooner.
   Duration electionTimeout = std::chrono::milliseconds(1000);
   Duration heartbeatInterval = std::chrono::milliseconds(150);
   std::size_t maxAppendBytes = 512 * 1024;
@@ -270,6 +271,9 @@
 
   Effects Receive(TimePoint aNow, const Message& aMessage);
 
+  // The link to an instance has ended; its process may have, too.
+  Effects LosePeer(TimePoint aNow, const InstanceId& aPeer);
+
   // Appends a command; returns its index, or nothing on a member that does not
   // lead.
   std::pair<std::optional<LogIndex>, Effects> Propose(std::string aCommand);
@@ -416,6 +420,10 @@
   Role role = Role::Follower;
   std::optional<Member> leader;
   TimePoint lastHeardLeader;
+  // A leader was heard since this process started.
+  bool hasHeardLeader = false;
+  // The leader's link has ended since it was last heard.
+  bool isLeaderLinkLost = false;
   TimePoint electionDue;
   TimePoint heartbeatDue;
   TimePoint quorumCheckDue;
--- a/packages/consensus/src/election.cc
+++ b/packages/consensus/src/election.cc
@@ -5,6 +5,15 @@
 
 namespace lycheestand::consensus {
 
+namespace {
+
+// Part of the election timeout after which an election starts if no leader is
+// known to live. A pre-vote unseats no leader that others hear, so an early one
+// costs a few messages.
+constexpr int kEarlyElectionPart = 4;
+
+} // namespace
+
 bool
 Node::IsVoter() const
 {
@@ -25,7 +34,7 @@
 Node::HasLiveLeader() const
 {
   return this->role == Role::Leader ||
-         (this->leader &&
+         (this->leader && !this->isLeaderLinkLost &&
           this->now - this->lastHeardLeader < this->options.electionTimeout);
 }
 
@@ -33,6 +42,9 @@
 Node::ResetElectionTimer()
 {
   auto base = this->options.electionTimeout;
+  if (!this->hasHeardLeader) {
+    base /= kEarlyElectionPart;
+  }
   auto extra = this->random(static_cast<std::uint64_t>(base.count()));
   this->electionDue = this->now + base + Duration(extra);
 }
@@ -72,10 +84,29 @@
   if (this->role != Role::Follower || this->leader != aLeader) {
     this->BecomeFollower(this->state.term, aLeader);
   }
+  this->hasHeardLeader = true;
+  this->isLeaderLinkLost = false;
   this->lastHeardLeader = this->now;
   this->ResetElectionTimer();
 }
 
+// The leader stays known until the election, so that a link that was reset and
+// is opened again changes nothing.
+Effects
+Node::LosePeer(TimePoint aNow, const InstanceId& aPeer)
+{
+  this->now = aNow;
+  if (this->role == Role::Follower && this->leader &&
+      this->leader->instance == aPeer) {
+    auto base = this->options.electionTimeout / kEarlyElectionPart;
+    auto extra = this->random(static_cast<std::uint64_t>(base.count()));
+    this->electionDue =
+      std::min(this->electionDue, this->now + base + Duration(extra));
+    this->isLeaderLinkLost = true;
+  }
+  return this->Finish();
+}
+
 // The own vote counts, and the requests leave, only once the vote is durable:
 // after a restart this member must not vote for another in the same term.
 void
--- a/packages/consensus/test/node_test.cc
+++ b/packages/consensus/test/node_test.cc
@@ -189,3 +189,39 @@
   REQUIRE(this->simulation.Commit("after"));
   CHECK(this->Settle());
 }
+
+// Guards against a service that stays away for two election timeouts after all
+// processes were killed, though no leader is to be waited for.
+TEST_CASE_METHOD(GroupFixture, "a group that starts anew elects at once")
+{
+  for (std::size_t host = 0; host < 3; ++host) {
+    this->simulation.Crash(host);
+  }
+  for (std::size_t host = 0; host < 3; ++host) {
+    this->simulation.Start(host);
+  }
+  CHECK(this->simulation.RunUntil(
+    [this] { return this->simulation.Leader().has_value(); },
+    Milliseconds(800)));
+}
+
+// Guards against followers that wait for a leader whose process has ended and
+// whose links they have seen close.
+TEST_CASE_METHOD(GroupFixture, "followers of an ended leader elect at once")
+{
+  this->simulation.Crash(this->leader);
+  this->simulation.CloseLinks(this->leader);
+  CHECK(this->simulation.RunUntil(
+    [this] { return this->simulation.Leader().has_value(); },
+    Milliseconds(800)));
+}
+
+// Guards against links that were reset and unseat a leader that is heard again.
+TEST_CASE_METHOD(GroupFixture, "links that were reset do not unseat a leader")
+{
+  for (int i = 0; i < 20; ++i) {
+    this->simulation.CloseLinks(this->leader);
+    this->simulation.Run(Milliseconds(300));
+  }
+  CHECK(this->simulation.Leader() == this->leader);
+}
--- a/packages/consensus/test/simulation.cc
+++ b/packages/consensus/test/simulation.cc
@@ -122,6 +122,18 @@
   this->hosts[aHost].disk.state.disk = DiskId(this->nextDisk++);
 }
 
+void
+Simulation::CloseLinks(std::size_t aHost)
+{
+  for (std::size_t i = 0; i < this->hosts.size(); ++i) {
+    if (i != aHost && this->hosts[i].node) {
+      this->Take(
+        i,
+        this->hosts[i].node->LosePeer(this->now, this->hosts[aHost].instance));
+    }
+  }
+}
+
 void
 Simulation::Isolate(std::size_t aHost)
 {
--- a/packages/consensus/test/simulation.h
+++ b/packages/consensus/test/simulation.h
@@ -57,6 +57,8 @@
   // Replaces the disk of a stopped instance by an empty one.
   void LoseDisk(std::size_t aHost);
   void Isolate(std::size_t aHost);
+  // Tells all others that their links to an instance have ended.
+  void CloseLinks(std::size_t aHost);
   void Sync(std::size_t aHost);
 
   // Returns whether every instance is up and all its members' lists name the
--- a/packages/control/src/peer_links.cc
+++ b/packages/control/src/peer_links.cc
@@ -5,7 +5,12 @@
 
 namespace {
 
-constexpr Duration kRedialInterval = std::chrono::milliseconds(300);
+constexpr Duration kRedialInterval = std::chrono::milliseconds(100);
+
+// Limit for the first attempts to open a link, which doubles up to that of the
+// settings: a machine that starts a moment later does not answer, and waiting
+// for it in full keeps a group without a leader.
+constexpr Duration kFirstConnectTimeout = std::chrono::milliseconds(100);
 
 // Opens the links to other control instances. Of two instances, the one with
 // the lower id dials, so that each pair has one link.
@@ -52,12 +57,17 @@
 
   void Dial(const settings::ControlMember& aMember)
   {
-    auto link =
-      net::OpenLink(this->GetRuntime(),
-                    this->key,
-                    aMember.peer,
-                    settings::MakeLinkOptions<net::LinkOptions>(this->settings),
-                    caf::actor_cast<caf::actor>(this));
+    auto options = settings::MakeLinkOptions<net::LinkOptions>(this->settings);
+    auto& limit =
+      this->connectLimits.try_emplace(aMember.instance, kFirstConnectTimeout)
+        .first->second;
+    options.connectTimeout = std::min(limit, options.connectTimeout);
+    limit = options.connectTimeout * 2;
+    auto link = net::OpenLink(this->GetRuntime(),
+                              this->key,
+                              aMember.peer,
+                              options,
+                              caf::actor_cast<caf::actor>(this));
     this->links[link].member = aMember;
   }
 
@@ -65,6 +75,7 @@
   {
     LinkState& link = this->links[aUp.link];
     link.task = aUp.task;
+    this->connectLimits.erase(link.member.instance);
     wire::Hello hello;
     hello.instance = this->settings.instance;
     hello.zone = this->settings.zone;
@@ -106,6 +117,8 @@
   net::FleetKey key;
   caf::actor replica;
   std::map<net::LinkId, LinkState> links;
+  // Limits of the next attempts to open the links that are down.
+  std::map<InstanceId, Duration> connectLimits;
 };
 
 } // namespace
--- a/packages/control/src/replica.cc
+++ b/packages/control/src/replica.cc
@@ -170,6 +170,8 @@
       this->links[aLink.instance] = aLink.task;
     } else {
       this->links.erase(aLink.instance);
+      this->Run(
+        this->node.LosePeer(net::Now(this->GetRuntime()), aLink.instance));
     }
   }
 
