Grant at most a quarter ahead once less than half of a budget is left

Change: a grant ahead leaves its session with at most a quarter of what it holds and what is free, if that is less than half of what was paid.

The new test of the ledger fails without the change.

--- a/packages/state/src/budget_ledger.cc
+++ b/packages/state/src/budget_ledger.cc
@@ -14,6 +14,13 @@
 constexpr std::int64_t kAheadShare = 8;
 constexpr std::int64_t kReserveShare = 16;
 
+// Part of a budget from which on little is left.
+constexpr std::int64_t kLowShare = 2;
+
+// If little is left, what one session holds ahead is at most this part of what
+// it holds and what is free: a router that is killed takes along what it holds.
+constexpr std::int64_t kHeldShare = 4;
+
 // A session holds most of a budget if it holds this many times what all others
 // hold together.
 constexpr std::int64_t kMostFactor = 2;
@@ -69,6 +76,9 @@
 Tokens
 SizeGrant(const Budget& aBudget, const GrantTokens& aCommand)
 {
+  auto found = aBudget.outstanding.find(aCommand.session);
+  std::int64_t own =
+    found != aBudget.outstanding.end() ? found->second.Get() : 0;
   std::int64_t free = aBudget.Free().Get();
   if (!aCommand.isAhead) {
     Tokens share(free / kLargestShare);
@@ -77,7 +87,11 @@
              : Tokens(0);
   }
   std::int64_t room = free - aBudget.paid.Get() / kReserveShare;
-  Tokens share(std::max<std::int64_t>(0, room / kAheadShare));
+  std::int64_t most = room / kAheadShare;
+  if (room + own < aBudget.paid.Get() / kLowShare) {
+    most = std::min(most, (room + own) / kHeldShare - own);
+  }
+  Tokens share(std::max<std::int64_t>(0, most));
   Tokens size = std::min(aCommand.wanted, share);
   return size >= aCommand.minimum ? size : Tokens(0);
 }
--- a/packages/state/test/routes_test.cc
+++ b/packages/state/test/routes_test.cc
@@ -95,3 +95,29 @@
   this->machine.Apply(RegisterSession{ InstanceId("r1"), SessionId(3) });
   CHECK(this->Grant(SessionId(2), 2, 200, 200, false).exhausted);
 }
+
+// Guards against a router that keeps a large part of the little that is left,
+// which is lost to the workspace when the router is killed.
+TEST_CASE_METHOD(RouteRegisterFixture, "Little that is left is not held by one")
+{
+  SessionId session(5);
+  this->machine.Apply(RegisterSession{ InstanceId("router"), session });
+  this->Replace(1, "one", 1600);
+  // Half of the budget, so that less than half of it is left.
+  std::uint64_t request = 1;
+  std::int64_t taken = 0;
+  while (taken < 800) {
+    taken += this->Grant(session, request++, 1, 100, false).tokens.Get();
+  }
+  ReportUsage usage{ session, BatchNumber(1), {} };
+  usage.entries.push_back({ this->workspace, Tokens(taken), Tokens(0), 1 });
+  REQUIRE(std::holds_alternative<Done>(this->machine.Apply(usage)));
+  std::int64_t held = 0;
+  for (int i = 0; i < 50; ++i) {
+    held += this->Grant(session, request++, 1, 1000, true).tokens.Get();
+  }
+  // What is left, less the reserve of a sixteenth of what is paid.
+  std::int64_t left = 1600 - taken - 100;
+  CHECK(held > left / 8);
+  CHECK(held <= left / 4);
+}
