Take no request while stopping that can't be finished in time

Change: from 2.5 s after the order on, a request of which seven tenths of the time do not fit before the end is refused as not run, with a pause of 20 ms. The times of a stop are in stop_plan.cc.

Also: the settings field retryWindow and ListRead.askedAt, which nothing read, are gone (the retry budget holds in any window); http_server.cc is split into the connection of one caller and the server.

--- a/packages/discovery/include/lycheestand/discovery.h
+++ b/packages/discovery/include/lycheestand/discovery.h
@@ -42,8 +42,6 @@
 struct ListRead
 {
   std::vector<membership::Endpoint> endpoints;
-  // When the reading of the first page began.
-  TimePoint askedAt{};
 };
 
 // To the reader: read again and again, or stop doing so.
--- a/packages/discovery/src/list_reader.cc
+++ b/packages/discovery/src/list_reader.cc
@@ -47,7 +47,6 @@
       return;
     }
     this->list = {};
-    this->list.askedAt = net::Now(this->GetRuntime());
     this->unreadable = 0;
     this->AskPage("");
   }
--- /dev/null
+++ b/packages/net/src/http_connection.h
@@ -0,0 +1,29 @@
+#ifndef LYCHEESTAND_NET_SRC_HTTP_CONNECTION_H
+#define LYCHEESTAND_NET_SRC_HTTP_CONNECTION_H
+
+// The connection of one caller to an HTTP server.
+
+#include <boost/asio/ip/tcp.hpp>
+#include <lycheestand/net.h>
+
+namespace lycheestand::net {
+
+// Sent by a connection to its server when it closes.
+struct ConnectionEnded
+{};
+
+// Starts the task that owns a caller's socket and answers its requests one
+// after the other.
+caf::actor
+SpawnHttpConnection(const Runtime& aRuntime,
+                    caf::actor aPool,
+                    caf::actor aServer,
+                    boost::asio::ip::tcp::socket aSocket,
+                    HttpServerOptions aOptions,
+                    HttpHandler aHandler);
+
+} // namespace lycheestand::net
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::ConnectionEnded)
+
+#endif
--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -174,9 +174,11 @@
 FinishRequest(const RequestPtr& aRequest);
 
 // The first filter for requests that a table of routes serves: finds the route
-// and the workspace of the key.
+// and the workspace of the key. aMayBegin tells whether a request that may take
+// this long can still be finished before the process ends.
 Filter
-MakeMatchRoute(std::shared_ptr<const RouteProtocol> aProtocol);
+MakeMatchRoute(std::shared_ptr<const RouteProtocol> aProtocol,
+               std::function<bool(Duration)> aMayBegin);
 
 // The filters, in their order.
 Filter
--- a/packages/router/src/match_route.cc
+++ b/packages/router/src/match_route.cc
@@ -11,6 +11,9 @@
 // Pause before a caller asks a router again that knows no routes yet.
 constexpr double kNoRoutesRetrySeconds = 0.5;
 
+// Other routers can serve the request at once.
+constexpr double kStoppingRetrySeconds = 0.02;
+
 void
 RefuseCall(const RequestPtr& aRequest,
            unsigned aStatus,
@@ -70,6 +73,7 @@
 void
 Match(const RequestPtr& aRequest,
       RoutedCall aCall,
+      const std::function<bool(Duration)>& aMayBegin,
       const RandomSource& aRandom,
       const Next& aNext)
 {
@@ -94,6 +98,15 @@
   if (aCall.description.patience) {
     patience = std::min<Duration>(patience, *aCall.description.patience);
   }
+  if (!aMayBegin(patience)) {
+    Refuse(aRequest,
+           { 503,
+             "stopping",
+             "this router stops before the request would be done",
+             RanState::NotRun,
+             kStoppingRetrySeconds });
+    return;
+  }
   aRequest->deadline = aRequest->startedAt + patience;
   aCall.giveUpAt = *aRequest->deadline + kTimeoutGrace;
   aRequest->call = std::move(aCall);
@@ -104,10 +117,13 @@
 } // namespace
 
 Filter
-MakeMatchRoute(std::shared_ptr<const RouteProtocol> aProtocol)
+MakeMatchRoute(std::shared_ptr<const RouteProtocol> aProtocol,
+               std::function<bool(Duration)> aMayBegin)
 {
-  return [protocol = std::move(aProtocol), random = net::MakeRandomSource()](
-           const RequestPtr& aRequest, Next aNext) {
+  return [protocol = std::move(aProtocol),
+          mayBegin = std::move(aMayBegin),
+          random = net::MakeRandomSource()](const RequestPtr& aRequest,
+                                            Next aNext) {
     auto description = protocol->readCall(aRequest->exchange->Request());
     if (description.has_error()) {
       RefuseCall(aRequest, 400, "invalid_request", description.error());
@@ -120,7 +136,7 @@
     aRequest->exchange->Task()
       .request(
         aRequest->controllers.configuration, caf::infinite, GetConfiguration{})
-      .then([aRequest, random, call, next = std::move(aNext)](
+      .then([aRequest, mayBegin, random, call, next = std::move(aNext)](
               ConfigurationInForce& aReply) mutable {
         if (!aReply.table) {
           Refuse(aRequest,
@@ -133,7 +149,7 @@
         }
         aRequest->snapshot = aReply.snapshot;
         call.table = aReply.table;
-        Match(aRequest, std::move(call), random, next);
+        Match(aRequest, std::move(call), mayBegin, random, next);
       });
   };
 }
--- a/packages/router/src/router.cc
+++ b/packages/router/src/router.cc
@@ -1,5 +1,6 @@
 #include "controllers.h"
 #include "filter_chain.h"
+#include "stop_plan.h"
 
 #include <boost/json.hpp>
 #include <caf/send.hpp>
@@ -14,43 +15,6 @@
 // Longest wait of a question to a controller.
 constexpr Duration kAnswerLimit = std::chrono::seconds(1);
 
-// Times of a graceful stop.
-struct DrainTimes
-{
-  // Callers may still come, since they keep entry answers.
-  Duration serve{};
-  // Longest wait for requests in flight after that.
-  Duration finish = std::chrono::minutes(10);
-  // Longest wait for control to count what was spent; after that it stays
-  // charged to the session as unreported.
-  Duration report = std::chrono::seconds(60);
-};
-
-// Time after the keep time of an answer in which other routers learn that this
-// one is leaving.
-constexpr Duration kLearnTime = std::chrono::seconds(1);
-
-// Parts of the time until the process is killed: most of it callers may still
-// come, and the last part is for reports to control.
-constexpr double kServePart = 0.55;
-constexpr double kReportPart = 0.12;
-
-DrainTimes
-MakeDrainTimes(const settings::ProcessSettings& aSettings)
-{
-  if (!aSettings.routes) {
-    return { aSettings.entryKeepTime + kLearnTime };
-  }
-  auto part = [&](double aPart) {
-    return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(aSettings.routes->stopTime) * aPart);
-  };
-  DrainTimes times{ part(kServePart) };
-  times.report = part(kReportPart);
-  times.finish = part(1 - kServePart - 2 * kReportPart);
-  return times;
-}
-
 // Budgets of routed requests must outlast the time in which routers are cut off
 // from control.
 budget::PurseOptions
@@ -102,11 +66,15 @@
 }
 
 std::vector<Filter>
-MakeFilters(const std::shared_ptr<const RouteProtocol>& aProtocol)
+MakeFilters(const std::shared_ptr<const RouteProtocol>& aProtocol,
+            std::function<bool(Duration)> aMayBegin)
 {
   if (aProtocol) {
     return {
-      MakeMatchRoute(aProtocol), MakeReserve(), MakeRecheck(), MakeForward()
+      MakeMatchRoute(aProtocol, std::move(aMayBegin)),
+      MakeReserve(),
+      MakeRecheck(),
+      MakeForward(),
     };
   }
   return { MakeAuthenticate(), MakeDescribe(), MakeAdmit(),  MakeOperation(),
@@ -121,12 +89,12 @@
             net::Runtime aRuntime,
             Controllers aControllers,
             caf::actor aServer,
-            DrainTimes aTimes,
+            StopPlan aPlan,
             std::function<void()> aStopped)
     : net::IoTask(aConfig, aRuntime)
     , controllers(std::move(aControllers))
     , server(std::move(aServer))
-    , times(aTimes)
+    , plan(aPlan)
     , stopped(std::move(aStopped))
   {
   }
@@ -140,18 +108,18 @@
              "leaving: no longer in entry answers",
              { { "event", "leaving" } });
     this->send(this->controllers.link, SetLeaving{});
-    this->send(this->controllers.budget, ExpectClaims{ this->times.serve });
+    this->send(this->controllers.budget, ExpectClaims{ this->plan.serve });
     this->send(this->server, net::CloseAfterAnswers{});
-    this->After(this->times.serve, [this] {
+    this->After(this->plan.serve, [this] {
       net::Log(net::LogLevel::Info,
                "leaving: finishing requests in flight",
                { { "event", "finishing" } });
       // The stop runs in a task of its own; what follows runs in this one.
       auto executor = this->Executor();
       net::StopServer(
-        this->GetRuntime(), this->server, this->times.finish, [this, executor] {
+        this->GetRuntime(), this->server, this->plan.finish, [this, executor] {
           executor.Post(std::make_shared<std::function<void()>>([this] {
-            this->deadline = net::Now(this->GetRuntime()) + this->times.report;
+            this->deadline = net::Now(this->GetRuntime()) + this->plan.report;
             this->WaitForOperations();
           }));
         });
@@ -210,7 +178,7 @@
 
   Controllers controllers;
   caf::actor server;
-  DrainTimes times;
+  StopPlan plan;
   std::function<void()> stopped;
   TimePoint deadline{};
 };
@@ -225,7 +193,10 @@
     , settings(aSettings)
     , protocol(aProtocol ? std::make_shared<const RouteProtocol>(*aProtocol)
                          : nullptr)
-    , chain(MakeFilters(this->protocol))
+    , plan(MakeStopPlan(aSettings))
+    , chain(MakeFilters(this->protocol, [this](Duration aPatience) {
+      return !this->isDraining || this->CanBegin(aPatience);
+    }))
   {
   }
 
@@ -270,13 +241,15 @@
 
   void Drain(std::function<void()> aStopped) override
   {
-    if (this->isDraining.exchange(true)) {
+    if (this->isStopOrdered.exchange(true)) {
       return;
     }
+    this->stopAt = net::Now(this->runtime).time_since_epoch().count();
+    this->isDraining = true;
     this->runtime.system->spawn<DrainTask>(this->runtime,
                                            this->controllers,
                                            this->server,
-                                           MakeDrainTimes(this->settings),
+                                           this->plan,
                                            std::move(aStopped));
   }
 
@@ -365,14 +338,26 @@
     this->chain.Run(request);
   }
 
+  // Returns whether a request that may take this long can be finished although
+  // this router stops.
+  bool CanBegin(Duration aPatience) const
+  {
+    auto now = net::Now(this->runtime).time_since_epoch();
+    return MayBegin(this->plan, now - Duration(this->stopAt), aPatience);
+  }
+
   net::Runtime runtime;
   settings::ProcessSettings settings;
   std::shared_ptr<const RouteProtocol> protocol;
+  StopPlan plan;
   FilterChain chain;
   RandomSource random = net::MakeRandomSource();
   Controllers controllers;
   caf::actor server;
+  // When the stop was ordered; callers' tasks read it.
+  std::atomic<Duration::rep> stopAt{ 0 };
   std::atomic<bool> isDraining{ false };
+  std::atomic<bool> isStopOrdered{ false };
   std::function<void()> onDrained = [] {};
 };
 
--- a/packages/settings/include/lycheestand/settings.h
+++ b/packages/settings/include/lycheestand/settings.h
@@ -58,11 +58,11 @@
 // How requests of the table of routes are served.
 struct RouteSettings
 {
-  // Retries to a service as a share of its requests, and beyond that in one
-  // window, of all routers together. The operator of the services sets them.
+  // Retries to a service as a share of its requests, and beyond that, of all
+  // routers together. The operator of the services sets them. What is beyond
+  // the share comes back only with requests, so the limit holds in any window.
   double retryShare = 0.1;
   double fleetRetryBurst = 10;
-  Milliseconds retryWindow{ 10000 };
   // Time from the order to stop until the process is killed.
   Milliseconds stopTime{ 8000 };
   // Time for which callers may keep an entry answer.
