--- a/packages/router/src/router.cc
+++ b/packages/router/src/router.cc
@@ -195,7 +195,7 @@
                          : nullptr)
     , plan(MakeStopPlan(aSettings))
     , chain(MakeFilters(this->protocol, [this](Duration aPatience) {
-      return !this->isDraining || this->CanBegin(aPatience);
+      return !this->IsStopping() || this->CanBegin(aPatience);
     }))
   {
   }
@@ -241,11 +241,11 @@
 
   void Drain(std::function<void()> aStopped) override
   {
-    if (this->isStopOrdered.exchange(true)) {
+    Duration::rep notStopping = 0;
+    auto now = net::Now(this->runtime).time_since_epoch().count();
+    if (!this->stopAt.compare_exchange_strong(notStopping, now)) {
       return;
     }
-    this->stopAt = net::Now(this->runtime).time_since_epoch().count();
-    this->isDraining = true;
     this->runtime.system->spawn<DrainTask>(this->runtime,
                                            this->controllers,
                                            this->server,
@@ -268,7 +268,7 @@
         [this, aDone](const ConfigurationInForce& aReply) {
           bool isSet = this->protocol ? aReply.table != nullptr
                                       : aReply.snapshot != nullptr;
-          aDone(isSet && !this->isDraining);
+          aDone(isSet && !this->IsStopping());
         },
         [aDone](const caf::error&) { aDone(false); });
   }
@@ -338,6 +338,8 @@
     this->chain.Run(request);
   }
 
+  bool IsStopping() const { return this->stopAt != 0; }
+
   // Returns whether a request that may take this long can be finished although
   // this router stops.
   bool CanBegin(Duration aPatience) const
@@ -354,10 +356,8 @@
   RandomSource random = net::MakeRandomSource();
   Controllers controllers;
   caf::actor server;
-  // When the stop was ordered; callers' tasks read it.
+  // When the stop was ordered, 0 before; callers' tasks read it.
   std::atomic<Duration::rep> stopAt{ 0 };
-  std::atomic<bool> isDraining{ false };
-  std::atomic<bool> isStopOrdered{ false };
   std::function<void()> onDrained = [] {};
 };
 
