--- a/packages/consensus/include/lycheestand/consensus.h
+++ b/packages/consensus/include/lycheestand/consensus.h
@@ -353,6 +353,8 @@
   bool IsQuorum(const std::set<Member>& aMembers) const;
   bool HasLiveLeader() const;
   void ResetElectionTimer();
+  // Returns one to two times a base, drawn at random.
+  Duration DrawElectionDelay(Duration aBase);
   void BecomeFollower(Term aTerm, std::optional<Member> aLeader);
   void StartElection(bool aIsPreVote);
   void BecomeLeader();
--- a/packages/consensus/src/election.cc
+++ b/packages/consensus/src/election.cc
@@ -45,8 +45,14 @@
   if (!this->hasHeardLeader) {
     base /= kEarlyElectionPart;
   }
-  auto extra = this->random(static_cast<std::uint64_t>(base.count()));
-  this->electionDue = this->now + base + Duration(extra);
+  this->electionDue = this->now + this->DrawElectionDelay(base);
+}
+
+Duration
+Node::DrawElectionDelay(Duration aBase)
+{
+  auto extra = this->random(static_cast<std::uint64_t>(aBase.count()));
+  return aBase + Duration(extra);
 }
 
 void
@@ -98,10 +104,9 @@
   this->now = aNow;
   if (this->role == Role::Follower && this->leader &&
       this->leader->instance == aPeer) {
-    auto base = this->options.electionTimeout / kEarlyElectionPart;
-    auto extra = this->random(static_cast<std::uint64_t>(base.count()));
-    this->electionDue =
-      std::min(this->electionDue, this->now + base + Duration(extra));
+    auto delay = this->DrawElectionDelay(this->options.electionTimeout /
+                                         kEarlyElectionPart);
+    this->electionDue = std::min(this->electionDue, this->now + delay);
     this->isLeaderLinkLost = true;
   }
   return this->Finish();
--- a/packages/state/src/budget_ledger.cc
+++ b/packages/state/src/budget_ledger.cc
@@ -72,13 +72,18 @@
 
 namespace {
 
+Tokens
+HeldBy(const Budget& aBudget, SessionId aSession)
+{
+  auto found = aBudget.outstanding.find(aSession);
+  return found != aBudget.outstanding.end() ? found->second : Tokens(0);
+}
+
 // Returns how much of a budget a grant may take; 0 if it has too little room.
 Tokens
 SizeGrant(const Budget& aBudget, const GrantTokens& aCommand)
 {
-  auto found = aBudget.outstanding.find(aCommand.session);
-  std::int64_t own =
-    found != aBudget.outstanding.end() ? found->second.Get() : 0;
+  std::int64_t own = HeldBy(aBudget, aCommand.session).Get();
   std::int64_t free = aBudget.Free().Get();
   if (!aCommand.isAhead) {
     Tokens share(free / kLargestShare);
@@ -132,9 +137,8 @@
     bool mayReturn = session != aCommand.session && aIsOpen(session);
     others += mayReturn ? tokens : Tokens(0);
   }
-  auto own = budget.outstanding.find(aCommand.session);
-  reply.holdsMost = own != budget.outstanding.end() &&
-                    own->second.Get() >= kMostFactor * others.Get();
+  Tokens own = HeldBy(budget, aCommand.session);
+  reply.holdsMost = own > Tokens(0) && own.Get() >= kMostFactor * others.Get();
   if (reply.tokens == Tokens(0)) {
     reply.exhausted = budget.Free() + others < aCommand.minimum;
   }
@@ -152,10 +156,8 @@
     if (budget == nullptr) {
       return false;
     }
-    auto held = budget->outstanding.find(aCommand.session);
-    bool holds = held != budget->outstanding.end();
     Tokens& rest =
-      left.try_emplace(entry.workspace, holds ? held->second : Tokens(0))
+      left.try_emplace(entry.workspace, HeldBy(*budget, aCommand.session))
         .first->second;
     for (Tokens amount : { entry.spent, entry.returned }) {
       if (amount < Tokens(0) || amount > rest) {
