--- a/packages/control/src/control.cc
+++ b/packages/control/src/control.cc
@@ -24,6 +24,18 @@
   return reply;
 }
 
+void
+LogReplacement(ConfigVersion aVersion, const RoutesReply& aReply)
+{
+  if (aReply.leadershipStatus == LeadershipStatus::Leader) {
+    net::Log(net::LogLevel::Info,
+             "route table committed",
+             { { "event", "routes_committed" },
+               { "version", std::to_string(aVersion.Get()) },
+               { "in_force", std::to_string(aReply.document.version.Get()) } });
+  }
+}
+
 class ControlInstance : public Control
 {
 public:
@@ -42,12 +54,13 @@
                      RoutesDocument aDocument,
                      RoutesCallback aDone) override
   {
+    auto version = aDocument.version;
     state::ReplaceRoutes command{ aDocument.version,
                                   std::move(aDocument.text),
                                   std::move(aDocument.prepaid) };
     aTask.request(this->replica, kReplicaTimeout, Propose{ std::move(command) })
       .then(
-        [aDone](const ProposalResult& aResult) {
+        [aDone, version](const ProposalResult& aResult) {
           RoutesReply reply =
             MakeReply(aResult.outcome.has_value(), aResult.leader);
           if (aResult.outcome) {
@@ -59,6 +72,7 @@
           } else if (aResult.isUnknown) {
             reply.leadershipStatus = LeadershipStatus::Unknown;
           }
+          LogReplacement(version, reply);
           aDone(reply);
         },
         [aDone](const caf::error&) { aDone({}); });
--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -448,6 +448,12 @@
     for (auto& [id, link] : this->links) {
       this->PushUpdates(link);
     }
+    net::Log(net::LogLevel::Info,
+             "revision pushed",
+             { { "event", "revision_pushed" },
+               { "revision", std::to_string(aChanged.revision.Get()) },
+               { "bytes", std::to_string(aChanged.document->size()) },
+               { "routers", std::to_string(this->routers.size()) } });
   }
 
   void PushUpdates(LinkState& aState)
--- a/packages/control/src/replica.cc
+++ b/packages/control/src/replica.cc
@@ -14,6 +14,20 @@
 
 constexpr int kStorageFailureExitCode = 4;
 
+// Time without a leader after which a warning is logged, and the interval at
+// which it is repeated. An election normally takes less than two seconds.
+constexpr Duration kNoLeaderWarningInterval = std::chrono::seconds(3);
+
+std::string
+JoinInstances(const std::set<consensus::Member>& aMembers)
+{
+  std::string out;
+  for (const auto& member : aMembers) {
+    out += (out.empty() ? "" : " ") + member.instance.Get();
+  }
+  return out;
+}
+
 // Owns the consensus node and the state machine. Passes inputs to the node and
 // carries out the effects that it returns.
 class Replica : public net::IoTask
@@ -77,6 +91,7 @@
   void TickPeriodically()
   {
     this->ProcessEffects(this->node.Tick(net::Now(this->GetRuntime())));
+    this->WarnIfNoLeader();
     this->After(kTickInterval, [this] { this->TickPeriodically(); });
   }
 
@@ -219,6 +234,7 @@
     }
     this->PublishLeadership();
     this->PublishRevision();
+    this->LogMembers();
     this->CompleteReads(aEffects.confirmedReads, true);
     this->CompleteReads(aEffects.failedReads, false);
     this->CompactIfNeeded();
@@ -313,6 +329,47 @@
     }
   }
 
+  void LogMembers()
+  {
+    const auto& members = this->node.Members();
+    if (members == this->loggedMembers) {
+      return;
+    }
+    this->loggedMembers = members;
+    auto voters = members.voters.size();
+    net::Metrics()
+      .GetGauge("lycheestand_control_voters")
+      .Set(static_cast<std::int64_t>(voters));
+    net::Log(net::LogLevel::Info,
+             "the members of the control group have changed",
+             { { "event", "control_members" },
+               { "voters", JoinInstances(members.voters) },
+               { "learners", JoinInstances(members.learners) },
+               { "tolerated_losses",
+                 std::to_string(voters == 0 ? 0 : (voters - 1) / 2) } });
+  }
+
+  void WarnIfNoLeader()
+  {
+    auto now = net::Now(this->GetRuntime());
+    if (this->node.Leader() || this->noLeaderSince == TimePoint()) {
+      this->noLeaderSince = now;
+      return;
+    }
+    if (now - this->noLeaderSince < kNoLeaderWarningInterval) {
+      return;
+    }
+    this->noLeaderSince = now;
+    net::Log(
+      net::LogLevel::Warning,
+      "the control group has no leader",
+      { { "event", "no_leader" },
+        { "voters", JoinInstances(this->node.Members().voters) },
+        { "linked", std::to_string(this->links.size()) },
+        { "term", std::to_string(this->node.CurrentTerm().Get()) },
+        { "last_index", std::to_string(this->node.LastIndex().Get()) } });
+  }
+
   void CompactIfNeeded()
   {
     if (this->state.ShouldCompact(this->node.SnapshotIndex())) {
@@ -368,6 +425,10 @@
   bool isWriting = false;
   LeadershipChanged publishedLeadership;
   Revision publishedRevision;
+  consensus::Configuration loggedMembers;
+  // Start of the current period without a leader; while there is one, the
+  // current time.
+  TimePoint noLeaderSince{};
 };
 
 consensus::Options
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -99,6 +99,7 @@
   Result<void, std::string> Start(const net::FleetKey& aKey)
   {
     auto pool = net::SpawnConnectionPool(this->runtime);
+    net::StartDelayProbe(this->runtime);
     if (this->settings.role != settings::Role::Router) {
       auto control = control::StartControl(
         this->runtime,
--- a/packages/net/include/lycheestand/net.h
+++ b/packages/net/include/lycheestand/net.h
@@ -44,6 +44,20 @@
 RandomSource
 MakeRandomSource();
 
+// Returns how long the process's tasks currently wait before they run; 0 if the
+// process has time to spare. Thread-safe.
+using DelaySource = std::function<Duration()>;
+
+// A task that measures this delay, and logs it if it is a second or more.
+struct DelayProbe
+{
+  caf::actor task;
+  DelaySource delay;
+};
+
+DelayProbe
+StartDelayProbe(const Runtime& aRuntime);
+
 // Message that makes a task run a completion handler.
 struct PostedHandler
 {
--- a/packages/router/src/endpoint_controller.cc
+++ b/packages/router/src/endpoint_controller.cc
@@ -12,9 +12,6 @@
 // sent to admission.
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 
-// The process counts as stalled if two ticks are at least this far apart.
-constexpr Duration kStallTime = std::chrono::seconds(1);
-
 // Shortest interval between two reports of an endpoint.
 constexpr Duration kMinReportInterval = std::chrono::milliseconds(500);
 
@@ -230,7 +227,6 @@
   void Tick()
   {
     auto now = this->Time();
-    this->LogStall(now);
     for (auto& [id, polled] : this->polled) {
       if (polled.isRequestPending || !this->options.pollsEndpoints) {
         continue;
@@ -245,21 +241,6 @@
     this->After(kTickInterval, [this] { this->Tick(); });
   }
 
-  // Without this line, a machine that was suspended would only show as a gap in
-  // the log.
-  void LogStall(TimePoint aNow)
-  {
-    if (this->lastTick != TimePoint{} && aNow - this->lastTick >= kStallTime) {
-      auto stalled =
-        std::chrono::duration_cast<Milliseconds>(aNow - this->lastTick);
-      net::Log(
-        net::LogLevel::Warning,
-        "the process was stalled",
-        { { "event", "stalled" }, { "ms", std::to_string(stalled.count()) } });
-    }
-    this->lastTick = aNow;
-  }
-
   // Returns the interval at which each endpoint is polled once for its load and
   // once for its events.
   Duration PollInterval() const
@@ -392,7 +373,6 @@
   std::map<EndpointId, PolledEndpoint> polled;
   std::map<std::string, unsigned> publishedPools;
   std::size_t routerCount = 1;
-  TimePoint lastTick{};
 };
 
 } // namespace
