--- /dev/null
+++ b/test/faults/platform_fleet.h
@@ -0,0 +1,87 @@
+#ifndef LYCHEESTAND_TEST_FAULTS_PLATFORM_FLEET_H
+#define LYCHEESTAND_TEST_FAULTS_PLATFORM_FLEET_H
+
+// Test fixture that runs processes with the settings files of the users'
+// platform: every machine has an IP address of its own, and all use the same
+// ports.
+
+#include "http_client.h"
+
+#include <boost/json.hpp>
+#include <memory>
+
+namespace lycheestand::faults {
+
+namespace json = boost::json;
+
+// What the settings file of a machine's process says besides its address.
+struct MachineOptions
+{
+  // Numbers of the machines that are the seeds.
+  std::vector<int> seeds;
+  // The whole system starts for the first time.
+  bool bootstrap = false;
+  // The machine has a disk.
+  bool hasDisk = true;
+  // Number of machines with disks that may be lost at once.
+  int toleratedLosses = 1;
+};
+
+// Machines are numbered from 1. A machine runs one process, which is control or
+// a router. Machines 1, 2 and 3 are in different availability zones, and so on
+// in turn.
+class PlatformFleet
+{
+public:
+  explicit PlatformFleet(std::string aCase);
+  ~PlatformFleet();
+  PlatformFleet(const PlatformFleet&) = delete;
+  PlatformFleet& operator=(const PlatformFleet&) = delete;
+
+  // Writes the settings file of a machine and starts its process. A process
+  // that runs is not started again.
+  void StartControl(int aMachine, const MachineOptions& aOptions);
+  void StartRouter(int aMachine, const MachineOptions& aOptions);
+  Process& Machine(int aMachine) { return *this->processes.at(aMachine); }
+  void KillAll();
+  // Deletes the disk of a machine, whose process must not be running.
+  void LoseDisk(int aMachine);
+
+  // Returns the number of voters that a control instance knows, or -1 if it
+  // does not answer.
+  std::int64_t CountVoters(int aMachine) const;
+  // Returns whether a control instance leads its group.
+  bool IsLeader(int aMachine) const;
+  // Returns the value of a metric without labels, or -1.
+  std::int64_t ReadMetric(int aMachine,
+                          bool aIsControl,
+                          const char* aName) const;
+
+  // Sends a configuration with one route to a control instance, follows
+  // redirects as an operator does, and returns the status.
+  unsigned PutConfiguration(int aMachine, int aVersion);
+  // Returns the version of the configuration that an operator reads at a
+  // control instance, or -1.
+  std::int64_t ReadVersion(int aMachine);
+  // Returns whether a router says that it is ready.
+  bool IsReady(int aMachine) const;
+  // Returns the status of a GET request to a router, for the route of the
+  // configuration.
+  Reply GetFromRouter(int aMachine, Duration aTimeout = 5s) const;
+
+private:
+  void Start(int aMachine,
+             const MachineOptions& aOptions,
+             const std::string& aRole);
+  // Sends a request of an operator; follows up to two redirects.
+  Reply SendToControl(int aMachine, const Call& aCall) const;
+
+  std::string name;
+  TestEnvironment environment;
+  std::map<int, std::unique_ptr<Process>> processes;
+  int uncaughtExceptions;
+};
+
+} // namespace lycheestand::faults
+
+#endif
--- a/test/faults/process.cc
+++ b/test/faults/process.cc
@@ -89,6 +89,13 @@
   return { this->host, this->nextPort++ };
 }
 
+std::string
+TestEnvironment::MachineIp(int aNumber) const
+{
+  return this->host.substr(0, this->host.rfind('.') + 1) +
+         std::to_string(aNumber + 1);
+}
+
 Process::Process(std::string aName,
                  std::filesystem::path aLog,
                  std::vector<std::string> aCommand)
--- a/test/faults/process.h
+++ b/test/faults/process.h
@@ -35,6 +35,10 @@
   // Returns the test's address with a port that it has not returned before.
   Address NextAddress();
 
+  // Returns the IP address of a simulated machine, by its number from 1 to 250.
+  // No other running test uses it, so its processes may use any port.
+  std::string MachineIp(int aNumber) const;
+
   const std::filesystem::path& Folder() const { return this->folder; }
 
   // Keeps the folder after destruction, for the logs of a failed test.
