Let the control group have as many voters as the tolerated losses need

Cause: the members of the group were the seeds of the first start, three at most, whatever the platform asks to bear, and no other instance could ever join. Ruled out: a lost write (the third instance recovers 1,535 records), a slow election (no vote is possible with one voter of three).

Change: the number of voters follows from the losses to bear, 2n + 1. Any control instance that reaches a member may join; those beyond the voters stand by as learners and replace voters that are out of contact. The log holds the members' addresses and zones. Members tell others who forms the group and who leads, so that routers and new instances need only some addresses. An instance without a disk redirects operators.

New: group-replaced, group-seeds, group-no-disk.

--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -57,9 +57,9 @@
     set_tests_properties(faults_${case} PROPERTIES LABELS "${LABEL}" TIMEOUT 180 PROCESSORS 3)
   endforeach()
 endfunction()
-lycheestand_fault_cases(short group-two-disks budget-partition answers-killed not-run once-killed once-retry
+lycheestand_fault_cases(short group-two-disks group-no-disk budget-partition answers-killed not-run once-killed once-retry
                         once-no-answer once-left leaving planned-stop config-cut)
-lycheestand_fault_cases(long budget-killed budget-frozen answers-broken once-race once-cut
+lycheestand_fault_cases(long group-replaced group-seeds budget-killed budget-frozen answers-broken once-race once-cut
                         config-one-way config-frozen config-restart control-race control-resent
                         control-killed control-isolated control-one-way control-disk control-restart
                         orders-fenced orders-ignored
--- a/packages/consensus/include/lycheestand/consensus.h
+++ b/packages/consensus/include/lycheestand/consensus.h
@@ -31,15 +31,30 @@
   friend auto operator<=>(const Member&, const Member&) = default;
 };
 
+// Where an instance runs and how others reach it.
+struct Location
+{
+  Address address;
+  ZoneId zone;
+
+  friend bool operator==(const Location&, const Location&) = default;
+};
+
 // The members of a group. Learners receive the log, but they start no elections
 // and do not count towards a quorum.
 struct Configuration
 {
   std::set<Member> voters;
   std::set<Member> learners;
+  // Locations of the members that have told theirs.
+  std::map<InstanceId, Location> locations;
 
   // Returns the member of an instance, voter or learner, if there is one.
   std::optional<Member> Find(const InstanceId& aInstance) const;
+  // Returns whether the member is a voter or a learner.
+  bool Contains(const Member& aMember) const;
+  // Removes a member with its location.
+  void Remove(const Member& aMember);
 
   friend bool operator==(const Configuration&, const Configuration&) = default;
 };
@@ -151,12 +166,14 @@
   // Bytes received so far.
   std::uint64_t offset = 0;
 };
-// Sent by an instance whose current disk is not in its newest configuration.
+// Sent by an instance whose current disk is not in its newest configuration, or
+// that hears of no leader and so may have been removed.
 struct JoinRequest
 {
   // The sender may take part in bootstrapping: its HardState allows it and its
   // log is empty.
   bool mayBootstrap = false;
+  Location location;
 };
 
 using MessageBody = std::variant<VoteRequest,
@@ -230,8 +247,13 @@
 {
   GroupId group;
   InstanceId self;
-  // All instances that may be members of the group, including self.
-  std::vector<InstanceId> instances;
+  // Where this instance runs; other members get it with the configuration.
+  Location location;
+  // The instances that form a new group. Any other instance joins later.
+  std::vector<InstanceId> founders;
+  // Number of voters that the group has while enough instances are live.
+  // Further members stay learners and replace voters that are lost.
+  std::size_t maxVoters = 5;
   // An election starts after one to two times this period without contact from
   // a leader. The delay is shorter after a start and after the connection to
   // the leader has closed.
@@ -302,6 +324,10 @@
   // JoinRequest.
   Effects Receive(TimePoint aNow, const Message& aMessage);
 
+  // Reports that a connection to an instance has opened. This member asks the
+  // connected instances to let it join the group.
+  void HandleConnect(const InstanceId& aPeer);
+
   // Reports that the connection to an instance has closed, possibly because its
   // process ended.
   Effects HandleDisconnect(TimePoint aNow, const InstanceId& aPeer);
@@ -442,6 +468,18 @@
   void BootstrapGroup();
   void ProposeNextConfiguration();
   std::optional<Configuration> NextConfiguration() const;
+  bool HasLiveQuorum(const Configuration& aMembers) const;
+  std::size_t CountLive(const std::set<Member>& aMembers) const;
+  bool IsLive(const Member& aMember) const;
+  bool IsExpired(const Member& aMember, int aElectionTimeouts) const;
+  bool IsReplaced(const Member& aMember) const;
+  std::optional<Member> FindPromotable() const;
+  std::optional<Member> FindInLargestZone() const;
+  std::size_t CountVotersIn(const ZoneId& aZone) const;
+  ZoneId ZoneOf(const Member& aMember) const;
+  bool RemoveOne(Configuration& aNext) const;
+  bool PromoteOne(Configuration& aNext) const;
+  bool AddOne(Configuration& aNext) const;
   void ReloadMembers();
   void UpdateProgress();
 
@@ -491,10 +529,13 @@
   {
     DiskId disk;
     bool mayBootstrap = false;
+    Location location;
     TimePoint lastContact;
   };
   std::map<InstanceId, PendingJoin> pendingJoins;
   TimePoint joinDue;
+  // Instances to which there is a connection.
+  std::set<InstanceId> connected;
 
   // Snapshot being received.
   Snapshot incomingSnapshot;
--- a/packages/consensus/src/election.cc
+++ b/packages/consensus/src/election.cc
@@ -96,12 +96,19 @@
   this->ResetElectionTimer();
 }
 
+void
+Node::HandleConnect(const InstanceId& aPeer)
+{
+  this->connected.insert(aPeer);
+}
+
 // The leader stays known until the election starts, so that a connection that
 // is reset and reopened in the meantime causes no election.
 Effects
 Node::HandleDisconnect(TimePoint aNow, const InstanceId& aPeer)
 {
   this->now = aNow;
+  this->connected.erase(aPeer);
   if (this->role == Role::Follower && this->leader &&
       this->leader->instance == aPeer) {
     auto delay = this->DrawElectionDelay(this->options.electionTimeout /
--- a/packages/consensus/src/node.cc
+++ b/packages/consensus/src/node.cc
@@ -33,6 +33,20 @@
   return std::nullopt;
 }
 
+bool
+Configuration::Contains(const Member& aMember) const
+{
+  return this->voters.contains(aMember) || this->learners.contains(aMember);
+}
+
+void
+Configuration::Remove(const Member& aMember)
+{
+  this->voters.erase(aMember);
+  this->learners.erase(aMember);
+  this->locations.erase(aMember.instance);
+}
+
 Node::Node(Options aOptions,
            RecoveredState aRecovered,
            RandomSource aRandom,
@@ -100,9 +114,7 @@
   // A message to another disk of this instance is not for this member, and a
   // reply from another disk of a member's instance is not from that member.
   if (aMessage.to != this->self ||
-      (IsReply(aMessage.body) &&
-       !this->members.voters.contains(aMessage.from) &&
-       !this->members.learners.contains(aMessage.from))) {
+      (IsReply(aMessage.body) && !this->members.Contains(aMessage.from))) {
     return this->TakeEffects();
   }
   if (this->AcceptTerm(aMessage)) {
--- a/packages/consensus/test/random_faults_test.cc
+++ b/packages/consensus/test/random_faults_test.cc
@@ -14,7 +14,13 @@
 {
 public:
   RandomFaultRun(std::size_t aCount, unsigned aSeed)
-    : simulation(aCount, aSeed)
+    : RandomFaultRun(aCount, aSeed, { aCount, aCount, 1 })
+  {
+  }
+
+  RandomFaultRun(std::size_t aCount, unsigned aSeed, Simulation::Size aSize)
+    : simulation(aCount, aSeed, aSize)
+    , toleratedLosses((aSize.maxVoters - 1) / 2)
   {
     this->simulation.stepsPerSync = 1 + aSeed % 12;
   }
@@ -78,7 +84,7 @@
       case 11:
       case 12:
       case 13:
-        this->LoseDisk(host);
+        this->LoseDisks(host);
         break;
       default:
         break;
@@ -94,16 +100,33 @@
     }
   }
 
-  // Loses a disk only while all instances are voters: the log cannot survive
-  // the loss of a majority.
-  void LoseDisk(std::size_t aHost)
+  // Loses as many disks as the group bears, and only while it has all voters:
+  // the log can't survive the loss of a majority. Every other time all other
+  // instances lose power at that moment.
+  void LoseDisks(std::size_t aFirst)
   {
-    if (this->simulation.HasAllVoters()) {
-      this->simulation.Crash(aHost);
-      this->simulation.LoseDisk(aHost);
-      this->simulation.Start(aHost);
+    if (!this->simulation.HasFullGroup()) {
+      return;
+    }
+    std::size_t count = this->simulation.hosts.size();
+    bool isPowerLost = this->simulation.Random(2) == 0;
+    for (std::size_t host = 0; host < count && isPowerLost; ++host) {
+      if (this->simulation.hosts[host].node) {
+        this->simulation.Crash(host);
+      }
+    }
+    for (std::size_t i = 0; i < this->toleratedLosses; ++i) {
+      std::size_t host = (aFirst + i) % count;
+      if (this->simulation.hosts[host].node) {
+        this->simulation.Crash(host);
+      }
+      this->simulation.LoseDisk(host);
+      this->simulation.Start(host);
       ++this->lostDisks;
     }
+    if (isPowerLost) {
+      this->StartAll();
+    }
   }
 
   void ProposeAndRead(int aStep)
@@ -148,8 +171,10 @@
   {
     this->simulation.network = {};
     this->StartAll();
+    // A leader that was partitioned until now steps down within this time.
+    this->simulation.Run(Milliseconds(3000));
     CHECK(this->simulation.RunUntil(
-      [this] { return this->simulation.HasAllVoters(); }));
+      [this] { return this->simulation.HasFullGroup(); }));
     CHECK(this->simulation.Commit("healed"));
     CHECK(this->simulation.RunUntil(
       [this] { return this->simulation.HasConverged(); }));
@@ -172,6 +197,7 @@
   }
 
   Simulation simulation;
+  std::size_t toleratedLosses;
   std::size_t lostDisks = 0;
   std::uint64_t reads = 0;
 };
@@ -197,3 +223,22 @@
   CHECK(committedEntries > 20000);
   CHECK(lost > 300);
 }
+
+// Guards against the same faults while instances join a group, replace lost
+// voters and are replaced.
+TEST_CASE("groups with standby instances agree and lose nothing")
+{
+  std::size_t committedEntries = 0;
+  std::size_t lost = 0;
+  for (unsigned seed = 1; seed <= 160; ++seed) {
+    INFO("seed " << seed);
+    Simulation::Size size{ 3, seed % 2 == 0 ? 5U : 3U, 1 + seed % 3 };
+    RandomFaultRun run(size.maxVoters + 1 + seed % 3, seed, size);
+    run.Run();
+    committedEntries += run.CommittedEntries();
+    lost += run.LostDisks();
+  }
+  INFO("entries " << committedEntries << ", disks " << lost);
+  CHECK(committedEntries > 10000);
+  CHECK(lost > 150);
+}
--- a/packages/consensus/test/simulation.cc
+++ b/packages/consensus/test/simulation.cc
@@ -42,6 +42,19 @@
   return out;
 }
 
+bool
+HasCommittedMembers(const Node& aNode)
+{
+  const Log& log = aNode.Entries();
+  for (auto index = log.Last(); index > aNode.CommitIndex();
+       index = LogIndex(index.Get() - 1)) {
+    if (std::holds_alternative<Configuration>(log.At(index).body)) {
+      return false;
+    }
+  }
+  return true;
+}
+
 std::vector<std::string>
 SplitLines(const std::string& aText)
 {
@@ -56,12 +69,16 @@
 } // namespace
 
 Simulation::Simulation(std::size_t aCount, unsigned aSeed)
-  : hosts(aCount)
+  : Simulation(aCount, aSeed, { aCount, aCount, 1 })
+{
+}
+
+Simulation::Simulation(std::size_t aCount, unsigned aSeed, Size aSize)
+  : size(aSize)
   , random(aSeed)
 {
   for (std::size_t i = 0; i < aCount; ++i) {
-    this->hosts[i].instance = InstanceId("c" + std::to_string(i));
-    this->hosts[i].disk.state.disk = DiskId(this->nextDisk++);
+    this->AddHost();
     this->hosts[i].disk.state.mayBootstrap = true;
   }
   for (std::size_t i = 0; i < aCount; ++i) {
@@ -69,6 +86,29 @@
   }
 }
 
+std::size_t
+Simulation::AddHost()
+{
+  std::size_t index = this->hosts.size();
+  Host host;
+  host.instance = InstanceId("c" + std::to_string(index));
+  host.disk.state.disk = DiskId(this->nextDisk++);
+  this->hosts.push_back(std::move(host));
+  return index;
+}
+
+// Opens connections between an instance and all other running ones.
+void
+Simulation::ConnectAll(std::size_t aHost)
+{
+  for (auto& other : this->hosts) {
+    if (other.node && other.instance != this->hosts[aHost].instance) {
+      other.node->HandleConnect(this->hosts[aHost].instance);
+      this->hosts[aHost].node->HandleConnect(other.instance);
+    }
+  }
+}
+
 std::uint64_t
 Simulation::Random(std::uint64_t aBound)
 {
@@ -87,10 +127,13 @@
   Host& host = this->hosts[aHost];
   Options options;
   options.self = host.instance;
+  options.location = { { "h", 1 },
+                       ZoneId("z" + std::to_string(aHost % this->size.zones)) };
+  options.maxVoters = this->size.maxVoters;
   options.trailingEntries = 20;
   options.snapshotChunkBytes = 100;
-  for (const auto& other : this->hosts) {
-    options.instances.push_back(other.instance);
+  for (std::size_t i = 0; i < this->size.founders; ++i) {
+    options.founders.push_back(this->hosts[i].instance);
   }
   host.applied.clear();
   if (host.disk.snapshot) {
@@ -101,6 +144,7 @@
     host.disk,
     [this](std::uint64_t aBound) { return this->Random(aBound); },
     this->now);
+  this->ConnectAll(aHost);
 }
 
 void
@@ -319,16 +363,43 @@
 bool
 Simulation::HasAllVoters() const
 {
-  Configuration allVoters;
+  std::set<Member> all;
   for (const auto& host : this->hosts) {
-    allVoters.voters.insert({ host.instance, host.disk.state.disk });
+    all.insert({ host.instance, host.disk.state.disk });
   }
   return std::all_of(
     this->hosts.begin(), this->hosts.end(), [&](const Host& aHost) {
-      return aHost.node && aHost.node->Members() == allVoters;
+      return aHost.node && aHost.node->Members().voters == all;
     });
 }
 
+bool
+Simulation::HasFullGroup() const
+{
+  auto leader = this->Leader();
+  if (!leader) {
+    return false;
+  }
+  const Node& node = *this->hosts[*leader].node;
+  const auto& members = node.Members();
+  if (!HasCommittedMembers(node)) {
+    return false;
+  }
+  std::size_t liveVoters = 0;
+  for (const auto& host : this->hosts) {
+    Member current{ host.instance, host.disk.state.disk };
+    if (!host.node) {
+      continue;
+    }
+    if (!members.Contains(current) || host.node->Members() != members) {
+      return false;
+    }
+    liveVoters += members.voters.contains(current) ? 1 : 0;
+  }
+  return liveVoters == this->size.maxVoters &&
+         members.voters.size() == this->size.maxVoters;
+}
+
 bool
 Simulation::HasConverged() const
 {
--- a/packages/consensus/test/simulation.h
+++ b/packages/consensus/test/simulation.h
@@ -21,6 +21,15 @@
     std::set<std::pair<std::size_t, std::size_t>> blockedLinks;
   };
 
+  // Which instances form the group, and how many of all become voters.
+  struct Size
+  {
+    std::size_t founders = 3;
+    std::size_t maxVoters = 3;
+    // Instances are spread over this many availability zones in turn.
+    std::size_t zones = 1;
+  };
+
   struct Host
   {
     InstanceId instance;
@@ -35,7 +44,9 @@
     std::size_t snapshotInstalls = 0;
   };
 
+  // All instances are founders and voters.
   Simulation(std::size_t aCount, unsigned aSeed);
+  Simulation(std::size_t aCount, unsigned aSeed, Size aSize);
 
   // Advances the clock in steps of 10 ms.
   void Run(Milliseconds aTime);
@@ -62,9 +73,17 @@
   void CloseConnections(std::size_t aHost);
   void Sync(std::size_t aHost);
 
+  // Adds an instance with an empty disk, which is not running yet; returns its
+  // index.
+  std::size_t AddHost();
+
   // Returns whether every instance is running and has a configuration in which
   // the current disks of all instances are voters.
   bool HasAllVoters() const;
+  // Returns whether the group has all its voters and they are running, and all
+  // running instances are members and agree on the members, which are
+  // committed.
+  bool HasFullGroup() const;
   // Returns whether all instances have applied the same commands.
   bool HasConverged() const;
 
@@ -86,11 +105,13 @@
   };
 
   std::size_t IndexOf(const InstanceId& aInstance) const;
+  void ConnectAll(std::size_t aHost);
   void HandleEffects(std::size_t aHost, Effects aEffects);
   void Apply(Host& aHost, const Entry& aEntry);
   void SendAll(std::size_t aHost, std::vector<Message>& aMessages);
   void Deliver();
 
+  Size size;
   std::mt19937_64 random;
   TimePoint now{ std::chrono::seconds(1000) };
   std::vector<InFlight> inFlight;
--- a/packages/consensus/test/single_node_test.cc
+++ b/packages/consensus/test/single_node_test.cc
@@ -15,9 +15,9 @@
   {
     Options options;
     options.self = this->self.instance;
-    options.instances = { this->self.instance,
-                          this->second.instance,
-                          this->third.instance };
+    options.founders = { this->self.instance,
+                         this->second.instance,
+                         this->third.instance };
     RecoveredState recovered;
     recovered.state.disk = this->self.disk;
     recovered.state.term = Term(1);
--- a/packages/control/src/control.cc
+++ b/packages/control/src/control.cc
@@ -123,14 +123,17 @@
              discovery::ListFormat aListFormat)
 {
   using R = Result<std::unique_ptr<Control>, std::string>;
-  if (aSettings.mayBootstrap) {
+  if (aSettings.mayBootstrap && !aSettings.dataFolder.empty()) {
     auto formatted = FormatDataFolderIfEmpty(aSettings);
     if (formatted.has_error()) {
       return R(boost::outcome_v2::in_place_type<std::string>,
                formatted.error());
     }
   }
-  auto spawned = SpawnReplica(aRuntime, aSettings, aKey);
+  auto spawned =
+    aSettings.dataFolder.empty()
+      ? Result<caf::actor, std::string>(SpawnGateway(aRuntime, aSettings, aKey))
+      : SpawnReplica(aRuntime, aSettings, aKey);
   if (spawned.has_error()) {
     return R(boost::outcome_v2::in_place_type<std::string>, spawned.error());
   }
--- a/packages/control/src/entry_codec.cc
+++ b/packages/control/src/entry_codec.cc
@@ -66,6 +66,45 @@
   return true;
 }
 
+json::object
+EncodeLocations(const consensus::Configuration& aMembers)
+{
+  json::object out;
+  for (const auto& [instance, location] : aMembers.locations) {
+    out[instance.Get()] =
+      json::array{ ToString(location.address), location.zone.Get() };
+  }
+  return out;
+}
+
+// Entries of earlier versions have no locations.
+bool
+DecodeLocations(const json::value& aDocument, consensus::Configuration& aOut)
+{
+  const auto* list = aDocument.as_object().if_contains("locations");
+  if (list == nullptr) {
+    return true;
+  }
+  if (!list->is_object()) {
+    return false;
+  }
+  for (const auto& item : list->get_object()) {
+    const auto* pair = item.value().if_array();
+    if (pair == nullptr || pair->size() != 2 || !(*pair)[0].is_string() ||
+        !(*pair)[1].is_string()) {
+      return false;
+    }
+    auto address = ParseAddress(std::string((*pair)[0].get_string()));
+    if (address.has_error()) {
+      return false;
+    }
+    aOut.locations[InstanceId(std::string(item.key()))] = {
+      address.value(), ZoneId(std::string((*pair)[1].get_string()))
+    };
+  }
+  return true;
+}
+
 } // namespace
 
 std::string
@@ -73,7 +112,8 @@
 {
   return json::serialize(
     json::object{ { "voters", EncodeMemberSet(aMembers.voters) },
-                  { "learners", EncodeMemberSet(aMembers.learners) } });
+                  { "learners", EncodeMemberSet(aMembers.learners) },
+                  { "locations", EncodeLocations(aMembers) } });
 }
 
 std::optional<consensus::Configuration>
@@ -83,7 +123,8 @@
   json::value document = json::parse({ aText.data(), aText.size() }, error);
   consensus::Configuration members;
   if (error || !DecodeMemberSet(document, "voters", members.voters) ||
-      !DecodeMemberSet(document, "learners", members.learners)) {
+      !DecodeMemberSet(document, "learners", members.learners) ||
+      !DecodeLocations(document, members)) {
     return std::nullopt;
   }
   return members;
--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -75,6 +75,10 @@
       [this](LeadershipChanged& aChanged) {
         this->HandleLeadershipChanged(aChanged);
       },
+      [this](GroupChanged& aChanged) {
+        this->group = std::move(aChanged.group);
+        ++this->groupVersion;
+      },
       [this](RevisionChanged& aChanged) { this->PushRevision(aChanged); },
       [this](discovery::ListUpdate& aList) { this->HandleListUpdate(aList); },
       [this](SetListReader& aSet) {
@@ -99,9 +103,11 @@
     caf::actor task;
     wire::Hello hello;
     bool isAccepted = false;
-    // Revision and view version that were last sent on this link.
+    // Revision, and versions of the view and of the control group, that were
+    // last sent on this link.
     Revision pushedRevision;
     ViewVersion pushedView;
+    std::uint64_t pushedGroup = 0;
   };
 
   struct RouterState
@@ -149,7 +155,8 @@
       return;
     }
     if (aHello.isControl) {
-      this->send(this->replica, PeerLink{ aHello.instance, aState.task });
+      this->send(this->replica,
+                 PeerLink{ aHello.instance, aState.task, true, false });
       return;
     }
     if (!this->isLeader) {
@@ -181,7 +188,8 @@
     router.entry.leaving = false;
     router.link = aLink;
     this->detector.Join(aState.hello.instance, net::Now(this->GetRuntime()));
-    this->SendTo(aState, wire::Welcome{ true, "", "" });
+    aState.pushedGroup = this->groupVersion;
+    this->SendTo(aState, wire::Welcome{ true, "", "", this->group });
     this->PushUpdates(aState);
     net::Log(net::LogLevel::Info,
              "router connected",
@@ -193,7 +201,8 @@
 
   void RefuseHello(LinkState& aState, const std::string& aReason)
   {
-    this->SendTo(aState, wire::Welcome{ false, this->leader.Get(), aReason });
+    this->SendTo(
+      aState, wire::Welcome{ false, this->leader.Get(), aReason, this->group });
   }
 
   // Replies once a quorum has confirmed, after the heartbeat arrived, that this
@@ -215,12 +224,21 @@
               const LeadershipConfirmation& aConfirmation) {
         auto found = this->links.find(aLink);
         if (found != this->links.end() && aConfirmation.isLeader) {
-          this->SendTo(found->second,
-                       wire::HeartbeatAck{ sentAt, aConfirmation.revision });
+          this->AcknowledgeHeartbeat(found->second,
+                                     { sentAt, aConfirmation.revision, {} });
         }
       });
   }
 
+  void AcknowledgeHeartbeat(LinkState& aState, wire::HeartbeatAck aAck)
+  {
+    if (aState.pushedGroup != this->groupVersion) {
+      aState.pushedGroup = this->groupVersion;
+      aAck.control = this->group;
+    }
+    this->SendTo(aState, aAck);
+  }
+
   void Handle(net::LinkId aLink,
               LinkState& aState,
               const wire::GrantRequest& aRequest)
@@ -394,27 +412,14 @@
     if (found == this->links.end()) {
       return;
     }
-    wire::Hello hello = found->second.hello;
+    LinkState closed = std::move(found->second);
     this->links.erase(found);
-    if (hello.isControl) {
-      this->send(
-        this->replica,
-        PeerLink{ hello.instance, this->FindPeerLink(hello.instance) });
+    if (closed.hello.isControl) {
+      this->send(this->replica,
+                 PeerLink{ closed.hello.instance, closed.task, false, false });
     }
   }
 
-  // Returns an open link with a control instance, or null. The instance may
-  // have reconnected before the end of its previous link was detected.
-  caf::actor FindPeerLink(const InstanceId& aInstance) const
-  {
-    for (const auto& [id, link] : this->links) {
-      if (link.hello.isControl && link.hello.instance == aInstance) {
-        return link.task;
-      }
-    }
-    return nullptr;
-  }
-
   void HandleLeadershipChanged(const LeadershipChanged& aChanged)
   {
     bool isNew = aChanged.isLeader && !this->isLeader;
@@ -592,6 +597,9 @@
   caf::actor replica;
   bool isLeader = false;
   InstanceId leader;
+  std::vector<wire::ControlEntry> group;
+  // Counts the changes of the group.
+  std::uint64_t groupVersion = 1;
   FleetSnapshotHistory snapshots;
   std::map<net::LinkId, LinkState> links;
   std::map<InstanceId, RouterState> routers;
--- a/packages/control/src/messages.h
+++ b/packages/control/src/messages.h
@@ -87,12 +87,29 @@
   std::vector<std::pair<Tokens, SessionId>> byTokens;
 };
 
-// Sent to the replica when a link with another control instance has opened, or
-// has closed (task is null).
+// Sent to the fleet controller when the instances of the control group, or what
+// is known of their addresses, have changed.
+struct GroupChanged
+{
+  std::vector<wire::ControlEntry> group;
+};
+
+// Tells the task that opens links to open one to a control instance. The answer
+// is PeerLink.
+struct DialPeer
+{
+  InstanceId instance;
+  Address address;
+};
+// A link with another control instance has opened or closed.
 struct PeerLink
 {
   InstanceId instance;
+  // Null if the link could not be opened.
   caf::actor task;
+  bool isUp = false;
+  // This side opened the link, because of a DialPeer.
+  bool isOutgoing = false;
 };
 // A consensus message that has arrived from another control instance.
 struct PeerMessage
@@ -171,6 +188,8 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::RevisionChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::FindTokenHolders)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::TokenHolders)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::GroupChanged)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::DialPeer)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::PeerLink)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::PeerMessage)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::EndpointList)
--- a/packages/control/src/replica.cc
+++ b/packages/control/src/replica.cc
@@ -1,4 +1,5 @@
 #include "disk_codec.h"
+#include "peer_network.h"
 #include "replica_state.h"
 #include "replication_codec.h"
 #include "storage_task.h"
@@ -39,9 +40,11 @@
           consensus::Options aOptions,
           consensus::RecoveredState aRecovered,
           ReplicaState aState,
-          caf::actor aStorage)
+          caf::actor aStorage,
+          caf::actor aDialer)
     : net::IoTask(aConfig, aRuntime)
     , settings(std::move(aSettings))
+    , network(*this, this->settings, std::move(aDialer))
     , node(std::move(aOptions),
            std::move(aRecovered),
            net::MakeRandomSource(),
@@ -61,7 +64,10 @@
   caf::message_handler Handlers() override
   {
     return {
-      [this](caf::actor& aFleet) { this->fleet = aFleet; },
+      [this](caf::actor& aFleet) {
+        this->fleet = aFleet;
+        this->send(this->fleet, GroupChanged{ this->network.Group() });
+      },
       [this](Propose& aPropose) { return this->HandlePropose(aPropose); },
       [this](ConfirmLeadership) { return this->HandleConfirm(); },
       [this](Query& aQuery) { return this->HandleQuery(aQuery); },
@@ -74,7 +80,8 @@
       [this](PeerMessage& aMessage) { this->HandleMessage(aMessage); },
       [this](LogBudgets) { LogLargestBudgets(this->state.Machine()); },
       [this](DumpState) {
-        return FormatReplicaStatus(this->node, this->state, this->links.size());
+        return FormatReplicaStatus(
+          this->node, this->state, this->network.LinkCount());
       },
     };
   }
@@ -91,16 +98,14 @@
   void TickPeriodically()
   {
     this->ProcessEffects(this->node.Tick(net::Now(this->GetRuntime())));
+    this->network.OpenLinks();
     this->WarnIfNoLeader();
     this->After(kTickInterval, [this] { this->TickPeriodically(); });
   }
 
   void SendKeepAlives()
   {
-    std::string body = wire::Encode(MakeKeepAlive(this->settings.instance));
-    for (const auto& [instance, task] : this->links) {
-      this->send(task, net::LinkSend{ body });
-    }
+    this->network.SendKeepAlives(this->LeaderId());
     this->After(this->settings.heartbeatInterval,
                 [this] { this->SendKeepAlives(); });
   }
@@ -182,10 +187,10 @@
 
   void HandleLink(const PeerLink& aLink)
   {
-    if (aLink.task) {
-      this->links[aLink.instance] = aLink.task;
-    } else {
-      this->links.erase(aLink.instance);
+    auto change = this->network.HandleLink(aLink);
+    if (change == PeerNetwork::Change::Connected) {
+      this->node.HandleConnect(aLink.instance);
+    } else if (change == PeerNetwork::Change::Disconnected) {
       this->ProcessEffects(this->node.HandleDisconnect(
         net::Now(this->GetRuntime()), aLink.instance));
     }
@@ -195,6 +200,7 @@
   // in the name of the instance that it gave in its Hello.
   void HandleMessage(const PeerMessage& aMessage)
   {
+    this->network.HandleKeepAlive(aMessage.message);
     auto message = FromWire(aMessage.message, this->settings.instance);
     if (message && message->from.instance == aMessage.instance) {
       this->ProcessEffects(
@@ -227,14 +233,14 @@
       this->Apply(entry);
     }
     for (const auto& message : aEffects.messages) {
-      this->SendToPeer(message);
+      this->network.Send(message.to.instance, ToWire(message));
     }
     if (aEffects.roleChanged && !this->node.IsReady()) {
       this->FailProposals();
     }
     this->PublishLeadership();
     this->PublishRevision();
-    this->LogMembers();
+    this->UpdateMembers();
     this->CompleteReads(aEffects.confirmedReads, true);
     this->CompleteReads(aEffects.failedReads, false);
     this->CompactIfNeeded();
@@ -259,14 +265,6 @@
     this->proposals.erase(found);
   }
 
-  void SendToPeer(const consensus::Message& aMessage)
-  {
-    auto link = this->links.find(aMessage.to.instance);
-    if (link != this->links.end()) {
-      this->send(link->second, net::LinkSend{ wire::Encode(ToWire(aMessage)) });
-    }
-  }
-
   // Completes the pending proposals after a loss of leadership. Their outcome
   // is unknown, because the next leader may still commit them.
   void FailProposals()
@@ -329,13 +327,17 @@
     }
   }
 
-  void LogMembers()
+  void UpdateMembers()
   {
     const auto& members = this->node.Members();
-    if (members == this->loggedMembers) {
+    if (members == this->knownMembers) {
       return;
     }
-    this->loggedMembers = members;
+    this->knownMembers = members;
+    this->network.SetMembers(members);
+    if (this->fleet) {
+      this->send(this->fleet, GroupChanged{ this->network.Group() });
+    }
     auto voters = members.voters.size();
     net::Metrics()
       .GetGauge("lycheestand_control_voters")
@@ -365,7 +367,7 @@
       "the control group has no leader",
       { { "event", "no_leader" },
         { "voters", JoinInstances(this->node.Members().voters) },
-        { "linked", std::to_string(this->links.size()) },
+        { "linked", std::to_string(this->network.LinkCount()) },
         { "term", std::to_string(this->node.CurrentTerm().Get()) },
         { "last_index", std::to_string(this->node.LastIndex().Get()) } });
   }
@@ -409,15 +411,15 @@
   InstanceId LeaderId() const
   {
     auto leader = this->node.Leader();
-    return leader ? leader->instance : InstanceId();
+    return leader ? leader->instance : this->network.AnnouncedLeader();
   }
 
   settings::ProcessSettings settings;
+  PeerNetwork network;
   consensus::Node node;
   ReplicaState state;
   caf::actor storage;
   caf::actor fleet;
-  std::map<InstanceId, caf::actor> links;
   std::map<LogIndex, Proposal> proposals;
   std::uint64_t nextRead = 1;
   std::map<consensus::ReadId, std::function<void(bool)>> reads;
@@ -425,7 +427,7 @@
   bool isWriting = false;
   LeadershipChanged publishedLeadership;
   Revision publishedRevision;
-  consensus::Configuration loggedMembers;
+  consensus::Configuration knownMembers;
   // Start of the current period without a leader; while there is one, the
   // current time.
   TimePoint noLeaderSince{};
@@ -436,9 +438,11 @@
 {
   consensus::Options options;
   options.self = aSettings.instance;
+  options.location = { aSettings.peerAddress, aSettings.zone };
   options.electionTimeout = aSettings.electionTimeout;
+  options.maxVoters = aSettings.controlVoters;
   for (const auto& member : aSettings.control) {
-    options.instances.push_back(member.instance);
+    options.founders.push_back(member.instance);
   }
   return options;
 }
@@ -471,13 +475,14 @@
                 ": the replicated log or its snapshot can't be decoded");
   }
   auto storage = SpawnStorageTask(aRuntime, store.value());
-  auto replica = aRuntime.system->spawn<Replica>(aRuntime,
-                                                 aSettings,
-                                                 MakeOptions(aSettings),
-                                                 std::move(*recovered),
-                                                 std::move(state),
-                                                 storage);
-  SpawnPeerLinks(aRuntime, aSettings, aKey, replica);
+  auto replica =
+    aRuntime.system->spawn<Replica>(aRuntime,
+                                    aSettings,
+                                    MakeOptions(aSettings),
+                                    std::move(*recovered),
+                                    std::move(state),
+                                    storage,
+                                    SpawnPeerLinks(aRuntime, aSettings, aKey));
   return replica;
 }
 
--- a/packages/control/src/replication_codec.cc
+++ b/packages/control/src/replication_codec.cc
@@ -104,6 +104,8 @@
 {
   aOut.kind = Join;
   aOut.granted = aIn.mayBootstrap;
+  aOut.address = aIn.location.address;
+  aOut.zone = aIn.location.zone;
 }
 
 // Returns nothing unless the entries follow the previous index without a gap.
@@ -162,7 +164,7 @@
     case SnapshotReply:
       return consensus::SnapshotReply{ aIn.lastIndex, aIn.round };
     case Join:
-      return consensus::JoinRequest{ aIn.granted };
+      return consensus::JoinRequest{ aIn.granted, { aIn.address, aIn.zone } };
     default:
       return std::nullopt;
   }
@@ -179,6 +181,27 @@
   return out;
 }
 
+// The members are encoded as the only entry of the message.
+wire::Replication
+MakeAnnouncement(const InstanceId& aFrom,
+                 const InstanceId& aLeader,
+                 const consensus::Configuration& aMembers)
+{
+  wire::Replication out = MakeKeepAlive(aFrom);
+  out.leader = aLeader;
+  out.entries.push_back({ Term(), LogIndex(), 0, EncodeMembers(aMembers) });
+  return out;
+}
+
+std::optional<consensus::Configuration>
+ReadAnnouncement(const wire::Replication& aMessage)
+{
+  if (aMessage.kind != KeepAlive || aMessage.entries.size() != 1) {
+    return std::nullopt;
+  }
+  return DecodeMembers(aMessage.entries.front().payload);
+}
+
 wire::Replication
 ToWire(const consensus::Message& aMessage)
 {
--- a/packages/control/src/replication_codec.h
+++ b/packages/control/src/replication_codec.h
@@ -12,6 +12,18 @@
 wire::Replication
 MakeKeepAlive(const InstanceId& aFrom);
 
+// Returns a keep-alive that tells an instance which is not a member of the
+// group's members and, if it is known, of the leader.
+wire::Replication
+MakeAnnouncement(const InstanceId& aFrom,
+                 const InstanceId& aLeader,
+                 const consensus::Configuration& aMembers);
+
+// Returns the members in a keep-alive, or nothing if it has none or is
+// malformed. Untrusted input is safe.
+std::optional<consensus::Configuration>
+ReadAnnouncement(const wire::Replication& aMessage);
+
 wire::Replication
 ToWire(const consensus::Message& aMessage);
 
--- a/packages/control/src/tasks.h
+++ b/packages/control/src/tasks.h
@@ -14,12 +14,18 @@
              const settings::ProcessSettings& aSettings,
              const net::FleetKey& aKey);
 
-// Starts the task that opens links to other control instances.
+// Starts the task that takes the replica's place on an instance without a disk.
+caf::actor
+SpawnGateway(const net::Runtime& aRuntime,
+             const settings::ProcessSettings& aSettings,
+             const net::FleetKey& aKey);
+
+// Starts the task that opens links to other control instances when it gets
+// DialPeer. It sends PeerLink and PeerMessage to the sender.
 caf::actor
 SpawnPeerLinks(const net::Runtime& aRuntime,
                const settings::ProcessSettings& aSettings,
-               const net::FleetKey& aKey,
-               caf::actor aReplica);
+               const net::FleetKey& aKey);
 
 // Starts the task that owns the links with routers and the view of the fleet.
 caf::actor
--- a/packages/control/test/replication_codec_test.cc
+++ b/packages/control/test/replication_codec_test.cc
@@ -36,7 +36,11 @@
 
   consensus::Member from{ InstanceId("c1"), DiskId(~std::uint64_t(0)) };
   consensus::Member to{ InstanceId("c2"), DiskId(17) };
-  consensus::Configuration members{ { from }, { to } };
+  consensus::Configuration members{
+    { from },
+    { to },
+    { { InstanceId("c1"), { { "10.1.0.3", 7340 }, ZoneId("z1") } } }
+  };
   std::vector<consensus::Entry> entries{
     { Term(7), LogIndex(5), consensus::NoOp{} },
     { Term(7), LogIndex(6), consensus::CommandBytes{ std::string("\0x", 2) } },
@@ -46,6 +50,38 @@
 
 } // namespace
 
+// Fails if a new instance can't be reached, or can't find the group, because
+// its location or that of the members is lost on the way.
+TEST_CASE_METHOD(ReplicationCodecFixture,
+                 "locations and the leader are equal after decoding")
+{
+  auto join = this->RoundTrip(
+    consensus::JoinRequest{ true, { { "10.1.0.9", 7340 }, ZoneId("z2") } });
+  CHECK(join.mayBootstrap);
+  CHECK(join.location.address == Address{ "10.1.0.9", 7340 });
+  CHECK(join.location.zone == ZoneId("z2"));
+
+  auto decoded = wire::Decode(wire::Encode(
+    MakeAnnouncement(this->from.instance, this->to.instance, this->members)));
+  const auto& keepAlive = std::get<wire::Replication>(decoded.value());
+  CHECK(keepAlive.leader == this->to.instance);
+  CHECK(ReadAnnouncement(keepAlive) == this->members);
+  CHECK_FALSE(ReadAnnouncement(MakeKeepAlive(this->from.instance)));
+  CHECK_FALSE(FromWire(keepAlive, this->to.instance));
+}
+
+// Fails if a control instance can't read the log of an earlier version, whose
+// members have no locations.
+TEST_CASE("members without locations are decoded")
+{
+  auto members = DecodeMembers(R"({"voters":[["c1","7"]],"learners":[]})");
+  REQUIRE(members);
+  CHECK(members->voters.size() == 1);
+  CHECK(members->locations.empty());
+  CHECK_FALSE(
+    DecodeMembers(R"({"voters":[],"learners":[],"locations":{"c1":["x"]}})"));
+}
+
 // Fails if encoding changes an entry or the member list, so that the logs of
 // two members would differ.
 TEST_CASE_METHOD(
--- a/packages/router/src/control_link.cc
+++ b/packages/router/src/control_link.cc
@@ -37,7 +37,8 @@
 protected:
   void Start() override
   {
-    this->nextMember = this->random(this->settings.control.size());
+    this->known = this->settings.control;
+    this->nextMember = this->random(this->known.size());
     this->Connect();
     this->HeartbeatPeriodically();
   }
@@ -54,9 +55,8 @@
         }
       },
       [this](SetMembers& aSet) {
-        this->send(this->controllers.membership, aSet);
         this->settings.control = std::move(aSet.members);
-        this->nextMember = 0;
+        this->UpdateKnown();
       },
       [this](SetLeaving) {
         this->isLeaving = true;
@@ -73,7 +73,7 @@
 private:
   void Connect()
   {
-    const auto& member = this->settings.control[this->nextMember];
+    const auto& member = this->known[this->nextMember];
     this->link =
       net::OpenLink(this->GetRuntime(),
                     this->key,
@@ -95,13 +95,46 @@
   // Selects the leader that a refusal named, or the next instance in turn.
   void SelectNextMember(const std::string& aLeader)
   {
-    for (std::size_t i = 0; i < this->settings.control.size(); ++i) {
-      if (this->settings.control[i].instance.Get() == aLeader) {
+    for (std::size_t i = 0; i < this->known.size(); ++i) {
+      if (this->known[i].instance.Get() == aLeader) {
         this->nextMember = i;
         return;
       }
     }
-    this->nextMember = (this->nextMember + 1) % this->settings.control.size();
+    this->nextMember = (this->nextMember + 1) % this->known.size();
+  }
+
+  // Control tells its members, of which the settings need to name only some.
+  void LearnControl(const std::vector<wire::ControlEntry>& aControl)
+  {
+    if (!aControl.empty() && aControl != this->learned) {
+      this->learned = aControl;
+      this->UpdateKnown();
+    }
+  }
+
+  // The addresses in the settings go first: this router may reach control by
+  // addresses that only it uses.
+  void UpdateKnown()
+  {
+    auto current = this->known[this->nextMember].instance;
+    this->known = this->settings.control;
+    for (const auto& entry : this->learned) {
+      bool isNew = std::none_of(
+        this->known.begin(), this->known.end(), [&](const auto& aMember) {
+          return aMember.instance == entry.instance;
+        });
+      if (isNew) {
+        this->known.push_back({ entry.instance, entry.address, {} });
+      }
+    }
+    this->nextMember = 0;
+    for (std::size_t i = 0; i < this->known.size(); ++i) {
+      if (this->known[i].instance == current) {
+        this->nextMember = i;
+      }
+    }
+    this->send(this->controllers.membership, SetMembers{ this->known });
   }
 
   void HandleLinkUp(const net::LinkUp& aUp)
@@ -156,10 +189,11 @@
   void Dispatch(wire::Message& aMessage)
   {
     if (auto* welcome = std::get_if<wire::Welcome>(&aMessage)) {
+      this->LearnControl(welcome->control);
       this->HandleWelcome(*welcome);
     } else if (std::holds_alternative<wire::HeartbeatAck>(aMessage) ||
                std::holds_alternative<wire::ConfigPush>(aMessage)) {
-      this->UpdateRevision(aMessage);
+      this->RecordState(aMessage);
       this->Forward(this->controllers.configuration, aMessage);
     } else if (auto* view = std::get_if<wire::ViewPush>(&aMessage)) {
       this->HandleViewPush(*view);
@@ -201,11 +235,14 @@
     this->send(this->controllers.operation, ControlUp{});
   }
 
-  // Records the newest revision, which the next heartbeat acknowledges.
-  void UpdateRevision(const wire::Message& aMessage)
+  // Records the newest revision, which the next heartbeat acknowledges, and the
+  // control group.
+  void RecordState(const wire::Message& aMessage)
   {
     if (const auto* push = std::get_if<wire::ConfigPush>(&aMessage)) {
       this->revision = std::max(this->revision, push->revision);
+    } else if (const auto* ack = std::get_if<wire::HeartbeatAck>(&aMessage)) {
+      this->LearnControl(ack->control);
     }
   }
 
@@ -259,8 +296,7 @@
   {
     return "{\"session\":\"" + std::to_string(this->session.Get()) +
            "\",\"connected\":" + (this->isAccepted ? "true" : "false") +
-           ",\"control\":\"" +
-           this->settings.control[this->nextMember].instance.Get() +
+           ",\"control\":\"" + this->known[this->nextMember].instance.Get() +
            "\",\"leaving\":" + (this->isLeaving ? "true" : "false") + "}";
   }
 
@@ -270,6 +306,9 @@
   std::function<void()> drainRequested;
   RandomSource random;
   SessionId session;
+  // Control instances of the settings and those that control told of.
+  std::vector<settings::ControlMember> known;
+  std::vector<wire::ControlEntry> learned;
   std::size_t nextMember = 0;
   std::string leaderHint;
   bool wasRefused = false;
--- a/packages/settings/include/lycheestand/settings.h
+++ b/packages/settings/include/lycheestand/settings.h
@@ -83,8 +83,12 @@
   Address peerAddress;
   // Address for metrics, dump, and on control the operators' interface.
   Address adminAddress;
-  // All control instances, this one included.
+  // Control instances at which others are found. Those of a new fleet form its
+  // control group.
   std::vector<ControlMember> control;
+  // Number of voters of the control group. A group of 2n + 1 voters bears the
+  // loss of n; further control instances stand by to replace lost ones.
+  std::size_t controlVoters = 1;
   std::string fleetKeyFile;
   // Set if only the fleet's own processes can reach the peer addresses; links
   // then need no fleet key.
--- a/packages/settings/src/process_settings.cc
+++ b/packages/settings/src/process_settings.cc
@@ -206,6 +206,7 @@
   settings.role = ReadRole(aReader.Get("role"));
   ReadAddresses(aReader, settings);
   settings.control = ReadControlMembers(aReader.Get("control"));
+  settings.controlVoters = settings.control.size();
   CheckOwnMember(aReader, settings);
   settings.fleetKeyFile = aReader.Get("fleet_key_file").Name();
   settings.operatorKeyHashes = ReadOperatorHashes(aReader, settings.role);
--- a/packages/wire/include/lycheestand/wire.h
+++ b/packages/wire/include/lycheestand/wire.h
@@ -30,6 +30,16 @@
   Revision revision;
 };
 
+// An instance of the control group.
+struct ControlEntry
+{
+  InstanceId instance;
+  // Address at which it accepts links.
+  Address address;
+
+  friend bool operator==(const ControlEntry&, const ControlEntry&) = default;
+};
+
 // Reply to a router's Hello. A refusal has a reason, and names the leader when
 // it is known.
 struct Welcome
@@ -39,6 +49,8 @@
   // is not known.
   std::string leader;
   std::string reason;
+  // The control group as far as the sender knows it.
+  std::vector<ControlEntry> control;
 };
 
 // Sent by a router once per heartbeat interval (1 s by default).
@@ -63,6 +75,8 @@
   std::chrono::nanoseconds sentAt{};
   // Current revision of the replicated state.
   Revision revision;
+  // The control group, if it has changed since the router was last told of it.
+  std::vector<ControlEntry> control;
 };
 
 // The fleet snapshot, or the changes to it: the configuration, the route table
@@ -230,6 +244,11 @@
   std::uint64_t round = 0;
   std::vector<LogRecord> entries;
   std::string snapshot;
+  // Where an instance that asks to join runs.
+  Address address;
+  ZoneId zone;
+  // Leader that the sender knows; only in a keep-alive.
+  InstanceId leader;
 };
 
 using Message = std::variant<Hello,
--- a/packages/wire/src/codec.cc
+++ b/packages/wire/src/codec.cc
@@ -83,20 +83,19 @@
            Revision(aIn.revision) };
 }
 
-fb::WelcomeT
-Pack(const Welcome& aIn)
+fb::ControlEntryT
+Pack(const ControlEntry& aIn)
 {
-  fb::WelcomeT out;
-  out.accepted = aIn.accepted;
-  out.leader = aIn.leader;
-  out.reason = aIn.reason;
+  fb::ControlEntryT out;
+  out.instance = aIn.instance.Get();
+  out.address = PackAddress(aIn.address);
   return out;
 }
 
-Welcome
-Unpack(const fb::WelcomeT& aIn)
+ControlEntry
+Unpack(const fb::ControlEntryT& aIn)
 {
-  return { aIn.accepted, aIn.leader, aIn.reason };
+  return { InstanceId(aIn.instance), UnpackAddress(aIn.address) };
 }
 
 fb::HeartbeatT
@@ -121,21 +120,6 @@
            aIn.leaving };
 }
 
-fb::HeartbeatAckT
-Pack(const HeartbeatAck& aIn)
-{
-  fb::HeartbeatAckT out;
-  out.sent_at = aIn.sentAt.count();
-  out.revision = aIn.revision.Get();
-  return out;
-}
-
-HeartbeatAck
-Unpack(const fb::HeartbeatAckT& aIn)
-{
-  return { std::chrono::nanoseconds(aIn.sent_at), Revision(aIn.revision) };
-}
-
 fb::ConfigPushT
 Pack(const ConfigPush& aIn)
 {
@@ -283,6 +267,43 @@
   return out;
 }
 
+fb::WelcomeT
+Pack(const Welcome& aIn)
+{
+  fb::WelcomeT out;
+  out.accepted = aIn.accepted;
+  out.leader = aIn.leader;
+  out.reason = aIn.reason;
+  out.control = PackList<fb::ControlEntryT>(aIn.control);
+  return out;
+}
+
+Welcome
+Unpack(const fb::WelcomeT& aIn)
+{
+  return {
+    aIn.accepted, aIn.leader, aIn.reason, UnpackList<ControlEntry>(aIn.control)
+  };
+}
+
+fb::HeartbeatAckT
+Pack(const HeartbeatAck& aIn)
+{
+  fb::HeartbeatAckT out;
+  out.sent_at = aIn.sentAt.count();
+  out.revision = aIn.revision.Get();
+  out.control = PackList<fb::ControlEntryT>(aIn.control);
+  return out;
+}
+
+HeartbeatAck
+Unpack(const fb::HeartbeatAckT& aIn)
+{
+  return { std::chrono::nanoseconds(aIn.sent_at),
+           Revision(aIn.revision),
+           UnpackList<ControlEntry>(aIn.control) };
+}
+
 fb::ViewPushT
 Pack(const ViewPush& aIn)
 {
@@ -474,6 +495,9 @@
   out.round = aIn.round;
   out.entries = PackList<fb::LogEntryT>(aIn.entries);
   out.snapshot = ToBytes(aIn.snapshot);
+  out.address = PackAddress(aIn.address);
+  out.zone = aIn.zone.Get();
+  out.leader = aIn.leader.Get();
   return out;
 }
 
@@ -494,6 +518,9 @@
   out.round = aIn.round;
   out.entries = UnpackList<LogRecord>(aIn.entries);
   out.snapshot = ToText(aIn.snapshot);
+  out.address = UnpackAddress(aIn.address);
+  out.zone = ZoneId(aIn.zone);
+  out.leader = InstanceId(aIn.leader);
   return out;
 }
 
--- a/packages/wire/test/codec_test.cc
+++ b/packages/wire/test/codec_test.cc
@@ -20,6 +20,18 @@
   REQUIRE(copy.entries[0].returned == Tokens(2));
 }
 
+// Fails if a router is not told of control instances that its settings do not
+// name.
+TEST_CASE("The control group is equal after decoding")
+{
+  std::vector<ControlEntry> group{ { InstanceId("c1"), { "10.1.0.3", 7340 } },
+                                   { InstanceId("c2"), { "10.2.0.3", 7340 } } };
+  auto welcome = Decode(Encode(Welcome{ false, "c2", "reason", group }));
+  CHECK(std::get<Welcome>(welcome.value()).control == group);
+  auto ack = Decode(Encode(HeartbeatAck{ {}, Revision(3), group }));
+  CHECK(std::get<HeartbeatAck>(ack.value()).control == group);
+}
+
 // Fails if truncated or corrupted input from a faulty or hostile peer crashes
 // the decoder. The seed is fixed.
 TEST_CASE("Decode rejects malformed input without crashing")
--- a/test/faults/group_test.cc
+++ b/test/faults/group_test.cc
@@ -4,6 +4,7 @@
 #include "platform_fleet.h"
 
 #include <catch2/catch.hpp>
+#include <thread>
 
 namespace lycheestand::faults {
 
@@ -95,4 +96,79 @@
   CHECK(this->ReadsVersion(8, leader));
 }
 
+// Guards against a group whose members are those of the first start for ever:
+// with each machine that is replaced by one at another address, it would bear
+// one loss less.
+TEST_CASE_METHOD(GroupFixture,
+                 "a machine at a new address takes the place of a lost one",
+                 "[group-replaced]")
+{
+  this->Form();
+  this->fleet.Machine(2).Kill();
+  this->fleet.LoseDisk(2);
+  MachineOptions options = this->Options(false);
+  options.seeds = { 1, 3, 4 };
+  this->fleet.StartControl(7, options);
+  // The lost machine counts as one of the two that may be lost until then.
+  std::this_thread::sleep_for(kCatchUpTime);
+  int leader = this->FindLeader();
+  REQUIRE(leader > 0);
+  REQUIRE(this->fleet.PutConfiguration(leader, 5) == 200);
+  int other = leader == 3 ? 4 : 3;
+  this->fleet.KillAll();
+  this->fleet.LoseDisk(leader);
+  this->fleet.LoseDisk(other);
+  for (int machine : { 1, 3, 4, 5, 6, 7 }) {
+    this->fleet.StartControl(machine, options);
+  }
+  CHECK(this->ReadsVersion(5, 7));
+}
+
+// Guards against a router that only knows the instances in its settings: when
+// none of them leads, it would never get a configuration.
+TEST_CASE_METHOD(GroupFixture,
+                 "a router finds a leader that its settings do not name",
+                 "[group-seeds]")
+{
+  this->Form();
+  int leader = this->FindLeader();
+  REQUIRE(leader > 0);
+  MachineOptions options = this->Options(false);
+  options.seeds = { leader == 1 ? 2 : 1 };
+  this->fleet.StartRouter(10, options);
+  CHECK(WaitFor(kRecoveryTime, [this] { return this->fleet.IsReady(10); }));
+
+  // The router's next leader is not in its settings either.
+  this->fleet.Machine(leader).Kill();
+  CHECK(WaitFor(kRecoveryTime,
+                [this] { return this->fleet.PutConfiguration(4, 5) == 200; }));
+  CHECK(WaitFor(kRecoveryTime, [this] {
+    return this->fleet.ReadMetric(10, false, "lycheestand_routes_version") == 5;
+  }));
+}
+
+// Guards against a control instance that ends, or refuses operators, because
+// its machine has no disk.
+TEST_CASE_METHOD(GroupFixture,
+                 "a control instance without a disk redirects operators",
+                 "[group-no-disk]")
+{
+  MachineOptions options = this->Options(true);
+  options.toleratedLosses = 1;
+  for (int machine = 1; machine <= 3; ++machine) {
+    this->fleet.StartControl(machine, options);
+  }
+  options.hasDisk = false;
+  this->fleet.StartControl(4, options);
+  REQUIRE(WaitFor(kRecoveryTime, [this] {
+    return this->fleet.PutConfiguration(4, 3) == 200;
+  }));
+  CHECK(this->ReadsVersion(3, 4));
+  CHECK(this->fleet.CountVoters(1) == 3);
+  int leader = this->FindLeader();
+  REQUIRE(leader > 0);
+  this->fleet.Machine(leader).Kill();
+  CHECK(this->ReadsVersion(3, 4));
+}
+
 } // namespace lycheestand::faults
