Push the route table as a binary patch

Class: bulk data that grows with the state, on the link that also carries liveness.

Change: a patch is a Zstandard frame with the old text as its prefix. Routers of earlier versions get the whole text.

--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -8,7 +8,7 @@
 # The packages; each may depend only on those above it.
 lycheestand_package(core DEPS Boost::headers)
 lycheestand_package(wire DEPS lycheestand_core)
-lycheestand_package(settings DEPS lycheestand_core Boost::json)
+lycheestand_package(settings DEPS lycheestand_core Boost::json ${ZSTD_LIBRARY})
 lycheestand_package(net DEPS lycheestand_core Boost::log Boost::json ${CAF_TARGETS} ${SODIUM_LIBRARY})
 lycheestand_package(state DEPS lycheestand_core ${XXHASH_LIBRARY})
 lycheestand_package(journal DEPS lycheestand_state)
--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -468,7 +468,9 @@
     }
     Revision current = this->snapshots.Current();
     if (current > Revision(0) && aState.pushedRevision != current) {
-      this->SendTo(aState, this->snapshots.MakePush(aState.pushedRevision));
+      this->SendTo(aState,
+                   this->snapshots.MakePush(aState.pushedRevision,
+                                            aState.hello.acceptsPatches));
       aState.pushedRevision = current;
     }
     // A router that has just started has no view yet, and an incomplete one is
--- a/packages/control/src/fleet_snapshot_history.cc
+++ b/packages/control/src/fleet_snapshot_history.cc
@@ -22,25 +22,27 @@
                                  : this->snapshots.back().revision;
 }
 
-// Patches are cached: most routers have the second latest revision and get the
+// Patches are cached: most routers have the second latest revision, and get the
 // same patch.
 wire::ConfigPush
-FleetSnapshotHistory::MakePush(Revision aFrom)
+FleetSnapshotHistory::MakePush(Revision aFrom, bool aAcceptsPatches)
 {
   const Snapshot& newest = this->snapshots.back();
   auto from = std::find_if(
     this->snapshots.begin(),
     this->snapshots.end(),
     [aFrom](const Snapshot& aSnapshot) { return aSnapshot.revision == aFrom; });
-  if (from == this->snapshots.end()) {
-    return { newest.revision, Revision(0), *newest.document };
+  if (!aAcceptsPatches) {
+    return { newest.revision, Revision(0), *newest.document, "" };
   }
-  auto [patch, isNew] = this->patches.try_emplace(aFrom);
+  bool isKnown = from != this->snapshots.end();
+  Revision base = isKnown ? aFrom : Revision(0);
+  auto [patch, isNew] = this->patches.try_emplace(base);
   if (isNew) {
-    patch->second =
-      settings::MakeSnapshotPatch(*from->document, *newest.document);
+    patch->second = settings::MakeSnapshotPatch(
+      isKnown ? *from->document : std::string_view(), *newest.document);
   }
-  return { newest.revision, aFrom, patch->second };
+  return { newest.revision, base, "", patch->second };
 }
 
 } // namespace lycheestand::control
--- a/packages/control/src/fleet_snapshot_history.h
+++ b/packages/control/src/fleet_snapshot_history.h
@@ -9,11 +9,11 @@
 namespace lycheestand::control {
 
 // Stores the latest fleet snapshots, so that a router which has one of them can
-// be sent a merge patch in place of the complete document.
+// be sent only the changes.
 class FleetSnapshotHistory
 {
 public:
-  // A router that is further behind gets the complete document.
+  // A router that is further behind gets the whole snapshot.
   static constexpr std::size_t kMaxSnapshots = 64;
 
   void Add(Revision aRevision, std::shared_ptr<const std::string> aDocument);
@@ -23,7 +23,7 @@
 
   // Returns the push for a router that has revision aFrom, or 0 for none. At
   // least one snapshot must have been added.
-  wire::ConfigPush MakePush(Revision aFrom);
+  wire::ConfigPush MakePush(Revision aFrom, bool aAcceptsPatches);
 
 private:
   struct Snapshot
@@ -33,7 +33,8 @@
   };
 
   std::deque<Snapshot> snapshots;
-  // Merge patches to the latest snapshot, by the revision that they apply to.
+  // Patches to the latest snapshot, by the revision that they apply to; 0 for
+  // an empty text.
   std::map<Revision, std::string> patches;
 };
 
--- a/packages/router/src/configuration_controller.cc
+++ b/packages/router/src/configuration_controller.cc
@@ -97,20 +97,23 @@
       .Set(static_cast<std::int64_t>(this->table->Version().Get()));
   }
 
-  // Returns the full document of a push, which may be a patch.
+  // Returns the whole snapshot of a push, which may be a patch.
   Result<std::string, settings::SettingsError> ExpandDocument(
     const wire::ConfigPush& aPush) const
   {
     using R = Result<std::string, settings::SettingsError>;
-    if (aPush.base == Revision(0)) {
+    if (aPush.patch.empty() && aPush.base == Revision(0)) {
       return R(boost::outcome_v2::in_place_type<std::string>, aPush.document);
     }
+    if (aPush.base == Revision(0)) {
+      return settings::ApplySnapshotPatch("", aPush.patch);
+    }
     if (aPush.base != this->revision) {
       return settings::SettingsError{
         "", "", "the patch is based on another revision"
       };
     }
-    return settings::ApplySnapshotPatch(this->document, aPush.document);
+    return settings::ApplySnapshotPatch(this->document, aPush.patch);
   }
 
   // Requests the full configuration. The active one stays, but is no longer
--- a/packages/router/src/control_link.cc
+++ b/packages/router/src/control_link.cc
@@ -149,6 +149,7 @@
     hello.session = this->session;
     hello.callerAddress = this->settings.callerAddress;
     hello.revision = this->revision;
+    hello.acceptsPatches = true;
     this->SendToControl(hello);
   }
 
--- a/packages/settings/include/lycheestand/settings.h
+++ b/packages/settings/include/lycheestand/settings.h
@@ -355,12 +355,13 @@
                     const std::map<KeyHash, CallerKey>& aKeys,
                     std::string_view aRoutes = "");
 
-// Returns the JSON merge patch (RFC 7396) that turns one snapshot's text into
-// another's. Both must be valid.
+// Returns a binary patch that turns one snapshot's text into another's. With an
+// empty aFrom the patch is the compressed text.
 std::string
 MakeSnapshotPatch(std::string_view aFrom, std::string_view aTo);
 
-// Returns a snapshot's text with a patch applied.
+// Returns the text that a patch was made for, or an error if the patch is
+// malformed or was made from another text. Untrusted input is safe.
 Result<std::string, SettingsError>
 ApplySnapshotPatch(std::string_view aFrom, std::string_view aPatch);
 
--- a/packages/wire/include/lycheestand/wire.h
+++ b/packages/wire/include/lycheestand/wire.h
@@ -28,6 +28,8 @@
   bool isControl = false;
   // Revision of the fleet snapshot that the router already has; 0 for none.
   Revision revision;
+  // False for a router of an earlier version, which needs whole snapshots.
+  bool acceptsPatches = false;
 };
 
 // An instance of the control group.
@@ -84,10 +86,12 @@
 struct ConfigPush
 {
   Revision revision;
-  // Revision that the document is a merge patch for; 0 if the document is
-  // complete.
+  // Revision that the patch applies to; 0 if it applies to an empty text.
   Revision base;
+  // The whole snapshot; empty if there is a patch.
   std::string document;
+  // Patch by settings::MakeSnapshotPatch.
+  std::string patch;
 };
 
 // A router instance in a ViewPush.
--- a/packages/wire/src/codec.cc
+++ b/packages/wire/src/codec.cc
@@ -68,6 +68,7 @@
   out.protocol = aIn.protocol;
   out.is_control = aIn.isControl;
   out.revision = aIn.revision.Get();
+  out.accepts_patches = aIn.acceptsPatches;
   return out;
 }
 
@@ -80,7 +81,8 @@
            UnpackAddress(aIn.caller_address),
            aIn.protocol,
            aIn.is_control,
-           Revision(aIn.revision) };
+           Revision(aIn.revision),
+           aIn.accepts_patches };
 }
 
 fb::ControlEntryT
@@ -127,13 +129,16 @@
   out.revision = aIn.revision.Get();
   out.base = aIn.base.Get();
   out.document = aIn.document;
+  out.patch = ToBytes(aIn.patch);
   return out;
 }
 
 ConfigPush
 Unpack(const fb::ConfigPushT& aIn)
 {
-  return { Revision(aIn.revision), Revision(aIn.base), aIn.document };
+  return {
+    Revision(aIn.revision), Revision(aIn.base), aIn.document, ToText(aIn.patch)
+  };
 }
 
 fb::InstanceEntryT
