Accept all waiting connections in one turn of the task

Cause: the server accepted one connection for each turn of its task, and with hundreds of tasks waiting a turn came after seconds. The link server of control did the same. Class: work that the system must always get to, queued behind all other work. Ruled out: the limit of connections (4,096; it had under 200).

Change: a task that is told that connections wait accepts all of them.

The test failed before (1 of 40 accepted) and passes.

--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -1,6 +1,6 @@
+#include "accept_loop.h"
 #include "http_connection.h"
 
-#include <boost/asio/bind_executor.hpp>
 #include <caf/send.hpp>
 #include <set>
 
@@ -24,27 +24,29 @@
              HttpHandler aHandler)
     : IoTask(aConfig, aRuntime)
     , connectionPool(std::move(aPool))
-    , acceptor(std::move(*aAcceptor))
     , options(aOptions)
     , handler(std::move(aHandler))
+    , acceptLoop(
+        *this,
+        std::move(*aAcceptor),
+        [this] {
+          return this->connections.size() >= this->options.maxConnections;
+        },
+        [this](tcp::socket aSocket) { this->Accept(std::move(aSocket)); })
   {
   }
 
-  void on_exit() override
-  {
-    beast::error_code ignored;
-    this->acceptor.close(ignored);
-  }
+  void on_exit() override { this->acceptLoop.Close(); }
 
 protected:
-  void Start() override { this->AcceptNext(); }
+  void Start() override { this->acceptLoop.Resume(); }
 
   caf::message_handler Handlers() override
   {
     return {
       [this](ConnectionEnded) {
         this->connections.erase(this->current_sender());
-        this->AcceptNext();
+        this->acceptLoop.Resume();
       },
       [this](StopListening) { this->Stop(); },
       [this](CloseAfterResponses) { this->AnnounceClose(); },
@@ -53,25 +55,6 @@
   }
 
 private:
-  void AcceptNext()
-  {
-    if (this->isStopped || this->isAccepting ||
-        this->connections.size() >= this->options.maxConnections) {
-      return;
-    }
-    this->isAccepting = true;
-    this->acceptor.async_accept(asio::bind_executor(
-      this->Executor(), [this](beast::error_code aError, tcp::socket aSocket) {
-        this->isAccepting = false;
-        if (!aError) {
-          this->Accept(std::move(aSocket));
-        } else if (aError == asio::error::operation_aborted) {
-          return;
-        }
-        this->AcceptNext();
-      }));
-  }
-
   void Accept(tcp::socket aSocket)
   {
     auto connection = SpawnHttpConnection(this->GetRuntime(),
@@ -98,22 +81,18 @@
 
   void Stop()
   {
-    this->isStopped = true;
-    beast::error_code ignored;
-    this->acceptor.close(ignored);
+    this->acceptLoop.Close();
     for (const auto& connection : this->connections) {
       caf::anon_send(caf::actor_cast<caf::actor>(connection), StopListening{});
     }
   }
 
   caf::actor connectionPool;
-  tcp::acceptor acceptor;
   HttpServerOptions options;
   HttpHandler handler;
   std::set<caf::strong_actor_ptr> connections;
-  bool isAccepting = false;
-  bool isStopped = false;
   bool closesAfterResponses = false;
+  AcceptLoop acceptLoop;
 };
 
 } // namespace
--- a/packages/net/src/link.cc
+++ b/packages/net/src/link.cc
@@ -1,3 +1,4 @@
+#include "accept_loop.h"
 #include "link_cipher.h"
 
 #include <array>
@@ -315,53 +316,41 @@
     , key(std::move(aKey))
     , options(aOptions)
     , user(std::move(aUser))
-    , acceptor(std::move(*aAcceptor))
+    , acceptLoop(
+        *this,
+        std::move(*aAcceptor),
+        [] { return false; },
+        [this](tcp::socket aSocket) { this->Accept(std::move(aSocket)); })
   {
   }
 
-  void on_exit() override
-  {
-    ErrorCode ignored;
-    this->acceptor.close(ignored);
-  }
+  void on_exit() override { this->acceptLoop.Close(); }
 
 protected:
-  void Start() override { this->AcceptNext(); }
+  void Start() override { this->acceptLoop.Resume(); }
 
   caf::message_handler Handlers() override
   {
-    return { [this](StopListening) {
-      ErrorCode ignored;
-      this->acceptor.close(ignored);
-    } };
+    return { [this](StopListening) { this->acceptLoop.Close(); } };
   }
 
 private:
-  void AcceptNext()
+  void Accept(tcp::socket aSocket)
   {
-    this->acceptor.async_accept(asio::bind_executor(
-      this->Executor(), [this](ErrorCode aError, tcp::socket aSocket) {
-        if (aError == asio::error::operation_aborted) {
-          return;
-        }
-        if (!aError) {
-          this->GetRuntime().system->spawn<Link>(
-            this->GetRuntime(),
-            this->key,
-            this->options,
-            this->user,
-            NextLinkId(),
-            std::make_shared<tcp::socket>(std::move(aSocket)),
-            Address{});
-        }
-        this->AcceptNext();
-      }));
+    this->GetRuntime().system->spawn<Link>(
+      this->GetRuntime(),
+      this->key,
+      this->options,
+      this->user,
+      NextLinkId(),
+      std::make_shared<tcp::socket>(std::move(aSocket)),
+      Address{});
   }
 
   FleetKey key;
   LinkOptions options;
   caf::actor user;
-  tcp::acceptor acceptor;
+  AcceptLoop acceptLoop;
 };
 
 } // namespace
--- a/packages/net/test/http_server_test.cc
+++ b/packages/net/test/http_server_test.cc
@@ -1,5 +1,7 @@
 #include "net_fixture.h"
 
+#include <caf/scoped_actor.hpp>
+
 using namespace lycheestand;
 using namespace lycheestand::net;
 using namespace std::chrono_literals;
@@ -226,3 +228,27 @@
   this->RunUntil([&] { return newCaller.IsClosed(); });
   CHECK(newCaller.Received().find("ok") != std::string::npos);
 }
+
+// Guards against a server that accepts one connection for each turn of its
+// task: when many tasks wait for their turn, callers get no connection for
+// seconds.
+TEST_CASE_METHOD(NetFixture, "All waiting connections are accepted in one turn")
+{
+  auto address = this->Serve([](const ExchangePtr&) {});
+  this->io.poll();
+  this->Coordinator().run();
+  constexpr std::size_t kCallers = 40;
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    callers.push_back(std::make_unique<RawCaller>(address));
+  }
+  caf::scoped_actor self(this->system);
+  std::size_t open = 0;
+  this->RunUntil([&] {
+    self->send(this->started.front(), CountOpenConnections{});
+    this->Coordinator().run();
+    self->receive([&open](std::size_t aCount) { open = aCount; });
+    return open > 0;
+  });
+  CHECK(open == kCallers);
+}
