Measure connection opening, grants, and requests by workspace

Nothing told whether a router that is late has too much work itself, is cut off from control, or waits for control.

- lycheestand_workspace_requests_total{workspace} shows what a router's load is made of;
- lycheestand_connect_seconds shows a full link, which makes connections to all endpoints open slowly;
- lycheestand_grant_seconds shows a control leader that replies late;
- the event control_connected names the leader and the time without a link.

--- a/packages/net/src/client_connection.cc
+++ b/packages/net/src/client_connection.cc
@@ -115,6 +115,7 @@
     this->receivedHead = false;
     this->unacknowledged = 0;
     this->lastProgress = Now(this->GetRuntime());
+    this->connectStartedAt = this->lastProgress;
     ++this->callNumber;
     if (this->isConnected) {
       this->WriteRequest();
@@ -159,6 +160,9 @@
       bool isAwaitingOwner = this->unacknowledged >= kMaxUnacknowledgedChunks;
       auto now = Now(this->GetRuntime());
       if (!isAwaitingOwner && now - this->lastProgress >= limit) {
+        if (!this->isConnected) {
+          this->RecordConnectTime();
+        }
         this->Fail("timeout");
         return;
       }
@@ -186,12 +190,21 @@
         }
         this->isConnected = true;
         this->lastProgress = Now(this->GetRuntime());
+        this->RecordConnectTime();
         beast::error_code ignored;
         this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
         this->WriteRequest();
       }));
   }
 
+  // A timeout is recorded with the time that passed until then.
+  void RecordConnectTime()
+  {
+    Metrics()
+      .GetHistogram("lycheestand_connect_seconds")
+      .Record(Now(this->GetRuntime()) - this->connectStartedAt);
+  }
+
   void WriteRequest()
   {
     this->outgoingRequest = {};
@@ -421,6 +434,7 @@
   Duration idleTimeout{};
   bool isSent = false;
   bool receivedHead = false;
+  TimePoint connectStartedAt;
   TimePoint lastProgress;
 };
 
--- a/packages/router/src/budget_controller.cc
+++ b/packages/router/src/budget_controller.cc
@@ -82,6 +82,7 @@
   void Handle(const wire::Message& aMessage)
   {
     if (const auto* reply = std::get_if<wire::GrantReply>(&aMessage)) {
+      this->RecordGrantTime(reply->request);
       this->localBudget.AddGrant({ reply->request,
                                    reply->workspace,
                                    reply->tokens,
@@ -164,8 +165,10 @@
     }
   }
 
+  // A request that is sent again keeps the time at which it was first sent.
   void SendGrantRequest(const budget::GrantRequest& aRequest)
   {
+    this->grantsSentAt.try_emplace(aRequest.request, this->Time());
     this->send(this->link,
                ToControl{ wire::GrantRequest{ aRequest.request,
                                               aRequest.workspace,
@@ -174,6 +177,15 @@
                                               aRequest.isPrefetch } });
   }
 
+  void RecordGrantTime(std::uint64_t aRequest)
+  {
+    auto found = this->grantsSentAt.find(aRequest);
+    if (found != this->grantsSentAt.end()) {
+      this->grantTime.Record(this->Time() - found->second);
+      this->grantsSentAt.erase(found);
+    }
+  }
+
   void SendBatch(const budget::UsageBatch& aBatch)
   {
     wire::UsageReport report{ aBatch.number, {} };
@@ -203,6 +215,10 @@
   std::map<Ticket, Promise> waiting;
   bool isPolling = false;
   bool isReturning = false;
+  // When each grant request without a reply was sent, by its number.
+  std::map<std::uint64_t, TimePoint> grantsSentAt;
+  net::DurationHistogram grantTime =
+    net::Metrics().GetHistogram("lycheestand_grant_seconds");
   net::Gauge heldTokens = net::Metrics().GetGauge("lycheestand_held_tokens");
 };
 
--- a/packages/router/src/control_link.cc
+++ b/packages/router/src/control_link.cc
@@ -39,6 +39,7 @@
   {
     this->known = this->settings.control;
     this->nextMember = this->random(this->known.size());
+    this->lostAt = net::Now(this->GetRuntime());
     this->Connect();
     this->HeartbeatPeriodically();
   }
@@ -159,6 +160,7 @@
       return;
     }
     if (this->isAccepted) {
+      this->lostAt = net::Now(this->GetRuntime());
       net::Log(net::LogLevel::Warning,
                "lost the link to control",
                { { "event", "control_lost" }, { "reason", aDown.reason } });
@@ -229,7 +231,13 @@
     this->isAccepted = true;
     this->wasRefused = false;
     this->viewReceiver.Reset();
-    net::Log(net::LogLevel::Info, "connected to control");
+    auto downTime = std::chrono::duration_cast<Milliseconds>(
+      net::Now(this->GetRuntime()) - this->lostAt);
+    net::Log(net::LogLevel::Info,
+             "connected to control",
+             { { "event", "control_connected" },
+               { "control", this->known[this->nextMember].instance.Get() },
+               { "down_ms", std::to_string(downTime.count()) } });
     this->SendHeartbeat();
     this->send(this->controllers.budget, ControlUp{});
     this->send(this->controllers.membership, ControlUp{});
@@ -318,6 +326,8 @@
   caf::actor linkTask;
   bool isReconnectScheduled = false;
   bool isAccepted = false;
+  // When the last link to the leader was lost, or the process started.
+  TimePoint lostAt{};
   bool isLeaving = false;
   Revision revision;
   ViewReceiver viewReceiver;
--- a/packages/router/src/finish.cc
+++ b/packages/router/src/finish.cc
@@ -69,8 +69,8 @@
   net::Log(net::LogLevel::Info, "request ended", fields);
 }
 
-// Updates the metrics of routed requests: the status, and the time until a
-// stream's first event.
+// Updates the metrics of routed requests: the status, the workspace, and the
+// time until a stream's first event.
 void
 CountRouted(const Request& aRequest)
 {
@@ -78,6 +78,10 @@
     .GetCounter("lycheestand_routed_requests_total",
                 "status=\"" + std::to_string(aRequest.status) + "\"")
     .Add();
+  net::Metrics()
+    .GetCounter("lycheestand_workspace_requests_total",
+                "workspace=\"" + aRequest.workspace.Get() + "\"")
+    .Add();
   if (aRequest.answerStartedAt) {
     net::Metrics()
       .GetHistogram("lycheestand_first_event_seconds")
