Test that callers that choose alike are spread; it fails

The test does the same with 12 routers and 40 callers that have an address each: all 40 meet at one router.

A second case guards what must not get lost with a fix: all routers tell a caller the same addresses, and more than one.

--- a/test/faults/http_client.h
+++ b/test/faults/http_client.h
@@ -46,7 +46,8 @@
 class HttpClient
 {
 public:
-  explicit HttpClient(Address aAddress);
+  // With aLocalHost, connections come from that IP address of this machine.
+  explicit HttpClient(Address aAddress, std::string aLocalHost = "");
 
   // Sends a request and reads its response; failures are reported in the Reply.
   Reply Send(const Call& aCall);
@@ -56,14 +57,17 @@
   void Exchange(const Call& aCall, Reply& aReply);
 
   Address address;
+  std::string localHost;
   boost::asio::io_context io;
   std::optional<boost::beast::tcp_stream> stream;
   boost::beast::flat_buffer buffer;
 };
 
-// Sends a request on a new connection.
+// Sends a request on a new connection; with aLocalHost, from that IP address.
 Reply
-Send(const Address& aAddress, const Call& aCall);
+Send(const Address& aAddress,
+     const Call& aCall,
+     const std::string& aLocalHost = "");
 
 } // namespace lycheestand::faults
 
