Test that an overloaded router applies a configuration; it fails

The test is replaced by one of the fault itself, which is as strict: a router that may run for 5 ms of each 100 ms gets 2,000 requests a second and four changes of the configuration.

--- a/test/faults/http_client.cc
+++ b/test/faults/http_client.cc
@@ -23,9 +23,8 @@
 
 } // namespace
 
-HttpClient::HttpClient(Address aAddress, std::string aLocalHost)
+HttpClient::HttpClient(Address aAddress)
   : address(std::move(aAddress))
-  , localHost(std::move(aLocalHost))
 {
 }
 
@@ -35,11 +34,6 @@
   this->stream.emplace(this->io);
   this->buffer.clear();
   this->stream->expires_after(aTimeout);
-  if (!this->localHost.empty()) {
-    auto& socket = this->stream->socket();
-    socket.open(boost::asio::ip::tcp::v4());
-    socket.bind({ boost::asio::ip::make_address(this->localHost), 0 });
-  }
   auto error = RunOperation(this->io, [&](auto aDone) {
     this->stream->async_connect(
       { boost::asio::ip::make_address(this->address.host), this->address.port },
@@ -106,9 +100,9 @@
 }
 
 Reply
-Send(const Address& aAddress, const Call& aCall, const std::string& aLocalHost)
+Send(const Address& aAddress, const Call& aCall)
 {
-  return HttpClient(aAddress, aLocalHost).Send(aCall);
+  return HttpClient(aAddress).Send(aCall);
 }
 
 } // namespace lycheestand::faults
--- a/test/faults/http_client.h
+++ b/test/faults/http_client.h
@@ -46,8 +46,7 @@
 class HttpClient
 {
 public:
-  // With aLocalHost, connections come from that IP address of this machine.
-  explicit HttpClient(Address aAddress, std::string aLocalHost = "");
+  explicit HttpClient(Address aAddress);
 
   // Sends a request and reads its response; failures are reported in the Reply.
   Reply Send(const Call& aCall);
@@ -57,17 +56,14 @@
   void Exchange(const Call& aCall, Reply& aReply);
 
   Address address;
-  std::string localHost;
   boost::asio::io_context io;
   std::optional<boost::beast::tcp_stream> stream;
   boost::beast::flat_buffer buffer;
 };
 
-// Sends a request on a new connection; with aLocalHost, from that IP address.
+// Sends a request on a new connection.
 Reply
-Send(const Address& aAddress,
-     const Call& aCall,
-     const std::string& aLocalHost = "");
+Send(const Address& aAddress, const Call& aCall);
 
 } // namespace lycheestand::faults
 
--- /dev/null
+++ b/test/faults/overload_test.cc
@@ -0,0 +1,111 @@
+// A router that gets more requests than it can serve.
+
+#include "caller_flood.h"
+#include "platform_fleet.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <csignal>
+
+namespace lycheestand::faults {
+
+namespace {
+
+constexpr Duration kStartTime = 15s;
+
+// Time within which a router uses a configuration that was acknowledged
+// ("configApplyMs").
+constexpr Duration kApplyTime = 2500ms;
+
+// Lets a process run for a part of each 100 ms only, like a machine that has a
+// part of a core.
+class Throttle
+{
+public:
+  Throttle(const Process& aProcess, Duration aRunTime)
+    : process(aProcess)
+    , thread([this, aRunTime] { this->Run(aRunTime); })
+  {
+  }
+
+  ~Throttle()
+  {
+    this->isStopping = true;
+    this->thread.join();
+    this->process.Signal(SIGCONT);
+  }
+
+  Throttle(const Throttle&) = delete;
+  Throttle& operator=(const Throttle&) = delete;
+
+private:
+  void Run(Duration aRunTime)
+  {
+    while (!this->isStopping) {
+      this->process.Signal(SIGCONT);
+      std::this_thread::sleep_for(aRunTime);
+      this->process.Signal(SIGSTOP);
+      std::this_thread::sleep_for(100ms - aRunTime);
+    }
+  }
+
+  const Process& process;
+  std::atomic<bool> isStopping{ false };
+  std::thread thread;
+};
+
+// One control instance and one router.
+class OverloadFixture
+{
+public:
+  OverloadFixture()
+  {
+    MachineOptions options;
+    options.seeds = { kControl };
+    options.bootstrap = true;
+    this->fleet.StartControl(kControl, options);
+    this->fleet.StartRouter(kRouter, options);
+    REQUIRE(WaitFor(kStartTime, [this] {
+      return this->fleet.PutConfiguration(kControl, 3) == 200;
+    }));
+    REQUIRE(
+      WaitFor(kStartTime, [this] { return this->fleet.IsReady(kRouter); }));
+  }
+
+  bool HasLogged(const std::string& aText)
+  {
+    return this->fleet.Machine(kRouter).Log().find(aText) != std::string::npos;
+  }
+
+  static constexpr int kControl = 1;
+  static constexpr int kRouter = 4;
+
+  PlatformFleet fleet{ "overload" };
+};
+
+} // namespace
+
+// Guards against an overloaded router that keeps an old configuration, since
+// messages from control wait behind all requests that it has taken up.
+TEST_CASE_METHOD(OverloadFixture,
+                 "an overloaded router applies a new configuration in time",
+                 "[overload-config]")
+{
+  CallerFlood flood(this->fleet.CallerAddress(kRouter), "/a/1", 2000, 1s);
+  Throttle throttle(this->fleet.Machine(kRouter), 5ms);
+  std::this_thread::sleep_for(5s);
+  for (int version = 4; version <= 7; ++version) {
+    REQUIRE(this->fleet.PutConfiguration(kControl, version) == 200);
+    INFO("version " << version);
+    CHECK(WaitFor(kApplyTime, [this, version] {
+      return this->HasLogged(R"("event":"routes_in_force","version":")" +
+                             std::to_string(version) + '"');
+    }));
+    std::this_thread::sleep_for(500ms);
+  }
+  auto ended = flood.Stop();
+  CAPTURE(ended.answered, ended.refused, ended.gaveUp);
+  CHECK(ended.gaveUp < ended.answered + ended.refused);
+}
+
+} // namespace lycheestand::faults
--- a/test/faults/platform_fleet.cc
+++ b/test/faults/platform_fleet.cc
@@ -241,25 +241,10 @@
   return document.as_object().at("version").to_number<std::int64_t>();
 }
 
-std::set<std::string>
-PlatformFleet::FindRouters(int aMachine, int aCaller) const
+Address
+PlatformFleet::CallerAddress(int aMachine) const
 {
-  constexpr int kFirstCallerIp = 200;
-  Call call;
-  call.target = "/resolve?name=h.example&region=r1&zone=" + ZoneName(aMachine);
-  call.timeout = kCallTimeout;
-  Reply reply = Send({ this->environment.MachineIp(aMachine), kDirectoryPort },
-                     call,
-                     this->environment.MachineIp(kFirstCallerIp + aCaller));
-  std::set<std::string> addresses;
-  json::error_code error;
-  auto body = json::parse(reply.body, error);
-  if (reply.status == 200 && !error && body.is_object()) {
-    for (const auto& address : body.as_object().at("addresses").as_array()) {
-      addresses.emplace(address.as_string());
-    }
-  }
-  return addresses;
+  return { this->environment.MachineIp(aMachine), kFrontPort };
 }
 
 bool
@@ -279,7 +264,7 @@
   call.target = "/a/1";
   call.headers = { { "Host", "h.example" }, { "X-Request-Id", "r1" } };
   call.timeout = aTimeout;
-  return Send({ this->environment.MachineIp(aMachine), kFrontPort }, call);
+  return Send(this->CallerAddress(aMachine), call);
 }
 
 } // namespace lycheestand::faults
--- a/test/faults/platform_fleet.h
+++ b/test/faults/platform_fleet.h
@@ -9,7 +9,6 @@
 
 #include <boost/json.hpp>
 #include <memory>
-#include <set>
 
 namespace lycheestand::faults {
 
@@ -64,9 +63,8 @@
   // Returns the version of the configuration that an operator reads at a
   // control instance, or -1.
   std::int64_t ReadVersion(int aMachine);
-  // Returns the addresses of routers that a router tells a caller in its zone.
-  // Callers have an IP address each; they are numbered from 1 to 50.
-  std::set<std::string> FindRouters(int aMachine, int aCaller) const;
+  // Returns the address at which a router serves callers.
+  Address CallerAddress(int aMachine) const;
   // Returns whether a router says that it is ready.
   bool IsReady(int aMachine) const;
   // Returns the status of a GET request to a router, for the route of the
