Refuse connections that a router can't serve in time

Cause: all requests of a large workspace come to one router, which has 0.12 of a core and a link of 10 Mbit/s. It took up whatever came. Everything in the process, also the link to control, then waited for seconds in one queue of tasks, and the connections to endpoints timed out on the full link. Ruled out: control (a committed table is at all other routers after 10 to 30 ms) and a link that is not noticed as lost.

Change: a router measures how long its tasks wait and how long connections to endpoints take to open. While either stays too long, it stops to listen for a part of the time, which costs nothing and lets callers turn elsewhere at once, and closes kept connections after their responses. Is the process 250 ms late, connections are reset unread and requests on kept ones get 503. The task of the control link and the link have threads of their own.

--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -99,7 +99,6 @@
   Result<void, std::string> Start(const net::FleetKey& aKey)
   {
     auto pool = net::SpawnConnectionPool(this->runtime);
-    net::StartDelayProbe(this->runtime);
     if (this->settings.role != settings::Role::Router) {
       auto control = control::StartControl(
         this->runtime,
@@ -112,13 +111,15 @@
       }
       this->control = std::move(control.value());
     }
-    if (this->settings.role != settings::Role::Control) {
+    if (this->settings.role == settings::Role::Control) {
+      net::StartDelayProbe(this->runtime);
+    } else {
       std::optional<router::RouteProtocol> protocol;
       if (this->node) {
         protocol = platform::MakeRouteProtocol();
       }
-      auto router = router::StartRouter(
-        this->runtime, pool, this->settings, aKey, protocol);
+      auto router =
+        router::StartRouter(this->runtime, this->settings, aKey, protocol);
       if (router.has_error()) {
         return router.error();
       }
--- a/packages/net/include/lycheestand/net.h
+++ b/packages/net/include/lycheestand/net.h
@@ -44,19 +44,22 @@
 RandomSource
 MakeRandomSource();
 
-// Returns how long the process's tasks currently wait before they run; 0 if the
-// process has time to spare. Thread-safe.
-using DelaySource = std::function<Duration()>;
+// Gets each measured delay.
+using DelayObserver = std::function<void(Duration aDelay)>;
 
-// A task that measures this delay, and logs it if it is a second or more.
+// A task that measures every 50 ms how long the process's tasks wait before
+// they run. It logs a delay of a second or more.
 struct DelayProbe
 {
   caf::actor task;
-  DelaySource delay;
+  // Returns the current delay; thread-safe. A delay is known while the tasks
+  // still wait.
+  std::function<Duration()> delay;
 };
 
+// Starts the task. aObserver runs inside it and may be empty.
 DelayProbe
-StartDelayProbe(const Runtime& aRuntime);
+StartDelayProbe(const Runtime& aRuntime, DelayObserver aObserver = {});
 
 // Message that makes a task run a completion handler.
 struct PostedHandler
@@ -267,10 +270,14 @@
   std::map<std::uint64_t, std::shared_ptr<ActiveCall>> calls;
 };
 
+// Gets the time that each connection took to open. Runs in the tasks of the
+// connections, so it must be thread-safe.
+using ConnectObserver = std::function<void(Duration aTime)>;
+
 // Starts the task that assigns HTTP calls to connections and keeps idle
-// connections for reuse.
+// connections for reuse. aObserver may be empty.
 caf::actor
-SpawnConnectionPool(const Runtime& aRuntime);
+SpawnConnectionPool(const Runtime& aRuntime, ConnectObserver aObserver = {});
 
 // An HTTP request and its response. It must be used only inside the task of the
 // connection (see Task). After the connection has closed, the functions that
@@ -335,6 +342,13 @@
   Duration writeTimeout = std::chrono::seconds(30);
   // Maximum time for each further request on a connection to arrive.
   Duration keepAliveTimeout = std::chrono::seconds(60);
+  // Returns whether a new connection is served; if not, it is reset without
+  // being read. Empty to serve all.
+  std::function<bool()> servesNewConnection;
+  // Returns whether a connection is kept after the response whose headers are
+  // being written; empty to keep all. It runs in the connections' tasks, so it
+  // must be thread-safe.
+  std::function<bool()> keepsConnections;
 };
 
 // Message to a server: accept no more connections and close the open ones after
@@ -342,6 +356,13 @@
 struct StopListening
 {};
 
+// Message to a server: while isListening is false, new connections are refused,
+// so that callers try another address at once. Open connections stay.
+struct SetListening
+{
+  bool isListening = true;
+};
+
 // Message to a server: close each connection after its next response, with
 // "Connection: close" in its headers. New connections are still accepted.
 struct CloseAfterResponses
@@ -444,6 +465,9 @@
   Duration idleTimeout = std::chrono::seconds(4);
   std::size_t maxFrameBytes = 16 * 1024 * 1024;
   std::size_t maxQueuedBytes = 64 * 1024 * 1024;
+  // The link's task has a thread of its own, so that it does not wait for its
+  // turn while other tasks are busy. Only for links that are opened.
+  bool hasThread = false;
 };
 
 // Starts to connect a link and returns its id. Its messages go to aUser:
@@ -496,6 +520,10 @@
 
 using LogFields = std::vector<std::pair<const char*, std::string>>;
 
+// Returns a duration in whole milliseconds, as the value of a field.
+std::string
+FormatMilliseconds(Duration aDuration);
+
 // Configures the log of this process. A separate thread writes the lines to
 // standard output. Lines below aLevel are discarded.
 void
@@ -584,6 +612,7 @@
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::PostedHandler)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::StopListening)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::SetListening)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::CloseAfterResponses)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::CountOpenConnections)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::LinkUp)
--- a/packages/net/src/accept_loop.cc
+++ b/packages/net/src/accept_loop.cc
@@ -16,6 +16,7 @@
                        std::function<void(Socket)> aAccept)
   : task(aTask)
   , acceptor(std::move(aAcceptor))
+  , endpoint(this->acceptor.local_endpoint())
   , isFull(std::move(aIsFull))
   , accept(std::move(aAccept))
 {
@@ -25,7 +26,7 @@
 void
 AcceptLoop::Resume()
 {
-  if (this->isClosed || this->isWaiting || this->isFull()) {
+  if (!this->isListening || this->isWaiting || this->isFull()) {
     return;
   }
   this->isWaiting = true;
@@ -34,16 +35,57 @@
     boost::asio::bind_executor(
       this->task.Executor(), [this](boost::system::error_code aError) {
         this->isWaiting = false;
-        if (aError != boost::asio::error::operation_aborted) {
+        // After an abort the socket may have been opened again meanwhile.
+        if (aError == boost::asio::error::operation_aborted) {
+          this->Resume();
+        } else {
           this->AcceptWaiting();
         }
       }));
 }
 
+void
+AcceptLoop::SetListening(bool aIsListening)
+{
+  this->shouldListen = aIsListening;
+  if (this->isClosed || aIsListening == this->isListening) {
+    return;
+  }
+  if (!aIsListening) {
+    // Connections that wait would be reset, and their callers would not know
+    // whether their requests ran.
+    this->AcceptWaiting();
+    this->isListening = false;
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+  } else {
+    this->Reopen();
+  }
+}
+
+void
+AcceptLoop::Reopen()
+{
+  try {
+    this->acceptor = boost::asio::ip::tcp::acceptor(*this->task.GetRuntime().io,
+                                                    this->endpoint);
+    this->acceptor.non_blocking(true);
+    this->isListening = true;
+    this->Resume();
+  } catch (const boost::system::system_error& error) {
+    Log(LogLevel::Warning,
+        "can't listen again",
+        { { "event", "accept_failed" }, { "reason", error.code().message() } });
+    this->task.After(kAcceptRetryDelay,
+                     [this] { this->SetListening(this->shouldListen); });
+  }
+}
+
 void
 AcceptLoop::Close()
 {
   this->isClosed = true;
+  this->isListening = false;
   boost::system::error_code ignored;
   this->acceptor.close(ignored);
 }
@@ -54,14 +96,15 @@
 AcceptLoop::AcceptWaiting()
 {
   boost::system::error_code error;
-  while (!this->isClosed && !error && !this->isFull()) {
+  while (this->isListening && !error && !this->isFull()) {
     Socket socket(*this->task.GetRuntime().io);
     this->acceptor.accept(socket, error);
     if (!error) {
       this->accept(std::move(socket));
     }
   }
-  if (!error || error == boost::asio::error::would_block) {
+  if (!this->isListening || !error ||
+      error == boost::asio::error::would_block) {
     this->Resume();
     return;
   }
--- a/packages/net/src/accept_loop.h
+++ b/packages/net/src/accept_loop.h
@@ -23,17 +23,26 @@
   // Accepts connections from now on; has no effect if it does already.
   void Resume();
 
-  // Closes the listening socket.
+  // Closes the listening socket, so that new connections are refused, or opens
+  // it again at the same address.
+  void SetListening(bool aIsListening);
+
+  // Closes the listening socket for good.
   void Close();
 
 private:
   void AcceptWaiting();
+  void Reopen();
 
   IoTask& task;
   boost::asio::ip::tcp::acceptor acceptor;
+  boost::asio::ip::tcp::endpoint endpoint;
   std::function<bool()> isFull;
   std::function<void(Socket)> accept;
   bool isWaiting = false;
+  // The last argument of SetListening, and whether the socket is open.
+  bool shouldListen = true;
+  bool isListening = true;
   bool isClosed = false;
 };
 
--- a/packages/net/src/calls.h
+++ b/packages/net/src/calls.h
@@ -79,7 +79,8 @@
 caf::actor
 SpawnClientConnection(const Runtime& aRuntime,
                       caf::actor aPool,
-                      const Address& aAddress);
+                      const Address& aAddress,
+                      ConnectObserver aObserver);
 
 } // namespace lycheestand::net
 
--- a/packages/net/src/client_connection.cc
+++ b/packages/net/src/client_connection.cc
@@ -55,10 +55,12 @@
   ClientConnection(caf::actor_config& aConfig,
                    Runtime aRuntime,
                    caf::actor aPool,
-                   Address aAddress)
+                   Address aAddress,
+                   ConnectObserver aObserver)
     : IoTask(aConfig, aRuntime)
     , connectionPool(std::move(aPool))
     , address(std::move(aAddress))
+    , observer(std::move(aObserver))
     , socket(*aRuntime.io)
   {
   }
@@ -161,7 +163,7 @@
       auto now = Now(this->GetRuntime());
       if (!isAwaitingOwner && now - this->lastProgress >= limit) {
         if (!this->isConnected) {
-          this->RecordConnectTime();
+          this->ReportConnectTime();
         }
         this->Fail("timeout");
         return;
@@ -184,25 +186,27 @@
         if (!this->isBusy) {
           return;
         }
+        this->ReportConnectTime();
         if (aError) {
           this->Fail(aError.message());
           return;
         }
         this->isConnected = true;
         this->lastProgress = Now(this->GetRuntime());
-        this->RecordConnectTime();
         beast::error_code ignored;
         this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
         this->WriteRequest();
       }));
   }
 
-  // A timeout is recorded with the time that passed until then.
-  void RecordConnectTime()
+  // A timeout is reported with the time that passed until then.
+  void ReportConnectTime()
   {
-    Metrics()
-      .GetHistogram("lycheestand_connect_seconds")
-      .Record(Now(this->GetRuntime()) - this->connectStartedAt);
+    auto time = Now(this->GetRuntime()) - this->connectStartedAt;
+    this->connectTimes.Record(time);
+    if (this->observer) {
+      this->observer(time);
+    }
   }
 
   void WriteRequest()
@@ -417,6 +421,7 @@
 
   caf::actor connectionPool;
   Address address;
+  ConnectObserver observer;
   asio::ip::tcp::socket socket;
   beast::flat_buffer buffer;
   std::optional<Parser> parser;
@@ -435,6 +440,8 @@
   bool isSent = false;
   bool receivedHead = false;
   TimePoint connectStartedAt;
+  DurationHistogram connectTimes =
+    Metrics().GetHistogram("lycheestand_connect_seconds");
   TimePoint lastProgress;
 };
 
@@ -443,10 +450,11 @@
 caf::actor
 SpawnClientConnection(const Runtime& aRuntime,
                       caf::actor aPool,
-                      const Address& aAddress)
+                      const Address& aAddress,
+                      ConnectObserver aObserver)
 {
   return aRuntime.system->spawn<ClientConnection>(
-    aRuntime, std::move(aPool), aAddress);
+    aRuntime, std::move(aPool), aAddress, std::move(aObserver));
 }
 
 } // namespace lycheestand::net
--- a/packages/net/src/connection_pool.cc
+++ b/packages/net/src/connection_pool.cc
@@ -12,7 +12,13 @@
 class ConnectionPool : public IoTask
 {
 public:
-  using IoTask::IoTask;
+  ConnectionPool(caf::actor_config& aConfig,
+                 Runtime aRuntime,
+                 ConnectObserver aObserver)
+    : IoTask(aConfig, aRuntime)
+    , observer(std::move(aObserver))
+  {
+  }
 
 protected:
   caf::message_handler Handlers() override
@@ -38,8 +44,10 @@
       connection = idle.back();
       idle.pop_back();
     } else {
-      connection = SpawnClientConnection(
-        this->GetRuntime(), caf::actor_cast<caf::actor>(this), aStart.address);
+      connection = SpawnClientConnection(this->GetRuntime(),
+                                         caf::actor_cast<caf::actor>(this),
+                                         aStart.address,
+                                         this->observer);
     }
     this->send(connection, std::move(aStart));
   }
@@ -61,15 +69,16 @@
     this->send(aClosed.connection, ConnectionRemoved{});
   }
 
+  ConnectObserver observer;
   std::map<Address, std::deque<caf::actor>> idleByAddress;
 };
 
 } // namespace
 
 caf::actor
-SpawnConnectionPool(const Runtime& aRuntime)
+SpawnConnectionPool(const Runtime& aRuntime, ConnectObserver aObserver)
 {
-  return aRuntime.system->spawn<ConnectionPool>(aRuntime);
+  return aRuntime.system->spawn<ConnectionPool>(aRuntime, std::move(aObserver));
 }
 
 } // namespace lycheestand::net
--- a/packages/net/src/delay_probe.cc
+++ b/packages/net/src/delay_probe.cc
@@ -24,9 +24,11 @@
 public:
   DelayProbeTask(caf::actor_config& aConfig,
                  Runtime aRuntime,
-                 std::shared_ptr<Measurement> aMeasurement)
+                 std::shared_ptr<Measurement> aMeasurement,
+                 DelayObserver aObserver)
     : IoTask(aConfig, aRuntime)
     , measurement(std::move(aMeasurement))
+    , observer(std::move(aObserver))
   {
   }
 
@@ -50,16 +52,18 @@
   {
     this->measurement->lastDelay = aDelay.count();
     this->histogram.Record(aDelay);
+    if (this->observer) {
+      this->observer(aDelay);
+    }
     if (aDelay >= kStallTime) {
-      auto stalled = std::chrono::duration_cast<Milliseconds>(aDelay);
-      Log(
-        LogLevel::Warning,
-        "the process was stalled",
-        { { "event", "stalled" }, { "ms", std::to_string(stalled.count()) } });
+      Log(LogLevel::Warning,
+          "the process was stalled",
+          { { "event", "stalled" }, { "ms", FormatMilliseconds(aDelay) } });
     }
   }
 
   std::shared_ptr<Measurement> measurement;
+  DelayObserver observer;
   DurationHistogram histogram =
     Metrics().GetHistogram("lycheestand_task_delay_seconds");
 };
@@ -68,7 +72,7 @@
 
 // A measurement that is overdue tells of a delay before it has run.
 DelayProbe
-StartDelayProbe(const Runtime& aRuntime)
+StartDelayProbe(const Runtime& aRuntime, DelayObserver aObserver)
 {
   auto measurement = std::make_shared<Measurement>();
   auto delay = [aRuntime, measurement] {
@@ -78,7 +82,8 @@
     return Duration(std::max(measurement->lastDelay.load(),
                              std::max<Duration::rep>(overdue, 0)));
   };
-  return { aRuntime.system->spawn<DelayProbeTask>(aRuntime, measurement),
+  return { aRuntime.system->spawn<DelayProbeTask>(
+             aRuntime, measurement, std::move(aObserver)),
            delay };
 }
 
--- a/packages/net/src/http_connection.cc
+++ b/packages/net/src/http_connection.cc
@@ -329,7 +329,9 @@
   // request.
   bool UpdateKeepAlive()
   {
-    this->keepAlive = this->keepAlive && !this->closeAfterResponse;
+    const auto& keeps = this->options.keepsConnections;
+    this->keepAlive =
+      this->keepAlive && !this->closeAfterResponse && (!keeps || keeps());
     return this->keepAlive;
   }
 
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -48,6 +48,9 @@
         this->connections.erase(this->current_sender());
         this->acceptLoop.Resume();
       },
+      [this](SetListening aSet) {
+        this->acceptLoop.SetListening(aSet.isListening);
+      },
       [this](StopListening) { this->Stop(); },
       [this](CloseAfterResponses) { this->AnnounceClose(); },
       [this](CountOpenConnections) { return this->connections.size(); },
@@ -57,6 +60,13 @@
 private:
   void Accept(tcp::socket aSocket)
   {
+    const auto& serves = this->options.servesNewConnection;
+    if (serves && !serves()) {
+      // Without the option, the peer would see a proper end of the connection.
+      beast::error_code ignored;
+      aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+      return;
+    }
     auto connection = SpawnHttpConnection(this->GetRuntime(),
                                           this->connectionPool,
                                           caf::actor_cast<caf::actor>(this),
--- a/packages/net/src/link.cc
+++ b/packages/net/src/link.cc
@@ -363,13 +363,15 @@
          caf::actor aUser)
 {
   LinkId id = NextLinkId();
-  aRuntime.system->spawn<Link>(aRuntime,
-                               aKey,
-                               aOptions,
-                               std::move(aUser),
-                               id,
-                               std::make_shared<tcp::socket>(*aRuntime.io),
-                               aAddress);
+  auto socket = std::make_shared<tcp::socket>(*aRuntime.io);
+  auto& system = *aRuntime.system;
+  if (aOptions.hasThread) {
+    system.spawn<Link, caf::detached>(
+      aRuntime, aKey, aOptions, std::move(aUser), id, socket, aAddress);
+  } else {
+    system.spawn<Link>(
+      aRuntime, aKey, aOptions, std::move(aUser), id, socket, aAddress);
+  }
   return id;
 }
 
--- a/packages/net/src/log.cc
+++ b/packages/net/src/log.cc
@@ -105,6 +105,13 @@
 
 } // namespace
 
+std::string
+FormatMilliseconds(Duration aDuration)
+{
+  return std::to_string(
+    std::chrono::duration_cast<Milliseconds>(aDuration).count());
+}
+
 void
 SetUpLogging(LogLevel aLevel, LogFormat aFormat, const InstanceId& aInstance)
 {
--- a/packages/net/test/http_server_test.cc
+++ b/packages/net/test/http_server_test.cc
@@ -252,3 +252,97 @@
   });
   CHECK(open == kCallers);
 }
+
+// Guards against a server that, once it has stopped to listen, refuses callers
+// for good or drops the connections that it has.
+TEST_CASE_METHOD(NetFixture, "A server refuses connections while it must")
+{
+  auto address = this->Serve([](const ExchangePtr& aExchange) {
+    aExchange->Respond({ 200, {}, "body" });
+  });
+  auto answers = [this](RawCaller& aCaller, std::size_t aCount) {
+    aCaller.Send(kGetRequest);
+    this->RunUntil(
+      [&] { return CountOccurrences(aCaller.Received(), "body") == aCount; });
+  };
+  RawCaller early(address);
+  answers(early, 1);
+  caf::anon_send(this->started.back(), SetListening{ false });
+  this->Coordinator().run();
+  CHECK_THROWS_AS(RawCaller(address), boost::system::system_error);
+  answers(early, 2);
+  caf::anon_send(this->started.back(), SetListening{ true });
+  this->Coordinator().run();
+  RawCaller late(address);
+  answers(late, 1);
+}
+
+// Guards against a server that can't listen at once after a pause, for example
+// because another process has taken its address, and never tries again.
+TEST_CASE_METHOD(NetFixture, "A server tries again to listen")
+{
+  auto address = this->Serve([](const ExchangePtr& aExchange) {
+    aExchange->Respond({ 200, {}, "body" });
+  });
+  caf::anon_send(this->started.back(), SetListening{ false });
+  this->Coordinator().run();
+  {
+    boost::asio::ip::tcp::acceptor other(
+      this->io,
+      { boost::asio::ip::make_address(address.host), address.port },
+      false);
+    caf::anon_send(this->started.back(), SetListening{ true });
+    this->Coordinator().run();
+  }
+  this->Advance(500ms);
+  RawCaller caller(address);
+  caller.Send(kGetRequest);
+  this->RunUntil(
+    [&] { return CountOccurrences(caller.Received(), "body") == 1; });
+}
+
+// Guards against a process that reads requests which it can't serve in time.
+TEST_CASE_METHOD(NetFixture, "A connection that is not served is reset unread")
+{
+  bool serves = false;
+  int handled = 0;
+  HttpServerOptions options;
+  options.servesNewConnection = [&serves] { return serves; };
+  auto address = this->Serve(
+    [&handled](const ExchangePtr& aExchange) {
+      ++handled;
+      aExchange->Respond({ 200, {}, "body" });
+    },
+    options);
+  RawCaller refused(address);
+  this->RunUntil([&] { return refused.IsClosed(); });
+  CHECK(refused.Received().empty());
+  CHECK(handled == 0);
+  serves = true;
+  RawCaller served(address);
+  served.Send(kGetRequest);
+  this->RunUntil([&] { return handled == 1; });
+}
+
+// Guards against callers that keep using a connection to a process which wants
+// them to connect elsewhere.
+TEST_CASE_METHOD(NetFixture, "Connections are kept while the server keeps them")
+{
+  bool keeps = true;
+  HttpServerOptions options;
+  options.keepsConnections = [&keeps] { return keeps; };
+  auto address = this->Serve(
+    [](const ExchangePtr& aExchange) {
+      aExchange->Respond({ 200, {}, "body" });
+    },
+    options);
+  RawCaller caller(address);
+  caller.Send(kGetRequest);
+  this->RunUntil(
+    [&] { return CountOccurrences(caller.Received(), "body") == 1; });
+  keeps = false;
+  caller.Send(kGetRequest);
+  this->RunUntil([&] { return caller.IsClosed(); });
+  CHECK(CountOccurrences(caller.Received(), "body") == 2);
+  CHECK(CountOccurrences(caller.Received(), "Connection: close") == 1);
+}
--- a/packages/router/include/lycheestand/router.h
+++ b/packages/router/include/lycheestand/router.h
@@ -138,7 +138,6 @@
 // serves requests by the route table instead of the project's own interface.
 Result<std::unique_ptr<Router>, std::string>
 StartRouter(const net::Runtime& aRuntime,
-            caf::actor aPool,
             const settings::ProcessSettings& aSettings,
             const net::FleetKey& aKey,
             std::optional<RouteProtocol> aProtocol = std::nullopt);
--- a/packages/router/src/control_link.cc
+++ b/packages/router/src/control_link.cc
@@ -75,12 +75,13 @@
   void Connect()
   {
     const auto& member = this->known[this->nextMember];
-    this->link =
-      net::OpenLink(this->GetRuntime(),
-                    this->key,
-                    member.peer,
-                    settings::MakeLinkOptions<net::LinkOptions>(this->settings),
-                    caf::actor_cast<caf::actor>(this));
+    auto options = settings::MakeLinkOptions<net::LinkOptions>(this->settings);
+    options.hasThread = true;
+    this->link = net::OpenLink(this->GetRuntime(),
+                               this->key,
+                               member.peer,
+                               options,
+                               caf::actor_cast<caf::actor>(this));
   }
 
   void ScheduleReconnect()
@@ -349,6 +350,9 @@
   return next.fetch_add(1);
 }
 
+// This task and its link have threads of their own. If they waited behind the
+// tasks of an overloaded router, its heartbeats would be late, control would
+// close the link, and no configuration would reach the router.
 caf::actor
 SpawnControlLink(const net::Runtime& aRuntime,
                  const settings::ProcessSettings& aSettings,
@@ -356,7 +360,7 @@
                  const Controllers& aControllers,
                  std::function<void()> aDrainRequested)
 {
-  return aRuntime.system->spawn<ControlLink>(
+  return aRuntime.system->spawn<ControlLink, caf::detached>(
     aRuntime, aSettings, aKey, aControllers, std::move(aDrainRequested));
 }
 
--- a/packages/router/src/controllers.h
+++ b/packages/router/src/controllers.h
@@ -68,6 +68,22 @@
 caf::actor
 SpawnAdmissionController(const net::Runtime& aRuntime);
 
+// What a router accepts now.
+struct Acceptance
+{
+  // A part of the new connections is refused.
+  bool isOverloaded = false;
+  // Whether connections are accepted until the next decision.
+  bool acceptsConnections = true;
+};
+
+// Starts the task that owns the decision what this router accepts. It gets
+// ConnectTime and TaskDelay, and calls aPublish inside the task after each
+// TaskDelay.
+caf::actor
+SpawnOverloadController(const net::Runtime& aRuntime,
+                        std::function<void(const Acceptance&)> aPublish);
+
 // Starts the task that owns the view of the fleet's instances.
 caf::actor
 SpawnMembershipController(const net::Runtime& aRuntime,
--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -54,7 +54,7 @@
   std::shared_ptr<const RouteProtocol> protocol;
   CallDescription description;
   std::shared_ptr<const routes::RouteTable> table;
-  // Points into `table`.
+  // Points into `table`; null until the route is known.
   const routes::Route* route = nullptr;
   ServiceName service;
   Tokens tokensPerEvent{ 1 };
@@ -187,15 +187,23 @@
 void
 FinishRequest(const RequestPtr& aRequest);
 
-// The first filter for requests that are served by a route table: finds the
-// route, and the workspace that owns the key. aMayAccept returns whether a
-// request that may take this long can finish before the process ends.
+// The first filter for requests that are served by a route table: parses what
+// the request says of itself.
 Filter
-MakeMatchRoute(std::shared_ptr<const RouteProtocol> aProtocol,
-               std::function<bool(Duration)> aMayAccept);
+MakeReadCall(std::shared_ptr<const RouteProtocol> aProtocol);
 
-// The filters of the project's own interface, in order. Reserve, Recheck and
-// Forward also follow MatchRoute.
+// Refuses a request unless aAccepts returns true; for an overloaded process.
+Filter
+MakeShedLoad(std::function<bool()> aAccepts);
+
+// Finds the route of a request that is served by a route table, and the
+// workspace that owns the key. aMayAccept returns whether a request that may
+// take this long can finish before the process ends.
+Filter
+MakeMatchRoute(std::function<bool(Duration)> aMayAccept);
+
+// The filters of the project's own interface, in order, after ShedLoad.
+// Reserve, Recheck and Forward also follow MatchRoute.
 Filter
 MakeAuthenticate();
 Filter
--- a/packages/router/src/finish.cc
+++ b/packages/router/src/finish.cc
@@ -16,13 +16,6 @@
   return tenths % 10 == 0 ? text : text + "." + std::to_string(tenths % 10);
 }
 
-std::string
-FormatMilliseconds(Duration aTime)
-{
-  return std::to_string(
-    std::chrono::duration_cast<Milliseconds>(aTime).count());
-}
-
 // Logs the one line per routed request that tells how it ended.
 void
 LogRouted(const Request& aRequest, const RoutedCall& aCall, TimePoint aNow)
@@ -45,7 +38,7 @@
     { "attempts", std::to_string(aRequest.attempts) },
     { "reserved", std::to_string(aRequest.reserved.Get()) },
     { "spent", std::to_string(aRequest.usage.Total().Get()) },
-    { "ms", FormatMilliseconds(aNow - aRequest.startedAt) }
+    { "ms", net::FormatMilliseconds(aNow - aRequest.startedAt) }
   };
   const auto& basis = aRequest.basis;
   if (basis.candidates > 0) {
@@ -64,7 +57,7 @@
   if (aRequest.answerStartedAt) {
     fields.emplace_back(
       "first_ms",
-      FormatMilliseconds(*aRequest.answerStartedAt - aRequest.startedAt));
+      net::FormatMilliseconds(*aRequest.answerStartedAt - aRequest.startedAt));
   }
   net::Log(net::LogLevel::Info, "request ended", fields);
 }
@@ -157,7 +150,8 @@
     caf::anon_send(aRequest->controllers.operation,
                    SubmitOperationStep{ std::move(step) });
   }
-  if (const auto* routed = std::get_if<RoutedCall>(&aRequest->call)) {
+  const auto* routed = std::get_if<RoutedCall>(&aRequest->call);
+  if (routed != nullptr && routed->route != nullptr) {
     LogRouted(*aRequest, *routed, net::Now(task.GetRuntime()));
     CountRouted(*aRequest);
   }
--- a/packages/router/src/match_route.cc
+++ b/packages/router/src/match_route.cc
@@ -76,31 +76,32 @@
 
 void
 Match(const RequestPtr& aRequest,
-      RoutedCall aCall,
       const std::function<bool(Duration)>& aMayAccept,
       const RandomSource& aRandom,
       const Next& aNext)
 {
+  auto& call = std::get<RoutedCall>(aRequest->call);
   const auto& target = aRequest->exchange->Request().target;
-  aCall.route = aCall.table->Find(aCall.description.host, target);
-  if (aCall.route == nullptr) {
+  const auto* route = call.table->Find(call.description.host, target);
+  if (route == nullptr) {
     RefuseCall(aRequest,
                404,
                "no_route",
-               "no route for " + aCall.description.host + target);
+               "no route for " + call.description.host + target);
     return;
   }
-  if (!FindWorkspace(aRequest, aCall)) {
+  call.route = route;
+  if (!FindWorkspace(aRequest, call)) {
     return;
   }
-  aCall.service = routes::ChooseService(*aCall.route, aRandom);
-  const auto* service = aCall.table->Find(aCall.service);
+  call.service = routes::ChooseService(*route, aRandom);
+  const auto* service = call.table->Find(call.service);
   if (service->engine) {
-    aCall.tokensPerEvent = service->engine->tokensPerEvent;
+    call.tokensPerEvent = service->engine->tokensPerEvent;
   }
-  Duration timeout = aCall.route->timeout;
-  if (aCall.description.timeout) {
-    timeout = std::min<Duration>(timeout, *aCall.description.timeout);
+  Duration timeout = route->timeout;
+  if (call.description.timeout) {
+    timeout = std::min<Duration>(timeout, *call.description.timeout);
   }
   if (!aMayAccept(timeout)) {
     Refuse(
@@ -114,22 +115,18 @@
     return;
   }
   aRequest->deadline = aRequest->startedAt + timeout;
-  aCall.abortAt = *aRequest->deadline + kTimeoutGrace;
-  aRequest->call = std::move(aCall);
-  ScheduleTimeout(aRequest, std::get<RoutedCall>(aRequest->call));
+  call.abortAt = *aRequest->deadline + kTimeoutGrace;
+  ScheduleTimeout(aRequest, call);
   aNext();
 }
 
 } // namespace
 
 Filter
-MakeMatchRoute(std::shared_ptr<const RouteProtocol> aProtocol,
-               std::function<bool(Duration)> aMayAccept)
+MakeReadCall(std::shared_ptr<const RouteProtocol> aProtocol)
 {
-  return [protocol = std::move(aProtocol),
-          mayAccept = std::move(aMayAccept),
-          random = net::MakeRandomSource()](const RequestPtr& aRequest,
-                                            Next aNext) {
+  return [protocol = std::move(aProtocol)](const RequestPtr& aRequest,
+                                           const Next& aNext) {
     auto description = protocol->readCall(aRequest->exchange->Request());
     if (description.has_error()) {
       RefuseCall(aRequest, 400, "invalid_request", description.error());
@@ -139,11 +136,21 @@
     RoutedCall call;
     call.protocol = protocol;
     call.description = std::move(description.value());
+    aRequest->call = std::move(call);
+    aNext();
+  };
+}
+
+Filter
+MakeMatchRoute(std::function<bool(Duration)> aMayAccept)
+{
+  return [mayAccept = std::move(aMayAccept), random = net::MakeRandomSource()](
+           const RequestPtr& aRequest, Next aNext) {
     aRequest->exchange->Task()
       .request(
         aRequest->controllers.configuration, caf::infinite, GetConfiguration{})
-      .then([aRequest, mayAccept, random, call, next = std::move(aNext)](
-              ActiveConfiguration& aReply) mutable {
+      .then([aRequest, mayAccept, random, next = std::move(aNext)](
+              ActiveConfiguration& aReply) {
         if (!aReply.table) {
           Refuse(
             aRequest,
@@ -155,8 +162,8 @@
           return;
         }
         aRequest->snapshot = aReply.snapshot;
-        call.table = aReply.table;
-        Match(aRequest, std::move(call), mayAccept, random, next);
+        std::get<RoutedCall>(aRequest->call).table = aReply.table;
+        Match(aRequest, mayAccept, random, next);
       });
   };
 }
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -55,6 +55,20 @@
   std::vector<settings::ControlMember> members;
 };
 
+// To the overload controller: a connection to an endpoint was opened, or timed
+// out, after this time.
+struct ConnectTime
+{
+  Duration time{};
+};
+
+// To the overload controller, every 50 ms: how long the process's tasks wait
+// before they run.
+struct TaskDelay
+{
+  Duration delay{};
+};
+
 // To the control link: reports to control that this router is leaving.
 struct SetLeaving
 {};
@@ -268,6 +282,8 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ControlDown)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::FromControl)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::SetMembers)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ConnectTime)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::TaskDelay)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::SetLeaving)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::GetConfiguration)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ActiveConfiguration)
--- a/packages/router/src/route_attempt.cc
+++ b/packages/router/src/route_attempt.cc
@@ -157,17 +157,15 @@
 {
   auto now = net::Now(aRequest->exchange->Task().GetRuntime());
   if (aOutcome != routing::Outcome::Succeeded) {
-    net::Log(net::LogLevel::Info,
-             "attempt ended",
-             { { "event", "attempt" },
-               { "request", aRequest->id.Get() },
-               { "endpoint", aRequest->endpoint.Get() },
-               { "attempt", std::to_string(aRequest->attempts) },
-               { "ms",
-                 std::to_string(std::chrono::duration_cast<Milliseconds>(
-                                  now - aRequest->attemptStartedAt)
-                                  .count()) },
-               { "reason", aReason } });
+    net::Log(
+      net::LogLevel::Info,
+      "attempt ended",
+      { { "event", "attempt" },
+        { "request", aRequest->id.Get() },
+        { "endpoint", aRequest->endpoint.Get() },
+        { "attempt", std::to_string(aRequest->attempts) },
+        { "ms", net::FormatMilliseconds(now - aRequest->attemptStartedAt) },
+        { "reason", aReason } });
   }
   aRequest->upstream = {};
   ReleaseEndpoint(aRequest, aOutcome, aIsLeaving);
--- a/packages/router/src/router.cc
+++ b/packages/router/src/router.cc
@@ -84,21 +84,34 @@
 
 std::vector<Filter>
 MakeFilters(const std::shared_ptr<const RouteProtocol>& aProtocol,
+            std::function<bool()> aAccepts,
             std::function<bool(Duration)> aMayAccept)
 {
   if (aProtocol) {
     return {
-      MakeMatchRoute(aProtocol, std::move(aMayAccept)),
+      MakeReadCall(aProtocol),
+      MakeShedLoad(std::move(aAccepts)),
+      MakeMatchRoute(std::move(aMayAccept)),
       MakeReserve(),
       MakeRecheck(),
       MakeForward(),
     };
   }
-  return { MakeAuthenticate(),    MakeParseCall(), MakeAdmit(),
-           MakeRecordOperation(), MakeReserve(),   MakeRecheck(),
+  return { MakeShedLoad(std::move(aAccepts)),
+           MakeAuthenticate(),
+           MakeParseCall(),
+           MakeAdmit(),
+           MakeRecordOperation(),
+           MakeReserve(),
+           MakeRecheck(),
            MakeForward() };
 }
 
+// Delay of the process's tasks at which it accepts no request: one passes about
+// ten tasks, and would be answered too late. It is longer than the pauses of a
+// process that may use the processor only for a part of each 100 ms.
+constexpr Duration kMaxTaskDelay = std::chrono::milliseconds(250);
+
 // Stops a router gracefully: removes it from the entry addresses, waits for
 // requests in flight, then returns its grants.
 class DrainTask : public net::IoTask
@@ -220,15 +233,25 @@
     , protocol(aProtocol ? std::make_shared<const RouteProtocol>(*aProtocol)
                          : nullptr)
     , plan(MakeStopPlan(aSettings))
-    , chain(MakeFilters(this->protocol, [this](Duration aTimeout) {
-      return !this->IsStopping() || this->CanFinish(aTimeout);
-    }))
+    , chain(MakeFilters(
+        this->protocol,
+        [this] { return this->AcceptsRequest(); },
+        [this](Duration aTimeout) {
+          return !this->IsStopping() || this->CanFinish(aTimeout);
+        }))
   {
   }
 
-  Result<void, std::string> Start(const caf::actor& aPool,
-                                  const net::FleetKey& aKey)
+  Result<void, std::string> Start(const net::FleetKey& aKey)
   {
+    auto overload =
+      SpawnOverloadController(this->runtime, [this](const Acceptance& aNow) {
+        this->SetAcceptance(aNow);
+      });
+    auto pool =
+      net::SpawnConnectionPool(this->runtime, [overload](Duration aTime) {
+        caf::anon_send(overload, ConnectTime{ aTime });
+      });
     Controllers& all = this->controllers;
     all.configuration = SpawnConfigurationController(
       this->runtime,
@@ -236,14 +259,20 @@
       this->protocol ? this->protocol->readTable : RouteTableReader());
     all.budget = SpawnBudgetController(this->runtime,
                                        MakeLocalBudgetOptions(this->settings));
-    all.operation = SpawnOperationController(this->runtime, aPool);
+    all.operation = SpawnOperationController(this->runtime, pool);
     all.admission = SpawnAdmissionController(this->runtime);
     all.endpoint = SpawnEndpointController(
-      this->runtime, aPool, MakeEndpointOptions(this->settings), all.admission);
+      this->runtime, pool, MakeEndpointOptions(this->settings), all.admission);
     all.membership = SpawnMembershipController(this->runtime, this->settings);
+    all.link =
+      SpawnControlLink(this->runtime, this->settings, aKey, all, [this] {
+        this->Drain(this->onDrained);
+      });
+    caf::anon_send(all.budget, all.link);
+    caf::anon_send(all.operation, all.link);
     auto server = net::SpawnHttpServer(
       this->runtime,
-      aPool,
+      pool,
       this->settings.callerAddress,
       this->ServerOptions(),
       [this](net::ExchangePtr aExchange) { this->Handle(aExchange); });
@@ -251,12 +280,11 @@
       return server.error();
     }
     this->server = server.value();
-    all.link =
-      SpawnControlLink(this->runtime, this->settings, aKey, all, [this] {
-        this->Drain(this->onDrained);
+    this->delayProbe =
+      net::StartDelayProbe(this->runtime, [overload](Duration aDelay) {
+        caf::anon_send(overload, TaskDelay{ aDelay });
       });
-    caf::anon_send(all.budget, all.link);
-    caf::anon_send(all.operation, all.link);
+    this->isProbing = true;
     return boost::outcome_v2::success();
   }
 
@@ -348,6 +376,8 @@
     options.maxBodyBytes = this->settings.maxBodyBytes;
     options.maxConnections = this->settings.maxConnections;
     options.requestTimeout = this->settings.requestTimeout;
+    options.servesNewConnection = [this] { return this->AcceptsRequest(); };
+    options.keepsConnections = [this] { return !this->isOverloaded; };
     return options;
   }
 
@@ -369,6 +399,22 @@
     this->chain.Run(request);
   }
 
+  // Runs in the task of the overload controller.
+  void SetAcceptance(const Acceptance& aAcceptance)
+  {
+    this->isOverloaded = aAcceptance.isOverloaded;
+    if (aAcceptance.acceptsConnections != this->isListening) {
+      this->isListening = aAcceptance.acceptsConnections;
+      caf::anon_send(this->server, net::SetListening{ this->isListening });
+    }
+  }
+
+  // Returns whether a new request is accepted; runs in the connections' tasks.
+  bool AcceptsRequest() const
+  {
+    return !this->isProbing || this->delayProbe.delay() < kMaxTaskDelay;
+  }
+
   bool IsStopping() const { return this->stopRequestedAt != 0; }
 
   // Returns whether a request with this timeout can finish before this stopping
@@ -388,6 +434,14 @@
   RandomSource random = net::MakeRandomSource();
   Controllers controllers;
   caf::actor server;
+  net::DelayProbe delayProbe;
+  // Set once delayProbe is; read by the connections' tasks.
+  std::atomic<bool> isProbing{ false };
+  // Used by the overload controller's task only.
+  bool isListening = true;
+  // Written by the overload controller's task, read by those of the
+  // connections.
+  std::atomic<bool> isOverloaded{ false };
   // Time at which the stop was requested, or 0; read by the connections' tasks.
   std::atomic<Duration::rep> stopRequestedAt{ 0 };
   std::function<void()> onDrained = [] {};
@@ -397,14 +451,13 @@
 
 Result<std::unique_ptr<Router>, std::string>
 StartRouter(const net::Runtime& aRuntime,
-            caf::actor aPool,
             const settings::ProcessSettings& aSettings,
             const net::FleetKey& aKey,
             std::optional<RouteProtocol> aProtocol)
 {
   auto router =
     std::make_unique<RunningRouter>(aRuntime, aSettings, std::move(aProtocol));
-  auto started = router->Start(aPool, aKey);
+  auto started = router->Start(aKey);
   if (started.has_error()) {
     return Result<std::unique_ptr<Router>, std::string>(
       boost::outcome_v2::in_place_type<std::string>, started.error());
--- a/packages/routing/include/lycheestand/routing.h
+++ b/packages/routing/include/lycheestand/routing.h
@@ -487,6 +487,75 @@
   double serviceSeconds = 1;
 };
 
+// ------------------------------------------------------------ overload
+
+// Settings of a LoadShedder.
+struct ShedderOptions
+{
+  // A process is overloaded if its tasks wait at least this long for their turn
+  // throughout a window. A request waits for about ten turns.
+  Duration targetDelay = std::chrono::milliseconds(15);
+  // Its network link is overloaded if each of at least minConnects connections
+  // to endpoints takes this long to open. The latency between regions is less.
+  Duration targetConnectTime = std::chrono::milliseconds(150);
+  unsigned minConnects = 4;
+  // Samples in a window. A process that may use the processor only for a part
+  // of each 100 ms waits at times, but not throughout a window.
+  unsigned samplesPerWindow = 4;
+  // A single sample of this delay is an overload without waiting for the end of
+  // the window: such samples arrive late themselves.
+  Duration severeDelay = std::chrono::milliseconds(250);
+  // Factor of the accepted fraction after a window with overload, and after a
+  // severe delay, and what is added to it after a window without overload.
+  double decreaseFactor = 0.7;
+  double severeDecreaseFactor = 0.5;
+  double increaseStep = 0.03;
+  // Fraction that is always accepted, so that the effect of accepting more can
+  // be measured.
+  double minFraction = 0.05;
+};
+
+// What a process measured since the last sample.
+struct LoadSample
+{
+  // How long its tasks wait before they run.
+  Duration taskDelay{};
+  // Connections to endpoints that were opened or failed, and the shortest time
+  // until then.
+  unsigned connects = 0;
+  Duration shortestConnect = Duration::max();
+};
+
+// Determines which fraction of new connections a process accepts. A process
+// that takes up more than it can serve would answer all of it late.
+class LoadShedder
+{
+public:
+  explicit LoadShedder(ShedderOptions aOptions = {});
+
+  // Adds a sample; returns the fraction of new connections to accept, from 0 to
+  // 1.
+  double Update(const LoadSample& aSample);
+
+  // Returns whether to accept connections until the next sample: for that
+  // fraction of the time.
+  bool AcceptsConnections();
+
+private:
+  bool IsOverloaded() const;
+  void Decrease(double aFactor);
+  void StartWindow();
+
+  ShedderOptions options;
+  double fraction = 1;
+  unsigned samples = 0;
+  // Of the current window.
+  LoadSample window;
+  // Time that connections were accepted less than they should have been, in
+  // samples.
+  double acceptCredit = 0;
+};
+
 // ------------------------------------------------------------ admission
 
 enum class Priority : std::uint8_t
