Deny a route or key only by a confirmed route table

Cause, beside the overload that made the router late: a router that has lost contact with control went on to answer 404 and 401 by the table that it has, and can't know whether a newer one has the route or the key. The platform's rules let it serve by that table for as long as a cut lasts; they don't make a definite denial true.

Change: 404 and 401 need a confirmation by control that is younger than the time within which a change must be in force (configApplyMs); a change that the table lacks was then acknowledged after that. Otherwise the caller gets 503 with Retry-After and the state not_run.

--- a/packages/router/src/configuration_controller.cc
+++ b/packages/router/src/configuration_controller.cc
@@ -25,9 +25,10 @@
     return {
       [this](FromControl& aMessage) { this->Handle(aMessage.message); },
       [this](GetConfiguration) {
-        return this->IsConfirmed()
-                 ? ActiveConfiguration{ this->snapshot, this->table }
-                 : ActiveConfiguration{};
+        return this->IsConfirmed() ? ActiveConfiguration{ this->snapshot,
+                                                          this->table,
+                                                          this->confirmedAt }
+                                   : ActiveConfiguration{};
       },
       [this](DumpState) { return this->Dump(); },
     };
--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -197,10 +197,12 @@
 MakeShedLoad(std::function<bool()> aAccepts);
 
 // Finds the route of a request that is served by a route table, and the
-// workspace that owns the key. aMayAccept returns whether a request that may
-// take this long can finish before the process ends.
+// workspace that owns the key. Says that there is no such route or key only if
+// control has confirmed the table within aChangeApplyTime. aMayAccept returns
+// whether a request that may take this long can finish before the process ends.
 Filter
-MakeMatchRoute(std::function<bool(Duration)> aMayAccept);
+MakeMatchRoute(Duration aChangeApplyTime,
+               std::function<bool(Duration)> aMayAccept);
 
 // The filters of the project's own interface, in order, after ShedLoad.
 // Reserve, Recheck and Forward also follow MatchRoute.
--- a/packages/router/src/match_route.cc
+++ b/packages/router/src/match_route.cc
@@ -15,19 +15,26 @@
 // once.
 constexpr double kStoppingRetrySeconds = 0.02;
 
+// Refuses a call that the route table does not allow. Without a recent
+// confirmation, a newer table may allow it, so the caller is told to try again.
 void
 RefuseCall(const RequestPtr& aRequest,
+           bool aIsConfirmed,
            unsigned aStatus,
            const char* aCode,
            const std::string& aMessage)
 {
-  Refuse(aRequest, { aStatus, aCode, aMessage });
+  if (aIsConfirmed) {
+    Refuse(aRequest, { aStatus, aCode, aMessage });
+  } else {
+    RefuseUnconfirmed(aRequest);
+  }
 }
 
 // Sets the workspace of a request whose route needs a key; refuses a request
 // without a valid one.
 bool
-FindWorkspace(const RequestPtr& aRequest, RoutedCall& aCall)
+FindWorkspace(const RequestPtr& aRequest, RoutedCall& aCall, bool aIsConfirmed)
 {
   if (aCall.route->isPublic || !aCall.table->HasWorkspaces()) {
     return true;
@@ -37,6 +44,7 @@
   if (found == nullptr) {
     RefuseCall(
       aRequest,
+      aIsConfirmed,
       401,
       "invalid_key",
       "the request has no key, or the route table does not contain it");
@@ -76,6 +84,7 @@
 
 void
 Match(const RequestPtr& aRequest,
+      bool aIsConfirmed,
       const std::function<bool(Duration)>& aMayAccept,
       const RandomSource& aRandom,
       const Next& aNext)
@@ -85,13 +94,14 @@
   const auto* route = call.table->Find(call.description.host, target);
   if (route == nullptr) {
     RefuseCall(aRequest,
+               aIsConfirmed,
                404,
                "no_route",
                "no route for " + call.description.host + target);
     return;
   }
   call.route = route;
-  if (!FindWorkspace(aRequest, call)) {
+  if (!FindWorkspace(aRequest, call, aIsConfirmed)) {
     return;
   }
   call.service = routes::ChooseService(*route, aRandom);
@@ -129,7 +139,7 @@
                                            const Next& aNext) {
     auto description = protocol->readCall(aRequest->exchange->Request());
     if (description.has_error()) {
-      RefuseCall(aRequest, 400, "invalid_request", description.error());
+      Refuse(aRequest, { 400, "invalid_request", description.error() });
       return;
     }
     aRequest->id = description.value().id;
@@ -142,15 +152,23 @@
 }
 
 Filter
-MakeMatchRoute(std::function<bool(Duration)> aMayAccept)
+MakeMatchRoute(Duration aChangeApplyTime,
+               std::function<bool(Duration)> aMayAccept)
 {
-  return [mayAccept = std::move(aMayAccept), random = net::MakeRandomSource()](
-           const RequestPtr& aRequest, Next aNext) {
-    aRequest->exchange->Task()
+  return [aChangeApplyTime,
+          mayAccept = std::move(aMayAccept),
+          random = net::MakeRandomSource()](const RequestPtr& aRequest,
+                                            Next aNext) {
+    auto& task = aRequest->exchange->Task();
+    task
       .request(
         aRequest->controllers.configuration, caf::infinite, GetConfiguration{})
-      .then([aRequest, mayAccept, random, next = std::move(aNext)](
-              ActiveConfiguration& aReply) {
+      .then([&task,
+             aRequest,
+             aChangeApplyTime,
+             mayAccept,
+             random,
+             next = std::move(aNext)](ActiveConfiguration& aReply) {
         if (!aReply.table) {
           Refuse(
             aRequest,
@@ -163,7 +181,11 @@
         }
         aRequest->snapshot = aReply.snapshot;
         std::get<RoutedCall>(aRequest->call).table = aReply.table;
-        Match(aRequest, mayAccept, random, next);
+        // A change that the table lacks was acknowledged after the
+        // confirmation.
+        bool isConfirmed =
+          net::Now(task.GetRuntime()) - aReply.confirmedAt < aChangeApplyTime;
+        Match(aRequest, isConfirmed, mayAccept, random, next);
       });
   };
 }
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -86,6 +86,8 @@
   std::shared_ptr<const settings::FleetSnapshot> snapshot;
   // Null if no route table is active.
   std::shared_ptr<const routes::RouteTable> table;
+  // The last time at which control has confirmed both as current.
+  TimePoint confirmedAt{};
 };
 
 // To the control link: a pushed configuration could not be applied; control
--- a/packages/router/src/router.cc
+++ b/packages/router/src/router.cc
@@ -84,14 +84,16 @@
 
 std::vector<Filter>
 MakeFilters(const std::shared_ptr<const RouteProtocol>& aProtocol,
+            const settings::ProcessSettings& aSettings,
             std::function<bool()> aAccepts,
             std::function<bool(Duration)> aMayAccept)
 {
   if (aProtocol) {
+    auto routes = aSettings.routes.value_or(settings::RouteSettings());
     return {
       MakeReadCall(aProtocol),
       MakeShedLoad(std::move(aAccepts)),
-      MakeMatchRoute(std::move(aMayAccept)),
+      MakeMatchRoute(routes.changeApplyTime, std::move(aMayAccept)),
       MakeReserve(),
       MakeRecheck(),
       MakeForward(),
@@ -235,6 +237,7 @@
     , plan(MakeStopPlan(aSettings))
     , chain(MakeFilters(
         this->protocol,
+        aSettings,
         [this] { return this->AcceptsRequest(); },
         [this](Duration aTimeout) {
           return !this->IsStopping() || this->CanFinish(aTimeout);
--- a/packages/settings/include/lycheestand/settings.h
+++ b/packages/settings/include/lycheestand/settings.h
@@ -65,6 +65,8 @@
   // burst refills only with requests, so the limit holds in any time window.
   double retriesPerRequest = 0.1;
   double fleetRetryBurst = 10;
+  // Time after its acknowledgement within which a change must be in force.
+  Milliseconds changeApplyTime{ 2000 };
   // Time from the stop signal until the platform kills the process.
   Milliseconds stopGracePeriod{ 8000 };
   // Time for which callers may cache a list of entry instances.
--- a/test/faults/overload_test.cc
+++ b/test/faults/late_router_test.cc
@@ -1,4 +1,5 @@
-// A router that gets more requests than it can serve.
+// Routers that learn late of a new configuration: one that gets more requests
+// than it can serve, and one that is cut off from control.
 
 #include "caller_flood.h"
 #include "platform_fleet.h"
@@ -75,10 +76,10 @@
 };
 
 // One control instance and one router.
-class OverloadFixture
+class LateRouterFixture
 {
 public:
-  OverloadFixture()
+  LateRouterFixture()
   {
     MachineOptions options;
     options.seeds = { kControl };
@@ -100,14 +101,14 @@
   static constexpr int kControl = 1;
   static constexpr int kRouter = 4;
 
-  PlatformFleet fleet{ "overload" };
+  PlatformFleet fleet{ "late-router" };
 };
 
 } // namespace
 
 // Guards against an overloaded router that keeps an old configuration, since
 // messages from control wait behind all requests that it has taken up.
-TEST_CASE_METHOD(OverloadFixture,
+TEST_CASE_METHOD(LateRouterFixture,
                  "an overloaded router applies a new configuration in time",
                  "[overload-config]")
 {
@@ -128,4 +129,29 @@
   CHECK(ended.gaveUp < ended.answered + ended.refused);
 }
 
+// Guards against a router that says that a route does not exist although it was
+// added: the router has lost contact with control and does not know.
+TEST_CASE_METHOD(LateRouterFixture,
+                 "a router denies a route only by a confirmed configuration",
+                 "[unconfirmed-denial]")
+{
+  auto isDenied = [this] {
+    return this->fleet.GetFromRouter(kRouter, 1s, "/none/1").status == 404;
+  };
+  REQUIRE(WaitFor(kStartTime, isDenied));
+  this->fleet.Machine(kControl).Signal(SIGSTOP);
+  std::this_thread::sleep_for(kApplyTime);
+  for (int i = 0; i < 10; ++i) {
+    auto denied = this->fleet.GetFromRouter(kRouter, 1s, "/none/1");
+    CHECK(denied.status == 503);
+    CHECK(denied.headers.contains("Retry-After"));
+    // The configuration that it has is still used.
+    auto known = this->fleet.GetFromRouter(kRouter, 1s);
+    CHECK(known.body.find("no_endpoint") != std::string::npos);
+    std::this_thread::sleep_for(100ms);
+  }
+  this->fleet.Machine(kControl).Signal(SIGCONT);
+  CHECK(WaitFor(kStartTime, isDenied));
+}
+
 } // namespace lycheestand::faults
--- a/test/faults/platform_fleet.cc
+++ b/test/faults/platform_fleet.cc
@@ -258,10 +258,12 @@
 }
 
 Reply
-PlatformFleet::GetFromRouter(int aMachine, Duration aTimeout) const
+PlatformFleet::GetFromRouter(int aMachine,
+                             Duration aTimeout,
+                             const std::string& aTarget) const
 {
   Call call;
-  call.target = "/a/1";
+  call.target = aTarget;
   call.headers = { { "Host", "h.example" }, { "X-Request-Id", "r1" } };
   call.timeout = aTimeout;
   return Send(this->CallerAddress(aMachine), call);
--- a/test/faults/platform_fleet.h
+++ b/test/faults/platform_fleet.h
@@ -67,9 +67,11 @@
   Address CallerAddress(int aMachine) const;
   // Returns whether a router says that it is ready.
   bool IsReady(int aMachine) const;
-  // Returns the status of a GET request to a router, for the route of the
+  // Sends a GET request to a router; the default target is on the route of the
   // configuration.
-  Reply GetFromRouter(int aMachine, Duration aTimeout = 5s) const;
+  Reply GetFromRouter(int aMachine,
+                      Duration aTimeout = 5s,
+                      const std::string& aTarget = "/a/1") const;
 
 private:
   void Start(int aMachine,
