--- a/packages/router/include/lycheestand/router.h
+++ b/packages/router/include/lycheestand/router.h
@@ -40,6 +40,8 @@
   // Prefixes of the prompt, from shortest to longest. The last one belongs to
   // this request or its session only.
   std::vector<routing::PromptPrefix> prefix;
+  // The parts of the prompt that other requests may share, in their order.
+  std::vector<PromptPartId> parts;
 };
 
 // What the router adds to the caller's request when it calls an endpoint.
--- a/packages/router/src/route_attempt.cc
+++ b/packages/router/src/route_attempt.cc
@@ -1,5 +1,7 @@
 #include "route_attempt.h"
 
+#include <sstream>
+
 namespace lycheestand::router {
 
 namespace {
@@ -35,6 +37,19 @@
   return query;
 }
 
+// Returns the ids in hexadecimal, separated by commas.
+std::string
+FormatParts(const std::vector<PromptPartId>& aParts)
+{
+  std::ostringstream out;
+  const char* separator = "";
+  for (auto part : aParts) {
+    out << separator << std::hex << part.Get();
+    separator = ",";
+  }
+  return out.str();
+}
+
 std::optional<unsigned>
 PriorityOf(const RoutedCall& aCall)
 {
@@ -157,6 +172,7 @@
 {
   auto now = net::Now(aRequest->exchange->Task().GetRuntime());
   if (aOutcome != routing::Outcome::Succeeded) {
+    const auto& call = std::get<RoutedCall>(aRequest->call);
     net::Log(
       net::LogLevel::Info,
       "attempt ended",
@@ -165,6 +181,7 @@
         { "endpoint", aRequest->endpoint.Get() },
         { "attempt", std::to_string(aRequest->attempts) },
         { "ms", net::FormatMilliseconds(now - aRequest->attemptStartedAt) },
+        { "parts", FormatParts(call.description.parts) },
         { "reason", aReason } });
   }
   aRequest->upstream = {};
