--- a/test/faults/platform_fleet.cc
+++ b/test/faults/platform_fleet.cc
@@ -125,6 +125,9 @@
     { "bounds", json::object() }
   };
   auto folder = this->environment.Folder() / machine;
+  if (aOptions.listAddress) {
+    settings["cloud"] = { { "address", ToString(*aOptions.listAddress) } };
+  }
   if (isControl && aOptions.hasDisk) {
     std::filesystem::create_directories(folder);
     settings["dataDir"] = folder.string();
@@ -216,12 +219,18 @@
 
 unsigned
 PlatformFleet::PutConfiguration(int aMachine, int aVersion)
+{
+  return this->PutDocument(aMachine, MakeDocument(aVersion));
+}
+
+unsigned
+PlatformFleet::PutDocument(int aMachine, const std::string& aDocument)
 {
   Call call;
   call.method = "PUT";
   call.target = "/config";
   call.headers = { { "Content-Type", "application/json" } };
-  call.body = MakeDocument(aVersion);
+  call.body = aDocument;
   call.timeout = kCallTimeout;
   return this->SendToControl(aMachine, call).status;
 }
--- a/test/faults/platform_fleet.h
+++ b/test/faults/platform_fleet.h
@@ -9,6 +9,7 @@
 
 #include <boost/json.hpp>
 #include <memory>
+#include <optional>
 
 namespace lycheestand::faults {
 
@@ -25,6 +26,8 @@
   bool hasDisk = true;
   // Number of machines with disks that may be lost at once.
   int toleratedLosses = 1;
+  // Address of the platform's list of replicas.
+  std::optional<Address> listAddress;
 };
 
 // Machines are numbered from 1. A machine runs one process, which is control or
@@ -57,9 +60,17 @@
                           bool aIsControl,
                           const char* aName) const;
 
+  // Returns the IP address of a machine without a process of this fleet.
+  std::string MachineIp(int aMachine) const
+  {
+    return this->environment.MachineIp(aMachine);
+  }
+
   // Sends a configuration with one route to a control instance, follows
   // redirects as an operator does, and returns the status.
   unsigned PutConfiguration(int aMachine, int aVersion);
+  // The same with the configuration's text.
+  unsigned PutDocument(int aMachine, const std::string& aDocument);
   // Returns the version of the configuration that an operator reads at a
   // control instance, or -1.
   std::int64_t ReadVersion(int aMachine);
--- /dev/null
+++ b/test/faults/replica_pool.cc
@@ -0,0 +1,411 @@
+#include "replica_pool.h"
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+#include <fcntl.h>
+#include <set>
+
+namespace lycheestand::faults {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+namespace json = boost::json;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::uint16_t kReplicaPort = 8080;
+constexpr std::uint16_t kListPort = 8223;
+
+// Returns a listening socket that the processes of the fleet don't inherit:
+// they would keep it open when the replica has closed it.
+tcp::acceptor
+Listen(asio::io_context& aIo, const std::string& aIp, std::uint16_t aPort)
+{
+  tcp::acceptor acceptor(aIo, { asio::ip::make_address(aIp), aPort });
+  ::fcntl(acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
+  return acceptor;
+}
+
+std::string
+ToLower(std::string aText)
+{
+  std::transform(
+    aText.begin(), aText.end(), aText.begin(), [](unsigned char c) {
+      return static_cast<char>(std::tolower(c));
+    });
+  return aText;
+}
+
+std::string
+MakeHead(unsigned aStatus, const ReplicaRequest& aRequest)
+{
+  return "HTTP/1.1 " + std::to_string(aStatus) +
+         " x\r\nX-Request-Id: " + aRequest.Header("x-request-id") +
+         "\r\nX-Response-Seal: s\r\n";
+}
+
+std::string
+MakeChunk(const std::string& aText)
+{
+  std::ostringstream out;
+  out << std::hex << aText.size() << "\r\n" << aText << "\r\n";
+  return out.str();
+}
+
+} // namespace
+
+std::string
+ReplicaRequest::Header(const std::string& aName) const
+{
+  auto found = this->headers.find(aName);
+  return found == this->headers.end() ? "" : found->second;
+}
+
+std::string
+MakeAnswer(unsigned aStatus,
+           const ReplicaRequest& aRequest,
+           const std::string& aBody,
+           const std::string& aMoreHeaders)
+{
+  return MakeHead(aStatus, aRequest) + aMoreHeaders +
+         "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+std::string
+MakeStreamHead(const ReplicaRequest& aRequest)
+{
+  return MakeHead(200, aRequest) + "Content-Type: text/event-stream\r\n\r\n";
+}
+
+std::string
+MakeEvent(int aId)
+{
+  return "id: " + std::to_string(aId) + "\ndata: e" + std::to_string(aId) +
+         "\n\n";
+}
+
+ReplicaAnswer
+MakeStream(const ReplicaRequest& aRequest)
+{
+  return { { MakeHead(200, aRequest) +
+             "Content-Type: text/event-stream\r\nTransfer-Encoding: "
+             "chunked\r\n\r\n" +
+             MakeChunk(MakeEvent(1)) + MakeChunk(MakeEvent(2)) +
+             MakeChunk(MakeEvent(3)) + "0\r\n\r\n" } };
+}
+
+// One replica: a listening socket and its connections.
+class ReplicaPool::Replica : public std::enable_shared_from_this<Replica>
+{
+public:
+  Replica(ReplicaPool& aPool, int aNumber, std::string aIp, Duration aDownTime)
+    : pool(aPool)
+    , number(aNumber)
+    , ip(std::move(aIp))
+    , downTime(aDownTime)
+    , acceptor(aPool.io)
+    , timer(aPool.io)
+  {
+  }
+
+  void Start();
+  void Crash();
+
+  // Returns the entry for the platform's list. Each start has an id of its own.
+  json::object Entry(const std::string& aService) const
+  {
+    return { { "id", this->Id() },
+             { "service", aService },
+             { "address", this->ip + ":" + std::to_string(kReplicaPort) },
+             { "zone", "z" + std::to_string(this->number % 3 + 1) },
+             { "state", "ready" } };
+  }
+
+  std::string Id() const
+  {
+    return "i-" + std::to_string(this->number) + "-" +
+           std::to_string(this->starts);
+  }
+
+  int Number() const { return this->number; }
+  ReplicaAnswer Choose(const ReplicaRequest& aRequest)
+  {
+    return this->pool.answer(this->number, aRequest);
+  }
+  asio::io_context& Io() { return this->pool.io; }
+  void Forget(const std::shared_ptr<Connection>& aConnection)
+  {
+    this->connections.erase(aConnection);
+  }
+
+private:
+  void Accept();
+
+  ReplicaPool& pool;
+  int number;
+  std::string ip;
+  Duration downTime;
+  tcp::acceptor acceptor;
+  asio::steady_timer timer;
+  std::set<std::shared_ptr<Connection>> connections;
+  int starts = 0;
+};
+
+// A connection to a replica, which serves one request at a time.
+class ReplicaPool::Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+  Connection(std::shared_ptr<Replica> aReplica, tcp::socket aSocket)
+    : replica(std::move(aReplica))
+    , socket(std::move(aSocket))
+    , timer(this->replica->Io())
+  {
+    beast::error_code ignored;
+    this->socket.set_option(tcp::no_delay(true), ignored);
+  }
+
+  void Read()
+  {
+    auto self = this->shared_from_this();
+    this->request = {};
+    http::async_read(this->socket,
+                     this->buffer,
+                     this->request,
+                     [self](beast::error_code aError, std::size_t) {
+                       if (aError) {
+                         self->Close();
+                       } else {
+                         self->Handle();
+                       }
+                     });
+  }
+
+  void Close()
+  {
+    beast::error_code ignored;
+    this->timer.cancel();
+    this->socket.close(ignored);
+    this->replica->Forget(this->shared_from_this());
+  }
+
+private:
+  void Handle()
+  {
+    ReplicaRequest read;
+    read.method = std::string(this->request.method_string());
+    read.target = std::string(this->request.target());
+    for (const auto& field : this->request) {
+      read.headers[ToLower(std::string(field.name_string()))] =
+        std::string(field.value());
+    }
+    read.body = this->request.body();
+    std::string unasked = std::move(this->answer.nextHead);
+    this->answer = this->replica->Choose(read);
+    if (!unasked.empty()) {
+      this->answer.pieces.insert(this->answer.pieces.begin(), unasked);
+    }
+    this->nextPiece = 0;
+    this->WriteNext();
+  }
+
+  void WriteNext()
+  {
+    auto self = this->shared_from_this();
+    if (this->nextPiece == this->answer.pieces.size()) {
+      this->End();
+      return;
+    }
+    this->timer.expires_after(this->answer.pause);
+    this->timer.async_wait([self](beast::error_code aError) {
+      if (aError) {
+        return;
+      }
+      asio::async_write(self->socket,
+                        asio::buffer(self->answer.pieces[self->nextPiece++]),
+                        [self](beast::error_code aWriteError, std::size_t) {
+                          if (aWriteError) {
+                            self->Close();
+                          } else {
+                            self->WriteNext();
+                          }
+                        });
+    });
+  }
+
+  void End()
+  {
+    beast::error_code ignored;
+    switch (this->answer.end) {
+      case ReplicaAnswer::End::Keep:
+        this->Read();
+        return;
+      case ReplicaAnswer::End::Close:
+        this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+        this->Close();
+        return;
+      case ReplicaAnswer::End::Reset:
+        this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        this->Close();
+        return;
+      case ReplicaAnswer::End::Crash:
+        this->replica->Crash();
+    }
+  }
+
+  std::shared_ptr<Replica> replica;
+  tcp::socket socket;
+  asio::steady_timer timer;
+  beast::flat_buffer buffer;
+  http::request<http::string_body> request;
+  ReplicaAnswer answer;
+  std::size_t nextPiece = 0;
+};
+
+void
+ReplicaPool::Replica::Start()
+{
+  ++this->starts;
+  this->acceptor = Listen(this->pool.io, this->ip, kReplicaPort);
+  this->Accept();
+}
+
+void
+ReplicaPool::Replica::Accept()
+{
+  auto self = this->shared_from_this();
+  this->acceptor.async_accept(
+    [self](beast::error_code aError, tcp::socket aSocket) {
+      if (aError) {
+        return;
+      }
+      auto connection = std::make_shared<Connection>(self, std::move(aSocket));
+      self->connections.insert(connection);
+      connection->Read();
+      self->Accept();
+    });
+}
+
+void
+ReplicaPool::Replica::Crash()
+{
+  beast::error_code ignored;
+  this->acceptor.close(ignored);
+  auto open = std::move(this->connections);
+  this->connections.clear();
+  for (const auto& connection : open) {
+    connection->Close();
+  }
+  auto self = this->shared_from_this();
+  this->timer.expires_after(this->downTime);
+  this->timer.async_wait([self](beast::error_code aError) {
+    if (!aError) {
+      self->Start();
+    }
+  });
+}
+
+// Serves the platform's list. It shows a replica that has crashed until it is
+// back under another id, as the platform's does for some seconds.
+class ReplicaPool::ListServer : public std::enable_shared_from_this<ListServer>
+{
+public:
+  ListServer(ReplicaPool& aPool, const std::string& aIp, std::string aService)
+    : pool(aPool)
+    , service(std::move(aService))
+    , acceptor(Listen(aPool.io, aIp, kListPort))
+  {
+  }
+
+  Address GetAddress() const
+  {
+    return { this->acceptor.local_endpoint().address().to_string(), kListPort };
+  }
+
+  void Accept()
+  {
+    auto self = this->shared_from_this();
+    this->acceptor.async_accept(
+      [self](beast::error_code aError, tcp::socket aSocket) {
+        if (!aError) {
+          self->Answer(std::make_shared<tcp::socket>(std::move(aSocket)));
+          self->Accept();
+        }
+      });
+  }
+
+private:
+  void Answer(const std::shared_ptr<tcp::socket>& aSocket)
+  {
+    auto buffer = std::make_shared<beast::flat_buffer>();
+    auto request = std::make_shared<http::request<http::string_body>>();
+    auto self = this->shared_from_this();
+    http::async_read(
+      *aSocket,
+      *buffer,
+      *request,
+      [self, aSocket, buffer, request](beast::error_code aError, std::size_t) {
+        if (aError) {
+          return;
+        }
+        auto text = std::make_shared<std::string>(self->Format());
+        asio::async_write(*aSocket,
+                          asio::buffer(*text),
+                          [aSocket, text](beast::error_code, std::size_t) {});
+      });
+  }
+
+  std::string Format() const
+  {
+    json::array entries;
+    for (const auto& replica : this->pool.replicas) {
+      entries.push_back(replica->Entry(this->service));
+    }
+    std::string body = json::serialize(
+      json::object{ { "instances", entries }, { "next", nullptr } });
+    return "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+
+  ReplicaPool& pool;
+  std::string service;
+  tcp::acceptor acceptor;
+};
+
+ReplicaPool::ReplicaPool(const std::vector<std::string>& aReplicaIps,
+                         const std::string& aListIp,
+                         const std::string& aService,
+                         Duration aDownTime,
+                         Answer aAnswer)
+  : answer(std::move(aAnswer))
+{
+  for (const auto& ip : aReplicaIps) {
+    auto number = static_cast<int>(this->replicas.size());
+    this->replicas.push_back(
+      std::make_shared<Replica>(*this, number, ip, aDownTime));
+    this->replicas.back()->Start();
+  }
+  this->list = std::make_shared<ListServer>(*this, aListIp, aService);
+  this->list->Accept();
+  this->thread = std::thread([this] { this->io.run(); });
+}
+
+ReplicaPool::~ReplicaPool()
+{
+  this->io.stop();
+  this->thread.join();
+}
+
+Address
+ReplicaPool::ListAddress() const
+{
+  return this->list->GetAddress();
+}
+
+} // namespace lycheestand::faults
--- /dev/null
+++ b/test/faults/replica_pool.h
@@ -0,0 +1,113 @@
+#ifndef LYCHEESTAND_TEST_FAULTS_REPLICA_POOL_H
+#define LYCHEESTAND_TEST_FAULTS_REPLICA_POOL_H
+
+// Replicas of the users' platform that answer as a test says, and the
+// platform's list of them.
+
+#include "process.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace lycheestand::faults {
+
+// A request as a replica has read it.
+struct ReplicaRequest
+{
+  std::string method;
+  std::string target;
+  // Names in lower case.
+  std::map<std::string, std::string> headers;
+  std::string body;
+
+  // Returns the value of a header, or an empty string.
+  std::string Header(const std::string& aName) const;
+};
+
+// The bytes that a replica sends for a request.
+struct ReplicaAnswer
+{
+  enum class End
+  {
+    // The connection is kept for the next request.
+    Keep,
+    Close,
+    Reset,
+    // The process of the replica ends: all its connections are closed, and new
+    // ones are refused until it is back.
+    Crash
+  };
+
+  // Sent one after the other with a pause before each, so that the receiver
+  // reads them separately.
+  std::vector<std::string> pieces;
+  Duration pause{};
+  End end = End::Keep;
+  // Sent when the head of the next request on the connection has arrived,
+  // before its answer.
+  std::string nextHead;
+};
+
+// Returns an answer with a length, and with the headers that name its request
+// and sign it.
+std::string
+MakeAnswer(unsigned aStatus,
+           const ReplicaRequest& aRequest,
+           const std::string& aBody,
+           const std::string& aMoreHeaders = "");
+
+// Returns the head of a stream of events. It has neither a length nor chunks,
+// so it ends with its connection.
+std::string
+MakeStreamHead(const ReplicaRequest& aRequest);
+
+// Returns an event of a stream.
+std::string
+MakeEvent(int aId);
+
+// A whole answer of three events in chunks, with its head.
+ReplicaAnswer
+MakeStream(const ReplicaRequest& aRequest);
+
+// Runs the replicas in a thread. The answer is chosen in that thread.
+class ReplicaPool
+{
+public:
+  using Answer =
+    std::function<ReplicaAnswer(int aReplica, const ReplicaRequest& aRequest)>;
+
+  // The replicas and the list listen at addresses with these IPs; the service
+  // has this name. A replica that crashed is back after aDownTime.
+  ReplicaPool(const std::vector<std::string>& aReplicaIps,
+              const std::string& aListIp,
+              const std::string& aService,
+              Duration aDownTime,
+              Answer aAnswer);
+  ~ReplicaPool();
+  ReplicaPool(const ReplicaPool&) = delete;
+  ReplicaPool& operator=(const ReplicaPool&) = delete;
+
+  // Address of the platform's list.
+  Address ListAddress() const;
+
+private:
+  class Replica;
+  class Connection;
+  class ListServer;
+
+  boost::asio::io_context io;
+  Answer answer;
+  std::vector<std::shared_ptr<Replica>> replicas;
+  std::shared_ptr<ListServer> list;
+  std::thread thread;
+};
+
+} // namespace lycheestand::faults
+
+#endif
