--- a/test/faults/replica_pool.cc
+++ b/test/faults/replica_pool.cc
@@ -37,8 +37,8 @@
 ToLower(std::string aText)
 {
   std::transform(
-    aText.begin(), aText.end(), aText.begin(), [](unsigned char c) {
-      return static_cast<char>(std::tolower(c));
+    aText.begin(), aText.end(), aText.begin(), [](unsigned char aChar) {
+      return static_cast<char>(std::tolower(aChar));
     });
   return aText;
 }
