Keep requests that crash endpoints away from them

Cause: nothing related a crash to what the replica worked on. A request whose replica crashed was tried again at the next one, the next request with the same part went out as if nothing had happened, and what one router saw the others didn't learn. Ruled out as the cause: routers that go on choosing replicas which are down (it loses requests, but crashes nothing).

Change: a router that has lost an answer opens a connection to the endpoint; if it is refused, the endpoint has crashed, and the router reports the parts of all prompts that ran there to the leader. The leader suspects the parts that no request has succeeded with since, and routers report successes of suspected parts, so that a part which sound requests share is cleared at once. A part that explains three crashes at different times, and more of them than any other, is quarantined for ten minutes after the last crash: no router forwards a request with it, or tries one again. Nothing is replicated: routers tell each new leader what they know. Processes of earlier versions don't get the new messages.

Weighed: lists shared between the tasks of a router, as an atomic pointer; each request asks the task that owns them instead, as for the configuration.

--- a/packages/control/src/control.cc
+++ b/packages/control/src/control.cc
@@ -139,6 +139,10 @@
   }
   auto replica = spawned.value();
   auto fleet = SpawnFleetController(aRuntime, aSettings, replica);
+  // Sent first, so that it arrives before the replica's LeadershipChanged.
+  caf::anon_send(
+    fleet,
+    SetQuarantineController{ SpawnQuarantineController(aRuntime, fleet) });
   caf::anon_send(replica, fleet);
   auto server =
     net::SpawnLinkServer(aRuntime,
--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -86,6 +86,12 @@
         this->send(this->listReader,
                    discovery::SetReaderEnabled{ this->isLeader });
       },
+      [this](SetQuarantineController& aSet) {
+        this->quarantine = aSet.controller;
+      },
+      [this](QuarantineChanged& aChanged) {
+        this->PushQuarantine(std::move(aChanged.state));
+      },
       [this](GetEndpoints) { return EndpointList{ this->endpoints }; },
       [this](ListInstances) { return this->FormatInstances(); },
       [this](ListEndpoints) { return this->FormatEndpoints(); },
@@ -189,8 +195,11 @@
     router.link = aLink;
     this->detector.Join(aState.hello.instance, net::Now(this->GetRuntime()));
     aState.pushedGroup = this->groupVersion;
-    this->SendTo(aState, wire::Welcome{ true, "", "", this->group });
+    this->SendTo(aState, wire::Welcome{ true, "", "", this->group, true });
     this->PushUpdates(aState);
+    if (this->quarantineState && aState.hello.acceptsQuarantine) {
+      this->SendTo(aState, *this->quarantineState);
+    }
     net::Log(net::LogLevel::Info,
              "router connected",
              { { "event", "router_connected" },
@@ -368,6 +377,41 @@
                      });
   }
 
+  void Handle(net::LinkId, LinkState& aState, const wire::CrashReport& aReport)
+  {
+    this->ForwardToQuarantine(aState, aReport);
+  }
+
+  void Handle(net::LinkId, LinkState& aState, const wire::PartSuccess& aSuccess)
+  {
+    this->ForwardToQuarantine(aState, aSuccess);
+  }
+
+  void Handle(net::LinkId,
+              LinkState& aState,
+              const wire::QuarantineState& aKnown)
+  {
+    this->ForwardToQuarantine(aState, aKnown);
+  }
+
+  template<class Message>
+  void ForwardToQuarantine(const LinkState& aState, const Message& aMessage)
+  {
+    if (aState.isAccepted) {
+      this->send(this->quarantine, aMessage);
+    }
+  }
+
+  void PushQuarantine(wire::QuarantineState aState)
+  {
+    this->quarantineState = std::move(aState);
+    for (auto& [id, link] : this->links) {
+      if (link.isAccepted && link.hello.acceptsQuarantine) {
+        this->SendTo(link, *this->quarantineState);
+      }
+    }
+  }
+
   void Handle(net::LinkId, LinkState& aState, const wire::Replication& aMessage)
   {
     if (aState.hello.isControl) {
@@ -423,6 +467,10 @@
   void HandleLeadershipChanged(const LeadershipChanged& aChanged)
   {
     bool isNew = aChanged.isLeader && !this->isLeader;
+    if (aChanged.isLeader != this->isLeader) {
+      this->quarantineState.reset();
+      this->send(this->quarantine, aChanged);
+    }
     this->isLeader = aChanged.isLeader;
     this->leader = aChanged.leader;
     if (this->listReader) {
@@ -607,6 +655,10 @@
   std::map<InstanceId, RouterState> routers;
   membership::FailureDetector detector;
   caf::actor listReader;
+  caf::actor quarantine;
+  // Empty until the quarantine controller has determined it. A new leader must
+  // not send an empty state to routers that still have that of the last one.
+  std::optional<wire::QuarantineState> quarantineState;
   // When this instance became the leader.
   TimePoint leaderSince{};
   // Whether an endpoint list has been read since then.
--- a/packages/control/src/messages.h
+++ b/packages/control/src/messages.h
@@ -145,6 +145,19 @@
   std::map<EndpointId, state::OrderRegister::Orders> byEndpoint;
 };
 
+// Sent to the fleet controller when routers must know other suspected or
+// quarantined parts.
+struct QuarantineChanged
+{
+  wire::QuarantineState state;
+};
+
+// Tells the fleet controller which task finds the parts that crash endpoints.
+struct SetQuarantineController
+{
+  caf::actor controller;
+};
+
 // Tells the fleet controller which task reads the platform's endpoint list.
 struct SetListReader
 {
@@ -197,6 +210,11 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::RoutesResult)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::GetOrders)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::OrdersResult)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::QuarantineChanged)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::SetQuarantineController)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::wire::CrashReport)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::wire::PartSuccess)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::wire::QuarantineState)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::SetListReader)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::GetEndpoints)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::ListInstances)
--- a/packages/control/src/tasks.h
+++ b/packages/control/src/tasks.h
@@ -33,6 +33,12 @@
                      const settings::ProcessSettings& aSettings,
                      caf::actor aReplica);
 
+// Starts the task that finds the prompt parts that crash endpoints, from what
+// routers observe. It gets LeadershipChanged and the routers' messages from the
+// fleet controller, and sends QuarantineChanged to it.
+caf::actor
+SpawnQuarantineController(const net::Runtime& aRuntime, caf::actor aFleet);
+
 // Starts the task that sends orders to engines while this instance is the
 // leader.
 caf::actor
--- a/packages/net/include/lycheestand/net.h
+++ b/packages/net/include/lycheestand/net.h
@@ -185,6 +185,16 @@
   bool reuseConnection = true;
 };
 
+// Whether a connection could be opened.
+enum class ConnectResult
+{
+  Connected,
+  // No process listens at the address.
+  Refused,
+  // It failed otherwise or timed out, so nothing is known of the process.
+  Failed
+};
+
 class IoTask;
 
 // Controls a call in progress. Copies refer to the same call. It must be used
@@ -248,6 +258,11 @@
                    CallOptions aOptions,
                    FetchCallback aDone);
 
+  // Opens a connection and closes it; calls aDone once with the result.
+  void TryConnect(const Address& aAddress,
+                  Duration aTimeout,
+                  std::function<void(ConnectResult aResult)> aDone);
+
   // Runs a function inside this task after a delay on the actor system's clock.
   void After(Duration aDelay, std::function<void()> aRun);
 
--- a/packages/router/src/control_link.cc
+++ b/packages/router/src/control_link.cc
@@ -51,7 +51,7 @@
       [this](net::LinkFrame& aFrame) { this->HandleFrame(aFrame); },
       [this](net::LinkDown& aDown) { this->HandleLinkDown(aDown); },
       [this](ToControl& aMessage) {
-        if (this->isAccepted) {
+        if (this->isAccepted && this->IsKnownToControl(aMessage.message)) {
           this->SendToControl(aMessage.message);
         }
       },
@@ -152,6 +152,7 @@
     hello.callerAddress = this->settings.callerAddress;
     hello.revision = this->revision;
     hello.acceptsPatches = true;
+    hello.acceptsQuarantine = true;
     this->SendToControl(hello);
   }
 
@@ -201,6 +202,8 @@
       this->Forward(this->controllers.configuration, aMessage);
     } else if (auto* view = std::get_if<wire::ViewPush>(&aMessage)) {
       this->HandleViewPush(*view);
+    } else if (std::holds_alternative<wire::QuarantineState>(aMessage)) {
+      this->Forward(this->controllers.quarantine, aMessage);
     } else if (std::holds_alternative<wire::OperationReply>(aMessage)) {
       this->Forward(this->controllers.operation, aMessage);
     } else if (std::holds_alternative<wire::Drain>(aMessage)) {
@@ -230,6 +233,7 @@
       return;
     }
     this->isAccepted = true;
+    this->tracksCrashes = aWelcome.tracksCrashes;
     this->wasRefused = false;
     this->viewReceiver.Reset();
     auto downTime = std::chrono::duration_cast<Milliseconds>(
@@ -243,6 +247,16 @@
     this->send(this->controllers.budget, ControlUp{});
     this->send(this->controllers.membership, ControlUp{});
     this->send(this->controllers.operation, ControlUp{});
+    this->send(this->controllers.quarantine, ControlUp{});
+  }
+
+  // Control of an earlier version would close the link.
+  bool IsKnownToControl(const wire::Message& aMessage) const
+  {
+    return this->tracksCrashes ||
+           !(std::holds_alternative<wire::CrashReport>(aMessage) ||
+             std::holds_alternative<wire::PartSuccess>(aMessage) ||
+             std::holds_alternative<wire::QuarantineState>(aMessage));
   }
 
   // Records the newest revision, which the next heartbeat acknowledges, and the
@@ -327,6 +341,7 @@
   caf::actor linkTask;
   bool isReconnectScheduled = false;
   bool isAccepted = false;
+  bool tracksCrashes = false;
   // When the last link to the leader was lost, or the process started.
   TimePoint lostAt{};
   bool isLeaving = false;
--- a/packages/router/src/controllers.h
+++ b/packages/router/src/controllers.h
@@ -84,6 +84,11 @@
 SpawnOverloadController(const net::Runtime& aRuntime,
                         std::function<void(const Acceptance&)> aPublish);
 
+// Starts the task that reports crashes of endpoints, and successes of suspected
+// parts, to control, and knows the parts that control has quarantined.
+caf::actor
+SpawnQuarantineController(const net::Runtime& aRuntime);
+
 // Starts the task that owns the view of the fleet's instances.
 caf::actor
 SpawnMembershipController(const net::Runtime& aRuntime,
--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -105,6 +105,7 @@
   // Attempts that reached an endpoint.
   unsigned attempts = 0;
   EndpointId endpoint;
+  Address endpointAddress;
   // True while an endpoint is being chosen or is called.
   bool isAssigned = false;
   // Number of the recorded operation, for a call that must run at most once.
@@ -187,6 +188,26 @@
 void
 FinishRequest(const RequestPtr& aRequest);
 
+// Returns the parts of the prompt that other requests may share.
+std::vector<PromptPartId>
+PartsOf(const Request& aRequest);
+
+// Calls aDone with whether no endpoint may get the request, since a part of its
+// prompt has crashed several. It does not run if the request ends meanwhile.
+void
+CheckQuarantine(const RequestPtr& aRequest,
+                std::function<void(bool aIsQuarantined)> aDone);
+
+// Reports that the endpoint of the current attempt broke off and may have
+// crashed.
+void
+ReportBrokenAttempt(const Request& aRequest);
+
+// Reports that the request has succeeded, so that its parts are not blamed for
+// crashes.
+void
+ReportSuccess(const Request& aRequest);
+
 // The first filter for requests that are served by a route table: parses what
 // the request says of itself.
 Filter
@@ -204,8 +225,13 @@
 MakeMatchRoute(Duration aChangeApplyTime,
                std::function<bool(Duration)> aMayAccept);
 
-// The filters of the project's own interface, in order, after ShedLoad.
-// Reserve, Recheck and Forward also follow MatchRoute.
+// Refuses a request that may crash endpoints.
+Filter
+MakeCheckQuarantine();
+
+// The filters of the project's own interface, in order, after ShedLoad;
+// CheckQuarantine follows ParseCall. CheckQuarantine, Reserve, Recheck and
+// Forward also follow MatchRoute.
 Filter
 MakeAuthenticate();
 Filter
--- a/packages/router/src/finish.cc
+++ b/packages/router/src/finish.cc
@@ -150,6 +150,9 @@
     caf::anon_send(aRequest->controllers.operation,
                    SubmitOperationStep{ std::move(step) });
   }
+  if (aRequest->ran == ExecutionState::Ran && aRequest->status < 300) {
+    ReportSuccess(*aRequest);
+  }
   const auto* routed = std::get_if<RoutedCall>(&aRequest->call);
   if (routed != nullptr && routed->route != nullptr) {
     LogRouted(*aRequest, *routed, net::Now(task.GetRuntime()));
--- a/packages/router/src/forward.cc
+++ b/packages/router/src/forward.cc
@@ -2,11 +2,13 @@
 
 namespace lycheestand::router {
 
+namespace {
+
 void
-ChooseAndCall(const RequestPtr& aRequest,
-              routing::Query aQuery,
-              std::function<void(const Address&)> aCall,
-              std::function<void()> aOnNoEndpoint)
+Choose(const RequestPtr& aRequest,
+       routing::Query aQuery,
+       std::function<void(const Address&)> aCall,
+       std::function<void()> aOnNoEndpoint)
 {
   ChooseEndpoint choose;
   choose.ticket = aRequest->ticket;
@@ -32,6 +34,7 @@
           return;
         }
         aRequest->endpoint = *aChosen.endpoint;
+        aRequest->endpointAddress = aChosen.address;
         aRequest->basis = aChosen.basis;
         aRequest->triedEndpoints.insert(*aChosen.endpoint);
         ++aRequest->attempts;
@@ -39,6 +42,35 @@
       });
 }
 
+} // namespace
+
+void
+ChooseAndCall(const RequestPtr& aRequest,
+              routing::Query aQuery,
+              std::function<void(const Address&)> aCall,
+              std::function<void()> aOnNoEndpoint)
+{
+  if (aRequest->triedEndpoints.empty()) {
+    Choose(
+      aRequest, std::move(aQuery), std::move(aCall), std::move(aOnNoEndpoint));
+    return;
+  }
+  // A part may have been quarantined since the first attempt.
+  CheckQuarantine(
+    aRequest,
+    [aRequest,
+     query = std::move(aQuery),
+     call = std::move(aCall),
+     onNoEndpoint = std::move(aOnNoEndpoint)](bool aIsQuarantined) mutable {
+      if (aIsQuarantined) {
+        onNoEndpoint();
+      } else {
+        Choose(
+          aRequest, std::move(query), std::move(call), std::move(onNoEndpoint));
+      }
+    });
+}
+
 void
 RefuseNoEndpoint(const RequestPtr& aRequest)
 {
@@ -55,6 +87,7 @@
 {
   if (aFailure != net::CallFailure::NotSent) {
     aRequest->ran = ExecutionState::Unknown;
+    ReportBrokenAttempt(*aRequest);
   }
 }
 
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -8,6 +8,7 @@
 #include <lycheestand/core.h>
 #include <lycheestand/membership.h>
 #include <lycheestand/net.h>
+#include <lycheestand/quarantine.h>
 #include <lycheestand/router.h>
 #include <lycheestand/routes.h>
 #include <lycheestand/routing.h>
@@ -205,6 +206,34 @@
   bool leaving = false;
 };
 
+// ------------------------------------------------------------ quarantine
+
+// To the quarantine controller: an endpoint broke off while it worked on a
+// request with these parts in its prompt. It may have crashed.
+struct CrashSuspected
+{
+  EndpointId endpoint;
+  Address address;
+  std::vector<PromptPartId> parts;
+};
+
+// To the quarantine controller: a request with these parts has succeeded.
+struct PartsSucceeded
+{
+  std::vector<PromptPartId> parts;
+};
+
+// Asks whether a request with these parts may be forwarded; the answer is
+// CheckPartsReply.
+struct CheckParts
+{
+  std::vector<PromptPartId> parts;
+};
+struct CheckPartsReply
+{
+  bool isQuarantined = false;
+};
+
 // ------------------------------------------------------------ admission
 
 // Requests admission; the answer is AdmitReply.
@@ -274,6 +303,7 @@
   caf::actor endpoint;
   caf::actor admission;
   caf::actor membership;
+  caf::actor quarantine;
   caf::actor link;
 };
 
@@ -303,6 +333,10 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ChooseEndpoint)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ChooseEndpointReply)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CallFinished)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CrashSuspected)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::PartsSucceeded)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CheckParts)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CheckPartsReply)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::Admit)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::AdmitReply)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ReleaseAdmission)
--- a/packages/router/src/router.cc
+++ b/packages/router/src/router.cc
@@ -94,6 +94,7 @@
       MakeReadCall(aProtocol),
       MakeShedLoad(std::move(aAccepts)),
       MakeMatchRoute(routes.changeApplyTime, std::move(aMayAccept)),
+      MakeCheckQuarantine(),
       MakeReserve(),
       MakeRecheck(),
       MakeForward(),
@@ -102,6 +103,7 @@
   return { MakeShedLoad(std::move(aAccepts)),
            MakeAuthenticate(),
            MakeParseCall(),
+           MakeCheckQuarantine(),
            MakeAdmit(),
            MakeRecordOperation(),
            MakeReserve(),
@@ -267,12 +269,14 @@
     all.endpoint = SpawnEndpointController(
       this->runtime, pool, MakeEndpointOptions(this->settings), all.admission);
     all.membership = SpawnMembershipController(this->runtime, this->settings);
+    all.quarantine = SpawnQuarantineController(this->runtime);
     all.link =
       SpawnControlLink(this->runtime, this->settings, aKey, all, [this] {
         this->Drain(this->onDrained);
       });
     caf::anon_send(all.budget, all.link);
     caf::anon_send(all.operation, all.link);
+    caf::anon_send(all.quarantine, all.link);
     auto server = net::SpawnHttpServer(
       this->runtime,
       pool,
@@ -357,6 +361,7 @@
       { "endpoint", this->controllers.endpoint },
       { "admission", this->controllers.admission },
       { "membership", this->controllers.membership },
+      { "quarantine", this->controllers.quarantine },
     };
     *pendingReplies = static_cast<int>(namedControllers.size());
     for (const auto& [name, controller] : namedControllers) {
--- a/packages/wire/include/lycheestand/wire.h
+++ b/packages/wire/include/lycheestand/wire.h
@@ -30,6 +30,8 @@
   Revision revision;
   // False for a router of an earlier version, which needs whole snapshots.
   bool acceptsPatches = false;
+  // False for a router of an earlier version, which knows no QuarantineState.
+  bool acceptsQuarantine = false;
 };
 
 // An instance of the control group.
@@ -53,6 +55,8 @@
   std::string reason;
   // The control group as far as the sender knows it.
   std::vector<ControlEntry> control;
+  // False for control of an earlier version, which knows no CrashReport.
+  bool tracksCrashes = false;
 };
 
 // Sent by a router once per heartbeat interval (1 s by default).
@@ -222,6 +226,31 @@
 struct Drain
 {};
 
+// An endpoint crashed while it worked on a request with these parts in its
+// prompt.
+struct CrashReport
+{
+  EndpointId endpoint;
+  std::vector<PromptPartId> parts;
+  // Time since the crash.
+  Milliseconds age{};
+};
+
+// Requests with these parts, which control suspects, have succeeded.
+struct PartSuccess
+{
+  std::vector<PromptPartId> parts;
+};
+
+// From control: parts that are suspected to crash endpoints, and those with
+// which no request is forwarded. From a router that has connected: what an
+// earlier leader has told it.
+struct QuarantineState
+{
+  std::vector<PromptPartId> suspects;
+  std::vector<PromptPartId> quarantined;
+};
+
 // One entry of the replicated log.
 struct LogRecord
 {
@@ -269,7 +298,10 @@
                              OperationRequest,
                              OperationReply,
                              Drain,
-                             Replication>;
+                             Replication,
+                             CrashReport,
+                             PartSuccess,
+                             QuarantineState>;
 
 // Reasons for which Decode fails.
 enum class WireError
--- a/packages/wire/src/codec.cc
+++ b/packages/wire/src/codec.cc
@@ -69,6 +69,7 @@
   out.is_control = aIn.isControl;
   out.revision = aIn.revision.Get();
   out.accepts_patches = aIn.acceptsPatches;
+  out.accepts_quarantine = aIn.acceptsQuarantine;
   return out;
 }
 
@@ -82,7 +83,8 @@
            aIn.protocol,
            aIn.is_control,
            Revision(aIn.revision),
-           aIn.accepts_patches };
+           aIn.accepts_patches,
+           aIn.accepts_quarantine };
 }
 
 fb::ControlEntryT
@@ -280,15 +282,18 @@
   out.leader = aIn.leader;
   out.reason = aIn.reason;
   out.control = PackList<fb::ControlEntryT>(aIn.control);
+  out.tracks_crashes = aIn.tracksCrashes;
   return out;
 }
 
 Welcome
 Unpack(const fb::WelcomeT& aIn)
 {
-  return {
-    aIn.accepted, aIn.leader, aIn.reason, UnpackList<ControlEntry>(aIn.control)
-  };
+  return { aIn.accepted,
+           aIn.leader,
+           aIn.reason,
+           UnpackList<ControlEntry>(aIn.control),
+           aIn.tracks_crashes };
 }
 
 fb::HeartbeatAckT
@@ -483,6 +488,70 @@
   return {};
 }
 
+std::vector<std::uint64_t>
+PackParts(const std::vector<PromptPartId>& aParts)
+{
+  std::vector<std::uint64_t> out;
+  out.reserve(aParts.size());
+  for (auto part : aParts) {
+    out.push_back(part.Get());
+  }
+  return out;
+}
+
+std::vector<PromptPartId>
+UnpackParts(const std::vector<std::uint64_t>& aParts)
+{
+  return { aParts.begin(), aParts.end() };
+}
+
+fb::CrashReportT
+Pack(const CrashReport& aIn)
+{
+  fb::CrashReportT out;
+  out.endpoint = aIn.endpoint.Get();
+  out.parts = PackParts(aIn.parts);
+  out.age_ms = static_cast<std::uint32_t>(aIn.age.count());
+  return out;
+}
+
+CrashReport
+Unpack(const fb::CrashReportT& aIn)
+{
+  return { EndpointId(aIn.endpoint),
+           UnpackParts(aIn.parts),
+           Milliseconds(aIn.age_ms) };
+}
+
+fb::PartSuccessT
+Pack(const PartSuccess& aIn)
+{
+  fb::PartSuccessT out;
+  out.parts = PackParts(aIn.parts);
+  return out;
+}
+
+PartSuccess
+Unpack(const fb::PartSuccessT& aIn)
+{
+  return { UnpackParts(aIn.parts) };
+}
+
+fb::QuarantineStateT
+Pack(const QuarantineState& aIn)
+{
+  fb::QuarantineStateT out;
+  out.suspects = PackParts(aIn.suspects);
+  out.quarantined = PackParts(aIn.quarantined);
+  return out;
+}
+
+QuarantineState
+Unpack(const fb::QuarantineStateT& aIn)
+{
+  return { UnpackParts(aIn.suspects), UnpackParts(aIn.quarantined) };
+}
+
 fb::ReplicationT
 Pack(const Replication& aIn)
 {
@@ -564,6 +633,12 @@
       return Unpack(*aBody.AsDrain());
     case fb::Body::Replication:
       return Unpack(*aBody.AsReplication());
+    case fb::Body::CrashReport:
+      return Unpack(*aBody.AsCrashReport());
+    case fb::Body::PartSuccess:
+      return Unpack(*aBody.AsPartSuccess());
+    case fb::Body::QuarantineState:
+      return Unpack(*aBody.AsQuarantineState());
     case fb::Body::NONE:
       break;
   }
--- a/packages/wire/test/codec_test.cc
+++ b/packages/wire/test/codec_test.cc
@@ -32,6 +32,30 @@
   CHECK(std::get<HeartbeatAck>(ack.value()).control == group);
 }
 
+// Fails if routers and control don't tell each other which parts of prompts
+// crash endpoints.
+TEST_CASE("Crash reports and the quarantine are equal after decoding")
+{
+  const std::vector<PromptPartId> parts{ PromptPartId(1), PromptPartId(~0ULL) };
+  const std::vector<PromptPartId> others{ PromptPartId(3) };
+  auto crash =
+    Decode(Encode(CrashReport{ EndpointId("e"), parts, Milliseconds(70) }));
+  const auto& report = std::get<CrashReport>(crash.value());
+  CHECK(report.endpoint == EndpointId("e"));
+  CHECK(report.parts == parts);
+  CHECK(report.age == Milliseconds(70));
+  auto success = Decode(Encode(PartSuccess{ parts }));
+  CHECK(std::get<PartSuccess>(success.value()).parts == parts);
+  auto state = Decode(Encode(QuarantineState{ parts, others }));
+  const auto& lists = std::get<QuarantineState>(state.value());
+  CHECK(lists.suspects == parts);
+  CHECK(lists.quarantined == others);
+  auto hello = Decode(Encode(Hello{ .acceptsQuarantine = true }));
+  CHECK(std::get<Hello>(hello.value()).acceptsQuarantine);
+  auto welcome = Decode(Encode(Welcome{ .tracksCrashes = true }));
+  CHECK(std::get<Welcome>(welcome.value()).tracksCrashes);
+}
+
 // Fails if truncated or corrupted input from a faulty or hostile peer crashes
 // the decoder. The seed is fixed.
 TEST_CASE("Decode rejects malformed input without crashing")
