Say why no budget tokens were had, and measure commits

A refusal with budget_unavailable didn't tell whether the router had no contact with control, control hadn't replied, or other routers held the tokens, and nothing measured how long the leader takes to commit. The reason now says which of the three it was, and lycheestand_commit_seconds has the time from proposal to commit.

--- a/packages/budget/include/lycheestand/budget.h
+++ b/packages/budget/include/lycheestand/budget.h
@@ -39,8 +39,12 @@
 {
   // The remaining budget does not cover the claim.
   Exhausted,
-  // No grant arrived in time; the budget may have tokens left.
-  NoGrant
+  // The budget may have tokens left, but control can't be reached,
+  Offline,
+  // has not replied in time,
+  NoReply,
+  // or had none to grant in time: other routers hold them.
+  NoFreeTokens
 };
 
 // Result of a claim.
@@ -247,6 +251,7 @@
   void DecideQueued(Account& aAccount,
                     TimePoint aNow,
                     std::vector<Decision>& aDecisions);
+  Refusal RefusalAtDeadline(const Account& aAccount) const;
   void ReserveForSmallerClaims(Account& aAccount,
                                std::vector<Decision>& aDecisions);
   void UpdateRate(Account& aAccount, TimePoint aNow) const;
--- a/packages/budget/src/local_budget.cc
+++ b/packages/budget/src/local_budget.cc
@@ -54,7 +54,7 @@
       account, aClaim, std::min(account.available, aClaim.wanted));
   }
   if (!this->isOnline) {
-    return Decision{ aClaim.ticket, Tokens(0), Refusal::NoGrant };
+    return Decision{ aClaim.ticket, Tokens(0), Refusal::Offline };
   }
   account.queue.push_back({ aClaim, aNow + this->options.claimTimeout });
   return std::nullopt;
@@ -123,8 +123,8 @@
                  claim.minimum) {
       aDecisions.push_back({ claim.ticket, Tokens(0), Refusal::Exhausted });
     } else if (head.deadline <= aNow) {
-      auto refusal = aAccount.exhausted ? Refusal::Exhausted : Refusal::NoGrant;
-      aDecisions.push_back({ claim.ticket, Tokens(0), refusal });
+      aDecisions.push_back(
+        { claim.ticket, Tokens(0), this->RefusalAtDeadline(aAccount) });
     } else {
       this->ReserveForSmallerClaims(aAccount, aDecisions);
       return;
@@ -135,6 +135,18 @@
   }
 }
 
+Refusal
+LocalBudget::RefusalAtDeadline(const Account& aAccount) const
+{
+  if (aAccount.exhausted) {
+    return Refusal::Exhausted;
+  }
+  if (!this->isOnline) {
+    return Refusal::Offline;
+  }
+  return aAccount.pendingGrant ? Refusal::NoReply : Refusal::NoFreeTokens;
+}
+
 // Reserves tokens for claims that the available tokens cover, even if earlier
 // claims are too large. An earlier claim never waits beyond its deadline, and
 // in the model of docs/budgets.md fewer claims are refused in total.
--- a/packages/budget/test/local_budget_test.cc
+++ b/packages/budget/test/local_budget_test.cc
@@ -121,7 +121,7 @@
   decisions = this->localBudget.Poll(this->now);
   REQUIRE(decisions.size() == 1);
   REQUIRE(decisions[0].ticket == Ticket(1));
-  REQUIRE(decisions[0].refusal == Refusal::NoGrant);
+  REQUIRE(decisions[0].refusal == Refusal::NoFreeTokens);
 }
 
 // Guards against several routers that each keep an amount too small for their
--- a/packages/budget/test/prefetch_test.cc
+++ b/packages/budget/test/prefetch_test.cc
@@ -87,7 +87,7 @@
   auto decision = this->localBudget.Reserve(
     { Ticket(1), this->workspace, Tokens(10), Tokens(10) }, this->now);
   REQUIRE(decision);
-  CHECK(decision->refusal == Refusal::NoGrant);
+  CHECK(decision->refusal == Refusal::Offline);
 }
 
 // Guards against a stopping router that requests the tokens that it has just
--- a/packages/control/src/replica.cc
+++ b/packages/control/src/replica.cc
@@ -93,6 +93,7 @@
   {
     Term term;
     ProposalPromise promise;
+    TimePoint proposedAt;
   };
 
   void TickPeriodically()
@@ -118,7 +119,9 @@
     auto [index, effects] =
       this->node.Propose(journal::EncodeCommand(aPropose.command));
     if (index) {
-      this->proposals[*index] = { this->node.CurrentTerm(), promise };
+      this->proposals[*index] = { this->node.CurrentTerm(),
+                                  promise,
+                                  net::Now(this->GetRuntime()) };
     } else {
       promise.deliver(ProposalResult{ std::nullopt, this->LeaderId(), false });
     }
@@ -257,6 +260,8 @@
     if (found == this->proposals.end()) {
       return;
     }
+    this->commitTime.Record(net::Now(this->GetRuntime()) -
+                            found->second.proposedAt);
     // If the terms differ, another leader's entry has replaced the proposal,
     // which will not be applied.
     bool isOwn = found->second.term == aEntry.term;
@@ -428,6 +433,8 @@
   LeadershipChanged publishedLeadership;
   Revision publishedRevision;
   consensus::Configuration knownMembers;
+  net::DurationHistogram commitTime =
+    net::Metrics().GetHistogram("lycheestand_commit_seconds");
   // Start of the current period without a leader; while there is one, the
   // current time.
   TimePoint noLeaderSince{};
--- a/packages/router/src/reserve.cc
+++ b/packages/router/src/reserve.cc
@@ -33,6 +33,24 @@
   return std::nullopt;
 }
 
+const char*
+ExplainUnavailable(budget::Refusal aReason)
+{
+  switch (aReason) {
+    case budget::Refusal::Offline:
+      return "this router holds too few tokens of the workspace's budget and "
+             "has no contact with control";
+    case budget::Refusal::NoReply:
+      return "this router got no tokens of the workspace's budget in time: "
+             "control has not replied";
+    case budget::Refusal::NoFreeTokens:
+    case budget::Refusal::Exhausted:
+      break;
+  }
+  return "this router got no tokens of the workspace's budget in time: other "
+         "routers hold them";
+}
+
 void
 RefuseClaim(const RequestPtr& aRequest, budget::Refusal aReason)
 {
@@ -46,7 +64,7 @@
   Refuse(aRequest,
          { 503,
            "budget_unavailable",
-           "this router got no tokens of the workspace's budget in time",
+           ExplainUnavailable(aReason),
            ExecutionState::NotRun,
            kNoGrantRetrySeconds });
 }
--- a/test/models/budget_comparison.cc
+++ b/test/models/budget_comparison.cc
@@ -195,7 +195,7 @@
     if (!this->IsReachable(aWaiting.router)) {
       bool isLate = this->now - aWaiting.since >= kClaimTimeout;
       return isLate ? std::optional(
-                        Decision{ claim.ticket, Tokens(0), Refusal::NoGrant })
+                        Decision{ claim.ticket, Tokens(0), Refusal::Offline })
                     : std::nullopt;
     }
     this->messages += 2;
