Charge nothing for a run that gave the caller nothing

Cause: a routed request was charged its prompt as soon as a replica had begun to answer or broken off, whatever became of it, so each crash used up the budgets of all requests that ran there. The project's own chats don't charge an answer of which nothing reached the caller; routed streams differed. Ruled out: reservations that are never settled (every request settles its reservation).

Change: a refusal, and an error answer that is passed on, settle with no tokens. A stream that has begun is charged as before.

--- a/packages/router/src/finish.cc
+++ b/packages/router/src/finish.cc
@@ -89,6 +89,8 @@
 {
   aRequest->status = aRefusal.status;
   aRequest->outcome = "refused";
+  // The caller gets nothing of an answer, so nothing is charged.
+  aRequest->usage = {};
   net::Log(net::LogLevel::Info,
            "refused",
            { { "event", "refused" },
--- a/packages/router/src/forward_chat.cc
+++ b/packages/router/src/forward_chat.cc
@@ -323,14 +323,12 @@
     }
   }
 
-  // Ends an interrupted request. If the answer has not begun, nothing of it has
-  // reached the caller and nothing is charged. A stream that has begun ends
-  // with an error event, and what was sent is charged.
+  // Ends an interrupted request. A stream that has begun ends with an error
+  // event, and what was sent is charged.
   void EndInterrupted(const std::string& aReason)
   {
     auto& exchange = *this->request->exchange;
     if (!exchange.IsAnswered()) {
-      this->request->usage = {};
       Refuse(this->request,
              { 502,
                "interrupted",
--- a/packages/router/src/forward_events.cc
+++ b/packages/router/src/forward_events.cc
@@ -231,6 +231,7 @@
       FinishRequest(this->request);
     } else if (this->keptErrorAnswer) {
       this->request->status = this->keptErrorAnswer->status;
+      this->request->usage = {};
       exchange.Respond(std::move(*this->keptErrorAnswer));
       FinishRequest(this->request);
     } else {
