Write what was sent before closing an aborted response

What callers saw: of a stream that broke off, the last events that its router had already received were missing.

Cause: Abort closed the connection at once and dropped the chunks that waited to be written.

Change: they are written first, for 250 ms at most, so that a caller that does not read can't hold the connection. No last chunk follows, as before.

The new test of net failed before (the chunks were missing) and passes.

--- a/packages/net/include/lycheestand/net.h
+++ b/packages/net/include/lycheestand/net.h
@@ -324,7 +324,7 @@
   virtual void EndStream() = 0;
 
   // Closes the connection without completing the response, so that the caller
-  // can tell that it is incomplete.
+  // can tell that it is incomplete. What was sent before is written first.
   virtual void Abort() = 0;
 
   // Returns whether a response has been started or Abort was called.
--- a/packages/net/src/http_connection.cc
+++ b/packages/net/src/http_connection.cc
@@ -18,6 +18,9 @@
 
 namespace {
 
+// Longest time for which the rest of an aborted response is written.
+constexpr Duration kMaxAbortTime = std::chrono::milliseconds(250);
+
 // Returns whether the error means that the received bytes are not a valid HTTP
 // request. Other errors mean that the connection has ended.
 bool
@@ -135,7 +138,7 @@
     {
       this->answered = true;
       if (this->connection) {
-        this->connection->quit();
+        this->connection->CloseAfterWrites();
       }
     }
 
@@ -385,6 +388,9 @@
 
   void Enqueue(QueuedWrite aWrite)
   {
+    if (this->closesAfterWrites) {
+      return;
+    }
     this->writes.push_back(std::move(aWrite));
     if (this->writes.size() == 1) {
       this->RecordProgress();
@@ -421,6 +427,20 @@
     }
     if (!this->writes.empty()) {
       this->WriteNext();
+    } else if (this->closesAfterWrites) {
+      this->quit();
+    }
+  }
+
+  // Closes the connection once what was sent so far is written, or after
+  // kMaxAbortTime if the caller does not read it.
+  void CloseAfterWrites()
+  {
+    this->closesAfterWrites = true;
+    if (this->writes.empty()) {
+      this->quit();
+    } else {
+      this->After(kMaxAbortTime, [this] { this->quit(); });
     }
   }
 
@@ -460,6 +480,7 @@
   TimePoint lastProgress;
   bool isFirstRequest = true;
   bool keepAlive = true;
+  bool closesAfterWrites = false;
   // The next response announces that the connection will be closed.
   bool closeAfterResponse = false;
   bool isHeadRequest = false;
--- a/packages/net/test/http_server_test.cc
+++ b/packages/net/test/http_server_test.cc
@@ -100,6 +100,22 @@
   REQUIRE_FALSE(wasHandled);
 }
 
+// Guards against chunks that were ready for the caller and are lost when the
+// stream breaks off after them.
+TEST_CASE_METHOD(NetFixture, "An aborted stream has all chunks before the end")
+{
+  auto address = this->Serve([](const ExchangePtr& aExchange) {
+    aExchange->StartStream(200, {});
+    aExchange->WriteStream("one", nullptr);
+    aExchange->WriteStream("two", nullptr);
+    aExchange->Abort();
+  });
+  RawCaller caller(address);
+  caller.Send(kGetRequest);
+  this->RunUntil([&] { return caller.IsClosed(); });
+  CHECK(caller.Received().ends_with("3\r\none\r\n3\r\ntwo\r\n"));
+}
+
 // Guards against an interrupted stream that looks complete to the caller.
 TEST_CASE_METHOD(NetFixture, "An aborted stream has no last chunk")
 {
