Don't take a stream that ends inside an event for a whole one

Here a routed stream with neither a length nor chunks that ended inside an event was passed on as whole, 30 of 30 times.

Cause: such a stream ends with its connection, so its end looks the same whether its replica has finished or broken off. Only the events tell, and the rest after the last whole event was passed on unseen.

Change: a stream that ends inside an event counts as interrupted, whatever its framing: it goes on at another replica or ends incomplete. So does one without length and chunks that ends before its first event.

--- a/packages/router/src/event_stream.h
+++ b/packages/router/src/event_stream.h
@@ -26,7 +26,14 @@
   // Adds a chunk and returns the events that it completes.
   std::vector<RawEvent> Feed(std::string_view aChunk);
 
-  // Returns the bytes of the last, incomplete event.
+  // Returns whether the stream so far ends inside an event. Line breaks between
+  // events don't count.
+  bool IsInsideEvent() const
+  {
+    return this->remainder.find_first_not_of("\r\n") != std::string::npos;
+  }
+
+  // Returns the bytes after the last complete event.
   const std::string& Remainder() const { return this->remainder; }
 
 private:
--- a/packages/router/src/forward_events.cc
+++ b/packages/router/src/forward_events.cc
@@ -80,6 +80,9 @@
                           "the answer does not belong to this request");
       return;
     }
+    this->isFramed =
+      net::FindHeader(aHead.headers, "Content-Length").has_value() ||
+      net::FindHeader(aHead.headers, "Transfer-Encoding").has_value();
     auto headers = this->call.protocol->selectEndToEndHeaders(aHead.headers);
     if (!this->IsSuccess()) {
       this->errorAnswer.status = aHead.status;
@@ -128,6 +131,7 @@
 
   void Count(const RawEvent& aEvent)
   {
+    this->hasEvents = true;
     if (aEvent.id) {
       this->lastEvent = aEvent.id;
     }
@@ -168,6 +172,11 @@
       this->HandleErrorAnswer();
       return;
     }
+    if (this->IsBrokenOff()) {
+      this->HandleFailure(net::CallFailure::Interrupted,
+                          "the stream ended inside an event or before it");
+      return;
+    }
     EndAttempt(this->request, routing::Outcome::Succeeded, false, "");
     this->request->ran = ExecutionState::Ran;
     this->Write(this->events.Remainder());
@@ -176,6 +185,14 @@
     FinishRequest(this->request);
   }
 
+  // A stream with neither a length nor chunks ends with its connection, also if
+  // its endpoint has crashed. Only the events tell whether it is complete.
+  bool IsBrokenOff() const
+  {
+    bool hasNoEvent = !this->isFramed && !this->lastEvent && !this->hasEvents;
+    return hasNoEvent || this->events.IsInsideEvent();
+  }
+
   // Handles a complete answer whose status is not a success.
   void HandleErrorAnswer()
   {
@@ -244,6 +261,10 @@
   // Id of the last event that was passed on, or that the caller already has.
   std::optional<std::uint64_t> lastEvent;
   EventSplitter events;
+  // An event has been passed on.
+  bool hasEvents = false;
+  // The current attempt's answer has a length or chunks.
+  bool isFramed = false;
   std::optional<AnswerDescription> answer;
   // Status of the current attempt, and of the first success, which the caller
   // gets.
--- a/packages/router/test/event_stream_test.cc
+++ b/packages/router/test/event_stream_test.cc
@@ -36,6 +36,19 @@
   CHECK(splitter.Remainder() == "id: 2\nda");
 }
 
+// Guards against a broken stream that is taken for a complete one.
+TEST_CASE("A stream that ends inside an event is recognized")
+{
+  EventSplitter splitter;
+  CHECK_FALSE(splitter.IsInsideEvent());
+  splitter.Feed("id: 1\ndata: x\n");
+  CHECK(splitter.IsInsideEvent());
+  splitter.Feed("\n");
+  CHECK_FALSE(splitter.IsInsideEvent());
+  splitter.Feed("\r\n");
+  CHECK_FALSE(splitter.IsInsideEvent());
+}
+
 // Guards against missing or duplicate events in a resumed stream.
 TEST_CASE("A resumed stream continues after the last delivered event")
 {
--- a/test/faults/replica_faults_test.cc
+++ b/test/faults/replica_faults_test.cc
@@ -185,4 +185,107 @@
   CHECK(WaitFor(5s, [this] { return this->Send("/stream/1").status == 200; }));
 }
 
+// Guards against a stream that looks complete although its replica broke off
+// inside an event: without a length or chunks, only the last event tells.
+TEST_CASE_METHOD(ReplicaFaultsFixture,
+                 "a stream that ends inside an event is not passed on as whole",
+                 "[broken-event]")
+{
+  auto cutEvent = MakeEvent(2).substr(0, MakeEvent(2).size() - 1);
+  std::atomic<int> calls{ 0 };
+  auto breakFirst = [&calls](std::string aSecond) {
+    return [&calls,
+            second = std::move(aSecond)](int, const ReplicaRequest& aRequest) {
+      if (calls++ == 0) {
+        return ReplicaAnswer{ { MakeStreamHead(aRequest) + MakeEvent(1) +
+                                second },
+                              {},
+                              ReplicaAnswer::End::Close };
+      }
+      return MakeStream(aRequest);
+    };
+  };
+  this->SetAnswer(breakFirst(cutEvent));
+  auto resumed = this->Send("/resumable/1");
+  CHECK(resumed.status == 200);
+  CHECK(resumed.isComplete);
+  CHECK(resumed.body == MakeEvent(1) + MakeEvent(2) + MakeEvent(3));
+  CHECK(calls == 2);
+
+  calls = 0;
+  auto broken = this->Send("/stream/1");
+  CHECK(broken.status == 200);
+  CHECK_FALSE(broken.isComplete);
+  CHECK(broken.body == MakeEvent(1));
+  CHECK(calls == 1);
+
+  // Not even the first event has arrived.
+  this->SetAnswer([](int, const ReplicaRequest& aRequest) {
+    return ReplicaAnswer{ { MakeStreamHead(aRequest) },
+                          {},
+                          ReplicaAnswer::End::Close };
+  });
+  CHECK(this->Send("/stream/1").status == 502);
+
+  calls = 0;
+  this->SetAnswer(breakFirst(""));
+  auto whole = this->Send("/stream/1");
+  CHECK(whole.isComplete);
+  CHECK(whole.body == MakeEvent(1));
+}
+
+// Guards against an error's text in the middle of a stream, and against a
+// stream that looks complete, when the replica that should continue it answers
+// with an error.
+TEST_CASE_METHOD(ReplicaFaultsFixture,
+                 "an error of the next replica does not end up in a stream",
+                 "[error-after-stream]")
+{
+  for (unsigned status : { 400, 429, 500, 503 }) {
+    for (const char* headers : { "", "X-Not-Executed: 1\r\n" }) {
+      CAPTURE(status, headers);
+      std::atomic<int> calls{ 0 };
+      this->SetAnswer([&, status](int, const ReplicaRequest& aRequest) {
+        if (calls++ == 0) {
+          return ReplicaAnswer{ { MakeStreamHead(aRequest) + MakeEvent(1) },
+                                {},
+                                ReplicaAnswer::End::Reset };
+        }
+        return ReplicaAnswer{ { MakeAnswer(
+          status, aRequest, "an error", headers) } };
+      });
+      auto reply = this->Send("/resumable/1");
+      CHECK(reply.status == 200);
+      CHECK_FALSE(reply.isComplete);
+      CHECK(reply.body == MakeEvent(1));
+      CHECK(calls >= 2);
+    }
+  }
+}
+
+// Guards against an empty or short answer that looks complete, of a replica
+// that stopped in the middle of its answer's head.
+TEST_CASE_METHOD(ReplicaFaultsFixture,
+                 "an answer whose head is cut short is not passed on",
+                 "[cut-head]")
+{
+  for (const char* target : { "/safe/1", "/once/1", "/stream/1" }) {
+    for (double part : { 0.1, 0.3, 0.6, 0.9, 0.99 }) {
+      for (auto end :
+           { ReplicaAnswer::End::Close, ReplicaAnswer::End::Reset }) {
+        CAPTURE(target, part);
+        this->SetAnswer([part, end](int, const ReplicaRequest& aRequest) {
+          std::string answer = MakeAnswer(200, aRequest, "");
+          answer.resize(static_cast<std::size_t>(
+            part * static_cast<double>(answer.size())));
+          return ReplicaAnswer{ { answer }, {}, end };
+        });
+        auto reply = this->Send(target);
+        CHECK(reply.status == 502);
+        CHECK(reply.body.find("endpoint_failed") != std::string::npos);
+      }
+    }
+  }
+}
+
 } // namespace lycheestand::faults
