Keep a connection only while responses name their requests

What callers of another operator saw: a faulty replica wrote an earlier refusal once more on a kept connection, and callers were told "not run" of requests that it ran (REFUSED). Routed requests check the id that replicas repeat, and were not hit.

Cause: bytes after a response are noticed while a connection is idle, but not when they arrive with the next request; then they are read as its response.

Change, in the client connection and so for every call: it is kept only if the response names its request (X-Request-Id), and on a kept connection a response that doesn't counts as no answer, so that nothing is said of whether the request ran. The stand-ins name requests now, as the platform's replicas do. Weighed: not keeping connections after a refusal, which leaves repeated answers; a new connection for each chat, which good engines don't need.

Two tests of net failed before (the connection was kept; the refusal was taken) and pass.

--- a/packages/net/src/client_connection.cc
+++ b/packages/net/src/client_connection.cc
@@ -30,6 +30,10 @@
 // that no request is sent while the endpoint closes it.
 constexpr Duration kIdleTimeoutMargin = std::chrono::milliseconds(500);
 
+// Names a request; an endpoint that names it in the response as well shows to
+// which request the response belongs.
+constexpr const char* kRequestIdHeader = "X-Request-Id";
+
 // Parses the value of a header such as "Keep-Alive: timeout=5".
 std::optional<Duration>
 ParseKeepAliveTimeout(std::string_view aValue)
@@ -268,11 +272,25 @@
                               this->Fail(aError.message());
                               return;
                             }
-                            this->ReportHead();
-                            this->ReadBody();
+                            this->HandleHead();
                           }));
   }
 
+  // Bytes that an endpoint has sent after an earlier response may arrive
+  // together with the response to the current request.
+  void HandleHead()
+  {
+    auto id = FindHeader(this->call.request.headers, kRequestIdHeader);
+    this->namesRequest = !id || this->parser->get()[kRequestIdHeader] == *id;
+    bool isReused = this->callNumber > 1;
+    if (isReused && !this->namesRequest) {
+      this->Fail("the response does not name the request");
+      return;
+    }
+    this->ReportHead();
+    this->ReadBody();
+  }
+
   void ReportHead()
   {
     this->receivedHead = true;
@@ -344,9 +362,10 @@
   {
     // If the request is not fully written, the endpoint would read the next one
     // as the rest of it, so the connection can't be reused. The same holds
-    // after unexpected bytes, which would be read as the next response.
+    // after unexpected bytes, which would be read as the next response, and if
+    // such bytes could not be recognized.
     bool canReuse = this->parser->keep_alive() && !this->isWriting &&
-                    !this->HasUnexpectedBytes();
+                    !this->HasUnexpectedBytes() && this->namesRequest;
     auto keepAlive = this->parser->get()[http::field::keep_alive];
     this->idleTimeout =
       ParseKeepAliveTimeout(keepAlive).value_or(kDefaultIdleTimeout);
@@ -439,6 +458,8 @@
   Duration idleTimeout{};
   bool isSent = false;
   bool receivedHead = false;
+  // The response names the request, or the request has no id.
+  bool namesRequest = false;
   TimePoint connectStartedAt;
   DurationHistogram connectTimes =
     Metrics().GetHistogram("lycheestand_connect_seconds");
--- a/packages/net/test/calls_test.cc
+++ b/packages/net/test/calls_test.cc
@@ -27,11 +27,13 @@
                      [task, aRun] { aRun(*task); }) });
   }
 
-  void Fetch(const Address& aAddress, CallOptions aOptions = {})
+  void Fetch(const Address& aAddress,
+             CallOptions aOptions = {},
+             Headers aHeaders = {})
   {
-    this->RunInTask([this, aAddress, aOptions](IoTask& aTask) {
+    this->RunInTask([this, aAddress, aOptions, aHeaders](IoTask& aTask) {
       aTask.Fetch(aAddress,
-                  { "GET", "/", {}, "" },
+                  { "GET", "/", aHeaders, "" },
                   aOptions,
                   [this](Result<HttpResponse, CallFailure> aResult) {
                     this->results.push_back(std::move(aResult));
@@ -163,12 +165,27 @@
     boost::asio::write(this->socket, boost::asio::buffer(aText));
   }
 
+  // Returns whether the bytes that were received on the connection contain a
+  // text.
+  bool HasReceived(const std::string& aText)
+  {
+    std::array<char, 4096> bytes{};
+    boost::system::error_code error;
+    this->socket.non_blocking(true);
+    while (!error) {
+      auto size = this->socket.read_some(boost::asio::buffer(bytes), error);
+      this->received.append(bytes.data(), size);
+    }
+    return this->received.find(aText) != std::string::npos;
+  }
+
   void Close() { this->socket.close(); }
 
 private:
   boost::asio::io_context io;
   boost::asio::ip::tcp::acceptor acceptor;
   boost::asio::ip::tcp::socket socket;
+  std::string received;
 };
 
 constexpr const char* kEarlyResponse =
@@ -249,6 +266,44 @@
   this->RunUntil([&] { return endpoint.Accept(); });
 }
 
+// Guards against an earlier response that an endpoint writes once more when the
+// next request arrives, and that is taken for the response to that one.
+TEST_CASE_METHOD(CallFixture,
+                 "A connection is kept only if responses name their requests")
+{
+  RawEndpoint endpoint;
+  const std::string refusal = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+  this->Fetch(endpoint.GetAddress(), {}, { { "X-Request-Id", "r1" } });
+  this->RunUntil([&] { return endpoint.Accept(); });
+  endpoint.Send(refusal);
+  this->RunUntil([&] { return this->results.size() == 1; });
+  CHECK(this->results[0].value().status == 503);
+  this->Fetch(endpoint.GetAddress(), {}, { { "X-Request-Id", "r2" } });
+  this->RunUntil([&] { return endpoint.Accept(); });
+}
+
+// The same with an endpoint that names the requests in its responses: it is not
+// known whether the request ran for which an earlier response came.
+TEST_CASE_METHOD(CallFixture,
+                 "A response that names another request is no answer")
+{
+  auto makeResponse = [](unsigned aStatus, const std::string& aRequest) {
+    return "HTTP/1.1 " + std::to_string(aStatus) +
+           " x\r\nX-Request-Id: " + aRequest + "\r\nContent-Length: 0\r\n\r\n";
+  };
+  RawEndpoint endpoint;
+  this->Fetch(endpoint.GetAddress(), {}, { { "X-Request-Id", "r1" } });
+  this->RunUntil([&] { return endpoint.Accept(); });
+  endpoint.Send(makeResponse(503, "r1"));
+  this->RunUntil([&] { return this->results.size() == 1; });
+  this->Fetch(endpoint.GetAddress(), {}, { { "X-Request-Id", "r2" } });
+  this->RunUntil([&] { return endpoint.HasReceived("r2"); });
+  endpoint.Send(makeResponse(503, "r1") + makeResponse(200, "r2"));
+  this->RunUntil([&] { return this->results.size() == 2; });
+  REQUIRE(this->results[1].has_error());
+  CHECK(this->results[1].error() == CallFailure::NoAnswer);
+}
+
 // The pool may assign a call to a connection that is closing because its
 // previous call was cancelled. The new call must still be completed.
 TEST_CASE_METHOD(CallFixture, "Cancelling a call does not affect the next call")
--- a/test/standins/engine.cc
+++ b/test/standins/engine.cc
@@ -156,6 +156,7 @@
 
   static void Respond(const StreamPtr& aStream, net::HttpResponse aResponse)
   {
+    aResponse.headers.emplace_back("X-Request-Id", aStream->id);
     aStream->connection.execute([aStream, response = std::move(aResponse)] {
       aStream->exchange->Respond(response);
     });
@@ -176,8 +177,9 @@
       ++this->begun;
       std::cout << "begun " << stream->id << std::endl;
       stream->connection.execute([stream] {
-        stream->exchange->StartStream(
-          200, { { "Content-Type", "text/event-stream" } });
+        stream->exchange->StartStream(200,
+                                      { { "Content-Type", "text/event-stream" },
+                                        { "X-Request-Id", stream->id } });
       });
     }
     this->ScheduleStep();
--- a/test/standins/records.cc
+++ b/test/standins/records.cc
@@ -141,6 +141,10 @@
     .request(aRecords, caf::infinite, ServiceCall{ aExchange->Request() })
     .then([aDelay, aExchange](ServiceAnswer& aAnswer) {
       auto delay = aExchange->Request().method == "POST" ? aDelay : Duration{};
+      if (auto id =
+            net::FindHeader(aExchange->Request().headers, "X-Request-Id")) {
+        aAnswer.response.headers.emplace_back("X-Request-Id", *id);
+      }
       aExchange->Task().After(delay, [aExchange, answer = aAnswer] {
         if (answer.closesConnection) {
           aExchange->Abort();
