Skip interim responses

What callers saw: a chat whose engine sent 100 or 102 before its answer was refused as rejected_by_engine (400), though the request is sound.

Cause: the client connection took every head for the response. HTTP/1.1 lets a server send interim responses first.

Change: they are skipped, eight at most, since an endpoint in trouble may send them without end; more than that is no answer.

The test "Interim responses are skipped" failed before and passes.

--- a/packages/net/src/client_connection.cc
+++ b/packages/net/src/client_connection.cc
@@ -21,6 +21,10 @@
 
 constexpr std::size_t kReadBufferBytes = 16 * 1024;
 
+// Interim responses (1xx) before a response. An endpoint sends one at most for
+// requests like these.
+constexpr int kMaxInterimResponses = 8;
+
 constexpr Duration kMinTimeoutCheckInterval = std::chrono::milliseconds(50);
 
 // Used if the endpoint's responses have no Keep-Alive timeout.
@@ -120,6 +124,7 @@
     this->isSent = false;
     this->receivedHead = false;
     this->unacknowledged = 0;
+    this->interimResponses = 0;
     this->lastProgress = Now(this->GetRuntime());
     this->connectStartedAt = this->lastProgress;
     ++this->callNumber;
@@ -280,6 +285,14 @@
   // together with the response to the current request.
   void HandleHead()
   {
+    if (this->parser->get().result_int() < 200) {
+      if (++this->interimResponses > kMaxInterimResponses) {
+        this->Fail("too many interim responses");
+      } else {
+        this->ReadHead();
+      }
+      return;
+    }
     auto id = FindHeader(this->call.request.headers, kRequestIdHeader);
     this->namesRequest = !id || this->parser->get()[kRequestIdHeader] == *id;
     bool isReused = this->callNumber > 1;
@@ -460,6 +473,7 @@
   bool receivedHead = false;
   // The response names the request, or the request has no id.
   bool namesRequest = false;
+  int interimResponses = 0;
   TimePoint connectStartedAt;
   DurationHistogram connectTimes =
     Metrics().GetHistogram("lycheestand_connect_seconds");
--- a/packages/net/test/calls_test.cc
+++ b/packages/net/test/calls_test.cc
@@ -304,6 +304,20 @@
   CHECK(this->results[1].error() == CallFailure::NoAnswer);
 }
 
+// HTTP/1.1 allows interim responses before the response. Guards against one
+// that is taken for the response.
+TEST_CASE_METHOD(CallFixture, "Interim responses are skipped")
+{
+  RawEndpoint endpoint;
+  this->Fetch(endpoint.GetAddress());
+  this->RunUntil([&] { return endpoint.Accept(); });
+  endpoint.Send("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n"
+                "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole");
+  this->RunUntil([&] { return !this->results.empty(); });
+  REQUIRE(this->results[0].has_value());
+  CHECK(this->results[0].value().body == "whole");
+}
+
 // The pool may assign a call to a connection that is closing because its
 // previous call was cancelled. The new call must still be completed.
 TEST_CASE_METHOD(CallFixture, "Cancelling a call does not affect the next call")
