Bound answers that never end

Cause: what an endpoint sends was trusted to end. Nothing bounded the bytes of a chunk extension, a trailer, a body, an error body or an event, and each byte restarted the timeout of calls for whole answers and of chats.

Change: the client connection bounds the bytes that wait to be parsed and the body, and calls for whole answers (services, reports, the platform's list, orders to engines) have a total timeout. Streams bound an event and an error body; a chat ends when no event is completed for too long, or at its deadline if its answer has not begun. Heads and header fields without end were bounded before.

--- a/packages/control/src/order_sender.cc
+++ b/packages/control/src/order_sender.cc
@@ -215,6 +215,7 @@
   {
     net::CallOptions options;
     options.idleTimeout = kEngineCallTimeout;
+    options.totalTimeout = kEngineCallTimeout;
     options.reuseConnection = false;
     return options;
   }
--- a/packages/discovery/src/list_reader.cc
+++ b/packages/discovery/src/list_reader.cc
@@ -57,6 +57,7 @@
     net::CallOptions options;
     options.connectTimeout = kPageTimeout;
     options.idleTimeout = kPageTimeout;
+    options.totalTimeout = kPageTimeout;
     this->Fetch(
       this->platform,
       { "GET", this->format.target(aPageToken), {}, "" },
--- a/packages/net/include/lycheestand/net.h
+++ b/packages/net/include/lycheestand/net.h
@@ -179,6 +179,11 @@
   // Maximum time from sending the request to the response headers; if it is
   // zero, idleTimeout applies.
   Duration responseTimeout{};
+  // Maximum time for the whole call, also while data arrives; zero for no
+  // limit.
+  Duration totalTimeout{};
+  // Largest body of the response; none for a stream, whose owner limits it.
+  std::optional<std::size_t> maxBodyBytes = 4 * 1024 * 1024;
   // Whether an idle connection may be used. Set it to false for a call that
   // must not run twice: the peer may close an idle connection while the request
   // is sent, and then it is unknown whether the call ran.
@@ -250,7 +255,7 @@
                        CallObserver aObserver);
 
   // Starts a call and calls aDone once with the complete response or the
-  // failure, unless the call is cancelled. The size of the body is not limited.
+  // failure, unless the call is cancelled.
   using FetchCallback =
     std::function<void(Result<HttpResponse, CallFailure> aResult)>;
   CallHandle Fetch(const Address& aAddress,
--- a/packages/net/src/client_connection.cc
+++ b/packages/net/src/client_connection.cc
@@ -21,6 +21,10 @@
 
 constexpr std::size_t kReadBufferBytes = 16 * 1024;
 
+// Bytes that are kept of a response until they can be parsed: the longest head,
+// chunk header or trailer, and more than one read.
+constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
+
 // Interim responses (1xx) before a response. An endpoint sends one at most for
 // requests like these.
 constexpr int kMaxInterimResponses = 8;
@@ -126,7 +130,7 @@
     this->unacknowledged = 0;
     this->interimResponses = 0;
     this->lastProgress = Now(this->GetRuntime());
-    this->connectStartedAt = this->lastProgress;
+    this->startedAt = this->lastProgress;
     ++this->callNumber;
     if (this->isConnected) {
       this->WriteRequest();
@@ -156,6 +160,14 @@
     return awaitsHead ? options.responseTimeout : options.idleTimeout;
   }
 
+  // Returns whether the call has taken its whole time. An endpoint may send
+  // data without end.
+  bool IsOverdue(TimePoint aNow) const
+  {
+    auto limit = this->call.options.totalTimeout;
+    return limit > Duration(0) && aNow - this->startedAt >= limit;
+  }
+
   // Checks at least once a second whether the call has timed out.
   void ScheduleTimeoutCheck(std::uint64_t aCall)
   {
@@ -170,7 +182,8 @@
       // Time during which the owner holds back acknowledgements does not count.
       bool isAwaitingOwner = this->unacknowledged >= kMaxUnacknowledgedChunks;
       auto now = Now(this->GetRuntime());
-      if (!isAwaitingOwner && now - this->lastProgress >= limit) {
+      bool isSilent = !isAwaitingOwner && now - this->lastProgress >= limit;
+      if (isSilent || this->IsOverdue(now)) {
         if (!this->isConnected) {
           this->ReportConnectTime();
         }
@@ -211,7 +224,7 @@
   // A timeout is reported with the time that passed until then.
   void ReportConnectTime()
   {
-    auto time = Now(this->GetRuntime()) - this->connectStartedAt;
+    auto time = Now(this->GetRuntime()) - this->startedAt;
     this->connectTimes.Record(time);
     if (this->observer) {
       this->observer(time);
@@ -263,7 +276,11 @@
   void ReadHead()
   {
     this->parser.emplace();
-    this->parser->body_limit(boost::none);
+    if (const auto& limit = this->call.options.maxBodyBytes) {
+      this->parser->body_limit(*limit);
+    } else {
+      this->parser->body_limit(boost::none);
+    }
     http::async_read_header(
       this->socket,
       this->buffer,
@@ -455,7 +472,7 @@
   Address address;
   ConnectObserver observer;
   asio::ip::tcp::socket socket;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{ kMaxUnparsedBytes };
   std::optional<Parser> parser;
   http::request<http::string_body> outgoingRequest;
   std::array<char, kReadBufferBytes> readBuffer;
@@ -474,7 +491,8 @@
   // The response names the request, or the request has no id.
   bool namesRequest = false;
   int interimResponses = 0;
-  TimePoint connectStartedAt;
+  // When the current call began.
+  TimePoint startedAt;
   DurationHistogram connectTimes =
     Metrics().GetHistogram("lycheestand_connect_seconds");
   TimePoint lastProgress;
--- a/packages/net/test/calls_test.cc
+++ b/packages/net/test/calls_test.cc
@@ -318,6 +318,56 @@
   CHECK(this->results[0].value().body == "whole");
 }
 
+// Guards against an endpoint whose response never ends: the call would wait, or
+// its data fill the memory.
+TEST_CASE_METHOD(CallFixture, "A response without an end fails the call")
+{
+  const std::string chunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string interim;
+  for (int i = 0; i < 100; ++i) {
+    interim += "HTTP/1.1 102 Processing\r\n\r\n";
+  }
+  const std::string bytes(100 * 1024, 'x');
+  for (const auto& [name, response] : {
+         std::pair("status line", "HTTP/1.1 200 " + bytes),
+         std::pair("header field", "HTTP/1.1 200 OK\r\nA: " + bytes),
+         std::pair("interim responses", interim),
+         std::pair("body", "HTTP/1.1 200 OK\r\n\r\n" + bytes),
+         std::pair("chunk extension", chunked + "1;" + bytes),
+         std::pair("trailer", chunked + "0\r\nA: " + bytes),
+       }) {
+    INFO(name);
+    RawEndpoint endpoint;
+    CallOptions options;
+    options.maxBodyBytes = 10 * 1024;
+    this->results.clear();
+    this->Fetch(endpoint.GetAddress(), options);
+    this->RunUntil([&] { return endpoint.Accept(); });
+    endpoint.Send(response);
+    this->RunUntil([&] { return !this->results.empty(); });
+    CHECK(this->results[0].has_error());
+  }
+}
+
+// Guards against a response that arrives so slowly that the call never ends.
+TEST_CASE_METHOD(CallFixture, "A call ends at its total timeout")
+{
+  RawEndpoint endpoint;
+  CallOptions options;
+  options.totalTimeout = 3s;
+  this->Fetch(endpoint.GetAddress(), options);
+  this->RunUntil([&] { return endpoint.Accept(); });
+  endpoint.Send("HTTP/1.1 200 OK\r\n\r\n");
+  for (int i = 0; i < 8 && this->results.empty(); ++i) {
+    endpoint.Send("x");
+    this->Advance(500ms);
+    std::this_thread::sleep_for(10ms);
+  }
+  this->RunUntil([&] { return !this->results.empty(); });
+  CHECK(this->results[0].error() == CallFailure::Interrupted);
+}
+
 // The pool may assign a call to a connection that is closing because its
 // previous call was cancelled. The new call must still be completed.
 TEST_CASE_METHOD(CallFixture, "Cancelling a call does not affect the next call")
--- a/packages/router/src/chat_protocol.h
+++ b/packages/router/src/chat_protocol.h
@@ -42,6 +42,9 @@
   // Adds a chunk and returns the data of the events that it completes.
   std::vector<std::string> Feed(const std::string& aChunk);
 
+  // Returns the size of the event that is not complete yet.
+  std::size_t PendingBytes() const { return this->pending.size(); }
+
 private:
   std::string pending;
 };
--- a/packages/router/src/endpoint_controller.cc
+++ b/packages/router/src/endpoint_controller.cc
@@ -300,6 +300,7 @@
     net::CallOptions options;
     options.connectTimeout = kReportTimeout;
     options.idleTimeout = kReportTimeout;
+    options.totalTimeout = kReportTimeout;
     this->Fetch(aPolled.endpoint.address,
                 { "GET", aTarget, {}, "" },
                 options,
--- a/packages/router/src/forward.cc
+++ b/packages/router/src/forward.cc
@@ -102,6 +102,33 @@
     CallFinished{ aRequest->ticket, aOutcome, aLeaving });
 }
 
+namespace {
+
+// Ends the request if its answer has not begun by the deadline. The timer holds
+// a weak reference, since it outlives most requests.
+void
+ScheduleDeadline(const RequestPtr& aRequest)
+{
+  auto& task = aRequest->exchange->Task();
+  auto now = net::Now(task.GetRuntime());
+  task.After(
+    *aRequest->deadline - now, [weak = std::weak_ptr<Request>(aRequest)] {
+      auto request = weak.lock();
+      if (!request || request->isFinished || request->exchange->IsAnswered()) {
+        return;
+      }
+      bool mayHaveRun =
+        request->ran != ExecutionState::NotRun || request->isAssigned;
+      Refuse(request,
+             { 504,
+               "deadline",
+               "the answer did not begin before its deadline",
+               mayHaveRun ? ExecutionState::Unknown : ExecutionState::NotRun });
+    });
+}
+
+} // namespace
+
 Filter
 MakeForward()
 {
@@ -114,6 +141,11 @@
              { 504, "deadline", "the answer can't begin before its deadline" });
       return;
     }
+    // Requests by a route table have a timer already.
+    if (aRequest->deadline &&
+        !std::holds_alternative<RoutedCall>(aRequest->call)) {
+      ScheduleDeadline(aRequest);
+    }
     if (std::holds_alternative<ChatCall>(aRequest->call)) {
       ForwardChat(aRequest);
     } else if (std::holds_alternative<RoutedCall>(aRequest->call)) {
--- a/packages/router/src/forward.h
+++ b/packages/router/src/forward.h
@@ -11,6 +11,11 @@
 // Endpoints that one request of the project's own interface may try.
 inline constexpr std::size_t kMaxAttempts = 3;
 
+// Largest body of an error answer to a stream's request, and largest event of a
+// stream. An endpoint in trouble may send bytes without end.
+inline constexpr std::size_t kMaxErrorBodyBytes = 64 * 1024;
+inline constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+
 // Chooses an endpoint that the request has not tried and calls aCall with its
 // address. Calls aOnNoEndpoint if there is none or the retry budget is used up.
 void
--- a/packages/router/src/forward_chat.cc
+++ b/packages/router/src/forward_chat.cc
@@ -9,9 +9,11 @@
 
 namespace {
 
-// Shortest idle timeout of a call to an engine. A model's first-token timeout
-// is used for the whole call if it is longer.
-constexpr Duration kMinIdleTimeout = std::chrono::seconds(10);
+// Shortest timeout between two events of an engine. A model's first-token
+// timeout is used for all events if it is longer.
+constexpr Duration kMinEventTimeout = std::chrono::seconds(10);
+
+constexpr Duration kEventCheckInterval = std::chrono::seconds(1);
 
 // Returns the estimated number of prompt tokens, for the cost of an endpoint.
 // The bound that budgets use counts bytes and is too large by this factor.
@@ -98,11 +100,50 @@
     this->status = 0;
     auto model = this->request->snapshot->settings.ModelFor(this->request->site,
                                                             this->call.model);
+    this->eventTimeout =
+      std::max<Duration>(model->firstTokenTimeout, kMinEventTimeout);
     net::CallOptions options;
-    options.idleTimeout =
-      std::max<Duration>(model->firstTokenTimeout, kMinIdleTimeout);
+    options.idleTimeout = this->eventTimeout;
+    options.maxBodyBytes.reset();
     this->request->upstream = this->request->exchange->Task().StartCall(
       aAddress, std::move(http), options, this->MakeObserver());
+    this->lastEventAt = this->Time();
+    this->ScheduleEventCheck(this->endedCalls + 1);
+  }
+
+  TimePoint Time() const
+  {
+    return net::Now(this->request->exchange->Task().GetRuntime());
+  }
+
+  // Ends the call if the engine sends data but completes no event, or no error
+  // body, for too long. Time during which the caller does not read does not
+  // count.
+  void ScheduleEventCheck(unsigned aCall)
+  {
+    this->request->exchange->Task().After(
+      kEventCheckInterval, [weak = this->weak_from_this(), aCall] {
+        auto self = weak.lock();
+        if (!self || self->request->isFinished ||
+            aCall <= self->endedCalls) {
+          return;
+        }
+        if (self->unwrittenChunks > 0) {
+          self->lastEventAt = self->Time();
+        }
+        if (self->Time() - self->lastEventAt >= self->eventTimeout) {
+          self->Cancel("no event for too long");
+        } else {
+          self->ScheduleEventCheck(aCall);
+        }
+      });
+  }
+
+  void Cancel(const std::string& aReason)
+  {
+    this->request->upstream.Cancel();
+    RecordFailure(this->request, net::CallFailure::Interrupted);
+    this->HandleInterruption(aReason);
   }
 
   net::CallObserver MakeObserver()
@@ -128,20 +169,34 @@
   {
     if (this->status != 200) {
       this->errorBody += aChunk;
-      this->request->upstream.Continue();
+      if (this->errorBody.size() > kMaxErrorBodyBytes) {
+        this->request->upstream.Cancel();
+        this->HandleRefusal();
+      } else {
+        this->request->upstream.Continue();
+      }
       return;
     }
     std::string out;
     for (const auto& data : this->events.Feed(aChunk)) {
+      this->lastEventAt = this->Time();
       out += this->HandleEvent(data);
     }
+    if (this->events.PendingBytes() > kMaxEventBytes) {
+      this->Cancel("an event is too large");
+      return;
+    }
     if (!this->call.stream || out.empty()) {
       this->request->upstream.Continue();
     } else {
       this->StartStream();
-      auto upstream = this->request->upstream;
-      this->request->exchange->WriteStream(std::move(out),
-                                           [upstream] { upstream.Continue(); });
+      ++this->unwrittenChunks;
+      this->request->exchange->WriteStream(
+        std::move(out),
+        [self = this->shared_from_this(), upstream = this->request->upstream] {
+          --self->unwrittenChunks;
+          upstream.Continue();
+        });
     }
     this->EnforceOutputLimit();
   }
@@ -246,6 +301,7 @@
   // have run in part.
   void HandleRefusal()
   {
+    ++this->endedCalls;
     routing::Outcome outcome = OutcomeOf(this->status);
     if (outcome == routing::Outcome::Failed) {
       this->request->ran = ExecutionState::Unknown;
@@ -302,6 +358,7 @@
 
   void HandleInterruption(const std::string& aReason)
   {
+    ++this->endedCalls;
     net::Log(net::LogLevel::Warning,
              "call to engine broke",
              { { "request", this->request->id.Get() },
@@ -358,6 +415,13 @@
   unsigned status = 0;
   bool isDone = false;
   bool isLeaving = false;
+  // Calls to engines that failed or were refused.
+  unsigned endedCalls = 0;
+  // When the last event of the current call arrived, or the call began.
+  TimePoint lastEventAt{};
+  Duration eventTimeout{};
+  // Chunks that are not yet written to the caller.
+  int unwrittenChunks = 0;
   // Why the last attempt failed.
   std::string lastReason;
 };
--- a/packages/router/src/forward_events.cc
+++ b/packages/router/src/forward_events.cc
@@ -75,9 +75,7 @@
     this->status = aHead.status;
     this->answer = ReadAnswerHead(this->request, aHead);
     if (!this->answer) {
-      this->request->upstream.Cancel();
-      this->HandleFailure(net::CallFailure::Interrupted,
-                          "the answer does not belong to this request");
+      this->Cancel("the answer does not belong to this request");
       return;
     }
     this->isFramed =
@@ -102,7 +100,11 @@
   {
     if (!this->IsSuccess()) {
       this->errorAnswer.body += aChunk;
-      this->request->upstream.Continue();
+      if (this->errorAnswer.body.size() > kMaxErrorBodyBytes) {
+        this->Cancel("the error answer is too large");
+      } else {
+        this->request->upstream.Continue();
+      }
       return;
     }
     std::string ready;
@@ -116,12 +118,15 @@
           break;
         case EventAction::Gap:
           this->Write(std::move(ready));
-          this->request->upstream.Cancel();
-          this->HandleFailure(net::CallFailure::Interrupted,
-                              "events are missing");
+          this->Cancel("events are missing");
           return;
       }
     }
+    if (this->events.Remainder().size() > kMaxEventBytes) {
+      this->Write(std::move(ready));
+      this->Cancel("an event is too large");
+      return;
+    }
     if (ready.empty()) {
       this->request->upstream.Continue();
     } else {
@@ -129,6 +134,12 @@
     }
   }
 
+  void Cancel(const std::string& aReason)
+  {
+    this->request->upstream.Cancel();
+    this->HandleFailure(net::CallFailure::Interrupted, aReason);
+  }
+
   void Count(const RawEvent& aEvent)
   {
     this->hasEvents = true;
--- a/packages/router/src/forward_service.cc
+++ b/packages/router/src/forward_service.cc
@@ -109,6 +109,7 @@
     [aRequest, &call](const Address& aAddress) {
       net::CallOptions options;
       options.idleTimeout = call.timeout;
+      options.totalTimeout = call.timeout;
       aRequest->upstream = aRequest->exchange->Task().Fetch(
         aAddress,
         MakeHttpRequest(*aRequest, call),
--- a/packages/router/src/operation_controller.cc
+++ b/packages/router/src/operation_controller.cc
@@ -68,6 +68,7 @@
     auto promise = this->make_response_promise<RunOperationReply>();
     net::CallOptions options;
     options.idleTimeout = aRun.timeout;
+    options.totalTimeout = aRun.timeout;
     options.reuseConnection = false;
     wire::OperationRequest step;
     step.request = aRun.operation;
--- a/packages/router/src/route_attempt.cc
+++ b/packages/router/src/route_attempt.cc
@@ -88,6 +88,9 @@
   options.connectTimeout = kConnectTimeout;
   options.idleTimeout = aRoute.timeout + kTimeoutMargin;
   options.reuseConnection = aRoute.isRepeatable;
+  if (aRoute.isStream) {
+    options.maxBodyBytes.reset();
+  }
   return options;
 }
 
--- a/test/faults/fleet.cc
+++ b/test/faults/fleet.cc
@@ -347,7 +347,8 @@
 Fleet::WaitUntilReady(int aRouter, Duration aTimeout)
 {
   auto all =
-    static_cast<std::size_t>(this->options.engines + this->options.records);
+    static_cast<std::size_t>(this->options.engines + this->options.records) +
+    this->options.outsideEngines.size();
   return WaitFor(aTimeout, [&] {
     if (this->GetFromRouter(aRouter, "/v1/models").status != 200) {
       return false;
--- a/test/faults/fleet.h
+++ b/test/faults/fleet.h
@@ -26,6 +26,8 @@
   int controls = 1;
   std::vector<std::string> engineArguments;
   std::vector<std::string> recordsArguments;
+  // Engines that the test runs itself; they serve the model "chat".
+  std::vector<Address> outsideEngines;
   // Models in the platform list; engine i serves entry i modulo the list's
   // size.
   std::vector<std::string> servedModels{ "chat" };
--- a/test/faults/fleet_start.cc
+++ b/test/faults/fleet_start.cc
@@ -81,15 +81,25 @@
 Fleet::WritePlatformList() const
 {
   json::array list;
+  auto addAt = [&](const std::string& aId,
+                   const Address& aAddress,
+                   const char* aKind,
+                   const std::string& aServes) {
+    list.push_back({ { "id", aId },
+                     { "zone", "z1" },
+                     { "address", ToString(aAddress) },
+                     { "kind", aKind },
+                     { "serves", aServes },
+                     { "state", "live" } });
+  };
   auto add =
     [&](const std::string& aId, const char* aKind, const std::string& aServes) {
-      list.push_back({ { "id", aId },
-                       { "zone", "z1" },
-                       { "address", ToString(this->links.at(aId).first) },
-                       { "kind", aKind },
-                       { "serves", aServes },
-                       { "state", "live" } });
+      addAt(aId, this->links.at(aId).first, aKind, aServes);
     };
+  const auto& outside = this->options.outsideEngines;
+  for (std::size_t i = 0; i < outside.size(); ++i) {
+    addAt("x" + std::to_string(i), outside[i], "model", "chat");
+  }
   for (int i = 0; i < this->options.engines; ++i) {
     const auto& servedModels = this->options.servedModels;
     add(NumberedName("e", i),
--- a/test/faults/process.cc
+++ b/test/faults/process.cc
@@ -138,6 +138,16 @@
   }
 }
 
+std::size_t
+Process::ResidentBytes() const
+{
+  std::ifstream file("/proc/" + std::to_string(this->id) + "/statm");
+  std::size_t pages = 0;
+  std::size_t residentPages = 0;
+  file >> pages >> residentPages;
+  return residentPages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
 void
 Process::Signal(int aSignal) const
 {
--- a/test/faults/process.h
+++ b/test/faults/process.h
@@ -67,6 +67,8 @@
   // Starts the process again after it has ended. Throws std::runtime_error if
   // it can't be spawned.
   void Start();
+  // Returns the memory that the process uses, or 0 if it isn't running.
+  std::size_t ResidentBytes() const;
   // Sends a signal; has no effect if the process isn't running.
   void Signal(int aSignal) const;
   // Sends SIGKILL and waits until the process has ended.
--- a/test/faults/replica_faults_test.cc
+++ b/test/faults/replica_faults_test.cc
@@ -3,6 +3,7 @@
 #include "platform_fleet.h"
 #include "replica_pool.h"
 
+#include <algorithm>
 #include <atomic>
 #include <catch2/catch.hpp>
 
@@ -11,11 +12,11 @@
 namespace {
 
 // Time within which the fleet serves after its start.
-constexpr Duration kReadyTime = 15s;
+constexpr Duration kServeTime = 15s;
 
-constexpr int kControlMachine = 1;
-constexpr int kRouterMachine = 2;
-constexpr int kReplicaCount = 3;
+constexpr int kControlNumber = 1;
+constexpr int kRouterNumber = 2;
+constexpr int kReplicas = 3;
 
 json::object
 MakeRoute(const char* aName, const char* aKind, bool aIsResumable)
@@ -34,7 +35,7 @@
 
 // The workspace may spend aPrepaid tokens.
 std::string
-MakeDocument(int aPrepaid)
+MakeRoutesDocument(int aPrepaid)
 {
   return json::serialize(json::object{
     { "version", 1 },
@@ -75,19 +76,19 @@
            })
   {
     MachineOptions options;
-    options.seeds = { kControlMachine };
+    options.seeds = { kControlNumber };
     options.bootstrap = true;
     options.listAddress = this->pool.ListAddress();
-    this->fleet.StartControl(kControlMachine, options);
-    this->fleet.StartRouter(kRouterMachine, options);
-    REQUIRE(WaitFor(kReadyTime, [this, aPrepaid] {
-      return this->fleet.PutDocument(kControlMachine, MakeDocument(aPrepaid)) ==
-             200;
+    this->fleet.StartControl(kControlNumber, options);
+    this->fleet.StartRouter(kRouterNumber, options);
+    REQUIRE(WaitFor(kServeTime, [this, aPrepaid] {
+      return this->fleet.PutDocument(kControlNumber,
+                                     MakeRoutesDocument(aPrepaid)) == 200;
     }));
     this->SetAnswer([](int, const ReplicaRequest& aRequest) {
       return ReplicaAnswer{ { MakeAnswer(200, aRequest, "sound") } };
     });
-    REQUIRE(WaitFor(kReadyTime,
+    REQUIRE(WaitFor(kServeTime,
                     [this] { return this->Send("/safe/1").status == 200; }));
   }
 
@@ -116,7 +117,7 @@
     }
     call.body = "{}";
     call.timeout = 5s;
-    return faults::Send(this->fleet.CallerAddress(kRouterMachine), call);
+    return faults::Send(this->fleet.CallerAddress(kRouterNumber), call);
   }
 
   PlatformFleet fleet{ "replica-faults" };
@@ -125,7 +126,7 @@
   std::vector<std::string> ReplicaIps() const
   {
     std::vector<std::string> ips;
-    for (int i = 0; i < kReplicaCount; ++i) {
+    for (int i = 0; i < kReplicas; ++i) {
       ips.push_back(this->fleet.MachineIp(101 + i));
     }
     return ips;
@@ -288,4 +289,64 @@
   }
 }
 
+// Guards against an answer that never ends: its caller would wait, or its bytes
+// fill the router's memory.
+TEST_CASE_METHOD(ReplicaFaultsFixture,
+                 "an answer that never ends is given up at the timeout",
+                 "[endless-answer]")
+{
+  this->SetAnswer([](int, const ReplicaRequest& aRequest) {
+    if (aRequest.target == "/safe/sound") {
+      return ReplicaAnswer{ { MakeAnswer(200, aRequest, "sound") } };
+    }
+    bool isSlow = aRequest.target.find("slow") != std::string::npos;
+    auto part = aRequest.target.substr(aRequest.target.rfind('/') + 1);
+    std::replace(part.begin(), part.end(), '-', ' ');
+    return MakeEndlessAnswers(aRequest, isSlow ? 100ms : 0ms).at(part);
+  });
+  std::vector<std::string> targets;
+  for (const auto& [part, answer] : MakeEndlessAnswers({}, 0ms)) {
+    auto name = part;
+    std::replace(name.begin(), name.end(), ' ', '-');
+    for (const char* route : { "/safe/", "/once/", "/stream/" }) {
+      for (const char* speed : { "slow/", "fast/" }) {
+        targets.push_back(route + std::string(speed) + name);
+      }
+    }
+  }
+  auto memoryBefore = this->fleet.Machine(kRouterNumber).ResidentBytes();
+  std::vector<std::thread> callers;
+  std::vector<std::pair<Reply, Duration>> replies(targets.size());
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    callers.emplace_back([this, i, &targets, &replies] {
+      auto start = std::chrono::steady_clock::now();
+      auto reply = this->Send(targets[i]);
+      replies[i] = { std::move(reply),
+                     std::chrono::steady_clock::now() - start };
+    });
+  }
+  std::size_t maxMemory = 0;
+  for (int i = 0; i < 20; ++i) {
+    CHECK(this->Send("/safe/sound").status == 200);
+    maxMemory =
+      std::max(maxMemory, this->fleet.Machine(kRouterNumber).ResidentBytes());
+    std::this_thread::sleep_for(100ms);
+  }
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  // The route's timeout is 3 s, and an answer may come 0.5 s later; as much is
+  // left for the threads of the test.
+  constexpr Duration kLimit = 4s;
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    INFO(targets[i]);
+    const auto& [reply, time] = replies[i];
+    CHECK(time < kLimit);
+    CHECK((reply.status >= 500 || !reply.isComplete));
+  }
+  // The smallest machine of the users has 88 MB for a process.
+  CAPTURE(memoryBefore, maxMemory);
+  CHECK(maxMemory < std::size_t(88'000'000));
+}
+
 } // namespace lycheestand::faults
--- a/test/faults/replica_pool.cc
+++ b/test/faults/replica_pool.cc
@@ -101,6 +101,33 @@
              MakeChunk(MakeEvent(3)) + "0\r\n\r\n" } };
 }
 
+std::map<std::string, ReplicaAnswer>
+MakeEndlessAnswers(const ReplicaRequest& aRequest, Duration aPause)
+{
+  const std::string head = MakeHead(200, aRequest);
+  const std::string type = "Content-Type: text/event-stream\r\n";
+  const std::string chunked =
+    head + type + "Transfer-Encoding: chunked\r\n\r\n";
+  std::string bytes(aPause > Duration(0) ? 16 : 64 * 1024, 'x');
+  std::map<std::string, ReplicaAnswer> answers;
+  auto add = [&](const char* aName, std::string aBegin, std::string aEndless) {
+    ReplicaAnswer answer;
+    answer.pieces = { std::move(aBegin) };
+    answer.endless = std::move(aEndless);
+    answer.pause = aPause;
+    answers.emplace(aName, std::move(answer));
+  };
+  add("status line", "HTTP/1.1 200 ", bytes);
+  add("header field", head + "A: ", bytes);
+  add("interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n");
+  add("body", head + type + "\r\n", bytes);
+  add("chunk extension", chunked + "1;", bytes);
+  add("trailer", chunked + "0\r\nA: ", bytes);
+  add("event", head + type + "\r\nid: 1\ndata: ", bytes);
+  add("error body", MakeHead(500, aRequest) + "\r\n", bytes);
+  return answers;
+}
+
 // One replica: a listening socket and its connections.
 class ReplicaPool::Replica : public std::enable_shared_from_this<Replica>
 {
@@ -218,7 +245,8 @@
   void WriteNext()
   {
     auto self = this->shared_from_this();
-    if (this->nextPiece == this->answer.pieces.size()) {
+    bool isLast = this->nextPiece >= this->answer.pieces.size();
+    if (isLast && this->answer.endless.empty()) {
       this->End();
       return;
     }
@@ -227,12 +255,16 @@
       if (aError) {
         return;
       }
+      const auto& pieces = self->answer.pieces;
       asio::async_write(self->socket,
-                        asio::buffer(self->answer.pieces[self->nextPiece++]),
+                        asio::buffer(self->nextPiece < pieces.size()
+                                       ? pieces[self->nextPiece]
+                                       : self->answer.endless),
                         [self](beast::error_code aWriteError, std::size_t) {
                           if (aWriteError) {
                             self->Close();
                           } else {
+                            ++self->nextPiece;
                             self->WriteNext();
                           }
                         });
--- a/test/faults/replica_pool.h
+++ b/test/faults/replica_pool.h
@@ -52,8 +52,16 @@
   // Sent when the head of the next request on the connection has arrived,
   // before its answer.
   std::string nextHead;
+  // Sent after the pieces, again and again until the connection is closed, with
+  // the pause before each.
+  std::string endless;
 };
 
+// An answer that never ends, by the name of its part without an end. With a
+// pause it arrives slowly, otherwise as fast as it is read.
+std::map<std::string, ReplicaAnswer>
+MakeEndlessAnswers(const ReplicaRequest& aRequest, Duration aPause);
+
 // Returns an answer with a length, and with the headers that name its request
 // and sign it.
 std::string
