Stop sending to an endpoint whose answer says that it is leaving

Change: the head of an answer tells the router's endpoint table that its endpoint is leaving. Engines and services of the project's own interface say so with X-Endpoint-Leaving; that was read only when the call ended, minutes later for a long stream, and not at all for services. It is read from the head now.

Open: a replica that starts again under its id and address stays leaving for this router until the list has dropped it; "born" is not read.

--- a/bench/micro/decisions_bench.cc
+++ b/bench/micro/decisions_bench.cc
@@ -58,7 +58,7 @@
     query.prefix = { { routing::PrefixHash(request % 1000), Tokens(2000) } };
     routing::RequestNumber number(++request);
     benchmark::DoNotOptimize(table.Choose(number, query, now));
-    table.Finish(number, routing::Outcome::Succeeded, false, now += 1us);
+    table.Finish(number, routing::Outcome::Succeeded, now += 1us);
   }
 }
 BENCHMARK(ChooseEndpoint)->Arg(13)->Arg(100)->Arg(1000);
--- a/bench/policy/policy.cc
+++ b/bench/policy/policy.cc
@@ -168,7 +168,6 @@
     --this->engines[aIndex].running;
     this->tables[aCall.router]->Finish(RequestNumber(aCall.number),
                                        Outcome::Succeeded,
-                                       false,
                                        this->Time(this->now));
     this->StartQueuedCalls(aIndex);
   }
--- a/packages/router/include/lycheestand/router.h
+++ b/packages/router/include/lycheestand/router.h
@@ -68,6 +68,8 @@
   bool isNotRun = false;
   // The answer is from another endpoint that now has the address.
   bool isFromOtherEndpoint = false;
+  // The endpoint is leaving.
+  bool isLeaving = false;
   // The answer carries the endpoint's signature.
   bool isSigned = false;
   // The body has a content encoding, so it is not in the requested form.
--- a/packages/router/src/endpoint_controller.cc
+++ b/packages/router/src/endpoint_controller.cc
@@ -93,6 +93,9 @@
       [this](ViewChanged& aChanged) { this->Update(*aChanged.view); },
       [this](ChooseEndpoint& aChoose) { return this->HandleChoose(aChoose); },
       [this](CallFinished& aFinished) { this->Finish(aFinished); },
+      [this](EndpointLeaving& aLeaving) {
+        this->table.SetLeaving(aLeaving.endpoint);
+      },
       [this](LoadReported& aReported) {
         aReported.report.measuredAt = this->Time();
         this->table.UpdateLoadReport(aReported.endpoint,
@@ -218,10 +221,8 @@
       retry->second.promise.deliver(ChooseEndpointReply{});
       this->retries.erase(retry);
     }
-    this->table.Finish(ToRequestNumber(aFinished.ticket),
-                       aFinished.outcome,
-                       aFinished.leaving,
-                       this->Time());
+    this->table.Finish(
+      ToRequestNumber(aFinished.ticket), aFinished.outcome, this->Time());
   }
 
   void Tick()
--- a/packages/router/src/finish.cc
+++ b/packages/router/src/finish.cc
@@ -130,9 +130,8 @@
   auto& task = aRequest->exchange->Task();
   aRequest->upstream.Cancel();
   if (aRequest->isAssigned) {
-    task.send(
-      aRequest->controllers.endpoint,
-      CallFinished{ aRequest->ticket, routing::Outcome::Abandoned, false });
+    task.send(aRequest->controllers.endpoint,
+              CallFinished{ aRequest->ticket, routing::Outcome::Abandoned });
   }
   if (aRequest->holdsAdmission) {
     task.send(aRequest->controllers.admission,
--- a/packages/router/src/forward.cc
+++ b/packages/router/src/forward.cc
@@ -92,14 +92,18 @@
 }
 
 void
-ReleaseEndpoint(const RequestPtr& aRequest,
-                routing::Outcome aOutcome,
-                bool aLeaving)
+ReleaseEndpoint(const RequestPtr& aRequest, routing::Outcome aOutcome)
 {
   aRequest->isAssigned = false;
-  aRequest->exchange->Task().send(
-    aRequest->controllers.endpoint,
-    CallFinished{ aRequest->ticket, aOutcome, aLeaving });
+  aRequest->exchange->Task().send(aRequest->controllers.endpoint,
+                                  CallFinished{ aRequest->ticket, aOutcome });
+}
+
+void
+SetEndpointLeaving(const RequestPtr& aRequest)
+{
+  aRequest->exchange->Task().send(aRequest->controllers.endpoint,
+                                  EndpointLeaving{ aRequest->endpoint });
 }
 
 namespace {
--- a/packages/router/src/forward.h
+++ b/packages/router/src/forward.h
@@ -11,6 +11,9 @@
 // Endpoints that one request of the project's own interface may try.
 inline constexpr std::size_t kMaxAttempts = 3;
 
+// Set by an endpoint of the project's own interface that is leaving.
+inline constexpr const char* kLeavingHeader = "X-Endpoint-Leaving";
+
 // Largest body of an error answer to a stream's request, and largest event of a
 // stream. An endpoint in trouble may send bytes without end.
 inline constexpr std::size_t kMaxErrorBodyBytes = 64 * 1024;
@@ -33,12 +36,15 @@
 void
 RecordFailure(const RequestPtr& aRequest, net::CallFailure aFailure);
 
-// Tells the endpoint controller how the call ended. aLeaving: the endpoint
-// reported that it is leaving.
+// Tells the endpoint controller how the call ended.
+void
+ReleaseEndpoint(const RequestPtr& aRequest, routing::Outcome aOutcome);
+
+// Tells the endpoint controller that the endpoint of the current attempt has
+// announced that it is leaving. Called as soon as the head of an answer says
+// so, since a stream may go on for long.
 void
-ReleaseEndpoint(const RequestPtr& aRequest,
-                routing::Outcome aOutcome,
-                bool aLeaving);
+SetEndpointLeaving(const RequestPtr& aRequest);
 
 // Forwards a chat call.
 void
--- a/packages/router/src/forward_buffered.cc
+++ b/packages/router/src/forward_buffered.cc
@@ -62,7 +62,6 @@
     }
     EndAttempt(this->request,
                outcome,
-               this->answer->isFromOtherEndpoint,
                "status " + std::to_string(this->response.status));
     if (this->answer->isNotRun) {
       this->TryAgain("the endpoint did not run the request");
--- a/packages/router/src/forward_chat.cc
+++ b/packages/router/src/forward_chat.cc
@@ -96,7 +96,6 @@
     this->usageBeforeAttempt = this->request->usage;
     this->events = {};
     this->isDone = false;
-    this->isLeaving = false;
     this->status = 0;
     auto model = this->request->snapshot->settings.ModelFor(this->request->site,
                                                             this->call.model);
@@ -124,8 +123,7 @@
     this->request->exchange->Task().After(
       kEventCheckInterval, [weak = this->weak_from_this(), aCall] {
         auto self = weak.lock();
-        if (!self || self->request->isFinished ||
-            aCall <= self->endedCalls) {
+        if (!self || self->request->isFinished || aCall <= self->endedCalls) {
           return;
         }
         if (self->unwrittenChunks > 0) {
@@ -161,8 +159,9 @@
   void HandleHead(const net::CallHead& aHead)
   {
     this->status = aHead.status;
-    this->isLeaving =
-      net::FindHeader(aHead.headers, "X-Endpoint-Leaving").has_value();
+    if (net::FindHeader(aHead.headers, kLeavingHeader)) {
+      SetEndpointLeaving(this->request);
+    }
   }
 
   void HandleBody(const std::string& aChunk)
@@ -275,8 +274,7 @@
 
   void Complete()
   {
-    ReleaseEndpoint(
-      this->request, routing::Outcome::Succeeded, this->isLeaving);
+    ReleaseEndpoint(this->request, routing::Outcome::Succeeded);
     const Usage& usage = this->request->usage;
     auto& exchange = *this->request->exchange;
     if (this->call.stream) {
@@ -306,7 +304,7 @@
     if (outcome == routing::Outcome::Failed) {
       this->request->ran = ExecutionState::Unknown;
     }
-    ReleaseEndpoint(this->request, outcome, this->isLeaving);
+    ReleaseEndpoint(this->request, outcome);
     if (outcome != routing::Outcome::Succeeded) {
       this->TryAgain("the endpoints refused the request");
     } else if (this->request->ran != ExecutionState::NotRun) {
@@ -365,7 +363,7 @@
                { "workspace", this->request->workspace.Get() },
                { "endpoint", this->request->endpoint.Get() },
                { "reason", aReason } });
-    ReleaseEndpoint(this->request, routing::Outcome::Failed, this->isLeaving);
+    ReleaseEndpoint(this->request, routing::Outcome::Failed);
     // The engine failed after the end of the text. If resumed, it would
     // generate text beyond it.
     if (!this->finishReason.empty()) {
@@ -414,7 +412,6 @@
   std::string errorBody;
   unsigned status = 0;
   bool isDone = false;
-  bool isLeaving = false;
   // Calls to engines that failed or were refused.
   unsigned endedCalls = 0;
   // When the last event of the current call arrived, or the call began.
--- a/packages/router/src/forward_events.cc
+++ b/packages/router/src/forward_events.cc
@@ -188,7 +188,7 @@
                           "the stream ended inside an event or before it");
       return;
     }
-    EndAttempt(this->request, routing::Outcome::Succeeded, false, "");
+    EndAttempt(this->request, routing::Outcome::Succeeded, "");
     this->request->ran = ExecutionState::Ran;
     this->Write(this->events.Remainder());
     this->StartAnswer();
@@ -209,7 +209,6 @@
   {
     EndAttempt(this->request,
                OutcomeOf(*this->answer, this->status),
-               this->answer->isFromOtherEndpoint,
                "status " + std::to_string(this->status));
     if (this->answer->isNotRun) {
       this->TryAgain("the endpoint did not run the request");
--- a/packages/router/src/forward_service.cc
+++ b/packages/router/src/forward_service.cc
@@ -71,7 +71,11 @@
   if (aResult.has_error()) {
     RecordFailure(aRequest, aResult.error());
   }
-  ReleaseEndpoint(aRequest, outcome, false);
+  if (aResult.has_value() &&
+      net::FindHeader(aResult.value().headers, kLeavingHeader)) {
+    SetEndpointLeaving(aRequest);
+  }
+  ReleaseEndpoint(aRequest, outcome);
   if (outcome == routing::Outcome::Succeeded) {
     Answer(aRequest, ToAnswer(aResult.value()));
   } else {
@@ -126,8 +130,7 @@
 {
   ReleaseEndpoint(aRequest,
                   aRun.answer ? routing::Outcome::Succeeded
-                              : routing::Outcome::Failed,
-                  false);
+                              : routing::Outcome::Failed);
   if (aRun.answer) {
     Answer(aRequest, *aRun.answer);
     return;
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -197,13 +197,17 @@
   routing::LoadReport report;
 };
 
+// An endpoint announced in an answer that it is leaving.
+struct EndpointLeaving
+{
+  EndpointId endpoint;
+};
+
 // Tells how a call to an endpoint ended; also cancels a choice in progress.
 struct CallFinished
 {
   Ticket ticket;
   routing::Outcome outcome = routing::Outcome::Abandoned;
-  // The endpoint reported that it is leaving.
-  bool leaving = false;
 };
 
 // ------------------------------------------------------------ quarantine
@@ -333,6 +337,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ChooseEndpoint)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ChooseEndpointReply)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CallFinished)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointLeaving)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CrashSuspected)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::PartsSucceeded)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CheckParts)
--- a/packages/router/src/route_attempt.cc
+++ b/packages/router/src/route_attempt.cc
@@ -159,6 +159,9 @@
   if (!IsAnswerTo(answer, call.description.id, aHead.status)) {
     return std::nullopt;
   }
+  if (answer.isLeaving || answer.isFromOtherEndpoint) {
+    SetEndpointLeaving(aRequest);
+  }
   if (answer.load && !answer.isFromOtherEndpoint) {
     aRequest->exchange->Task().send(
       aRequest->controllers.endpoint,
@@ -170,7 +173,6 @@
 void
 EndAttempt(const RequestPtr& aRequest,
            routing::Outcome aOutcome,
-           bool aIsLeaving,
            const std::string& aReason)
 {
   auto now = net::Now(aRequest->exchange->Task().GetRuntime());
@@ -188,7 +190,7 @@
         { "reason", aReason } });
   }
   aRequest->upstream = {};
-  ReleaseEndpoint(aRequest, aOutcome, aIsLeaving);
+  ReleaseEndpoint(aRequest, aOutcome);
 }
 
 void
@@ -202,7 +204,6 @@
   }
   EndAttempt(aRequest,
              routing::Outcome::Failed,
-             false,
              std::string(net::ToString(aFailure)) + ": " + aReason);
 }
 
--- a/packages/router/src/route_attempt.h
+++ b/packages/router/src/route_attempt.h
@@ -37,8 +37,8 @@
            const RequestId& aRequest,
            unsigned aStatus);
 
-// Parses the head of an answer and sends the load in it to the endpoint
-// controller. Returns nothing if IsAnswerTo is false.
+// Parses the head of an answer and tells the endpoint controller what it says
+// of the endpoint. Returns nothing if IsAnswerTo is false.
 std::optional<AnswerDescription>
 ReadAnswerHead(const RequestPtr& aRequest, const net::CallHead& aHead);
 
@@ -46,7 +46,6 @@
 void
 EndAttempt(const RequestPtr& aRequest,
            routing::Outcome aOutcome,
-           bool aIsLeaving,
            const std::string& aReason);
 
 // Ends the current attempt after a failed call. A call that did not reach its
--- a/packages/routing/include/lycheestand/routing.h
+++ b/packages/routing/include/lycheestand/routing.h
@@ -400,12 +400,12 @@
                                const Query& aQuery,
                                TimePoint aNow);
 
-  // Ends a request. aLeaving is set if the endpoint's response announced that
-  // it is draining. Does nothing for a request without a chosen endpoint.
-  void Finish(RequestNumber aRequest,
-              Outcome aOutcome,
-              bool aLeaving,
-              TimePoint aNow);
+  // Ends a request. Does nothing for a request without a chosen endpoint.
+  void Finish(RequestNumber aRequest, Outcome aOutcome, TimePoint aNow);
+
+  // A response of the endpoint has announced that it is draining. It gets no
+  // new requests.
+  void SetLeaving(const EndpointId& aEndpoint);
 
   // Stores an endpoint's load report. Ignores reports older than the stored one
   // and reports of unknown endpoints.
--- a/packages/routing/src/endpoint_table.cc
+++ b/packages/routing/src/endpoint_table.cc
@@ -187,10 +187,7 @@
 }
 
 void
-EndpointTable::Finish(RequestNumber aRequest,
-                      Outcome aOutcome,
-                      bool aLeaving,
-                      TimePoint aNow)
+EndpointTable::Finish(RequestNumber aRequest, Outcome aOutcome, TimePoint aNow)
 {
   auto found = this->assignments.find(aRequest);
   if (found == this->assignments.end()) {
@@ -206,7 +203,6 @@
   --tracked.inFlight;
   RecordInFlightChange(
     tracked.inFlightChanges, tracked.inFlightChangeSinceReport, -1, aNow);
-  tracked.announcedLeaving |= aLeaving;
   switch (aOutcome) {
     case Outcome::Succeeded:
       tracked.breaker.Succeed(aNow);
@@ -227,6 +223,15 @@
   }
 }
 
+void
+EndpointTable::SetLeaving(const EndpointId& aEndpoint)
+{
+  auto found = this->endpoints.find(aEndpoint);
+  if (found != this->endpoints.end()) {
+    found->second.announcedLeaving = true;
+  }
+}
+
 void
 EndpointTable::UpdateLoadReport(const EndpointId& aEndpoint, LoadReport aReport)
 {
--- a/packages/routing/test/choice_test.cc
+++ b/packages/routing/test/choice_test.cc
@@ -65,12 +65,10 @@
                  "Requests go to the endpoint that has cached their prefix")
 {
   std::string first = this->Choose(1, this->MakeQuery());
-  this->table.Finish(
-    RequestNumber(1), Outcome::Succeeded, false, this->now += 1s);
+  this->table.Finish(RequestNumber(1), Outcome::Succeeded, this->now += 1s);
   for (std::uint64_t i = 2; i < 20; ++i) {
     REQUIRE(this->Choose(i, this->MakeQuery()) == first);
-    this->table.Finish(
-      RequestNumber(i), Outcome::Succeeded, false, this->now += 1s);
+    this->table.Finish(RequestNumber(i), Outcome::Succeeded, this->now += 1s);
   }
 }
 
@@ -95,7 +93,7 @@
   this->list.pop_back();
   this->table.SetEndpoints(this->list);
   REQUIRE(this->Choose(1, this->MakeQuery()) == "c");
-  this->table.Finish(RequestNumber(1), Outcome::Busy, true, this->now);
+  this->table.SetLeaving(EndpointId("c"));
   REQUIRE(this->Choose(2, this->MakeQuery()).empty());
 }
 
@@ -113,7 +111,7 @@
   for (std::uint64_t i = 0; i < 400; ++i) {
     Query query = this->MakeQuery(1000 + i);
     ++chosen[this->Choose(i, query)];
-    this->table.Finish(RequestNumber(i), Outcome::Abandoned, false, this->now);
+    this->table.Finish(RequestNumber(i), Outcome::Abandoned, this->now);
     this->now += 1ms;
   }
   REQUIRE(chosen.size() == 4);
@@ -180,7 +178,7 @@
   std::set<EndpointId> lastChosen;
   for (std::uint64_t i = 0; i < 2000; ++i) {
     auto choice = ranges.Choose(RequestNumber(i), this->MakeQuery(), this->now);
-    ranges.Finish(RequestNumber(i), Outcome::Succeeded, false, this->now);
+    ranges.Finish(RequestNumber(i), Outcome::Succeeded, this->now);
     if (i >= 1800) {
       lastChosen.insert(choice->endpoint);
     }
--- a/test/faults/replica_faults_test.cc
+++ b/test/faults/replica_faults_test.cc
@@ -4,6 +4,7 @@
 #include "replica_pool.h"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
 
@@ -349,4 +350,27 @@
   CHECK(maxMemory < std::size_t(88'000'000));
 }
 
+// Guards against requests to a replica that says in its answers that it is
+// leaving, while the platform's list does not show it yet.
+TEST_CASE_METHOD(ReplicaFaultsFixture,
+                 "a replica that says that it leaves gets no new requests",
+                 "[server-leaving]")
+{
+  std::array<std::atomic<int>, kReplicas> requestsAt{};
+  this->SetAnswer([&](int aReplica, const ReplicaRequest& aRequest) {
+    ++requestsAt.at(static_cast<std::size_t>(aReplica));
+    const char* leaving = aReplica == 0 ? "Server-Leaving: 1\r\n" : "";
+    return ReplicaAnswer{ { MakeAnswer(200, aRequest, "sound", leaving) } };
+  });
+  REQUIRE(WaitFor(kServeTime, [&] {
+    this->Send("/safe/1");
+    return requestsAt[0] > 0;
+  }));
+  int before = requestsAt[0];
+  for (int i = 0; i < 60; ++i) {
+    CHECK(this->Send(i % 2 == 0 ? "/safe/1" : "/once/1").status == 200);
+  }
+  CHECK(requestsAt[0] == before);
+}
+
 } // namespace lycheestand::faults
