Leave endpoints alone for the time of their Retry-After

Change: the head of a refusal blocks its endpoint in this router's table for that time, an hour at most. A blocked endpoint is not chosen, also if there is no other: what can't be served is refused at once, and the caller's Retry-After is the time until the first endpoint takes requests again. Engines and services of the project's own interface are treated alike.

A call that must run at most once on the project's own interface is made by the operation controller, which passes no headers on, and blocks nothing.

--- a/packages/net/include/lycheestand/net.h
+++ b/packages/net/include/lycheestand/net.h
@@ -116,6 +116,11 @@
 std::optional<std::string>
 FindHeader(const Headers& aHeaders, std::string_view aName);
 
+// Returns the value of Retry-After in seconds, which may have a fraction, and
+// an hour at most. Returns nothing if it is missing or has another form.
+std::optional<Duration>
+FindRetryAfter(const Headers& aHeaders);
+
 // A request whose body is complete.
 struct HttpRequest
 {
--- a/packages/router/include/lycheestand/router.h
+++ b/packages/router/include/lycheestand/router.h
@@ -70,6 +70,8 @@
   bool isFromOtherEndpoint = false;
   // The endpoint is leaving.
   bool isLeaving = false;
+  // The endpoint has refused the request and wants none for this time.
+  std::optional<Duration> blockTime;
   // The answer carries the endpoint's signature.
   bool isSigned = false;
   // The body has a content encoding, so it is not in the requested form.
--- a/packages/router/src/endpoint_controller.cc
+++ b/packages/router/src/endpoint_controller.cc
@@ -96,6 +96,9 @@
       [this](EndpointLeaving& aLeaving) {
         this->table.SetLeaving(aLeaving.endpoint);
       },
+      [this](EndpointBlocked& aBlocked) {
+        this->table.Block(aBlocked.endpoint, this->Time() + aBlocked.time);
+      },
       [this](LoadReported& aReported) {
         aReported.report.measuredAt = this->Time();
         this->table.UpdateLoadReport(aReported.endpoint,
@@ -198,10 +201,14 @@
   {
     auto choice = this->table.Choose(
       ToRequestNumber(aChoose.ticket), aChoose.query, this->Time());
-    return choice ? ChooseEndpointReply{ choice->endpoint,
-                                         choice->address,
-                                         choice->basis }
-                  : ChooseEndpointReply{};
+    if (!choice) {
+      return ChooseEndpointReply{
+        std::nullopt, this->table.RemainingBlock(aChoose.query, this->Time())
+      };
+    }
+    return ChooseEndpointReply{
+      choice->endpoint, Duration{}, choice->address, choice->basis
+    };
   }
 
   void MakeRetry(Ticket aTicket)
--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -106,6 +106,8 @@
   unsigned attempts = 0;
   EndpointId endpoint;
   Address endpointAddress;
+  // ChooseEndpointReply::freeAfter of the last choice.
+  Duration endpointFreeAfter{};
   // True while an endpoint is being chosen or is called.
   bool isAssigned = false;
   // Number of the recorded operation, for a call that must run at most once.
--- a/packages/router/src/forward.cc
+++ b/packages/router/src/forward.cc
@@ -28,6 +28,7 @@
         if (aRequest->isFinished) {
           return;
         }
+        aRequest->endpointFreeAfter = aChosen.freeAfter;
         if (!aChosen.endpoint) {
           aRequest->isAssigned = false;
           onNoEndpoint();
@@ -79,7 +80,7 @@
            "no_endpoint",
            "no endpoint is available for this request",
            aRequest->ran,
-           1 });
+           RetryAfterNoEndpoint(*aRequest, 1) });
 }
 
 void
@@ -106,6 +107,21 @@
                                   EndpointLeaving{ aRequest->endpoint });
 }
 
+void
+BlockEndpoint(const RequestPtr& aRequest, Duration aTime)
+{
+  aRequest->exchange->Task().send(aRequest->controllers.endpoint,
+                                  EndpointBlocked{ aRequest->endpoint, aTime });
+}
+
+double
+RetryAfterNoEndpoint(const Request& aRequest, double aDefault)
+{
+  return aRequest.endpointFreeAfter > Duration(0)
+           ? ToSeconds(aRequest.endpointFreeAfter)
+           : aDefault;
+}
+
 namespace {
 
 // Ends the request if its answer has not begun by the deadline. The timer holds
--- a/packages/router/src/forward.h
+++ b/packages/router/src/forward.h
@@ -46,6 +46,16 @@
 void
 SetEndpointLeaving(const RequestPtr& aRequest);
 
+// Tells the endpoint controller that the endpoint of the current attempt wants
+// no requests for this time. Called with the head of its answer.
+void
+BlockEndpoint(const RequestPtr& aRequest, Duration aTime);
+
+// Returns the Retry-After in seconds for a request that got no endpoint: the
+// time until one takes requests again, or aDefault if that is not known.
+double
+RetryAfterNoEndpoint(const Request& aRequest, double aDefault);
+
 // Forwards a chat call.
 void
 ForwardChat(const RequestPtr& aRequest);
--- a/packages/router/src/forward_chat.cc
+++ b/packages/router/src/forward_chat.cc
@@ -162,6 +162,10 @@
     if (net::FindHeader(aHead.headers, kLeavingHeader)) {
       SetEndpointLeaving(this->request);
     }
+    auto blockTime = net::FindRetryAfter(aHead.headers);
+    if (blockTime && OutcomeOf(aHead.status) == routing::Outcome::Busy) {
+      BlockEndpoint(this->request, *blockTime);
+    }
   }
 
   void HandleBody(const std::string& aChunk)
@@ -349,9 +353,12 @@
       this->EndInterrupted(this->lastReason);
       return;
     }
-    Refuse(
-      this->request,
-      { 503, "endpoints_busy", this->lastReason, ExecutionState::NotRun, 1 });
+    Refuse(this->request,
+           { 503,
+             "endpoints_busy",
+             this->lastReason,
+             ExecutionState::NotRun,
+             RetryAfterNoEndpoint(*this->request, 1) });
   }
 
   void HandleInterruption(const std::string& aReason)
--- a/packages/router/src/forward_service.cc
+++ b/packages/router/src/forward_service.cc
@@ -75,6 +75,11 @@
       net::FindHeader(aResult.value().headers, kLeavingHeader)) {
     SetEndpointLeaving(aRequest);
   }
+  if (outcome == routing::Outcome::Busy) {
+    if (auto time = net::FindRetryAfter(aResult.value().headers)) {
+      BlockEndpoint(aRequest, *time);
+    }
+  }
   ReleaseEndpoint(aRequest, outcome);
   if (outcome == routing::Outcome::Succeeded) {
     Answer(aRequest, ToAnswer(aResult.value()));
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -186,6 +186,9 @@
 struct ChooseEndpointReply
 {
   std::optional<EndpointId> endpoint;
+  // Without an endpoint: the time after which one that can serve the request
+  // takes requests again; zero if that is not known.
+  Duration freeAfter{};
   Address address;
   routing::ChoiceBasis basis;
 };
@@ -203,6 +206,13 @@
   EndpointId endpoint;
 };
 
+// An endpoint has refused a request and wants none for this time.
+struct EndpointBlocked
+{
+  EndpointId endpoint;
+  Duration time{};
+};
+
 // Tells how a call to an endpoint ended; also cancels a choice in progress.
 struct CallFinished
 {
@@ -338,6 +348,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ChooseEndpointReply)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CallFinished)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointLeaving)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointBlocked)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CrashSuspected)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::PartsSucceeded)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CheckParts)
--- a/packages/router/src/route_attempt.cc
+++ b/packages/router/src/route_attempt.cc
@@ -162,6 +162,9 @@
   if (answer.isLeaving || answer.isFromOtherEndpoint) {
     SetEndpointLeaving(aRequest);
   }
+  if (answer.blockTime && !answer.isFromOtherEndpoint) {
+    BlockEndpoint(aRequest, *answer.blockTime);
+  }
   if (answer.load && !answer.isFromOtherEndpoint) {
     aRequest->exchange->Task().send(
       aRequest->controllers.endpoint,
@@ -216,12 +219,14 @@
     return;
   }
   bool wasBusy = !aRequest->triedEndpoints.empty();
-  Refuse(aRequest,
-         { 503,
-           wasBusy ? "endpoints_busy" : "no_endpoint",
-           aReason,
-           ExecutionState::NotRun,
-           wasBusy ? kBusyRetrySeconds : kNoEndpointRetrySeconds });
+  Refuse(
+    aRequest,
+    { 503,
+      wasBusy ? "endpoints_busy" : "no_endpoint",
+      aReason,
+      ExecutionState::NotRun,
+      RetryAfterNoEndpoint(
+        *aRequest, wasBusy ? kBusyRetrySeconds : kNoEndpointRetrySeconds) });
 }
 
 void
--- a/packages/routing/include/lycheestand/routing.h
+++ b/packages/routing/include/lycheestand/routing.h
@@ -407,6 +407,13 @@
   // new requests.
   void SetLeaving(const EndpointId& aEndpoint);
 
+  // The endpoint wants no requests of this router until then.
+  void Block(const EndpointId& aEndpoint, TimePoint aUntil);
+
+  // Returns the time until the first of the blocked endpoints that can serve
+  // the query takes requests again; zero if none is blocked.
+  Duration RemainingBlock(const Query& aQuery, TimePoint aNow) const;
+
   // Stores an endpoint's load report. Ignores reports older than the stored one
   // and reports of unknown endpoints.
   void UpdateLoadReport(const EndpointId& aEndpoint, LoadReport aReport);
@@ -446,6 +453,7 @@
     double pendingPromptTokens = 0;
     TimePoint pendingPromptTokensAt{};
     TimePoint busyUntil{};
+    TimePoint blockedUntil{};
     CircuitBreaker breaker;
     PrefixCacheModel prefixes;
     // Sequence number of the endpoint's next cache event.
--- a/packages/routing/src/endpoint_table.cc
+++ b/packages/routing/src/endpoint_table.cc
@@ -59,6 +59,7 @@
     // A changed address means that another process has taken over the id.
     if (isNew || tracked.endpoint.address != endpoint.address) {
       tracked.announcedLeaving = false;
+      tracked.blockedUntil = {};
       tracked.report.reset();
       tracked.breaker = CircuitBreaker(this->options.breaker);
       tracked.prefixes = PrefixCacheModel(this->options.prefixesPerEndpoint);
@@ -131,7 +132,7 @@
   std::vector<TrackedEndpoint*> allowed;
   std::vector<TrackedEndpoint*> blocked;
   for (auto& [id, tracked] : this->endpoints) {
-    if (this->CanServe(tracked, aQuery)) {
+    if (this->CanServe(tracked, aQuery) && tracked.blockedUntil <= aNow) {
       (tracked.breaker.Allows(aNow) ? allowed : blocked).push_back(&tracked);
     }
   }
@@ -232,6 +233,29 @@
   }
 }
 
+void
+EndpointTable::Block(const EndpointId& aEndpoint, TimePoint aUntil)
+{
+  auto found = this->endpoints.find(aEndpoint);
+  if (found != this->endpoints.end()) {
+    TimePoint& until = found->second.blockedUntil;
+    until = std::max(until, aUntil);
+  }
+}
+
+Duration
+EndpointTable::RemainingBlock(const Query& aQuery, TimePoint aNow) const
+{
+  Duration remaining{};
+  for (const auto& [id, tracked] : this->endpoints) {
+    Duration left = tracked.blockedUntil - aNow;
+    if (left > Duration(0) && this->CanServe(tracked, aQuery)) {
+      remaining = remaining == Duration(0) ? left : std::min(remaining, left);
+    }
+  }
+  return remaining;
+}
+
 void
 EndpointTable::UpdateLoadReport(const EndpointId& aEndpoint, LoadReport aReport)
 {
--- a/packages/routing/test/choice_test.cc
+++ b/packages/routing/test/choice_test.cc
@@ -97,6 +97,28 @@
   REQUIRE(this->Choose(2, this->MakeQuery()).empty());
 }
 
+// Guards against requests to an endpoint that wants none for a while, also when
+// there is no other.
+TEST_CASE_METHOD(TableFixture, "A blocked endpoint gets no requests")
+{
+  for (const char* name : { "a", "b", "c" }) {
+    this->table.Block(EndpointId(name), this->now + 3s);
+  }
+  REQUIRE(this->Choose(1, this->MakeQuery()) == "d");
+  CHECK(this->table.RemainingBlock(this->MakeQuery(), this->now) == 3s);
+  this->table.Block(EndpointId("d"), this->now + 2s);
+  REQUIRE(this->Choose(2, this->MakeQuery()).empty());
+  this->now += 1s;
+  CHECK(this->table.RemainingBlock(this->MakeQuery(), this->now) == 1s);
+  // A shorter time does not end a longer one.
+  this->table.Block(EndpointId("a"), this->now);
+  this->now += 1s;
+  CHECK(this->Choose(3, this->MakeQuery()) == "d");
+  this->now += 1s;
+  CHECK(this->table.RemainingBlock(this->MakeQuery(), this->now) ==
+        Duration(0));
+}
+
 // Guards against herding: routers with the same old report all choose the
 // endpoint that it shows as slightly less loaded.
 TEST_CASE_METHOD(TableFixture,
--- a/test/faults/replica_faults_test.cc
+++ b/test/faults/replica_faults_test.cc
@@ -373,4 +373,49 @@
   CHECK(requestsAt[0] == before);
 }
 
+// Guards against requests to replicas that have said for how long they want
+// none, and against callers that wait or come back at once meanwhile.
+TEST_CASE_METHOD(ReplicaFaultsFixture,
+                 "a replica that says Retry-After is left alone for that time",
+                 "[retry-after]")
+{
+  using Clock = std::chrono::steady_clock;
+  constexpr Duration kBlockTime = 2500ms;
+  constexpr Duration kSlack = 500ms;
+  std::mutex timesMutex;
+  std::array<std::optional<Clock::time_point>, kReplicas> refusedAt;
+  std::array<int, kReplicas> early{};
+  this->SetAnswer([&](int aReplica, const ReplicaRequest& aRequest) {
+    std::lock_guard lock(timesMutex);
+    auto index = static_cast<std::size_t>(aReplica);
+    auto now = Clock::now();
+    if (refusedAt[index] && now >= *refusedAt[index] + kBlockTime) {
+      return ReplicaAnswer{ { MakeAnswer(200, aRequest, "sound") } };
+    }
+    early[index] +=
+      refusedAt[index] && now > *refusedAt[index] + kSlack ? 1 : 0;
+    refusedAt[index] = refusedAt[index].value_or(now);
+    return ReplicaAnswer{ { MakeAnswer(
+      503, aRequest, "", "X-Not-Executed: 1\r\nRetry-After: 2.5\r\n") } };
+  });
+  auto start = Clock::now();
+  int refused = 0;
+  while (Clock::now() < start + kBlockTime - kSlack) {
+    auto sentAt = Clock::now();
+    auto reply = this->Send("/safe/1");
+    REQUIRE(reply.status == 503);
+    if (++refused > kReplicas) {
+      CHECK(reply.headers.contains("Retry-After"));
+      auto wait = std::stod(reply.headers["Retry-After"]);
+      CHECK(wait > 0.3);
+      CHECK(Clock::now() - sentAt < 500ms);
+    }
+    std::this_thread::sleep_for(20ms);
+  }
+  for (int count : early) {
+    CHECK(count <= 2);
+  }
+  CHECK(WaitFor(5s, [this] { return this->Send("/safe/1").status == 200; }));
+}
+
 } // namespace lycheestand::faults
