Count each crash of an endpoint that starts again under its id

Cause of the fault, found in review: crashes were kept by endpoint, and the platform lets a replica start again under the id that it had. With few replicas that do so, all crashes on a part counted as one, and it was never quarantined.

Change: crashes are kept in the order of their times, and reports of one endpoint within a second are of the same crash.

The new test failed before (nothing was quarantined after three crashes) and passes.

--- a/packages/quarantine/include/lycheestand/quarantine.h
+++ b/packages/quarantine/include/lycheestand/quarantine.h
@@ -45,6 +45,9 @@
   // Crashes within this time count as one: endpoints that crash at the same
   // time may have another cause in common.
   Duration minCrashInterval = std::chrono::milliseconds(100);
+  // Reports of one endpoint within this time are of the same crash. They come
+  // from several routers; the endpoint may start again under its id.
+  Duration reportTime = std::chrono::seconds(1);
   // Time after the first of these crashes in which a request with the part
   // could have succeeded elsewhere.
   Duration observationTime = std::chrono::seconds(1);
@@ -70,7 +73,7 @@
 
   // An endpoint crashed at aTime while it worked on a request with these parts,
   // in the order of the prompt. Called for each such request; the first call
-  // determines the time.
+  // determines the time of the crash.
   void AddCrash(const EndpointId& aEndpoint,
                 const std::vector<PromptPartId>& aParts,
                 TimePoint aTime);
@@ -94,6 +97,7 @@
 private:
   struct Crash
   {
+    EndpointId endpoint;
     TimePoint time{};
     // Each part with its position in the prompt.
     std::map<PromptPartId, std::size_t> parts;
@@ -109,15 +113,16 @@
   };
   using EvidenceByPart = std::map<PromptPartId, Evidence>;
 
+  Crash& FindOrAddCrash(const EndpointId& aEndpoint, TimePoint aTime);
   void DropExpired(TimePoint aNow);
   bool IsExplained(const Crash& aCrash) const;
-  std::vector<const Crash*> UnexplainedCrashes() const;
   EvidenceByPart CollectEvidence() const;
   std::optional<PromptPartId> FindCulprit(const EvidenceByPart& aEvidence,
                                           TimePoint aNow) const;
 
   TrackerOptions options;
-  std::map<EndpointId, Crash> crashes;
+  // In the order of their times.
+  std::vector<Crash> crashes;
   // When a request with each suspected part last succeeded.
   std::map<PromptPartId, TimePoint> successes;
   // When each quarantine ends.
--- a/packages/quarantine/src/crash_tracker.cc
+++ b/packages/quarantine/src/crash_tracker.cc
@@ -14,16 +14,34 @@
   return found;
 }
 
+CrashTracker::Crash&
+CrashTracker::FindOrAddCrash(const EndpointId& aEndpoint, TimePoint aTime)
+{
+  auto same = std::find_if(
+    this->crashes.begin(), this->crashes.end(), [&](const Crash& aCrash) {
+      return aCrash.endpoint == aEndpoint &&
+             aCrash.time - aTime < this->options.reportTime &&
+             aTime - aCrash.time < this->options.reportTime;
+    });
+  if (same != this->crashes.end()) {
+    return *same;
+  }
+  if (this->crashes.size() >= this->options.maxCrashes) {
+    this->crashes.erase(this->crashes.begin());
+  }
+  auto later =
+    std::find_if(this->crashes.begin(),
+                 this->crashes.end(),
+                 [aTime](const Crash& aCrash) { return aCrash.time > aTime; });
+  return *this->crashes.insert(later, Crash{ aEndpoint, aTime, {} });
+}
+
 void
 CrashTracker::AddCrash(const EndpointId& aEndpoint,
                        const std::vector<PromptPartId>& aParts,
                        TimePoint aTime)
 {
-  auto [found, isNew] = this->crashes.try_emplace(aEndpoint);
-  Crash& crash = found->second;
-  if (isNew) {
-    crash.time = aTime;
-  }
+  Crash& crash = this->FindOrAddCrash(aEndpoint, aTime);
   for (std::size_t position = 0; position < aParts.size(); ++position) {
     crash.parts.emplace(aParts[position], position);
   }
@@ -34,14 +52,6 @@
         std::max(quarantine->second, crash.time + this->options.quarantineTime);
     }
   }
-  if (this->crashes.size() > this->options.maxCrashes) {
-    this->crashes.erase(
-      std::min_element(this->crashes.begin(),
-                       this->crashes.end(),
-                       [](const auto& aLeft, const auto& aRight) {
-                         return aLeft.second.time < aRight.second.time;
-                       }));
-  }
 }
 
 void
@@ -64,8 +74,8 @@
 CrashTracker::DropExpired(TimePoint aNow)
 {
   auto oldest = aNow - this->options.crashLifetime;
-  std::erase_if(this->crashes, [oldest](const auto& aEntry) {
-    return aEntry.second.time <= oldest;
+  std::erase_if(this->crashes, [oldest](const Crash& aCrash) {
+    return aCrash.time <= oldest;
   });
   std::erase_if(this->successes, [oldest](const auto& aEntry) {
     return aEntry.second <= oldest;
@@ -83,41 +93,27 @@
     });
 }
 
-// Returns the crashes without a quarantined part, in the order of their times.
-std::vector<const CrashTracker::Crash*>
-CrashTracker::UnexplainedCrashes() const
-{
-  std::vector<const Crash*> found;
-  for (const auto& [endpoint, crash] : this->crashes) {
-    if (!this->IsExplained(crash)) {
-      found.push_back(&crash);
-    }
-  }
-  std::sort(
-    found.begin(), found.end(), [](const Crash* aLeft, const Crash* aRight) {
-      return aLeft->time < aRight->time;
-    });
-  return found;
-}
-
 CrashTracker::EvidenceByPart
 CrashTracker::CollectEvidence() const
 {
   EvidenceByPart evidence;
-  for (const Crash* crash : this->UnexplainedCrashes()) {
-    for (const auto& [part, position] : crash->parts) {
+  for (const auto& crash : this->crashes) {
+    if (this->IsExplained(crash)) {
+      continue;
+    }
+    for (const auto& [part, position] : crash.parts) {
       auto success = this->successes.find(part);
-      if (success != this->successes.end() && success->second >= crash->time) {
+      if (success != this->successes.end() && success->second >= crash.time) {
         continue;
       }
       Evidence& found = evidence[part];
       found.position = std::max(found.position, position);
       if (found.crashes == 0) {
-        found.first = crash->time;
-      } else if (crash->time - found.last < this->options.minCrashInterval) {
+        found.first = crash.time;
+      } else if (crash.time - found.last < this->options.minCrashInterval) {
         continue;
       }
-      found.last = crash->time;
+      found.last = crash.time;
       ++found.crashes;
     }
   }
@@ -179,8 +175,8 @@
 CrashTracker::CountCrashes(PromptPartId aPart) const
 {
   return static_cast<std::size_t>(std::count_if(
-    this->crashes.begin(), this->crashes.end(), [aPart](const auto& aEntry) {
-      return aEntry.second.parts.contains(aPart);
+    this->crashes.begin(), this->crashes.end(), [aPart](const Crash& aCrash) {
+      return aCrash.parts.contains(aPart);
     }));
 }
 
--- a/packages/quarantine/test/quarantine_test.cc
+++ b/packages/quarantine/test/quarantine_test.cc
@@ -170,6 +170,22 @@
   CHECK(this->Quarantined().empty());
 }
 
+// Guards against a part that is never found, since few endpoints crash on it
+// again and again and start under the ids that they had.
+TEST_CASE_METHOD(CrashTrackerFixture,
+                 "An endpoint that starts again under its id crashes anew")
+{
+  for (int i = 0; i < 3; ++i) {
+    // Two routers report the crash.
+    this->tracker.AddCrash(EndpointId("e"), { kDeadly }, this->now);
+    this->tracker.AddCrash(
+      EndpointId("e"), { kDeadly, PromptPartId(100 + i) }, this->now - 200ms);
+    CHECK(this->Quarantined().empty());
+    this->Advance(3s);
+  }
+  CHECK(this->Quarantined() == Parts{ kDeadly });
+}
+
 // Guards against two deadly parts of which only one is found.
 TEST_CASE_METHOD(CrashTrackerFixture, "Several parts are found")
 {
