Don't end an answer at its deadline that its engine has begun

The deadline is the latest start of the answer.

Change: an answer of which tokens have arrived has begun. The limits on events still end one that stops.

faults_late-chat passes; with the condition of before, its chat gets 504.

--- a/packages/router/src/forward.cc
+++ b/packages/router/src/forward.cc
@@ -124,6 +124,15 @@
 
 namespace {
 
+// Returns whether the endpoint has begun to answer, also if the caller gets the
+// answer only once it is whole.
+bool
+HasAnswerBegun(const Request& aRequest)
+{
+  return aRequest.exchange->IsAnswered() ||
+         aRequest.usage.outputTokens > Tokens(0);
+}
+
 // Ends the request if its answer has not begun by the deadline. The timer holds
 // a weak reference, since it outlives most requests.
 void
@@ -134,7 +143,7 @@
   task.After(
     *aRequest->deadline - now, [weak = std::weak_ptr<Request>(aRequest)] {
       auto request = weak.lock();
-      if (!request || request->isFinished || request->exchange->IsAnswered()) {
+      if (!request || request->isFinished || HasAnswerBegun(*request)) {
         return;
       }
       bool mayHaveRun =
--- a/test/faults/engine_faults_test.cc
+++ b/test/faults/engine_faults_test.cc
@@ -13,9 +13,9 @@
 constexpr int kEngineCount = 3;
 constexpr std::uint16_t kEnginePort = 8080;
 
-// The whole answer of an engine: the prompt once more.
-ReplicaAnswer
-MakeChatAnswer(const ReplicaRequest& aRequest)
+// The events of an engine's answer: the prompt once more.
+std::string
+MakeChatEvents(const ReplicaRequest& aRequest)
 {
   auto body = json::parse(aRequest.body).as_object();
   json::object chunk{
@@ -25,10 +25,13 @@
         { "finish_reason", "stop" } } } },
     { "usage", { { "prompt_tokens", 1 }, { "completion_tokens", 1 } } }
   };
-  return { { MakeAnswer(200,
-                        aRequest,
-                        "data: " + json::serialize(chunk) +
-                          "\n\ndata: [DONE]\n\n") } };
+  return "data: " + json::serialize(chunk) + "\n\ndata: [DONE]\n\n";
+}
+
+ReplicaAnswer
+MakeChatAnswer(const ReplicaRequest& aRequest)
+{
+  return { { MakeAnswer(200, aRequest, MakeChatEvents(aRequest)) } };
 }
 
 // One control instance, one router, and engines that answer as a test says.
@@ -176,6 +179,27 @@
   CHECK(WaitFor(10s, [this] { return this->Chat("sound", 3s).status == 200; }));
 }
 
+// Guards against an answer that is thrown away at the deadline, though its
+// engine has begun it in time.
+TEST_CASE_METHOD(EngineFaultsFixture,
+                 "an answer that has begun is delivered after its deadline",
+                 "[late-chat]")
+{
+  this->SetAnswer([](const ReplicaRequest& aRequest) {
+    std::string answer = MakeChatEvents(aRequest);
+    auto end = answer.find("data: [DONE]");
+    return ReplicaAnswer{
+      { MakeStreamHead(aRequest), answer.substr(0, end), answer.substr(end) },
+      1100ms,
+      ReplicaAnswer::End::Close
+    };
+  });
+  auto reply = this->Chat("late prompt", 3s);
+  CAPTURE(reply.body);
+  CHECK(reply.status == 200);
+  CHECK(reply.body.find("late prompt") != std::string::npos);
+}
+
 // Guards against a refusal that a faulty engine writes once more, and that is
 // taken for the refusal of the next request, though that one runs.
 TEST_CASE_METHOD(EngineFaultsFixture,
