Let a stream's request be answered with 204

An answer without a body has no events and no framing headers, so it was taken for a stream that was broken off before its first event. Found in review; no test of its own.

--- a/packages/router/src/forward_events.cc
+++ b/packages/router/src/forward_events.cc
@@ -11,6 +11,8 @@
 constexpr int kSilenceFactor = 4;
 constexpr Duration kMinSilence = std::chrono::milliseconds(1200);
 
+constexpr unsigned kStatusNoContent = 204;
+
 Duration
 SilenceLimit(Milliseconds aExpected)
 {
@@ -79,6 +81,7 @@
       return;
     }
     this->isFramed =
+      aHead.status == kStatusNoContent ||
       net::FindHeader(aHead.headers, "Content-Length").has_value() ||
       net::FindHeader(aHead.headers, "Transfer-Encoding").has_value();
     auto headers = this->call.protocol->selectEndToEndHeaders(aHead.headers);
