--- a/bench/policy/policy.cc
+++ b/bench/policy/policy.cc
@@ -166,9 +166,8 @@
   void Finish(std::size_t aIndex, const Call& aCall)
   {
     --this->engines[aIndex].running;
-    this->tables[aCall.router]->Finish(RequestNumber(aCall.number),
-                                       Outcome::Succeeded,
-                                       this->Time(this->now));
+    this->tables[aCall.router]->Finish(
+      RequestNumber(aCall.number), Outcome::Succeeded, this->Time(this->now));
     this->StartQueuedCalls(aIndex);
   }
 
--- a/test/faults/deadly_part_test.cc
+++ b/test/faults/deadly_part_test.cc
@@ -79,37 +79,6 @@
   std::vector<std::pair<Time, bool>> sound;
 };
 
-std::string
-MakeChatDocument()
-{
-  return json::serialize(json::object{
-    { "version", 1 },
-    { "routes",
-      json::array{ json::object{ { "name", "r" },
-                                 { "host", "h.example" },
-                                 { "pathPrefix", "/chat/" },
-                                 { "kind", "streaming" },
-                                 { "resumable", true },
-                                 { "timeoutMs", 3000 },
-                                 { "targetLatencyMs", 500 },
-                                 { "targetGapMs", 300 },
-                                 { "service", "llm" },
-                                 { "maxAttempts", 2 } } } },
-    { "services",
-      json::array{ json::object{
-        { "name", "llm" },
-        { "healthPath", "/health" },
-        { "maxConns", 100 },
-        { "engine",
-          json::object{ { "slots", 16 },
-                        { "kvCapacityTokens", 100000 } } } } } },
-    { "limits", json::object() },
-    { "tenants",
-      json::array{ json::object{ { "name", "w" },
-                                 { "apiKeys", json::array{ "k" } },
-                                 { "prepaid", 100'000'000 } } } } });
-}
-
 // One control instance, three routers, and replicas that crash on the deadly
 // part.
 class DeadlyPartFixture
@@ -133,8 +102,11 @@
       this->fleet.StartRouter(kControlMachine + 1 + router, options);
     }
     REQUIRE(WaitFor(kReadyTime, [this] {
-      return this->fleet.PutDocument(kControlMachine, MakeChatDocument()) ==
-             200;
+      return this->fleet.PutDocument(
+               kControlMachine,
+               MakeEngineDocument(
+                 { MakeEngineRoute("chat", "streaming", true) },
+                 100'000'000)) == 200;
     }));
     for (int router = 0; router < kRouterCount; ++router) {
       REQUIRE(WaitFor(kReadyTime,
--- a/test/faults/platform_fleet.cc
+++ b/test/faults/platform_fleet.cc
@@ -54,6 +54,40 @@
 
 } // namespace
 
+json::object
+MakeEngineRoute(const std::string& aName, const char* aKind, bool aIsResumable)
+{
+  return { { "name", aName },
+           { "host", "h.example" },
+           { "pathPrefix", "/" + aName + "/" },
+           { "kind", aKind },
+           { "resumable", aIsResumable },
+           { "timeoutMs", 3000 },
+           { "targetLatencyMs", 500 },
+           { "targetGapMs", 300 },
+           { "service", "llm" },
+           { "maxAttempts", 2 } };
+}
+
+std::string
+MakeEngineDocument(json::array aRoutes, std::int64_t aPrepaid)
+{
+  json::object engine{ { "slots", 16 }, { "kvCapacityTokens", 100000 } };
+  return json::serialize(json::object{
+    { "version", 1 },
+    { "routes", std::move(aRoutes) },
+    { "services",
+      json::array{ json::object{ { "name", "llm" },
+                                 { "healthPath", "/health" },
+                                 { "maxConns", 100 },
+                                 { "engine", std::move(engine) } } } },
+    { "limits", json::object() },
+    { "tenants",
+      json::array{ json::object{ { "name", "w" },
+                                 { "apiKeys", json::array{ "k" } },
+                                 { "prepaid", aPrepaid } } } } });
+}
+
 PlatformFleet::PlatformFleet(std::string aCase)
   : name(std::move(aCase))
   , uncaughtExceptions(std::uncaught_exceptions())
--- a/test/faults/platform_fleet.h
+++ b/test/faults/platform_fleet.h
@@ -30,6 +30,16 @@
   std::optional<Address> listAddress;
 };
 
+// Returns a route of a configuration: the host is "h.example", the prefix the
+// name between slashes, the service "llm", and two replicas may be tried.
+json::object
+MakeEngineRoute(const std::string& aName, const char* aKind, bool aIsResumable);
+
+// Returns a configuration with these routes, the service "llm", and a workspace
+// with the key "k" that may spend aPrepaid tokens.
+std::string
+MakeEngineDocument(json::array aRoutes, std::int64_t aPrepaid);
+
 // Machines are numbered from 1. A machine runs one process, which is control or
 // a router. Machines 1, 2 and 3 are in different availability zones, and so on
 // in turn.
--- a/test/faults/replica_faults_test.cc
+++ b/test/faults/replica_faults_test.cc
@@ -19,47 +19,6 @@
 constexpr int kRouterNumber = 2;
 constexpr int kReplicas = 3;
 
-json::object
-MakeRoute(const char* aName, const char* aKind, bool aIsResumable)
-{
-  return { { "name", aName },
-           { "host", "h.example" },
-           { "pathPrefix", std::string("/") + aName + "/" },
-           { "kind", aKind },
-           { "resumable", aIsResumable },
-           { "timeoutMs", 3000 },
-           { "targetLatencyMs", 500 },
-           { "targetGapMs", 300 },
-           { "service", "llm" },
-           { "maxAttempts", 2 } };
-}
-
-// The workspace may spend aPrepaid tokens.
-std::string
-MakeRoutesDocument(int aPrepaid)
-{
-  return json::serialize(json::object{
-    { "version", 1 },
-    { "routes",
-      json::array{ MakeRoute("resumable", "streaming", true),
-                   MakeRoute("stream", "streaming", false),
-                   MakeRoute("safe", "safe", false),
-                   MakeRoute("once", "unsafe", false) } },
-    { "services",
-      json::array{
-        json::object{ { "name", "llm" },
-                      { "healthPath", "/health" },
-                      { "maxConns", 100 },
-                      { "engine",
-                        json::object{ { "slots", 16 },
-                                      { "kvCapacityTokens", 100000 } } } } } },
-    { "limits", json::object() },
-    { "tenants",
-      json::array{ json::object{ { "name", "w" },
-                                 { "apiKeys", json::array{ "k" } },
-                                 { "prepaid", aPrepaid } } } } });
-}
-
 // One control instance, one router, and replicas that answer as a test says.
 class ReplicaFaultsFixture
 {
@@ -83,8 +42,13 @@
     this->fleet.StartControl(kControlNumber, options);
     this->fleet.StartRouter(kRouterNumber, options);
     REQUIRE(WaitFor(kServeTime, [this, aPrepaid] {
-      return this->fleet.PutDocument(kControlNumber,
-                                     MakeRoutesDocument(aPrepaid)) == 200;
+      json::array routes{ MakeEngineRoute("resumable", "streaming", true),
+                          MakeEngineRoute("stream", "streaming", false),
+                          MakeEngineRoute("safe", "safe", false),
+                          MakeEngineRoute("once", "unsafe", false) };
+      return this->fleet.PutDocument(
+               kControlNumber,
+               MakeEngineDocument(std::move(routes), aPrepaid)) == 200;
     }));
     this->SetAnswer([](int, const ReplicaRequest& aRequest) {
       return ReplicaAnswer{ { MakeAnswer(200, aRequest, "sound") } };
