Write a batch of log records as one frame

An instance of control that loses power while a batch is being written may never start again: if a part of the batch is lost and its end is not, the load finds valid records after a damaged one, takes that for damage of synced data and ends the process at every start.

Cause: each record had a checksum of its own, so the store could not tell the torn end of the log from damage before it. A batch is now one frame: it is whole or it is the torn end. Logs of earlier versions are read as before.

--- a/packages/storage/src/frames.cc
+++ b/packages/storage/src/frames.cc
@@ -10,6 +10,8 @@
 // write leaves at the end of a file.
 constexpr std::uint32_t kFrameMagic = 0x3143594c;
 
+constexpr std::uint64_t kBatchMark = 0;
+
 template<class Number>
 void
 AppendNumber(std::string& aOut, Number aValue)
@@ -80,6 +82,30 @@
   return XXH64(aBody.data(), aBody.size(), aBody.size());
 }
 
+std::string
+EncodeRecord(const Record& aRecord)
+{
+  std::string out;
+  AppendNumber(out, aRecord.index.Get());
+  AppendNumber(out, aRecord.term.Get());
+  AppendNumber(out, aRecord.kind);
+  return out + aRecord.payload;
+}
+
+std::optional<Record>
+DecodeRecord(std::string_view aBody)
+{
+  ByteReader reader(aBody);
+  Record record;
+  record.index = LogIndex(reader.Read<std::uint64_t>());
+  record.term = Term(reader.Read<std::uint64_t>());
+  record.kind = reader.Read<std::uint8_t>();
+  record.payload = std::string(reader.Remaining());
+  return reader.IsTruncated() || record.index == LogIndex(0)
+           ? std::nullopt
+           : std::optional(std::move(record));
+}
+
 } // namespace
 
 std::string
@@ -112,28 +138,41 @@
   return Checksum(body) == checksum ? std::optional(body) : std::nullopt;
 }
 
+// A frame with several records is one unit for its checksum, so a power loss
+// leaves the whole batch or none of it. Index 0, which no record has, marks it;
+// a single record has no mark.
 std::string
-EncodeRecord(const Record& aRecord)
+EncodeRecords(const std::vector<Record>& aRecords)
 {
+  if (aRecords.size() == 1) {
+    return EncodeRecord(aRecords.front());
+  }
   std::string out;
-  AppendNumber(out, aRecord.index.Get());
-  AppendNumber(out, aRecord.term.Get());
-  AppendNumber(out, aRecord.kind);
-  return out + aRecord.payload;
+  AppendNumber(out, kBatchMark);
+  for (const auto& record : aRecords) {
+    AppendString(out, EncodeRecord(record));
+  }
+  return out;
 }
 
-std::optional<Record>
-DecodeRecord(std::string_view aBody)
+std::optional<std::vector<Record>>
+DecodeRecords(std::string_view aBody)
 {
   ByteReader reader(aBody);
-  Record record;
-  record.index = LogIndex(reader.Read<std::uint64_t>());
-  record.term = Term(reader.Read<std::uint64_t>());
-  record.kind = reader.Read<std::uint8_t>();
-  record.payload = std::string(reader.Remaining());
-  return reader.IsTruncated() || record.index == LogIndex(0)
-           ? std::nullopt
-           : std::optional(std::move(record));
+  if (reader.Read<std::uint64_t>() != kBatchMark) {
+    auto record = DecodeRecord(aBody);
+    return record ? std::optional(std::vector{ std::move(*record) })
+                  : std::nullopt;
+  }
+  std::vector<Record> records;
+  while (!reader.Remaining().empty()) {
+    auto record = DecodeRecord(reader.ReadString());
+    if (reader.IsTruncated() || !record) {
+      return std::nullopt;
+    }
+    records.push_back(std::move(*record));
+  }
+  return records.empty() ? std::nullopt : std::optional(std::move(records));
 }
 
 std::string
--- a/packages/storage/src/frames.h
+++ b/packages/storage/src/frames.h
@@ -20,10 +20,12 @@
 
 // Encode and decode the bodies of the three kinds of frames. The decoders
 // accept arbitrary bytes and return nothing if they are malformed.
+
+// The records of a batch, of which there is at least one.
 std::string
-EncodeRecord(const Record& aRecord);
-std::optional<Record>
-DecodeRecord(std::string_view aBody);
+EncodeRecords(const std::vector<Record>& aRecords);
+std::optional<std::vector<Record>>
+DecodeRecords(std::string_view aBody);
 
 std::string
 EncodeState(const HardState& aState);
--- a/packages/storage/src/load.cc
+++ b/packages/storage/src/load.cc
@@ -165,15 +165,17 @@
       BOOST_OUTCOME_TRYV(this->TruncateTail(path, offset, bytes));
       break;
     }
-    auto record = DecodeRecord(*body);
-    if (!record) {
+    auto records = DecodeRecords(*body);
+    if (!records) {
       return Corrupt(
         path, "the record at byte " + std::to_string(offset) + " is malformed");
     }
     offset += kFrameHeaderBytes + body->size();
-    segment.highestIndex = std::max(segment.highestIndex, record->index);
-    ++segment.records;
-    BOOST_OUTCOME_TRYV(this->ReplayRecord(path, std::move(*record)));
+    segment.records += records->size();
+    for (auto& record : *records) {
+      segment.highestIndex = std::max(segment.highestIndex, record.index);
+      BOOST_OUTCOME_TRYV(this->ReplayRecord(path, std::move(record)));
+    }
   }
   segment.bytes = offset;
   return boost::outcome_v2::success();
--- a/packages/storage/src/store.cc
+++ b/packages/storage/src/store.cc
@@ -121,9 +121,8 @@
   }
   auto& [number, segment] = *this->segments.rbegin();
   std::string path = this->SegmentPath(number);
-  std::string bytes;
+  std::string bytes = EncodeFrame(EncodeRecords(aRecords));
   for (const auto& record : aRecords) {
-    bytes += EncodeFrame(EncodeRecord(record));
     segment.highestIndex = std::max(segment.highestIndex, record.index);
   }
   BOOST_OUTCOME_TRYV(WriteFully(this->hooks, path, this->segmentFile, bytes));
