Sync what an earlier process wrote before it is read

The next process read them and acknowledged them to the leader as durable. If the power failed before the next sync, an acknowledged change could be lost although its quorum had confirmed it.

Opening a data folder now syncs the folder and the last segment first; closed segments were synced before the next one was begun.

The test kills processes between two operations of the simulated disk and cuts the power later.

--- a/packages/storage/src/load.cc
+++ b/packages/storage/src/load.cc
@@ -51,10 +51,13 @@
 
 } // namespace
 
+// The last process may have been killed before it synced what it had written.
+// The reader treats what it reads as durable, so that is synced first.
 StorageResult<void>
 Store::Load()
 {
   BOOST_OUTCOME_TRYV(this->Lock());
+  BOOST_OUTCOME_TRYV(SyncPath(this->hooks, this->folder));
   BOOST_OUTCOME_TRYV(this->LoadState());
   BOOST_OUTCOME_TRYV(this->LoadSnapshot());
   return this->LoadSegments();
@@ -152,6 +155,9 @@
   if (result < 0) {
     return FileError(path, "read", result);
   }
+  if (aIsLast) {
+    BOOST_OUTCOME_TRYV(SyncPath(this->hooks, path));
+  }
   Segment& segment = this->segments[aNumber];
   std::size_t offset = 0;
   while (offset < bytes.size()) {
--- a/packages/storage/test/power_loss_test.cc
+++ b/packages/storage/test/power_loss_test.cc
@@ -158,3 +158,10 @@
 {
   RunRestarts(false);
 }
+
+// Guards against acknowledged entries that are lost: a process that was killed
+// had written them without a sync, and the next one counted them as durable.
+TEST_CASE("what a store reads after a kill outlasts a power loss")
+{
+  RunRestarts(true);
+}
