--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -58,7 +58,7 @@
     set_tests_properties(faults_${case} PROPERTIES LABELS "${LABEL}" TIMEOUT 180 PROCESSORS 3)
   endforeach()
 endfunction()
-lycheestand_fault_cases(short group-two-disks group-no-disk budget-partition answers-killed not-run once-killed once-retry
+lycheestand_fault_cases(short group-two-disks group-no-disk leader-search budget-partition answers-killed not-run once-killed once-retry
                         once-no-answer once-left leaving planned-stop config-cut overload-config
                         unconfirmed-denial deadly-part undelivered-charge broken-event
                         error-after-stream cut-head endless-answer endless-chat
--- a/test/faults/group_test.cc
+++ b/test/faults/group_test.cc
@@ -3,7 +3,9 @@
 
 #include "platform_fleet.h"
 
+#include <array>
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <thread>
 
 namespace lycheestand::faults {
@@ -15,6 +17,21 @@
 constexpr Duration kCatchUpTime = 6s;
 constexpr Duration kRecoveryTime = 15s;
 
+// Time after a loss from which a router that can reach a quorum of control
+// counts as in contact with it ("contactWindowMs").
+constexpr Duration kContactTime = 4s;
+
+std::size_t
+CountMatches(const std::string& aText, std::string_view aPart)
+{
+  std::size_t count = 0;
+  for (auto at = aText.find(aPart); at != std::string::npos;
+       at = aText.find(aPart, at + aPart.size())) {
+    ++count;
+  }
+  return count;
+}
+
 // Six machines with disks, two in each availability zone, and three seeds. Two
 // machines may be lost at once.
 class GroupFixture
@@ -171,4 +188,42 @@
   CHECK(this->ReadsVersion(3, 4));
 }
 
+// Guards against a router that keeps an old configuration for seconds after it
+// has lost the leader: it tried the control instances one after the other, and
+// waited for each of those that don't answer.
+TEST_CASE_METHOD(GroupFixture,
+                 "a router finds the leader although others don't answer",
+                 "[leader-search]")
+{
+  constexpr int kRouter = 10;
+  constexpr std::array kSilentSeeds{ 8, 9 };
+  this->Form();
+  int leader = this->FindLeader();
+  REQUIRE(leader > 0);
+  for (int machine : kSilentSeeds) {
+    MachineOptions gateway = this->Options(false);
+    gateway.hasDisk = false;
+    this->fleet.StartControl(machine, gateway);
+    REQUIRE(this->ReadsVersion(3, machine));
+    this->fleet.Machine(machine).Signal(SIGSTOP);
+  }
+  MachineOptions options = this->Options(false);
+  options.seeds = { leader, kSilentSeeds[0], kSilentSeeds[1] };
+  this->fleet.StartRouter(kRouter, options);
+  REQUIRE(
+    WaitFor(kRecoveryTime, [this] { return this->fleet.IsReady(kRouter); }));
+  auto connections = [this] {
+    return CountMatches(this->fleet.Machine(kRouter).Log(),
+                        "\"event\":\"control_connected\"");
+  };
+  REQUIRE(WaitFor(kRecoveryTime, [&] { return connections() == 1; }));
+  int other = leader == 1 ? 2 : 1;
+  this->fleet.Machine(leader).Signal(SIGSTOP);
+  this->fleet.Machine(other).Signal(SIGSTOP);
+  CHECK(WaitFor(kContactTime, [&] { return connections() == 2; }));
+  for (int machine : { leader, other, kSilentSeeds[0], kSilentSeeds[1] }) {
+    this->fleet.Machine(machine).Signal(SIGCONT);
+  }
+}
+
 } // namespace lycheestand::faults
