Dial the control instances without waiting for those that are silent

Callers saw an old configuration at a router that could reach control: it had lost the leader and tried the control instances one after the other. Each that did not answer cost up to 1.1 s (800 ms to connect and a pause), also if a refusal named it as the leader. With three of them the search took more than the 4 s after which the router counts as in contact again, and since the platform wants routers that are cut off to keep serving, it served by its old table meanwhile.

The search now opens a link every 100 to 200 ms until one instance accepts the router, and closes the others; which one is next is decided by LeaderSearch, without sockets. While there is no leader the rate of attempts is as before. A line every 2 s says how long the search takes, what it waits for and why the last attempt failed, and a gauge shows whether there is a link.

Control's own links were looked at for the same cause: they are dialed independently of each other.

--- a/packages/router/src/control_link.cc
+++ b/packages/router/src/control_link.cc
@@ -1,4 +1,5 @@
 #include "controllers.h"
+#include "leader_search.h"
 #include "view_receiver.h"
 
 #include <atomic>
@@ -11,7 +12,10 @@
 // Delay before the next control instance is tried. Random jitter of up to the
 // same length is added, so that routers do not all reconnect to a new leader at
 // once.
-constexpr std::uint64_t kReconnectDelayMs = 100;
+constexpr std::uint64_t kDialDelayMs = 100;
+
+// Interval of log lines while no leader is found.
+constexpr Duration kSearchLogInterval = std::chrono::seconds(2);
 
 // Connects to the control leader and passes messages between it and the
 // controllers.
@@ -31,16 +35,17 @@
     , drainRequested(std::move(aDrainRequested))
     , random(net::MakeRandomSource())
     , session(this->random(0))
+    , search(this->settings.control,
+             this->random(this->settings.control.size()))
   {
   }
 
 protected:
   void Start() override
   {
-    this->known = this->settings.control;
-    this->nextMember = this->random(this->known.size());
     this->lostAt = net::Now(this->GetRuntime());
-    this->Connect();
+    this->nextSearchLog = this->lostAt + kSearchLogInterval;
+    this->SearchPeriodically();
     this->HeartbeatPeriodically();
   }
 
@@ -51,7 +56,7 @@
       [this](net::LinkFrame& aFrame) { this->HandleFrame(aFrame); },
       [this](net::LinkDown& aDown) { this->HandleLinkDown(aDown); },
       [this](ToControl& aMessage) {
-        if (this->isAccepted && this->IsKnownToControl(aMessage.message)) {
+        if (this->accepted && this->IsKnownToControl(aMessage.message)) {
           this->SendToControl(aMessage.message);
         }
       },
@@ -65,45 +70,72 @@
       },
       [this](RequestFullConfiguration) {
         this->revision = Revision(0);
-        this->send(this->linkTask, net::LinkClose{});
+        if (this->accepted) {
+          this->CloseLink(*this->accepted);
+        }
       },
       [this](DumpState) { return this->Dump(); },
     };
   }
 
 private:
-  void Connect()
+  // A link that has not been refused or lost yet.
+  struct LinkState
+  {
+    InstanceId instance;
+    // Null until the link is up.
+    caf::actor task;
+  };
+
+  void SearchPeriodically()
+  {
+    if (!this->accepted) {
+      if (const auto* member = this->search.Next()) {
+        this->Connect(*member);
+      }
+      this->LogSearch();
+    }
+    std::uint64_t delayMs = kDialDelayMs + this->random(kDialDelayMs);
+    this->After(std::chrono::milliseconds(delayMs),
+                [this] { this->SearchPeriodically(); });
+  }
+
+  void Connect(const settings::ControlMember& aMember)
   {
-    const auto& member = this->known[this->nextMember];
     auto options = settings::MakeLinkOptions<net::LinkOptions>(this->settings);
     options.hasThread = true;
-    this->link = net::OpenLink(this->GetRuntime(),
-                               this->key,
-                               member.peer,
-                               options,
-                               caf::actor_cast<caf::actor>(this));
+    auto link = net::OpenLink(this->GetRuntime(),
+                              this->key,
+                              aMember.peer,
+                              options,
+                              caf::actor_cast<caf::actor>(this));
+    this->links[link].instance = aMember.instance;
+    ++this->attempts;
   }
 
-  void ScheduleReconnect()
+  void LogSearch()
   {
-    this->isReconnectScheduled = true;
-    std::uint64_t delayMs = kReconnectDelayMs + this->random(kReconnectDelayMs);
-    this->After(std::chrono::milliseconds(delayMs), [this] {
-      this->isReconnectScheduled = false;
-      this->Connect();
-    });
+    auto now = net::Now(this->GetRuntime());
+    if (now < this->nextSearchLog) {
+      return;
+    }
+    this->nextSearchLog = now + kSearchLogInterval;
+    std::string waiting;
+    for (const auto& [link, state] : this->links) {
+      waiting += (waiting.empty() ? "" : ",") + state.instance.Get();
+    }
+    net::Log(net::LogLevel::Warning,
+             "no link to the control leader",
+             { { "event", "control_search" },
+               { "down_ms", std::to_string(this->DownTime(now).count()) },
+               { "attempts", std::to_string(this->attempts) },
+               { "waiting", waiting },
+               { "last_failure", this->lastFailure } });
   }
 
-  // Selects the leader that a refusal named, or the next instance in turn.
-  void SelectNextMember(const std::string& aLeader)
+  Milliseconds DownTime(TimePoint aNow) const
   {
-    for (std::size_t i = 0; i < this->known.size(); ++i) {
-      if (this->known[i].instance.Get() == aLeader) {
-        this->nextMember = i;
-        return;
-      }
-    }
-    this->nextMember = (this->nextMember + 1) % this->known.size();
+    return std::chrono::duration_cast<Milliseconds>(aNow - this->lostAt);
   }
 
   // Control tells its members, of which the settings need to name only some.
@@ -119,32 +151,28 @@
   // addresses that only it uses.
   void UpdateKnown()
   {
-    auto current = this->known[this->nextMember].instance;
-    this->known = this->settings.control;
+    auto known = this->settings.control;
     for (const auto& entry : this->learned) {
-      bool isNew = std::none_of(
-        this->known.begin(), this->known.end(), [&](const auto& aMember) {
+      bool isNew =
+        std::none_of(known.begin(), known.end(), [&](const auto& aMember) {
           return aMember.instance == entry.instance;
         });
       if (isNew) {
-        this->known.push_back({ entry.instance, entry.address, {} });
-      }
-    }
-    this->nextMember = 0;
-    for (std::size_t i = 0; i < this->known.size(); ++i) {
-      if (this->known[i].instance == current) {
-        this->nextMember = i;
+        known.push_back({ entry.instance, entry.address, {} });
       }
     }
-    this->send(this->controllers.membership, SetMembers{ this->known });
+    this->send(this->controllers.membership, SetMembers{ known });
+    this->search.SetMembers(std::move(known));
   }
 
   void HandleLinkUp(const net::LinkUp& aUp)
   {
-    if (aUp.link != this->link) {
+    auto found = this->links.find(aUp.link);
+    found->second.task = aUp.task;
+    if (this->accepted) {
+      this->CloseLink(aUp.link);
       return;
     }
-    this->linkTask = aUp.task;
     wire::Hello hello;
     hello.instance = this->settings.instance;
     hello.zone = this->settings.zone;
@@ -153,49 +181,66 @@
     hello.revision = this->revision;
     hello.acceptsPatches = true;
     hello.acceptsQuarantine = true;
-    this->SendToControl(hello);
+    this->send(aUp.task, net::LinkSend{ wire::Encode(hello) });
   }
 
   void HandleLinkDown(const net::LinkDown& aDown)
   {
-    if (aDown.link != this->link || this->isReconnectScheduled) {
+    auto closed = this->links.extract(aDown.link);
+    if (closed.empty()) {
+      return;
+    }
+    const auto& instance = closed.mapped().instance;
+    this->search.AttemptEnded(instance);
+    if (this->accepted != aDown.link) {
+      this->lastFailure = instance.Get() + ": " + aDown.reason;
       return;
     }
-    if (this->isAccepted) {
-      this->lostAt = net::Now(this->GetRuntime());
-      net::Log(net::LogLevel::Warning,
-               "lost the link to control",
-               { { "event", "control_lost" }, { "reason", aDown.reason } });
-      this->send(this->controllers.budget, ControlDown{});
-      this->send(this->controllers.membership, ControlDown{});
+    this->accepted.reset();
+    this->lostAt = net::Now(this->GetRuntime());
+    this->nextSearchLog = this->lostAt + kSearchLogInterval;
+    this->attempts = 0;
+    net::Log(net::LogLevel::Warning,
+             "lost the link to control",
+             { { "event", "control_lost" }, { "reason", aDown.reason } });
+    this->connected.Set(0);
+    this->send(this->controllers.budget, ControlDown{});
+    this->send(this->controllers.membership, ControlDown{});
+  }
+
+  void CloseLink(net::LinkId aLink)
+  {
+    auto found = this->links.find(aLink);
+    if (found != this->links.end() && found->second.task) {
+      this->send(found->second.task, net::LinkClose{});
     }
-    this->isAccepted = false;
-    this->linkTask = nullptr;
-    this->SelectNextMember(this->leaderHint);
-    this->leaderHint.clear();
-    this->ScheduleReconnect();
   }
 
+  // Frames that arrive on a link that was given up are ignored.
   void HandleFrame(net::LinkFrame& aFrame)
   {
-    if (aFrame.link != this->link) {
+    bool isCurrent = this->accepted ? *this->accepted == aFrame.link
+                                    : this->links.contains(aFrame.link);
+    if (!isCurrent) {
       return;
     }
     auto message = wire::Decode(aFrame.body);
     if (message.has_error()) {
       net::Log(net::LogLevel::Error,
                "control sent a malformed message; closing the link");
-      this->send(this->linkTask, net::LinkClose{});
+      this->CloseLink(aFrame.link);
       return;
     }
-    this->Dispatch(message.value());
+    this->Dispatch(aFrame.link, message.value());
   }
 
-  void Dispatch(wire::Message& aMessage)
+  void Dispatch(net::LinkId aLink, wire::Message& aMessage)
   {
     if (auto* welcome = std::get_if<wire::Welcome>(&aMessage)) {
       this->LearnControl(welcome->control);
-      this->HandleWelcome(*welcome);
+      this->HandleWelcome(aLink, *welcome);
+    } else if (!this->accepted) {
+      return;
     } else if (std::holds_alternative<wire::HeartbeatAck>(aMessage) ||
                std::holds_alternative<wire::ConfigPush>(aMessage)) {
       this->RecordState(aMessage);
@@ -213,36 +258,29 @@
     }
   }
 
-  void HandleWelcome(const wire::Welcome& aWelcome)
+  void HandleWelcome(net::LinkId aLink, const wire::Welcome& aWelcome)
   {
     if (!aWelcome.accepted) {
-      // Routers try the instances in turn until there is a leader. To avoid
-      // repeated log lines, a refusal is logged only if it names another leader
-      // than the last one.
-      if (!this->wasRefused || this->refusalLeader != aWelcome.leader) {
-        net::Log(net::LogLevel::Info,
-                 "control refused this router",
-                 { { "event", "control_refused" },
-                   { "reason", aWelcome.reason },
-                   { "leader", aWelcome.leader } });
-      }
-      this->wasRefused = true;
-      this->refusalLeader = aWelcome.leader;
-      this->leaderHint = aWelcome.leader;
-      this->send(this->linkTask, net::LinkClose{});
+      this->HandleRefusal(aLink, aWelcome);
       return;
     }
-    this->isAccepted = true;
+    this->accepted = aLink;
     this->tracksCrashes = aWelcome.tracksCrashes;
     this->wasRefused = false;
     this->viewReceiver.Reset();
-    auto downTime = std::chrono::duration_cast<Milliseconds>(
-      net::Now(this->GetRuntime()) - this->lostAt);
+    for (const auto& [link, state] : this->links) {
+      if (link != aLink) {
+        this->CloseLink(link);
+      }
+    }
+    auto now = net::Now(this->GetRuntime());
     net::Log(net::LogLevel::Info,
              "connected to control",
              { { "event", "control_connected" },
-               { "control", this->known[this->nextMember].instance.Get() },
-               { "down_ms", std::to_string(downTime.count()) } });
+               { "control", this->links[aLink].instance.Get() },
+               { "down_ms", std::to_string(this->DownTime(now).count()) },
+               { "attempts", std::to_string(this->attempts) } });
+    this->connected.Set(1);
     this->SendHeartbeat();
     this->send(this->controllers.budget, ControlUp{});
     this->send(this->controllers.membership, ControlUp{});
@@ -250,6 +288,24 @@
     this->send(this->controllers.quarantine, ControlUp{});
   }
 
+  // Routers try the instances until there is a leader. To avoid repeated log
+  // lines, a refusal is logged only if it names another leader than the last
+  // one.
+  void HandleRefusal(net::LinkId aLink, const wire::Welcome& aWelcome)
+  {
+    if (!this->wasRefused || this->refusalLeader != aWelcome.leader) {
+      net::Log(net::LogLevel::Info,
+               "control refused this router",
+               { { "event", "control_refused" },
+                 { "reason", aWelcome.reason },
+                 { "leader", aWelcome.leader } });
+    }
+    this->wasRefused = true;
+    this->refusalLeader = aWelcome.leader;
+    this->search.SetHint(InstanceId(aWelcome.leader));
+    this->CloseLink(aLink);
+  }
+
   // Control of an earlier version would close the link.
   bool IsKnownToControl(const wire::Message& aMessage) const
   {
@@ -276,7 +332,7 @@
     if (!view) {
       net::Log(net::LogLevel::Error,
                "control sent a view delta out of order; closing the link");
-      this->send(this->linkTask, net::LinkClose{});
+      this->CloseLink(*this->accepted);
       return;
     }
     this->send(this->controllers.endpoint, ViewChanged{ view });
@@ -297,7 +353,7 @@
 
   void SendHeartbeat()
   {
-    if (!this->isAccepted) {
+    if (!this->accepted) {
       return;
     }
     wire::Heartbeat heartbeat;
@@ -313,14 +369,17 @@
 
   void SendToControl(const wire::Message& aMessage)
   {
-    this->send(this->linkTask, net::LinkSend{ wire::Encode(aMessage) });
+    this->send(this->links[*this->accepted].task,
+               net::LinkSend{ wire::Encode(aMessage) });
   }
 
   std::string Dump() const
   {
+    std::string control =
+      this->accepted ? this->links.at(*this->accepted).instance.Get() : "";
     return "{\"session\":\"" + std::to_string(this->session.Get()) +
-           "\",\"connected\":" + (this->isAccepted ? "true" : "false") +
-           ",\"control\":\"" + this->known[this->nextMember].instance.Get() +
+           "\",\"connected\":" + (this->accepted ? "true" : "false") +
+           ",\"control\":\"" + control +
            "\",\"leaving\":" + (this->isLeaving ? "true" : "false") + "}";
   }
 
@@ -331,22 +390,26 @@
   RandomSource random;
   SessionId session;
   // Control instances of the settings and those that control told of.
-  std::vector<settings::ControlMember> known;
+  LeaderSearch search;
   std::vector<wire::ControlEntry> learned;
-  std::size_t nextMember = 0;
-  std::string leaderHint;
+  std::map<net::LinkId, LinkState> links;
+  // The link to the leader, which has accepted this router.
+  std::optional<net::LinkId> accepted;
   bool wasRefused = false;
   std::string refusalLeader;
-  net::LinkId link;
-  caf::actor linkTask;
-  bool isReconnectScheduled = false;
-  bool isAccepted = false;
+  // Attempts since the last link to the leader was lost, and why the latest
+  // failed one did.
+  std::uint64_t attempts = 0;
+  std::string lastFailure;
+  TimePoint nextSearchLog{};
   bool tracksCrashes = false;
   // When the last link to the leader was lost, or the process started.
   TimePoint lostAt{};
   bool isLeaving = false;
   Revision revision;
   ViewReceiver viewReceiver;
+  net::Gauge connected =
+    net::Metrics().GetGauge("lycheestand_control_connected");
 };
 
 } // namespace
