--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -62,7 +62,8 @@
                         once-no-answer once-left leaving planned-stop config-cut overload-config
                         unconfirmed-denial deadly-part undelivered-charge broken-event
                         error-after-stream cut-head endless-answer endless-chat
-                        repeated-refusal server-leaving retry-after
+                        repeated-refusal server-leaving retry-after rate-limit rate-limit-refusal
+                        rate-limit-restart
                         late-chat)
 lycheestand_fault_cases(long group-replaced group-seeds budget-killed budget-frozen answers-broken once-race once-cut
                         config-one-way config-frozen config-restart control-race control-resent
