Give out permits for requests to endpoints that name a limit

Cause: no code read the header, and a limit for all routers together can't be kept by routers that decide alone. A router asks for a permit for each request to such an endpoint; requests that wait for the same endpoint share a message. A denied one goes to another endpoint or is refused with the time of the next permit. There are no parts of routers, so none is added by a router that starts; a new leader begins without permits, and routers tell it the limits.

Ruled out: equal parts for all routers. At 6 requests a second and 77 routers a part is too small for one request in 4 s, and a bucket that holds one request each lets 77 through at once.

--- a/packages/control/src/control.cc
+++ b/packages/control/src/control.cc
@@ -143,6 +143,8 @@
   caf::anon_send(
     fleet,
     SetQuarantineController{ SpawnQuarantineController(aRuntime, fleet) });
+  caf::anon_send(fleet,
+                 SetLimitController{ SpawnLimitController(aRuntime, fleet) });
   caf::anon_send(replica, fleet);
   auto server =
     net::SpawnLinkServer(aRuntime,
--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -92,6 +92,16 @@
       [this](QuarantineChanged& aChanged) {
         this->PushQuarantine(std::move(aChanged.state));
       },
+      [this](SetLimitController& aSet) { this->limits = aSet.controller; },
+      [this](LimitsChanged& aChanged) {
+        this->PushLimits(std::move(aChanged.state));
+      },
+      [this](SendToRouter& aSend) {
+        auto found = this->links.find(aSend.link);
+        if (found != this->links.end()) {
+          this->SendTo(found->second, aSend.message);
+        }
+      },
       [this](GetEndpoints) { return EndpointList{ this->endpoints }; },
       [this](ListInstances) { return this->FormatInstances(); },
       [this](ListEndpoints) { return this->FormatEndpoints(); },
@@ -195,11 +205,15 @@
     router.link = aLink;
     this->detector.Join(aState.hello.instance, net::Now(this->GetRuntime()));
     aState.pushedGroup = this->groupVersion;
-    this->SendTo(aState, wire::Welcome{ true, "", "", this->group, true });
+    this->SendTo(aState,
+                 wire::Welcome{ true, "", "", this->group, true, true });
     this->PushUpdates(aState);
     if (this->quarantineState && aState.hello.acceptsQuarantine) {
       this->SendTo(aState, *this->quarantineState);
     }
+    if (this->limitState && aState.hello.acceptsLimits) {
+      this->SendTo(aState, *this->limitState);
+    }
     net::Log(net::LogLevel::Info,
              "router connected",
              { { "event", "router_connected" },
@@ -412,6 +426,32 @@
     }
   }
 
+  void Handle(net::LinkId, LinkState& aState, const wire::LimitReport& aReport)
+  {
+    if (aState.isAccepted) {
+      this->send(this->limits, aReport);
+    }
+  }
+
+  void Handle(net::LinkId aLink,
+              LinkState& aState,
+              const wire::PermitRequest& aRequest)
+  {
+    if (aState.isAccepted) {
+      this->send(this->limits, RequestPermits{ aLink, aRequest });
+    }
+  }
+
+  void PushLimits(wire::LimitState aState)
+  {
+    this->limitState = std::move(aState);
+    for (auto& [id, link] : this->links) {
+      if (link.isAccepted && link.hello.acceptsLimits) {
+        this->SendTo(link, *this->limitState);
+      }
+    }
+  }
+
   void Handle(net::LinkId, LinkState& aState, const wire::Replication& aMessage)
   {
     if (aState.hello.isControl) {
@@ -470,6 +510,8 @@
     if (aChanged.isLeader != this->isLeader) {
       this->quarantineState.reset();
       this->send(this->quarantine, aChanged);
+      this->limitState.reset();
+      this->send(this->limits, aChanged);
     }
     this->isLeader = aChanged.isLeader;
     this->leader = aChanged.leader;
@@ -659,6 +701,9 @@
   // Empty until the quarantine controller has determined it. A new leader must
   // not send an empty state to routers that still have that of the last one.
   std::optional<wire::QuarantineState> quarantineState;
+  caf::actor limits;
+  // The same of the limit controller.
+  std::optional<wire::LimitState> limitState;
   // When this instance became the leader.
   TimePoint leaderSince{};
   // Whether an endpoint list has been read since then.
--- a/packages/control/src/messages.h
+++ b/packages/control/src/messages.h
@@ -158,6 +158,31 @@
   caf::actor controller;
 };
 
+// To the fleet controller: the limits that routers must know.
+struct LimitsChanged
+{
+  wire::LimitState state;
+};
+struct SetLimitController
+{
+  caf::actor controller;
+};
+
+// To the limit controller: a router asks for permits.
+struct RequestPermits
+{
+  net::LinkId link;
+  wire::PermitRequest request;
+};
+
+// To the fleet controller: a message for the router with this link. It is
+// dropped if the link is closed.
+struct SendToRouter
+{
+  net::LinkId link;
+  wire::Message message;
+};
+
 // Tells the fleet controller which task reads the platform's endpoint list.
 struct SetListReader
 {
@@ -212,6 +237,11 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::OrdersResult)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::QuarantineChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::SetQuarantineController)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::LimitsChanged)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::SetLimitController)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::RequestPermits)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::SendToRouter)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::wire::LimitReport)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::wire::CrashReport)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::wire::PartSuccess)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::wire::QuarantineState)
--- a/packages/control/src/tasks.h
+++ b/packages/control/src/tasks.h
@@ -39,6 +39,12 @@
 caf::actor
 SpawnQuarantineController(const net::Runtime& aRuntime, caf::actor aFleet);
 
+// Starts the task that gives out permits for endpoints that name a limit. It
+// gets LeadershipChanged and the routers' messages from the fleet controller,
+// and sends LimitsChanged and SendToRouter to it.
+caf::actor
+SpawnLimitController(const net::Runtime& aRuntime, caf::actor aFleet);
+
 // Starts the task that sends orders to engines while this instance is the
 // leader.
 caf::actor
--- a/packages/core/include/lycheestand/core.h
+++ b/packages/core/include/lycheestand/core.h
@@ -131,6 +131,9 @@
 // lower than that of an order that it has.
 using FencingNumber = StrongType<struct FencingNumberTag, std::uint64_t>;
 
+// Requests a second.
+using RequestRate = StrongType<struct RequestRateTag, double>;
+
 // Identifies a part of a prompt that several requests may share.
 using PromptPartId = StrongType<struct PromptPartIdTag, std::uint64_t>;
 
--- a/packages/router/include/lycheestand/router.h
+++ b/packages/router/include/lycheestand/router.h
@@ -79,6 +79,8 @@
   // Id of the request that the answer belongs to, if the answer names it.
   std::optional<RequestId> id;
   std::optional<routing::LoadReport> load;
+  // Rate of requests that the endpoint takes from all routers together.
+  std::optional<RequestRate> limit;
 };
 
 // The encoding of requests that are served by a route table, as hooks. All
--- a/packages/router/src/control_link.cc
+++ b/packages/router/src/control_link.cc
@@ -181,6 +181,7 @@
     hello.revision = this->revision;
     hello.acceptsPatches = true;
     hello.acceptsQuarantine = true;
+    hello.acceptsLimits = true;
     this->send(aUp.task, net::LinkSend{ wire::Encode(hello) });
   }
 
@@ -206,6 +207,8 @@
     this->connected.Set(0);
     this->send(this->controllers.budget, ControlDown{});
     this->send(this->controllers.membership, ControlDown{});
+    this->send(this->controllers.endpoint,
+               PermitSourceChanged{ limits::PermitSource::Local });
   }
 
   void CloseLink(net::LinkId aLink)
@@ -249,6 +252,9 @@
       this->HandleViewPush(*view);
     } else if (std::holds_alternative<wire::QuarantineState>(aMessage)) {
       this->Forward(this->controllers.quarantine, aMessage);
+    } else if (std::holds_alternative<wire::LimitState>(aMessage) ||
+               std::holds_alternative<wire::PermitReply>(aMessage)) {
+      this->Forward(this->controllers.endpoint, aMessage);
     } else if (std::holds_alternative<wire::OperationReply>(aMessage)) {
       this->Forward(this->controllers.operation, aMessage);
     } else if (std::holds_alternative<wire::Drain>(aMessage)) {
@@ -266,6 +272,7 @@
     }
     this->accepted = aLink;
     this->tracksCrashes = aWelcome.tracksCrashes;
+    this->grantsPermits = aWelcome.grantsPermits;
     this->wasRefused = false;
     this->viewReceiver.Reset();
     for (const auto& [link, state] : this->links) {
@@ -286,6 +293,10 @@
     this->send(this->controllers.membership, ControlUp{});
     this->send(this->controllers.operation, ControlUp{});
     this->send(this->controllers.quarantine, ControlUp{});
+    this->send(this->controllers.endpoint,
+               PermitSourceChanged{ this->grantsPermits
+                                      ? limits::PermitSource::Control
+                                      : limits::PermitSource::Unlimited });
   }
 
   // Routers try the instances until there is a leader. To avoid repeated log
@@ -309,6 +320,11 @@
   // Control of an earlier version would close the link.
   bool IsKnownToControl(const wire::Message& aMessage) const
   {
+    bool isAboutLimits = std::holds_alternative<wire::LimitReport>(aMessage) ||
+                         std::holds_alternative<wire::PermitRequest>(aMessage);
+    if (isAboutLimits) {
+      return this->grantsPermits;
+    }
     return this->tracksCrashes ||
            !(std::holds_alternative<wire::CrashReport>(aMessage) ||
              std::holds_alternative<wire::PartSuccess>(aMessage) ||
@@ -403,6 +419,7 @@
   std::string lastFailure;
   TimePoint nextSearchLog{};
   bool tracksCrashes = false;
+  bool grantsPermits = false;
   // When the last link to the leader was lost, or the process started.
   TimePoint lostAt{};
   bool isLeaving = false;
--- a/packages/router/src/endpoint_controller.cc
+++ b/packages/router/src/endpoint_controller.cc
@@ -29,6 +29,14 @@
 // not be known yet.
 constexpr std::size_t kMinRouters = 8;
 
+// Longest wait for control's reply to a request for permits. Requests must not
+// be held for endpoints of which it is not known when they take more.
+constexpr Duration kPermitTimeout = std::chrono::milliseconds(150);
+
+// Time for which an endpoint is left alone if there was no such reply, or if
+// this router has no permit of its own while control is out of contact.
+constexpr Duration kNoPermitTime = std::chrono::milliseconds(200);
+
 // Starts per router that are assumed within one window when a shared retry
 // burst is divided: a restarted router gets its part of the burst again, and up
 // to half of the routers may restart.
@@ -99,6 +107,12 @@
       [this](EndpointBlocked& aBlocked) {
         this->table.Block(aBlocked.endpoint, this->Time() + aBlocked.time);
       },
+      [this](EndpointAnswered& aAnswered) { this->ObserveLimit(aAnswered); },
+      [this](PermitSourceChanged& aChanged) {
+        this->ChangePermitSource(aChanged.source);
+      },
+      [this](FromControl& aMessage) { this->Handle(aMessage.message); },
+      [this](caf::actor& aLink) { this->link = aLink; },
       [this](LoadReported& aReported) {
         aReported.report.measuredAt = this->Time();
         this->table.UpdateLoadReport(aReported.endpoint,
@@ -119,12 +133,21 @@
     bool isRequestPending = false;
   };
 
+  // A choice that waits for the end of a backoff.
   struct PendingRetry
   {
     ChooseEndpoint choose;
     Promise promise;
   };
 
+  // A choice that waits for a permit for the endpoint.
+  struct PendingPermit
+  {
+    ChooseEndpoint choose;
+    Promise promise;
+    routing::Choice choice;
+  };
+
   TimePoint Time() const { return net::Now(this->GetRuntime()); }
 
   void Update(const membership::View& aView)
@@ -157,19 +180,22 @@
     if (aChoose.query.excluded.empty()) {
       budget.RecordRequest();
     }
+    auto promise = this->make_response_promise<ChooseEndpointReply>();
     if (aChoose.attempts == 0) {
-      return this->Choose(aChoose);
+      this->Choose(std::move(aChoose), promise);
+      return promise;
     }
     if (!budget.TryAcquireRetry()) {
       net::Metrics().GetCounter("lycheestand_retries_denied_total").Add();
-      return ChooseEndpointReply{};
+      promise.deliver(ChooseEndpointReply{});
+      return promise;
     }
     net::Metrics().GetCounter("lycheestand_retries_total").Add();
     if (!this->options.delaysRetries) {
-      return this->Choose(aChoose);
+      this->Choose(std::move(aChoose), promise);
+      return promise;
     }
     const unsigned tries = aChoose.attempts;
-    auto promise = this->make_response_promise<ChooseEndpointReply>();
     const Ticket ticket = aChoose.ticket;
     this->retries.insert_or_assign(ticket,
                                    PendingRetry{ std::move(aChoose), promise });
@@ -197,18 +223,166 @@
       .first->second;
   }
 
-  ChooseEndpointReply Choose(const ChooseEndpoint& aChoose)
+  // Chooses until an endpoint needs no permit, has one, or may get one from
+  // control. Each endpoint without a permit is left alone for a while, so the
+  // loop ends.
+  void Choose(ChooseEndpoint aChoose, Promise aPromise)
   {
-    auto choice = this->table.Choose(
-      ToRequestNumber(aChoose.ticket), aChoose.query, this->Time());
-    if (!choice) {
-      return ChooseEndpointReply{
-        std::nullopt, this->table.RemainingBlock(aChoose.query, this->Time())
-      };
+    while (true) {
+      auto choice = this->table.Choose(
+        ToRequestNumber(aChoose.ticket), aChoose.query, this->Time());
+      if (!choice) {
+        aPromise.deliver(ChooseEndpointReply{
+          std::nullopt,
+          this->table.RemainingBlock(aChoose.query, this->Time()) });
+        return;
+      }
+      if (!this->permits.NeedsPermit(choice->endpoint, this->Time())) {
+        Deliver(aPromise, *choice, false);
+        return;
+      }
+      if (this->permits.Source() == limits::PermitSource::Control) {
+        this->WaitForPermit(
+          { std::move(aChoose), std::move(aPromise), std::move(*choice) });
+        return;
+      }
+      if (this->permits.TakeLocal(choice->endpoint, this->Time())) {
+        Deliver(aPromise, *choice, true);
+        return;
+      }
+      this->Undo(aChoose.ticket);
+      this->table.Block(choice->endpoint, this->Time() + kNoPermitTime);
+    }
+  }
+
+  static void Deliver(Promise& aPromise,
+                      const routing::Choice& aChoice,
+                      bool aIsLimited)
+  {
+    aPromise.deliver(ChooseEndpointReply{ aChoice.endpoint,
+                                          Duration{},
+                                          aChoice.address,
+                                          aChoice.basis,
+                                          aIsLimited });
+  }
+
+  // Takes back a choice that is not used.
+  void Undo(Ticket aTicket)
+  {
+    this->table.Finish(
+      ToRequestNumber(aTicket), routing::Outcome::Abandoned, this->Time());
+  }
+
+  static limits::WaitingRequest ToWaitingRequest(Ticket aTicket)
+  {
+    return limits::WaitingRequest(aTicket.Get());
+  }
+
+  void WaitForPermit(PendingPermit aPending)
+  {
+    auto request = ToWaitingRequest(aPending.choose.ticket);
+    EndpointId endpoint = aPending.choice.endpoint;
+    this->waiting.insert_or_assign(request, std::move(aPending));
+    this->RequestPermits(endpoint, this->permits.Add(endpoint, request));
+    this->After(kPermitTimeout, [this, request, endpoint] {
+      if (this->permits.Remove(endpoint, request)) {
+        this->DenyPermit(request, kNoPermitTime);
+      }
+    });
+  }
+
+  void RequestPermits(const EndpointId& aEndpoint, unsigned aCount)
+  {
+    if (aCount > 0) {
+      this->send(this->link,
+                 ToControl{ wire::PermitRequest{ aEndpoint, aCount } });
+    }
+  }
+
+  std::optional<PendingPermit> TakeWaiting(limits::WaitingRequest aRequest)
+  {
+    auto found = this->waiting.extract(aRequest);
+    if (found.empty()) {
+      return std::nullopt;
+    }
+    this->permits.Remove(found.mapped().choice.endpoint, aRequest);
+    return std::move(found.mapped());
+  }
+
+  void GrantPermit(limits::WaitingRequest aRequest)
+  {
+    if (auto pending = this->TakeWaiting(aRequest)) {
+      Deliver(pending->promise, pending->choice, true);
+    }
+  }
+
+  // Sends the request to another endpoint, or refuses it.
+  void DenyPermit(limits::WaitingRequest aRequest, Duration aWait)
+  {
+    if (auto pending = this->TakeWaiting(aRequest)) {
+      this->permitsDenied.Add();
+      this->Undo(pending->choose.ticket);
+      this->table.Block(pending->choice.endpoint, this->Time() + aWait);
+      this->Choose(std::move(pending->choose), std::move(pending->promise));
+    }
+  }
+
+  void Handle(const wire::Message& aMessage)
+  {
+    if (const auto* state = std::get_if<wire::LimitState>(&aMessage)) {
+      limits::Limits known;
+      for (const auto& entry : state->limits) {
+        known[entry.endpoint] = entry.rate;
+      }
+      this->permits.SetLimits(known, this->Time());
+    } else if (const auto* reply = std::get_if<wire::PermitReply>(&aMessage)) {
+      auto decision = this->permits.HandleReply(
+        reply->endpoint, reply->granted, this->Time());
+      for (auto request : decision.granted) {
+        this->GrantPermit(request);
+      }
+      for (auto request : decision.denied) {
+        this->DenyPermit(request, reply->wait);
+      }
+      this->RequestPermits(reply->endpoint, decision.wanted);
+    }
+  }
+
+  void ObserveLimit(const EndpointAnswered& aAnswered)
+  {
+    bool isNews = this->permits.Observe(
+      aAnswered.endpoint, aAnswered.limit, aAnswered.sentAt, this->Time());
+    if (!isNews) {
+      return;
+    }
+    net::Log(
+      net::LogLevel::Info,
+      aAnswered.limit ? "an endpoint names a limit of requests"
+                      : "an endpoint names no limit any more",
+      { { "event", "endpoint_limit" },
+        { "endpoint", aAnswered.endpoint.Get() },
+        { "per_second",
+          aAnswered.limit ? std::to_string(aAnswered.limit->Get()) : "" } });
+    this->send(this->link,
+               ToControl{ wire::LimitReport{
+                 aAnswered.endpoint, aAnswered.limit, true } });
+  }
+
+  // A new leader does not know the limits. Requests that wait for the last one
+  // are chosen for again.
+  void ChangePermitSource(limits::PermitSource aSource)
+  {
+    auto requests = this->permits.SetSource(aSource, this->Time());
+    if (aSource == limits::PermitSource::Control) {
+      for (const auto& [endpoint, rate] :
+           this->permits.KnownLimits(this->Time())) {
+        this->send(this->link,
+                   ToControl{ wire::LimitReport{ endpoint, rate, false } });
+      }
+    }
+    for (auto request : requests) {
+      this->DenyPermit(request, Duration(0));
     }
-    return ChooseEndpointReply{
-      choice->endpoint, Duration{}, choice->address, choice->basis
-    };
   }
 
   void MakeRetry(Ticket aTicket)
@@ -217,7 +391,7 @@
     if (found != this->retries.end()) {
       PendingRetry retry = std::move(found->second);
       this->retries.erase(found);
-      retry.promise.deliver(this->Choose(retry.choose));
+      this->Choose(std::move(retry.choose), std::move(retry.promise));
     }
   }
 
@@ -228,6 +402,9 @@
       retry->second.promise.deliver(ChooseEndpointReply{});
       this->retries.erase(retry);
     }
+    if (auto waiting = this->TakeWaiting(ToWaitingRequest(aFinished.ticket))) {
+      waiting->promise.deliver(ChooseEndpointReply{});
+    }
     this->table.Finish(
       ToRequestNumber(aFinished.ticket), aFinished.outcome, this->Time());
   }
@@ -379,6 +556,11 @@
   routing::EndpointTable table;
   std::map<std::string, routing::RetryBudget> retryBudgets;
   std::map<Ticket, PendingRetry> retries;
+  caf::actor link;
+  limits::PermitQueue permits;
+  std::map<limits::WaitingRequest, PendingPermit> waiting;
+  net::Counter permitsDenied =
+    net::Metrics().GetCounter("lycheestand_permits_denied_total");
   std::map<EndpointId, PolledEndpoint> polled;
   std::map<std::string, unsigned> publishedPools;
   std::size_t routerCount = 1;
--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -108,6 +108,8 @@
   Address endpointAddress;
   // ChooseEndpointReply::freeAfter of the last choice.
   Duration endpointFreeAfter{};
+  // ChooseEndpointReply::isLimited of the last choice.
+  bool isEndpointLimited = false;
   // True while an endpoint is being chosen or is called.
   bool isAssigned = false;
   // Number of the recorded operation, for a call that must run at most once.
--- a/packages/router/src/forward.cc
+++ b/packages/router/src/forward.cc
@@ -37,6 +37,7 @@
         aRequest->endpoint = *aChosen.endpoint;
         aRequest->endpointAddress = aChosen.address;
         aRequest->basis = aChosen.basis;
+        aRequest->isEndpointLimited = aChosen.isLimited;
         aRequest->triedEndpoints.insert(*aChosen.endpoint);
         ++aRequest->attempts;
         call(aChosen.address);
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -6,6 +6,7 @@
 #include <caf/allowed_unsafe_message_type.hpp>
 #include <lycheestand/budget.h>
 #include <lycheestand/core.h>
+#include <lycheestand/limits.h>
 #include <lycheestand/membership.h>
 #include <lycheestand/net.h>
 #include <lycheestand/quarantine.h>
@@ -191,6 +192,8 @@
   Duration freeAfter{};
   Address address;
   routing::ChoiceBasis basis;
+  // The endpoint has named a limit.
+  bool isLimited = false;
 };
 
 // An endpoint reported its load in an answer.
@@ -213,6 +216,22 @@
   Duration time{};
 };
 
+// An answer names the rate of requests that its endpoint takes from the whole
+// fleet, or names none although the endpoint was limited.
+struct EndpointAnswered
+{
+  EndpointId endpoint;
+  std::optional<RequestRate> limit;
+  // When the answered request was sent.
+  TimePoint sentAt{};
+};
+
+// Says where permits for limited endpoints come from now.
+struct PermitSourceChanged
+{
+  limits::PermitSource source = limits::PermitSource::Local;
+};
+
 // Tells how a call to an endpoint ended; also cancels a choice in progress.
 struct CallFinished
 {
@@ -349,6 +368,8 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CallFinished)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointLeaving)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointBlocked)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointAnswered)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::PermitSourceChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CrashSuspected)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::PartsSucceeded)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CheckParts)
--- a/packages/router/src/route_attempt.cc
+++ b/packages/router/src/route_attempt.cc
@@ -165,6 +165,13 @@
   if (answer.blockTime && !answer.isFromOtherEndpoint) {
     BlockEndpoint(aRequest, *answer.blockTime);
   }
+  bool endsLimit = aRequest->isEndpointLimited && aHead.status < 300;
+  if ((answer.limit || endsLimit) && !answer.isFromOtherEndpoint) {
+    aRequest->exchange->Task().send(
+      aRequest->controllers.endpoint,
+      EndpointAnswered{
+        aRequest->endpoint, answer.limit, aRequest->attemptStartedAt });
+  }
   if (answer.load && !answer.isFromOtherEndpoint) {
     aRequest->exchange->Task().send(
       aRequest->controllers.endpoint,
--- a/packages/router/src/router.cc
+++ b/packages/router/src/router.cc
@@ -280,6 +280,7 @@
     caf::anon_send(all.budget, all.link);
     caf::anon_send(all.operation, all.link);
     caf::anon_send(all.quarantine, all.link);
+    caf::anon_send(all.endpoint, all.link);
     auto server = net::SpawnHttpServer(
       this->runtime,
       pool,
--- a/packages/wire/include/lycheestand/wire.h
+++ b/packages/wire/include/lycheestand/wire.h
@@ -5,6 +5,7 @@
 // instances, with their encoding. Every message is the body of one frame.
 
 #include <lycheestand/core.h>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -32,6 +33,8 @@
   bool acceptsPatches = false;
   // False for a router of an earlier version, which knows no QuarantineState.
   bool acceptsQuarantine = false;
+  // False for a router of an earlier version, which knows no LimitState.
+  bool acceptsLimits = false;
 };
 
 // An instance of the control group.
@@ -57,6 +60,8 @@
   std::vector<ControlEntry> control;
   // False for control of an earlier version, which knows no CrashReport.
   bool tracksCrashes = false;
+  // False for control of an earlier version, which knows no PermitRequest.
+  bool grantsPermits = false;
 };
 
 // Sent by a router once per heartbeat interval (1 s by default).
@@ -251,6 +256,44 @@
   std::vector<PromptPartId> quarantined;
 };
 
+// From a router: an endpoint names the rate of requests that it takes from the
+// whole fleet, or has stopped to.
+struct LimitReport
+{
+  EndpointId endpoint;
+  std::optional<RequestRate> limit;
+  // False for a limit that the router knows from an earlier leader.
+  bool isObserved = false;
+};
+
+// An endpoint that takes at most this rate from the whole fleet.
+struct EndpointLimit
+{
+  EndpointId endpoint;
+  RequestRate rate;
+};
+
+// From control: all endpoints with a limit.
+struct LimitState
+{
+  std::vector<EndpointLimit> limits;
+};
+
+// A router asks for permits to send requests to a limited endpoint.
+struct PermitRequest
+{
+  EndpointId endpoint;
+  std::uint32_t count = 0;
+};
+
+struct PermitReply
+{
+  EndpointId endpoint;
+  std::uint32_t granted = 0;
+  // If fewer were granted than requested: the time until the next permit.
+  Milliseconds wait{};
+};
+
 // One entry of the replicated log.
 struct LogRecord
 {
@@ -301,7 +344,11 @@
                              Replication,
                              CrashReport,
                              PartSuccess,
-                             QuarantineState>;
+                             QuarantineState,
+                             LimitReport,
+                             LimitState,
+                             PermitRequest,
+                             PermitReply>;
 
 // Reasons for which Decode fails.
 enum class WireError
--- a/packages/wire/src/codec.cc
+++ b/packages/wire/src/codec.cc
@@ -70,6 +70,7 @@
   out.revision = aIn.revision.Get();
   out.accepts_patches = aIn.acceptsPatches;
   out.accepts_quarantine = aIn.acceptsQuarantine;
+  out.accepts_limits = aIn.acceptsLimits;
   return out;
 }
 
@@ -84,7 +85,8 @@
            aIn.is_control,
            Revision(aIn.revision),
            aIn.accepts_patches,
-           aIn.accepts_quarantine };
+           aIn.accepts_quarantine,
+           aIn.accepts_limits };
 }
 
 fb::ControlEntryT
@@ -102,6 +104,30 @@
   return { InstanceId(aIn.instance), UnpackAddress(aIn.address) };
 }
 
+RequestRate
+UnpackRate(double aPerSecond)
+{
+  if (!(aPerSecond >= 0)) {
+    throw InvalidField{};
+  }
+  return RequestRate(aPerSecond);
+}
+
+fb::EndpointLimitT
+Pack(const EndpointLimit& aIn)
+{
+  fb::EndpointLimitT out;
+  out.endpoint = aIn.endpoint.Get();
+  out.per_second = aIn.rate.Get();
+  return out;
+}
+
+EndpointLimit
+Unpack(const fb::EndpointLimitT& aIn)
+{
+  return { EndpointId(aIn.endpoint), UnpackRate(aIn.per_second) };
+}
+
 fb::HeartbeatT
 Pack(const Heartbeat& aIn)
 {
@@ -283,17 +309,16 @@
   out.reason = aIn.reason;
   out.control = PackList<fb::ControlEntryT>(aIn.control);
   out.tracks_crashes = aIn.tracksCrashes;
+  out.grants_permits = aIn.grantsPermits;
   return out;
 }
 
 Welcome
 Unpack(const fb::WelcomeT& aIn)
 {
-  return { aIn.accepted,
-           aIn.leader,
-           aIn.reason,
-           UnpackList<ControlEntry>(aIn.control),
-           aIn.tracks_crashes };
+  return { aIn.accepted,       aIn.leader,
+           aIn.reason,         UnpackList<ControlEntry>(aIn.control),
+           aIn.tracks_crashes, aIn.grants_permits };
 }
 
 fb::HeartbeatAckT
@@ -552,6 +577,74 @@
   return { UnpackParts(aIn.suspects), UnpackParts(aIn.quarantined) };
 }
 
+fb::LimitReportT
+Pack(const LimitReport& aIn)
+{
+  fb::LimitReportT out;
+  out.endpoint = aIn.endpoint.Get();
+  out.is_limited = aIn.limit.has_value();
+  out.per_second = aIn.limit.value_or(RequestRate()).Get();
+  out.is_observed = aIn.isObserved;
+  return out;
+}
+
+LimitReport
+Unpack(const fb::LimitReportT& aIn)
+{
+  LimitReport out;
+  out.endpoint = EndpointId(aIn.endpoint);
+  if (aIn.is_limited) {
+    out.limit = UnpackRate(aIn.per_second);
+  }
+  out.isObserved = aIn.is_observed;
+  return out;
+}
+
+fb::LimitStateT
+Pack(const LimitState& aIn)
+{
+  fb::LimitStateT out;
+  out.limits = PackList<fb::EndpointLimitT>(aIn.limits);
+  return out;
+}
+
+LimitState
+Unpack(const fb::LimitStateT& aIn)
+{
+  return { UnpackList<EndpointLimit>(aIn.limits) };
+}
+
+fb::PermitRequestT
+Pack(const PermitRequest& aIn)
+{
+  fb::PermitRequestT out;
+  out.endpoint = aIn.endpoint.Get();
+  out.count = aIn.count;
+  return out;
+}
+
+PermitRequest
+Unpack(const fb::PermitRequestT& aIn)
+{
+  return { EndpointId(aIn.endpoint), aIn.count };
+}
+
+fb::PermitReplyT
+Pack(const PermitReply& aIn)
+{
+  fb::PermitReplyT out;
+  out.endpoint = aIn.endpoint.Get();
+  out.granted = aIn.granted;
+  out.wait_ms = static_cast<std::uint32_t>(aIn.wait.count());
+  return out;
+}
+
+PermitReply
+Unpack(const fb::PermitReplyT& aIn)
+{
+  return { EndpointId(aIn.endpoint), aIn.granted, Milliseconds(aIn.wait_ms) };
+}
+
 fb::ReplicationT
 Pack(const Replication& aIn)
 {
@@ -639,6 +732,14 @@
       return Unpack(*aBody.AsPartSuccess());
     case fb::Body::QuarantineState:
       return Unpack(*aBody.AsQuarantineState());
+    case fb::Body::LimitReport:
+      return Unpack(*aBody.AsLimitReport());
+    case fb::Body::LimitState:
+      return Unpack(*aBody.AsLimitState());
+    case fb::Body::PermitRequest:
+      return Unpack(*aBody.AsPermitRequest());
+    case fb::Body::PermitReply:
+      return Unpack(*aBody.AsPermitReply());
     case fb::Body::NONE:
       break;
   }
--- a/packages/wire/test/codec_test.cc
+++ b/packages/wire/test/codec_test.cc
@@ -56,6 +56,39 @@
   CHECK(std::get<Welcome>(welcome.value()).tracksCrashes);
 }
 
+// Fails if a limit or a permit is lost on the way between routers and control.
+TEST_CASE("Limits and permits are equal after a round trip")
+{
+  LimitReport limited{ EndpointId("e"), RequestRate(6.25), true };
+  auto decoded = Decode(Encode(limited));
+  const auto& report = std::get<LimitReport>(decoded.value());
+  CHECK(report.endpoint == limited.endpoint);
+  CHECK(report.limit == limited.limit);
+  CHECK(report.isObserved);
+  auto ended = Decode(Encode(LimitReport{ EndpointId("e"), {}, true }));
+  CHECK_FALSE(std::get<LimitReport>(ended.value()).limit.has_value());
+  auto state =
+    Decode(Encode(LimitState{ { { EndpointId("a"), RequestRate(0) },
+                                { EndpointId("b"), RequestRate(3) } } }));
+  const auto& limits = std::get<LimitState>(state.value()).limits;
+  REQUIRE(limits.size() == 2);
+  CHECK(limits[1].endpoint == EndpointId("b"));
+  CHECK(limits[1].rate == RequestRate(3));
+  auto request = Decode(Encode(PermitRequest{ EndpointId("e"), 4 }));
+  CHECK(std::get<PermitRequest>(request.value()).count == 4);
+  auto reply =
+    Decode(Encode(PermitReply{ EndpointId("e"), 3, Milliseconds(170) }));
+  CHECK(std::get<PermitReply>(reply.value()).granted == 3);
+  CHECK(std::get<PermitReply>(reply.value()).wait == Milliseconds(170));
+  auto negative =
+    Decode(Encode(LimitReport{ EndpointId("e"), RequestRate(-1), true }));
+  CHECK(negative.error() == WireError::InvalidValue);
+  auto hello = Decode(Encode(Hello{ .acceptsLimits = true }));
+  CHECK(std::get<Hello>(hello.value()).acceptsLimits);
+  auto welcome = Decode(Encode(Welcome{ .grantsPermits = true }));
+  CHECK(std::get<Welcome>(welcome.value()).grantsPermits);
+}
+
 // Fails if truncated or corrupted input from a faulty or hostile peer crashes
 // the decoder. The seed is fixed.
 TEST_CASE("Decode rejects malformed input without crashing")
