Don't pass on what a stopping router can't finish

Of 22 requests that take 2.8 s and come within 4.5 s after SIGTERM, 20 were run and 3 of them cut.

Cause: a stopping router took a request if 70% of its timeout was left, and any request in the first 2.5 s. Now it takes one only if its whole timeout fits; the exception for the first 2.5 s is kept for requests that another router can repeat or resume. What is refused has not run and may be sent to another router at once. Requests in flight get 0.86 of the grace period instead of 0.76; reporting usage keeps 0.08 and 0.06 are left as a margin.

--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -224,10 +224,11 @@
 // Finds the route of a request that is served by a route table, and the
 // workspace that owns the key. Says that there is no such route or key only if
 // control has confirmed the table within aChangeApplyTime. aMayAccept returns
-// whether a request that may take this long can finish before the process ends.
+// whether a request that may take this long, and that may be repeated or not,
+// is accepted although the process may be about to end.
 Filter
 MakeMatchRoute(Duration aChangeApplyTime,
-               std::function<bool(Duration)> aMayAccept);
+               std::function<bool(Duration, bool)> aMayAccept);
 
 // Refuses a request that may crash endpoints.
 Filter
--- a/packages/router/src/match_route.cc
+++ b/packages/router/src/match_route.cc
@@ -85,7 +85,7 @@
 void
 Match(const RequestPtr& aRequest,
       bool aIsConfirmed,
-      const std::function<bool(Duration)>& aMayAccept,
+      const std::function<bool(Duration, bool)>& aMayAccept,
       const RandomSource& aRandom,
       const Next& aNext)
 {
@@ -113,7 +113,7 @@
   if (call.description.timeout) {
     timeout = std::min<Duration>(timeout, *call.description.timeout);
   }
-  if (!aMayAccept(timeout)) {
+  if (!aMayAccept(timeout + kTimeoutGrace, route->isRepeatable)) {
     Refuse(
       aRequest,
       { 503,
@@ -153,7 +153,7 @@
 
 Filter
 MakeMatchRoute(Duration aChangeApplyTime,
-               std::function<bool(Duration)> aMayAccept)
+               std::function<bool(Duration, bool)> aMayAccept)
 {
   return [aChangeApplyTime,
           mayAccept = std::move(aMayAccept),
--- a/packages/router/src/router.cc
+++ b/packages/router/src/router.cc
@@ -89,7 +89,7 @@
 MakeFilters(const std::shared_ptr<const RouteProtocol>& aProtocol,
             const settings::ProcessSettings& aSettings,
             std::function<bool()> aAccepts,
-            std::function<bool(Duration)> aMayAccept)
+            std::function<bool(Duration, bool)> aMayAccept)
 {
   if (aProtocol) {
     auto routes = aSettings.routes.value_or(settings::RouteSettings());
@@ -244,8 +244,9 @@
         this->protocol,
         aSettings,
         [this] { return this->AcceptsRequest(); },
-        [this](Duration aTimeout) {
-          return !this->IsStopping() || this->CanFinish(aTimeout);
+        [this](Duration aTimeout, bool aIsRepeatable) {
+          return !this->IsStopping() ||
+                 this->CanFinish(aTimeout, aIsRepeatable);
         }))
   {
   }
@@ -429,13 +430,14 @@
 
   bool IsStopping() const { return this->stopRequestedAt != 0; }
 
-  // Returns whether a request with this timeout can finish before this stopping
-  // router ends.
-  bool CanFinish(Duration aTimeout) const
+  // Returns whether this stopping router accepts a request with this timeout.
+  bool CanFinish(Duration aTimeout, bool aIsRepeatable) const
   {
     auto now = net::Now(this->runtime).time_since_epoch();
-    return MayAccept(
-      this->plan, now - Duration(this->stopRequestedAt), aTimeout);
+    return MayAccept(this->plan,
+                     now - Duration(this->stopRequestedAt),
+                     aTimeout,
+                     aIsRepeatable);
   }
 
   net::Runtime runtime;
--- a/packages/router/src/stop_plan.cc
+++ b/packages/router/src/stop_plan.cc
@@ -9,22 +9,18 @@
 constexpr Duration kLeaveNoticeTime = std::chrono::seconds(1);
 
 // Fractions of the grace period after which a stopping process is killed.
-// During the first one requests are still accepted; the second one is for
-// reporting usage to control, and as much again is left as a margin.
+// During the first one requests are still accepted; by the second one all must
+// have ended; the third one is for reporting usage to control. The rest is a
+// margin.
 constexpr double kServeFraction = 0.55;
-constexpr double kReportFraction = 0.12;
+constexpr double kFinishFraction = 0.86;
+constexpr double kReportFraction = 0.08;
 
-// Requests that arrive within this time after the stop was requested are
-// accepted regardless of their timeout. Nearly all finish in time, and the
-// platform allows that those from the first 3 s that don't are aborted at the
-// end.
+// Repeatable requests that arrive within this time after the stop was requested
+// are accepted regardless of their timeout: nearly all finish in time, and the
+// others can be continued at another router.
 constexpr Duration kAcceptAllTime = std::chrono::milliseconds(2500);
 
-// Fraction of a request's timeout that a stopping router must have left to
-// accept it. Few requests need the full timeout, and the platform allows that a
-// request is aborted after 70% of it.
-constexpr double kRequiredTimeFraction = 0.7;
-
 } // namespace
 
 StopPlan
@@ -40,18 +36,20 @@
   };
   StopPlan plan{ fractionOfGracePeriod(kServeFraction) };
   plan.reportTime = fractionOfGracePeriod(kReportFraction);
-  plan.finishTime =
-    fractionOfGracePeriod(1 - kServeFraction - 2 * kReportFraction);
+  plan.finishTime = fractionOfGracePeriod(kFinishFraction - kServeFraction);
   return plan;
 }
 
+// A request that can't finish would be cut after an endpoint has worked on it,
+// while another router can still serve it from the start.
 bool
-MayAccept(const StopPlan& aPlan, Duration aSinceStop, Duration aTimeout)
+MayAccept(const StopPlan& aPlan,
+          Duration aSinceStop,
+          Duration aTimeout,
+          bool aIsRepeatable)
 {
-  double needed =
-    ToSeconds(aSinceStop) + ToSeconds(aTimeout) * kRequiredTimeFraction;
-  return aSinceStop <= kAcceptAllTime ||
-         needed <= ToSeconds(aPlan.serveTime + aPlan.finishTime);
+  bool canFinish = aSinceStop + aTimeout <= aPlan.serveTime + aPlan.finishTime;
+  return canFinish || (aIsRepeatable && aSinceStop <= kAcceptAllTime);
 }
 
 } // namespace lycheestand::router
--- a/packages/router/src/stop_plan.h
+++ b/packages/router/src/stop_plan.h
@@ -24,7 +24,10 @@
 // Returns whether a request with this timeout may be accepted when this much
 // time has passed since the stop was requested.
 bool
-MayAccept(const StopPlan& aPlan, Duration aSinceStop, Duration aTimeout);
+MayAccept(const StopPlan& aPlan,
+          Duration aSinceStop,
+          Duration aTimeout,
+          bool aIsRepeatable);
 
 } // namespace lycheestand::router
 
--- a/test/faults/replica_faults_test.cc
+++ b/test/faults/replica_faults_test.cc
@@ -7,6 +7,7 @@
 #include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <csignal>
 
 namespace lycheestand::faults {
 
@@ -382,4 +383,36 @@
   CHECK(WaitFor(5s, [this] { return this->Send("/safe/1").status == 200; }));
 }
 
+// Guards against a stopping router that passes on a request which it can't
+// finish, and cuts it at the end of its grace period.
+TEST_CASE_METHOD(ReplicaFaultsFixture,
+                 "a stopping router finishes each request that it passes on",
+                 "[late-stop]")
+{
+  std::atomic<int> runs{ 0 };
+  this->SetAnswer([&runs](int, const ReplicaRequest& aRequest) {
+    ++runs;
+    return ReplicaAnswer{ { MakeAnswer(200, aRequest, "whole") }, 2800ms };
+  });
+  std::atomic<int> whole{ 0 };
+  std::atomic<int> refused{ 0 };
+  std::vector<std::thread> callers;
+  this->fleet.Machine(kRouterNumber).Signal(SIGTERM);
+  auto stoppedAt = Clock::now();
+  for (auto at = 100ms; at < 4500ms; at += 200ms) {
+    callers.emplace_back([&, at] {
+      std::this_thread::sleep_until(stoppedAt + at);
+      auto reply = this->Send(at.count() % 400 == 100 ? "/once/1" : "/safe/1");
+      whole += reply.status == 200 ? 1 : 0;
+      refused += reply.status == 503 ? 1 : 0;
+    });
+  }
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  CAPTURE(refused.load());
+  CHECK(runs == whole);
+  CHECK(whole >= 10);
+}
+
 } // namespace lycheestand::faults
