Wait for room on a full disk instead of ending the process

With longer spells, or two that overlap, the group would lose its quorum to processes that keep ending.

A batch for which there is no room can be written again: nothing of it was synced, and a part that was written is cut off before the next write. The storage task now tries every 100 ms; the instance acknowledges nothing new meanwhile, but the log that it has still counts. A sync that fails stops the store as before, also if the disk was full, since the page cache may have dropped the data. A segment is registered only once its file exists, so that its name is synced when it is created later.

--- a/packages/control/src/storage_task.cc
+++ b/packages/control/src/storage_task.cc
@@ -19,8 +19,12 @@
   return state;
 }
 
+// Interval at which a write is tried again while the disk has no room.
+constexpr Duration kFullDiskRetryInterval = std::chrono::milliseconds(100);
+
 // Writes to the store. Sync calls block, so the task runs in a thread of its
-// own.
+// own. While the disk is full it goes on trying: the instance acknowledges
+// nothing new, but what it has still counts for the group.
 class StorageTask : public caf::event_based_actor
 {
 public:
@@ -34,13 +38,38 @@
   caf::behavior make_behavior() override
   {
     return { [this](StorageWrite& aWrite) {
-      auto result = this->store->Write(*aWrite.batch);
-      return StorageResult{ result.has_error() ? result.error().message : "" };
-    } };
+              auto promise = this->make_response_promise<StorageResult>();
+              this->Write({ std::move(aWrite.batch), promise });
+              return promise;
+            },
+             [this](PendingWrite& aWrite) { this->Write(std::move(aWrite)); } };
   }
 
 private:
+  void Write(PendingWrite aWrite)
+  {
+    auto result = this->store->Write(*aWrite.batch);
+    bool isFull =
+      result.has_error() && result.error().kind == storage::ErrorKind::DiskFull;
+    if (isFull != this->isFull) {
+      this->isFull = isFull;
+      net::Log(isFull ? net::LogLevel::Error : net::LogLevel::Info,
+               isFull ? "the disk is full; waiting for room"
+                      : "the disk has room again",
+               { { "event", isFull ? "disk_full" : "disk_has_room" },
+                 { "problem", isFull ? result.error().message : "" } });
+      net::Metrics().GetGauge("lycheestand_disk_full").Set(isFull ? 1 : 0);
+    }
+    if (isFull) {
+      this->delayed_send(this, kFullDiskRetryInterval, std::move(aWrite));
+      return;
+    }
+    aWrite.promise.deliver(
+      StorageResult{ result.has_error() ? result.error().message : "" });
+  }
+
   std::shared_ptr<storage::Store> store;
+  bool isFull = false;
 };
 
 } // namespace
--- a/packages/control/src/storage_task.h
+++ b/packages/control/src/storage_task.h
@@ -5,6 +5,7 @@
 
 #include <caf/actor_system.hpp>
 #include <caf/allowed_unsafe_message_type.hpp>
+#include <caf/typed_response_promise.hpp>
 #include <lycheestand/net.h>
 #include <lycheestand/settings.h>
 #include <lycheestand/storage.h>
@@ -23,6 +24,13 @@
   std::string errorMessage;
 };
 
+// To the storage task itself: a write for which there was no room.
+struct PendingWrite
+{
+  std::shared_ptr<const storage::Batch> batch;
+  caf::typed_response_promise<StorageResult> promise;
+};
+
 // Opens the data folder, and first formats it with a new disk id if it is
 // empty. Returns an error message on failure.
 Result<std::shared_ptr<storage::Store>, std::string>
@@ -42,5 +50,6 @@
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::StorageWrite)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::StorageResult)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::PendingWrite)
 
 #endif
--- a/packages/storage/include/lycheestand/storage.h
+++ b/packages/storage/include/lycheestand/storage.h
@@ -22,6 +22,7 @@
 {
   // A file operation failed, including a failed sync.
   Io,
+  // The disk has no room. What was to be written may be written later.
   DiskFull,
   // A file is damaged. A torn write at the end of the log is no error; it is
   // truncated.
@@ -183,9 +184,11 @@
   // Moves out what was read at opening; call it once.
   StoreContents TakeContents() { return std::move(this->contents); }
 
-  // Makes a batch durable, with one sync for all its records. After an error,
-  // every later call fails with Stopped: the page cache may have dropped data
-  // that was not synced, so a later sync would succeed without it.
+  // Makes a batch durable, with one sync for all its records. A batch for which
+  // the disk has no room (DiskFull) may be written again; nothing else may be
+  // written before it. After any other error every later call fails with
+  // Stopped: the page cache may have dropped data that was not synced, so a
+  // later sync would succeed without it.
   StorageResult<void> Write(const Batch& aBatch);
 
 private:
@@ -212,6 +215,7 @@
   StorageResult<void> WriteRecords(const std::vector<Record>& aRecords);
   StorageResult<void> WriteSnapshot(const SnapshotRecord& aSnapshot,
                                     bool aDiscardLog);
+  StorageResult<void> RemovePartialWrite(const std::string& aPath);
   StorageResult<void> OpenSegment();
   void CloseSegment();
   void RemoveOldSegments();
@@ -230,6 +234,8 @@
   std::uint64_t nextSegment = 1;
   // Segments before this one are covered by the snapshot and not read.
   std::uint64_t firstSegment = 1;
+  // The last segment may end with a part of a batch.
+  bool hasPartialWrite = false;
   bool hasFailed = false;
   StoreContents contents;
 };
--- a/packages/storage/src/files.cc
+++ b/packages/storage/src/files.cc
@@ -100,6 +100,14 @@
            aPath + ": can't " + aAction + ": " + std::strerror(number) };
 }
 
+StorageError
+SyncError(const std::string& aPath, int aError)
+{
+  StorageError error = FileError(aPath, "sync", aError);
+  error.kind = ErrorKind::Io;
+  return error;
+}
+
 StorageResult<void>
 WriteFully(const FileHooks& aHooks,
            const std::string& aPath,
@@ -130,7 +138,7 @@
   int synced = aHooks.sync(file);
   aHooks.close(file);
   if (synced < 0) {
-    return FileError(aPath, "sync", synced);
+    return SyncError(aPath, synced);
   }
   return boost::outcome_v2::success();
 }
@@ -157,7 +165,7 @@
     return written;
   }
   if (synced < 0) {
-    return FileError(temporary, "sync", synced);
+    return SyncError(temporary, synced);
   }
   int renamed = aHooks.rename(temporary, path);
   if (renamed < 0) {
--- a/packages/storage/src/files.h
+++ b/packages/storage/src/files.h
@@ -10,6 +10,11 @@
 StorageError
 FileError(const std::string& aPath, const char* aAction, int aError);
 
+// Returns the error for a failed sync. It is never DiskFull: the page cache may
+// have dropped the data, so the sync must not be tried again.
+StorageError
+SyncError(const std::string& aPath, int aError);
+
 // Writes all bytes, with several calls if the file accepts fewer at a time.
 StorageResult<void>
 WriteFully(const FileHooks& aHooks,
--- a/packages/storage/src/store.cc
+++ b/packages/storage/src/store.cc
@@ -57,6 +57,7 @@
   , segments(std::move(aOther.segments))
   , nextSegment(aOther.nextSegment)
   , firstSegment(aOther.firstSegment)
+  , hasPartialWrite(aOther.hasPartialWrite)
   , hasFailed(aOther.hasFailed)
   , contents(std::move(aOther.contents))
 {
@@ -92,7 +93,8 @@
     };
   }
   auto result = this->WriteBatch(aBatch);
-  this->hasFailed = result.has_error();
+  this->hasFailed =
+    result.has_error() && result.error().kind != ErrorKind::DiskFull;
   return result;
 }
 
@@ -121,14 +123,17 @@
   }
   auto& [number, segment] = *this->segments.rbegin();
   std::string path = this->SegmentPath(number);
+  BOOST_OUTCOME_TRYV(this->RemovePartialWrite(path));
   std::string bytes = EncodeFrame(EncodeRecords(aRecords));
   for (const auto& record : aRecords) {
     segment.highestIndex = std::max(segment.highestIndex, record.index);
   }
+  this->hasPartialWrite = true;
   BOOST_OUTCOME_TRYV(WriteFully(this->hooks, path, this->segmentFile, bytes));
+  this->hasPartialWrite = false;
   int synced = this->hooks.sync(this->segmentFile);
   if (synced < 0) {
-    return FileError(path, "sync", synced);
+    return SyncError(path, synced);
   }
   segment.bytes += bytes.size();
   segment.records += aRecords.size();
@@ -140,6 +145,23 @@
   return boost::outcome_v2::success();
 }
 
+// A disk that became full may have taken a part of the last batch, which none
+// of the later ones may follow.
+StorageResult<void>
+Store::RemovePartialWrite(const std::string& aPath)
+{
+  if (!this->hasPartialWrite) {
+    return boost::outcome_v2::success();
+  }
+  int truncated =
+    this->hooks.truncate(aPath, this->segments.rbegin()->second.bytes);
+  if (truncated < 0) {
+    return FileError(aPath, "truncate", truncated);
+  }
+  this->hasPartialWrite = false;
+  return boost::outcome_v2::success();
+}
+
 // The snapshot file names the first segment to read after it. If a crash comes
 // before the older segments are removed, their entries are still not read.
 StorageResult<void>
@@ -170,19 +192,18 @@
 Store::OpenSegment()
 {
   bool isNew = this->segments.empty() || this->isSegmentClosed;
-  if (isNew) {
-    this->segments[this->nextSegment++] = {};
-    this->isSegmentClosed = false;
-  }
-  std::string path = this->SegmentPath(this->segments.rbegin()->first);
+  auto number = isNew ? this->nextSegment : this->segments.rbegin()->first;
+  std::string path = this->SegmentPath(number);
   this->segmentFile = this->hooks.openAppend(path);
   if (this->segmentFile < 0) {
     return FileError(path, "open", this->segmentFile);
   }
-  if (isNew) {
-    return SyncPath(this->hooks, this->folder);
+  if (!isNew) {
+    return boost::outcome_v2::success();
   }
-  return boost::outcome_v2::success();
+  this->segments[this->nextSegment++] = {};
+  this->isSegmentClosed = false;
+  return SyncPath(this->hooks, this->folder);
 }
 
 void
