Don't take a service's broken event stream for a whole answer

Streams by a route table and chats were handled before.

Such an answer now counts as interrupted: a lookup is tried at the next endpoint and ends in 502, a booking ends as unknown (504) and is not run again. The check of the framing is shared with the streams of route tables.

--- a/packages/router/src/event_stream.cc
+++ b/packages/router/src/event_stream.cc
@@ -47,6 +47,8 @@
   return std::string_view::npos;
 }
 
+constexpr unsigned kStatusNoContent = 204;
+
 // Length of the longest terminator of an event, "\n\r\n".
 constexpr std::size_t kMaxTerminatorBytes = 3;
 
@@ -85,4 +87,33 @@
   return *aEvent.id == *aLast + 1 ? EventAction::Deliver : EventAction::Gap;
 }
 
+bool
+EndsWithConnection(unsigned aStatus, const net::Headers& aHeaders)
+{
+  return aStatus != kStatusNoContent &&
+         !net::FindHeader(aHeaders, "Content-Length") &&
+         !net::FindHeader(aHeaders, "Transfer-Encoding");
+}
+
+// Only the events tell whether a stream that ends with its connection is whole.
+CallResult
+RejectBrokenStream(const CallResult& aResult)
+{
+  if (aResult.has_error()) {
+    return aResult;
+  }
+  const auto& response = aResult.value();
+  auto type = net::FindHeader(response.headers, "Content-Type").value_or("");
+  bool isSuccess = response.status >= 200 && response.status < 300;
+  if (!isSuccess || !type.starts_with("text/event-stream") ||
+      !EndsWithConnection(response.status, response.headers)) {
+    return aResult;
+  }
+  EventSplitter events;
+  bool hasEvents = !events.Feed(response.body).empty();
+  return hasEvents && !events.IsInsideEvent()
+           ? aResult
+           : CallResult(net::CallFailure::Interrupted);
+}
+
 } // namespace lycheestand::router
--- a/packages/router/src/event_stream.h
+++ b/packages/router/src/event_stream.h
@@ -4,6 +4,7 @@
 // Event streams (text/event-stream) that are passed on byte for byte.
 
 #include <cstdint>
+#include <lycheestand/net.h>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -58,6 +59,17 @@
 EventAction
 CheckOrder(std::optional<std::uint64_t> aLast, const RawEvent& aEvent);
 
+// Returns whether the answer has neither a length nor chunks, so that it ends
+// with its connection, whatever ended that.
+bool
+EndsWithConnection(unsigned aStatus, const net::Headers& aHeaders);
+
+// Returns the result of a call, or Interrupted if the answer is a stream of
+// events that its endpoint broke off.
+using CallResult = Result<net::HttpResponse, net::CallFailure>;
+CallResult
+RejectBrokenStream(const CallResult& aResult);
+
 } // namespace lycheestand::router
 
 #endif
--- a/packages/router/src/forward_events.cc
+++ b/packages/router/src/forward_events.cc
@@ -11,8 +11,6 @@
 constexpr int kSilenceFactor = 4;
 constexpr Duration kMinSilence = std::chrono::milliseconds(1200);
 
-constexpr unsigned kStatusNoContent = 204;
-
 Duration
 SilenceLimit(Milliseconds aExpected)
 {
@@ -80,10 +78,7 @@
       this->Cancel("the answer does not belong to this request");
       return;
     }
-    this->isFramed =
-      aHead.status == kStatusNoContent ||
-      net::FindHeader(aHead.headers, "Content-Length").has_value() ||
-      net::FindHeader(aHead.headers, "Transfer-Encoding").has_value();
+    this->isFramed = !EndsWithConnection(aHead.status, aHead.headers);
     auto headers = this->call.protocol->selectEndToEndHeaders(aHead.headers);
     if (!this->IsSuccess()) {
       this->errorAnswer.status = aHead.status;
--- a/packages/router/src/forward_service.cc
+++ b/packages/router/src/forward_service.cc
@@ -1,3 +1,4 @@
+#include "event_stream.h"
 #include "forward.h"
 
 namespace lycheestand::router {
@@ -124,7 +125,7 @@
         MakeHttpRequest(*aRequest, call),
         options,
         [aRequest](const Result<net::HttpResponse, net::CallFailure>& aResult) {
-          HandleResult(aRequest, aResult);
+          HandleResult(aRequest, RejectBrokenStream(aResult));
         });
     },
     [aRequest] { RefuseAfterAttempts(aRequest); });
--- a/packages/router/src/operation_controller.cc
+++ b/packages/router/src/operation_controller.cc
@@ -1,4 +1,5 @@
 #include "controllers.h"
+#include "event_stream.h"
 
 #include <boost/json.hpp>
 #include <caf/typed_response_promise.hpp>
@@ -82,7 +83,8 @@
       [this, step, promise](
         const Result<net::HttpResponse, net::CallFailure>& aResult) mutable {
         --this->runningCalls;
-        RunOperationReply run = this->EvaluateResult(aResult, step);
+        RunOperationReply run =
+          this->EvaluateResult(RejectBrokenStream(aResult), step);
         this->Send(step);
         this->steps.insert_or_assign(step.request, Step{ step, {} });
         promise.deliver(std::move(run));
--- a/test/faults/fleet.cc
+++ b/test/faults/fleet.cc
@@ -348,7 +348,7 @@
 {
   auto all =
     static_cast<std::size_t>(this->options.engines + this->options.records) +
-    this->options.outsideEngines.size();
+    this->options.outsideEngines.size() + this->options.outsideServices.size();
   return WaitFor(aTimeout, [&] {
     if (this->GetFromRouter(aRouter, "/v1/models").status != 200) {
       return false;
--- a/test/faults/fleet.h
+++ b/test/faults/fleet.h
@@ -28,6 +28,8 @@
   std::vector<std::string> recordsArguments;
   // Engines that the test runs itself; they serve the model "chat".
   std::vector<Address> outsideEngines;
+  // Endpoints of the service "records" that the test runs itself.
+  std::vector<Address> outsideServices;
   // Models in the platform list; engine i serves entry i modulo the list's
   // size.
   std::vector<std::string> servedModels{ "chat" };
--- a/test/faults/fleet_start.cc
+++ b/test/faults/fleet_start.cc
@@ -100,6 +100,10 @@
   for (std::size_t i = 0; i < outside.size(); ++i) {
     addAt("x" + std::to_string(i), outside[i], "model", "chat");
   }
+  const auto& services = this->options.outsideServices;
+  for (std::size_t i = 0; i < services.size(); ++i) {
+    addAt("y" + std::to_string(i), services[i], "service", "records");
+  }
   for (int i = 0; i < this->options.engines; ++i) {
     const auto& servedModels = this->options.servedModels;
     add(NumberedName("e", i),
