--- a/packages/router/src/control_link.cc
+++ b/packages/router/src/control_link.cc
@@ -79,7 +79,7 @@
   }
 
 private:
-  // A link that has not been refused or lost yet.
+  // A link that is being opened, or is open.
   struct LinkState
   {
     InstanceId instance;
