--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -206,7 +206,10 @@
     this->detector.Join(aState.hello.instance, net::Now(this->GetRuntime()));
     aState.pushedGroup = this->groupVersion;
     this->SendTo(aState,
-                 wire::Welcome{ true, "", "", this->group, true, true });
+                 wire::Welcome{ .accepted = true,
+                                .control = this->group,
+                                .tracksCrashes = true,
+                                .grantsPermits = true });
     this->PushUpdates(aState);
     if (this->quarantineState && aState.hello.acceptsQuarantine) {
       this->SendTo(aState, *this->quarantineState);
