Remove a partial write before a new segment is begun

That is damage before the end of the log, so the instance would not have started again.

The partial write is now cut off before anything of a batch is written. The new test fails without this (the folder can't be opened) and passes now.

--- a/packages/storage/include/lycheestand/storage.h
+++ b/packages/storage/include/lycheestand/storage.h
@@ -215,7 +215,7 @@
   StorageResult<void> WriteRecords(const std::vector<Record>& aRecords);
   StorageResult<void> WriteSnapshot(const SnapshotRecord& aSnapshot,
                                     bool aDiscardLog);
-  StorageResult<void> RemovePartialWrite(const std::string& aPath);
+  StorageResult<void> RemovePartialWrite();
   StorageResult<void> OpenSegment();
   void CloseSegment();
   void RemoveOldSegments();
--- a/packages/storage/src/store.cc
+++ b/packages/storage/src/store.cc
@@ -101,6 +101,7 @@
 StorageResult<void>
 Store::WriteBatch(const Batch& aBatch)
 {
+  BOOST_OUTCOME_TRYV(this->RemovePartialWrite());
   if (aBatch.snapshot) {
     BOOST_OUTCOME_TRYV(
       this->WriteSnapshot(*aBatch.snapshot, aBatch.discardLog));
@@ -123,7 +124,6 @@
   }
   auto& [number, segment] = *this->segments.rbegin();
   std::string path = this->SegmentPath(number);
-  BOOST_OUTCOME_TRYV(this->RemovePartialWrite(path));
   std::string bytes = EncodeFrame(EncodeRecords(aRecords));
   for (const auto& record : aRecords) {
     segment.highestIndex = std::max(segment.highestIndex, record.index);
@@ -145,18 +145,19 @@
   return boost::outcome_v2::success();
 }
 
-// A disk that became full may have taken a part of the last batch, which none
-// of the later ones may follow.
+// A disk that became full may have taken a part of the last batch. Neither a
+// later batch nor a new segment may follow it.
 StorageResult<void>
-Store::RemovePartialWrite(const std::string& aPath)
+Store::RemovePartialWrite()
 {
   if (!this->hasPartialWrite) {
     return boost::outcome_v2::success();
   }
-  int truncated =
-    this->hooks.truncate(aPath, this->segments.rbegin()->second.bytes);
+  const auto& [number, segment] = *this->segments.rbegin();
+  std::string path = this->SegmentPath(number);
+  int truncated = this->hooks.truncate(path, segment.bytes);
   if (truncated < 0) {
-    return FileError(aPath, "truncate", truncated);
+    return FileError(path, "truncate", truncated);
   }
   this->hasPartialWrite = false;
   return boost::outcome_v2::success();
--- a/packages/storage/test/store_test.cc
+++ b/packages/storage/test/store_test.cc
@@ -303,6 +303,40 @@
   CHECK(records[3] == MakeRecord(4));
 }
 
+// Guards against a partial record that stays in its segment, because a snapshot
+// in the same batch begins a new one when the batch is written again.
+TEST_CASE_METHOD(StoreFixture,
+                 "a snapshot and records are written again after a full disk")
+{
+  this->WriteEntries(1, 2);
+  std::size_t freeBytes = SIZE_MAX;
+  this->hooks.write = [&, write = this->hooks.write](
+                        int aFile, std::string_view aBytes) -> std::int64_t {
+    if (freeBytes == 0) {
+      return -ENOSPC;
+    }
+    auto count = write(aFile, aBytes.substr(0, freeBytes));
+    freeBytes -= static_cast<std::size_t>(count);
+    return count;
+  };
+  Batch batch{ {}, { MakeRecord(3), MakeRecord(4) } };
+  batch.snapshot = SnapshotRecord{ LogIndex(2), Term(1), "m", "data" };
+  {
+    auto store = this->Open();
+    for (std::size_t bytes = 20; bytes < 140; bytes += 20) {
+      freeBytes = bytes;
+      REQUIRE(store.value().Write(batch).has_error());
+    }
+    freeBytes = SIZE_MAX;
+    REQUIRE(store.value().Write(batch).has_value());
+    REQUIRE(store.value().Write({ {}, { MakeRecord(5) } }).has_value());
+  }
+  auto contents = this->Read();
+  CHECK(contents.snapshot->data == "data");
+  CHECK(contents.records ==
+        std::vector{ MakeRecord(3), MakeRecord(4), MakeRecord(5) });
+}
+
 // Guards against a segment whose name is not durable, because the disk was full
 // when it was to be created.
 TEST_CASE_METHOD(StoreFixture, "a segment is created when there is room again")
