Don't charge the prompt of a caller that gives up

Cause: a request whose caller left after the endpoint's answer had begun was charged with its whole prompt. Change: a caller that closes its connection before it can have lost patience is charged for the output only. A reset, a deadline, a late answer and a suspended process are charged as before. Ruled out: charging no answer that is incomplete.

--- a/packages/budget/include/lycheestand/budget.h
+++ b/packages/budget/include/lycheestand/budget.h
@@ -20,6 +20,27 @@
 Tokens
 MaxPromptTokens(std::size_t aTextBytes, std::size_t aMessages);
 
+// How a caller closed its connection before its answer was complete.
+struct CallerExit
+{
+  // Time since the request was read.
+  Duration after{};
+  // Time that was left until the caller's deadline.
+  Duration timeLeft{};
+  // Shortest time for which the caller waits for the next event.
+  Duration patience{};
+};
+
+// Returns the tokens that a workspace is charged for an answer to this prompt,
+// of which the caller got this output. A caller that has given up is charged
+// for the output only. It has given up if it closed its connection before it
+// can have lost patience with a late answer; aExit is empty if it did not close
+// its connection.
+Tokens
+ChargedTokens(Tokens aPrompt,
+              Tokens aOutput,
+              const std::optional<CallerExit>& aExit);
+
 // Identifies a claim, which a request makes on a budget; unique within the
 // process.
 using Ticket = StrongType<struct TicketTag, std::uint64_t>;
--- a/packages/budget/src/local_budget.cc
+++ b/packages/budget/src/local_budget.cc
@@ -13,6 +13,15 @@
 // Demand below which no grants are requested in advance.
 constexpr double kMinPrefetchTokensPerSecond = 1;
 
+// Longest time that a caller's request may have been under way before it was
+// read. A caller that closes its connection after less than its patience, minus
+// this time, has given up on its own account.
+constexpr Duration kMaxRequestDelay = std::chrono::milliseconds(1200);
+
+// A caller that closes its connection with less time than this until its
+// deadline may have reached the deadline.
+constexpr Duration kMinDeadlineMargin = std::chrono::milliseconds(500);
+
 constexpr Duration kRateWindow = std::chrono::milliseconds(500);
 
 Tokens
@@ -33,6 +42,17 @@
                 kTokensPerPrompt);
 }
 
+Tokens
+ChargedTokens(Tokens aPrompt,
+              Tokens aOutput,
+              const std::optional<CallerExit>& aExit)
+{
+  bool hasGivenUp = aExit &&
+                    aExit->after + kMaxRequestDelay < aExit->patience &&
+                    aExit->timeLeft > kMinDeadlineMargin;
+  return hasGivenUp ? aOutput : aPrompt + aOutput;
+}
+
 LocalBudget::LocalBudget(LocalBudgetOptions aOptions)
   : options(std::move(aOptions))
 {
--- a/packages/net/include/lycheestand/net.h
+++ b/packages/net/include/lycheestand/net.h
@@ -39,6 +39,11 @@
 TimePoint
 Now(const Runtime& aRuntime);
 
+// Returns for how long the machine was suspended since it started. The clock of
+// the actor system does not count that time.
+Duration
+SuspendedTime();
+
 // Returns a cryptographically secure source of random numbers, for ids and
 // jitter. sodium_init() must have been called. A bound of 0 means no bound.
 RandomSource
@@ -304,6 +309,15 @@
 caf::actor
 SpawnConnectionPool(const Runtime& aRuntime, ConnectObserver aObserver = {});
 
+// How a connection ended before its response was complete.
+enum class Disconnect
+{
+  // The caller closed it.
+  Closed,
+  // It was reset, the caller did not read in time, or this process closed it.
+  Broken
+};
+
 // An HTTP request and its response. It must be used only inside the task of the
 // connection (see Task). After the connection has closed, the functions that
 // send have no effect, and Peer and Task must not be called.
@@ -342,7 +356,7 @@
 
   // Sets the function that runs when the connection closes before the response
   // is complete; replaces the previous one.
-  virtual void OnDisconnect(std::function<void()> aRun) = 0;
+  virtual void OnDisconnect(std::function<void(Disconnect)> aRun) = 0;
 
   // Returns the connection's task, which can send messages and make calls.
   virtual IoTask& Task() = 0;
--- a/packages/net/src/http_connection.cc
+++ b/packages/net/src/http_connection.cc
@@ -1,5 +1,6 @@
 #include "http_connection.h"
 
+#include <array>
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
@@ -62,7 +63,7 @@
     beast::error_code ignored;
     this->socket.close(ignored);
     if (this->exchange) {
-      this->exchange->Detach();
+      this->exchange->Detach(this->disconnect);
     }
     this->send(this->server, ConnectionEnded{});
   }
@@ -142,19 +143,19 @@
       }
     }
 
-    void OnDisconnect(std::function<void()> aRun) override
+    void OnDisconnect(std::function<void(Disconnect)> aRun) override
     {
       this->onDisconnect = std::move(aRun);
     }
 
     // Called when the connection closes: runs the disconnect callback and drops
     // the pointer to the connection.
-    void Detach()
+    void Detach(Disconnect aHow)
     {
       auto run = std::move(this->onDisconnect);
       this->onDisconnect = nullptr;
       if (run) {
-        run();
+        run(aHow);
       }
       this->connection = nullptr;
     }
@@ -165,7 +166,7 @@
   private:
     HttpConnection* connection;
     HttpRequest request;
-    std::function<void()> onDisconnect;
+    std::function<void(Disconnect)> onDisconnect;
     bool answered = false;
   };
 
@@ -322,10 +323,21 @@
     // the response to the current one.
     beast::error_code error;
     if (this->socket.available(error) == 0 || error) {
+      this->disconnect = this->FindDisconnect();
       this->quit();
     }
   }
 
+  // Tells a close by the caller from a reset, after the socket has become
+  // readable without bytes.
+  Disconnect FindDisconnect()
+  {
+    std::array<char, 1> byte{};
+    beast::error_code error;
+    this->socket.receive(asio::buffer(byte), tcp::socket::message_peek, error);
+    return error == asio::error::eof ? Disconnect::Closed : Disconnect::Broken;
+  }
+
   // Decides whether the connection is kept after this response. This happens
   // once, when the headers are built: after headers that announce keep-alive,
   // the connection must not be closed, since the caller may have sent its next
@@ -485,6 +497,8 @@
   bool closeAfterResponse = false;
   bool isHeadRequest = false;
   bool isWatchingDisconnect = false;
+  // Reported to the exchange when the connection ends before its response.
+  Disconnect disconnect = Disconnect::Broken;
 };
 
 } // namespace
--- a/packages/net/src/io_task.cc
+++ b/packages/net/src/io_task.cc
@@ -1,6 +1,8 @@
 #include "calls.h"
 
 #include <caf/send.hpp>
+#include <chrono>
+#include <ctime>
 
 namespace lycheestand::net {
 
@@ -10,6 +12,20 @@
   return aRuntime.system->clock().now();
 }
 
+// CLOCK_BOOTTIME counts the time of a suspension and CLOCK_MONOTONIC does not.
+Duration
+SuspendedTime()
+{
+  auto read = [](clockid_t aClock) {
+    timespec time{};
+    clock_gettime(aClock, &time);
+    return std::chrono::seconds(time.tv_sec) +
+           std::chrono::nanoseconds(time.tv_nsec);
+  };
+  return std::chrono::duration_cast<Duration>(read(CLOCK_BOOTTIME) -
+                                              read(CLOCK_MONOTONIC));
+}
+
 void
 ActorExecutor::Post(std::shared_ptr<std::function<void()>> aRun) const
 {
--- a/packages/net/test/http_server_test.cc
+++ b/packages/net/test/http_server_test.cc
@@ -54,9 +54,13 @@
 {
   bool hasBegun = false;
   bool hasLeft = false;
+  Disconnect how = Disconnect::Broken;
   auto address = this->Serve([&](const ExchangePtr& aExchange) {
     hasBegun = true;
-    aExchange->OnDisconnect([&hasLeft] { hasLeft = true; });
+    aExchange->OnDisconnect([&](Disconnect aHow) {
+      hasLeft = true;
+      how = aHow;
+    });
   });
   RawCaller caller(address);
   caller.Send(kGetRequest);
@@ -64,6 +68,25 @@
   REQUIRE_FALSE(hasLeft);
   caller.Close();
   this->RunUntil([&] { return hasLeft; });
+  REQUIRE(how == Disconnect::Closed);
+}
+
+// Guards against a connection that breaks and is taken for a caller that has
+// given up.
+TEST_CASE_METHOD(NetFixture, "A reset connection counts as broken")
+{
+  bool hasBegun = false;
+  std::optional<Disconnect> how;
+  auto address = this->Serve([&](const ExchangePtr& aExchange) {
+    hasBegun = true;
+    aExchange->OnDisconnect([&](Disconnect aHow) { how = aHow; });
+  });
+  RawCaller caller(address);
+  caller.Send(kGetRequest);
+  this->RunUntil([&] { return hasBegun; });
+  caller.Reset();
+  this->RunUntil([&] { return how.has_value(); });
+  REQUIRE(how == Disconnect::Broken);
 }
 
 // Guards against callers that occupy connections by sending requests slowly.
--- a/packages/net/test/net_fixture.h
+++ b/packages/net/test/net_fixture.h
@@ -156,6 +156,13 @@
 
   void Close() { this->socket.close(); }
 
+  // Closes the connection with a reset.
+  void Reset()
+  {
+    this->socket.set_option(boost::asio::socket_base::linger(true, 0));
+    this->socket.close();
+  }
+
 private:
   boost::asio::io_context io;
   boost::asio::ip::tcp::socket socket;
--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -82,6 +82,8 @@
   // Identifies the request in messages to the controllers.
   Ticket ticket;
   TimePoint startedAt;
+  // net::SuspendedTime at that time.
+  Duration suspendedAtStart{};
   std::shared_ptr<const settings::FleetSnapshot> snapshot;
   KeyHash keyHash;
   WorkspaceId workspace;
@@ -125,6 +127,8 @@
   std::optional<TimePoint> answerStartedAt;
   unsigned status = 0;
   const char* outcome = "";
+  // Set if the caller closed its connection before the answer was complete.
+  std::optional<budget::CallerExit> exit;
 };
 
 using RequestPtr = std::shared_ptr<Request>;
@@ -192,6 +196,11 @@
 void
 FinishRequest(const RequestPtr& aRequest);
 
+// Calls FinishRequest for a request whose connection has ended before the
+// answer was complete.
+void
+EndDisconnected(const RequestPtr& aRequest, net::Disconnect aHow);
+
 // Returns the parts of the prompt that other requests may share.
 std::vector<PromptPartId>
 PartsOf(const Request& aRequest);
--- a/packages/router/src/finish.cc
+++ b/packages/router/src/finish.cc
@@ -16,13 +16,23 @@
   return tenths % 10 == 0 ? text : text + "." + std::to_string(tenths % 10);
 }
 
+// Returns the tokens that the workspace is charged. A chat has no known
+// patience of its caller and is charged for what its engine has counted.
+Tokens
+SpentTokens(const Request& aRequest)
+{
+  const auto& usage = aRequest.usage;
+  return budget::ChargedTokens(
+    usage.promptTokens, usage.outputTokens, aRequest.exit);
+}
+
 // Logs the one line per routed request that tells how it ended.
 void
 LogRouted(const Request& aRequest, const RoutedCall& aCall, TimePoint aNow)
 {
   const char* outcome = aRequest.outcome;
   if (*outcome == '\0') {
-    outcome = aRequest.status == 0 ? "caller_left" : "answered";
+    outcome = "answered";
   }
   net::LogFields fields{
     { "event", "request" },
@@ -37,7 +47,7 @@
     { "endpoint", aRequest.endpoint.Get() },
     { "attempts", std::to_string(aRequest.attempts) },
     { "reserved", std::to_string(aRequest.reserved.Get()) },
-    { "spent", std::to_string(aRequest.usage.Total().Get()) },
+    { "spent", std::to_string(SpentTokens(aRequest).Get()) },
     { "ms", net::FormatMilliseconds(aNow - aRequest.startedAt) }
   };
   const auto& basis = aRequest.basis;
@@ -117,6 +127,30 @@
   FinishRequest(aRequest);
 }
 
+// The router has closed the connection itself if the outcome is set. A
+// suspension, which the task's clock does not count, counts as time that the
+// caller has waited.
+void
+EndDisconnected(const RequestPtr& aRequest, net::Disconnect aHow)
+{
+  bool hasCallerLeft = !aRequest->isFinished && *aRequest->outcome == '\0';
+  if (hasCallerLeft) {
+    aRequest->outcome = "caller_left";
+  }
+  if (hasCallerLeft && aHow == net::Disconnect::Closed) {
+    auto now = net::Now(aRequest->exchange->Task().GetRuntime());
+    auto suspended = net::SuspendedTime() - aRequest->suspendedAtStart;
+    const auto* routed = std::get_if<RoutedCall>(&aRequest->call);
+    bool hasRoute = routed != nullptr && routed->route != nullptr;
+    aRequest->exit = {
+      .after = now - aRequest->startedAt + suspended,
+      .timeLeft = aRequest->deadline.value_or(now) - now - suspended,
+      .patience = hasRoute ? routed->route->callerPatience : Milliseconds(0)
+    };
+  }
+  FinishRequest(aRequest);
+}
+
 // Called on every way in which a request ends. A call that must run at most
 // once and whose operation is still open here was recorded but not sent, so the
 // operation is aborted and a retry may run.
@@ -139,7 +173,7 @@
   }
   if (aRequest->hasClaim) {
     task.send(aRequest->controllers.budget,
-              Settle{ aRequest->ticket, aRequest->usage.Total() });
+              Settle{ aRequest->ticket, SpentTokens(*aRequest) });
   }
   if (aRequest->isOperationOpen) {
     wire::OperationRequest step;
--- a/packages/router/src/router.cc
+++ b/packages/router/src/router.cc
@@ -404,11 +404,13 @@
                             std::to_string(request->ticket.Get()) + "-" +
                             std::to_string(this->random(0)));
     request->startedAt = net::Now(this->runtime);
+    request->suspendedAtStart = net::SuspendedTime();
     net::Metrics().GetGauge("lycheestand_requests_in_flight").Add(1);
     net::Metrics().GetCounter("lycheestand_requests_total").Add();
     // The exchange releases this function, and with it the request, when the
     // answer is complete or the caller has disconnected.
-    aExchange->OnDisconnect([request] { FinishRequest(request); });
+    aExchange->OnDisconnect(
+      [request](net::Disconnect aHow) { EndDisconnected(request, aHow); });
     this->chain.Run(request);
   }
 
--- a/packages/routes/include/lycheestand/routes.h
+++ b/packages/routes/include/lycheestand/routes.h
@@ -45,6 +45,9 @@
   Milliseconds latencyTarget{};
   // Longest time between events that callers expect; 0 if not a stream.
   Milliseconds gapTarget{};
+  // Shortest time for which callers wait for the next event before they give
+  // the stream up.
+  Milliseconds callerPatience{};
   // 0 is the most urgent.
   unsigned priority = 0;
   // Most endpoints that one request may reach, the first one included.
