Let the routers of a zone borrow tokens from allocators

Cause: each router held tokens of each workspace for its own callers. Change: in each zone one router in eight, beside no control instance, is an allocator. It asks control for 10 s of its zone's demand; the other routers borrow from it what each request needs, with the messages that they speak with control, and report to it. A router that is the main user of a workspace still gets its tokens from control. While control can't be reached, a claim that the own zone can't cover goes to the allocators of other zones. Tokens stay in exactly one place; what a dead router had borrowed stays lent. A call to test whether a caller has closed its connection could block a thread if it had not; it no longer waits.

--- a/packages/budget/include/lycheestand/budget.h
+++ b/packages/budget/include/lycheestand/budget.h
@@ -3,14 +3,19 @@
 
 // A router's part in prepaid token budgets. Control grants tokens of a
 // workspace's budget to routers; a router reserves tokens for each request from
-// its grants and reports usage. Nothing here does I/O or reads a clock: callers
-// pass the current time and exchange the messages with control.
+// its grants and reports usage. In each availability zone some routers are
+// allocators: they hold tokens for the zone and lend them to its other routers.
+// Nothing here does I/O or reads a clock: callers pass the current time and
+// exchange the messages with control and with other routers.
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <lycheestand/core.h>
 #include <map>
 #include <optional>
+#include <set>
+#include <variant>
 #include <vector>
 
 namespace lycheestand::budget {
@@ -102,6 +107,9 @@
   // This router holds at least twice as many of the granted tokens as all other
   // routers with an open session together.
   bool holdsTokenMajority = false;
+  // The reply is from an allocator that has no contact with control, so other
+  // routers may have tokens.
+  bool isLenderOffline = false;
 };
 
 // One workspace's usage in a batch.
@@ -148,8 +156,14 @@
   double surplusFactor = 2;
   // Weight of the newest window in the moving average of the demand.
   double rateWeight = 0.5;
+  // Multiplies the expected demand for a budget of which this router holds
+  // tokens for its zone.
+  double zoneDemandFactor = 1;
   // Time without a claim after which all unused tokens are returned.
   Duration idleReturnDelay = std::chrono::seconds(3);
+  // Requests only the tokens of waiting claims, keeps none for later ones, and
+  // refuses a claim at once when its request is granted nothing.
+  bool isOnDemand = false;
   // Returns the size of a grant for a demand and a time. By default, the
   // product of the two.
   std::function<Tokens(double aTokensPerSecond, Duration aHorizon)> sizeGrant;
@@ -160,14 +174,27 @@
 {
   Tokens available;
   Tokens reserved;
+  // Lent to other routers, which have not reported them yet.
+  Tokens lent;
   // Spent or returned, but not yet in a usage batch.
   Tokens unreported;
 };
 
+// For whom a router holds tokens of a workspace.
+enum class Purpose
+{
+  // For its own callers.
+  Callers,
+  // For all routers of its zone.
+  Zone,
+  // For claims that its allocator does not cover: none are kept.
+  None
+};
+
 // A router's local part of the prepaid budgets. Reserves granted tokens before
 // a request is forwarded, and reports the tokens that the request has spent.
-// Each granted token is in exactly one place: available, reserved, or counted
-// as spent or returned in the unacknowledged batch or the next one.
+// Each granted token is in exactly one place: available, reserved, lent, or
+// counted as spent or returned in the unacknowledged batch or the next one.
 class LocalBudget
 {
 public:
@@ -186,6 +213,19 @@
   // them.
   void Settle(Ticket aTicket, Tokens aSpent, TimePoint aNow);
 
+  // Moves the tokens of a reservation to those that are lent.
+  void Lend(Ticket aTicket);
+
+  // Counts lent tokens as spent, and makes returned ones available. Returns
+  // false, and changes nothing, if fewer are lent.
+  bool TakeBack(const WorkspaceUsage& aUsage);
+
+  // Sets for whom this router holds tokens of the workspace.
+  void SetPurpose(const WorkspaceId& aWorkspace, Purpose aPurpose);
+
+  // Returns whether the last reply said that this router holds the majority.
+  bool HoldsMajority(const WorkspaceId& aWorkspace) const;
+
   // Returns decisions on queued claims, due to grants or timeouts.
   std::vector<Decision> Poll(TimePoint aNow);
 
@@ -226,7 +266,7 @@
   // which no more claims will arrive.
   void SetHorizon(Duration aTime);
 
-  // Returns whether no tokens are available or reserved, all usage is
+  // Returns whether no tokens are available, reserved or lent, all usage is
   // acknowledged and no grant request is unanswered.
   bool IsEmpty() const;
 
@@ -251,6 +291,7 @@
   {
     Tokens available;
     Tokens reserved;
+    Tokens lent;
     WorkspaceUsage unreported;
     std::deque<QueuedClaim> queue;
     std::optional<GrantRequest> pendingGrant;
@@ -261,8 +302,13 @@
     // Whether the last reply refused a grant as exhausted while claims were
     // queued. Reset with each claim that is decided at the head of the queue.
     bool exhausted = false;
+    // Whether the last reply had no tokens for the claim at the head.
+    bool isUnfilled = false;
+    // GrantReply::isLenderOffline of the last reply.
+    bool isLenderOffline = false;
     // GrantReply::holdsTokenMajority of the last reply.
     bool holdsTokenMajority = false;
+    Purpose purpose = Purpose::Callers;
     // Moving average of the demand.
     double tokensPerSecond = 0;
     // Tokens wanted by the claims of the current window.
@@ -291,13 +337,17 @@
                                std::vector<Decision>& aDecisions);
   void UpdateRate(Account& aAccount, TimePoint aNow) const;
   void ReturnSurplus(Account& aAccount, TimePoint aNow) const;
+  const Account* Find(const WorkspaceId& aWorkspace) const;
   static void Return(Account& aAccount, Tokens aTokens);
+  bool KeepsTokens(const Account& aAccount) const;
   Tokens LowWatermark(const Account& aAccount) const;
   Tokens ExpectedDemand(const Account& aAccount, Duration aTime) const;
   Tokens PotentialTokens(const WorkspaceId& aWorkspace,
                          const Account& aAccount) const;
 
   LocalBudgetOptions options;
+  // Longest time of expected demand that is requested or kept.
+  Duration horizonLimit = Duration::max();
   std::map<WorkspaceId, Account> accounts;
   std::map<Ticket, Reservation> reservations;
   bool isOnline = true;
@@ -307,6 +357,256 @@
   std::uint64_t nextBatch = 1;
 };
 
+// A reply to the grant request of another router.
+struct LoanReply
+{
+  SessionId borrower;
+  GrantReply reply;
+};
+
+// Lends tokens of a LocalBudget to other routers, which speak to it as they do
+// to control. What a router that has ended did not report stays lent: it may
+// have been spent.
+class Lender
+{
+public:
+  // aNextTicket returns tickets that are unique in the process.
+  Lender(LocalBudget& aBudget, std::function<Ticket()> aNextTicket);
+
+  // Decides a request of another router's session, or queues it and returns
+  // nothing; Decide then returns the reply. Repeated requests get their first
+  // reply again. A reply says that the session holds the majority if most of
+  // the workspace's tokens are here and most of them are lent to it.
+  std::optional<LoanReply> Request(SessionId aBorrower,
+                                   const GrantRequest& aRequest,
+                                   TimePoint aNow);
+
+  // Returns the reply that a decision of the budget is about; nothing if the
+  // decision is on another claim.
+  std::optional<LoanReply> Decide(const Decision& aDecision);
+
+  // Counts a batch unless it was counted before. Returns whether to acknowledge
+  // it: false if it reports more tokens than the session was lent.
+  bool Report(SessionId aBorrower, const UsageBatch& aBatch);
+
+  // Refuses all further requests.
+  void Close() { this->isClosed = true; }
+
+  // Returns whether requests are queued.
+  bool IsWaiting() const { return !this->queued.empty(); }
+
+private:
+  struct Loan
+  {
+    Tokens outstanding;
+    // Moving sum of the tokens lent.
+    double recentTokens = 0;
+    std::uint64_t lastRequest = 0;
+    // Empty while the last request is queued.
+    std::optional<GrantReply> lastReply;
+  };
+
+  struct Session
+  {
+    std::map<WorkspaceId, Loan> loans;
+    BatchNumber lastBatch;
+  };
+
+  struct QueuedRequest
+  {
+    SessionId borrower;
+    std::uint64_t request = 0;
+    WorkspaceId workspace;
+  };
+
+  LoanReply Finish(const QueuedRequest& aQueued, const Decision& aDecision);
+  bool IsMainBorrower(const QueuedRequest& aQueued, Tokens aLent);
+  static bool IsCovered(const Session& aSession, const UsageBatch& aBatch);
+
+  LocalBudget& budget;
+  std::function<Ticket()> nextTicket;
+  bool isClosed = false;
+  std::map<SessionId, Session> sessions;
+  std::map<Ticket, QueuedRequest> queued;
+};
+
+// Where a router gets tokens from: an allocator, or control if the id is empty.
+struct TokenSource
+{
+  InstanceId allocator;
+
+  bool IsControl() const { return this->allocator.Get().empty(); }
+
+  friend auto operator<=>(const TokenSource&, const TokenSource&) = default;
+};
+
+// The allocators from which a router may borrow tokens of a workspace, the
+// preferred one first; without any, control is asked.
+struct LendingPlan
+{
+  std::vector<InstanceId> allocators;
+  // This router is the allocator of its zone.
+  bool isOwnAllocator = false;
+  // Control is asked before the allocators.
+  bool prefersControl = false;
+};
+
+// The allocators of a fleet, as one router sees them.
+struct Lending
+{
+  // Returns the allocators for a workspace; empty if there are none.
+  std::function<LendingPlan(const WorkspaceId&)> plan;
+  // Those of the router's own zone, and all others.
+  std::vector<InstanceId> own;
+  std::vector<InstanceId> others;
+};
+
+// A message to the source of tokens.
+struct SourceMessage
+{
+  TokenSource to;
+  std::variant<GrantRequest, UsageBatch> body;
+};
+
+// Settings of a RouterBudget.
+struct RouterBudgetOptions
+{
+  // For the tokens that control grants.
+  LocalBudgetOptions granted;
+  // For those that allocators lend.
+  LocalBudgetOptions borrowed;
+  std::function<Ticket()> nextTicket;
+};
+
+// All budgets of a router: the tokens that control grants to it and those that
+// allocators lend to it, and its loans to other routers.
+class RouterBudget
+{
+public:
+  explicit RouterBudget(RouterBudgetOptions aOptions);
+  RouterBudget(const RouterBudget&) = delete;
+  RouterBudget& operator=(const RouterBudget&) = delete;
+
+  // Sets the allocators, after the fleet has changed.
+  void SetLending(Lending aLending);
+
+  // As for LocalBudget. A claim that one source can't cover goes to the next.
+  std::optional<Decision> Reserve(const Claim& aClaim, TimePoint aNow);
+  void Settle(Ticket aTicket, Tokens aSpent, TimePoint aNow);
+  std::vector<Decision> Poll(TimePoint aNow);
+
+  // Sets whether control is reachable.
+  void SetOnline(bool aIsOnline);
+
+  // A link to an allocator's process is up or down. What was borrowed from an
+  // earlier process of the allocator is forgotten.
+  void ConnectAllocator(const InstanceId& aAllocator, SessionId aSession);
+  void DisconnectAllocator(const InstanceId& aAllocator);
+
+  // Returns the allocators to which links are needed: those of the own zone,
+  // all others while control is not reachable, and those whose tokens are here.
+  std::set<InstanceId> NeededAllocators() const;
+
+  // Returns the allocators that have not replied to a claim since the last call
+  // and count as disconnected.
+  std::vector<InstanceId> TakeSilentAllocators();
+
+  // Returns whether claims, or requests of other routers, wait for a decision.
+  bool IsWaiting() const
+  {
+    return !this->pending.empty() || this->lender.IsWaiting();
+  }
+
+  // Returns grant requests to send now.
+  std::vector<SourceMessage> TakeRequests(TimePoint aNow);
+
+  // Returns usage batches to send now.
+  std::vector<SourceMessage> TakeReports(TimePoint aNow);
+
+  // Returns all messages to a source that it has not answered, to be sent again
+  // on a new link.
+  std::vector<SourceMessage> UnansweredMessages(
+    const TokenSource& aSource) const;
+
+  // Apply replies of a source. aSession is that of an allocator's process.
+  void AddGrant(const TokenSource& aSource,
+                const GrantReply& aReply,
+                TimePoint aNow);
+  void Acknowledge(const TokenSource& aSource, BatchNumber aNumber);
+
+  // As for LocalBudget, for the tokens that control has granted.
+  void Recall(const WorkspaceId& aWorkspace, Tokens aTokens);
+
+  // Handle messages of other routers, as for Lender. Replies to queued requests
+  // are returned by TakeLoanReplies after Poll.
+  std::optional<LoanReply> Request(SessionId aBorrower,
+                                   const GrantRequest& aRequest,
+                                   TimePoint aNow);
+  bool Report(SessionId aBorrower, const UsageBatch& aBatch);
+  std::vector<LoanReply> TakeLoanReplies();
+
+  // As for LocalBudget.
+  void ReturnAll();
+  void SetHorizon(Duration aTime) { this->granted.SetHorizon(aTime); }
+  bool IsEmpty() const;
+
+  // Returns what control has granted, and the sum of what is borrowed.
+  std::map<WorkspaceId, Holding> Holdings() const
+  {
+    return this->granted.Holdings();
+  }
+  std::map<WorkspaceId, Holding> BorrowedHoldings() const;
+
+  // Returns the unacknowledged batch for control.
+  const std::optional<UsageBatch>& UnacknowledgedBatch() const
+  {
+    return this->granted.UnacknowledgedBatch();
+  }
+
+private:
+  struct Borrowing
+  {
+    SessionId session;
+    LocalBudget budget;
+    bool isConnected = true;
+  };
+
+  // A claim that is decided by one source after the other.
+  struct PendingClaim
+  {
+    Claim claim;
+    // Sources that are tried if the current one refuses.
+    std::deque<TokenSource> next;
+  };
+
+  bool IsMainUser(const WorkspaceId& aWorkspace,
+                  const LendingPlan& aPlan) const;
+  std::deque<TokenSource> SourcesFor(const WorkspaceId& aWorkspace);
+  std::optional<Decision> TryNext(PendingClaim& aPending,
+                                  Refusal aRefusal,
+                                  TimePoint aNow);
+  std::optional<Decision> Continue(const Decision& aDecision, TimePoint aNow);
+  LocalBudget* Find(const TokenSource& aSource);
+  bool IsConnected(const TokenSource& aSource) const;
+  void Forget(const InstanceId& aAllocator);
+  template<class Function>
+  void ForEachBudget(Function aFunction);
+
+  RouterBudgetOptions options;
+  Lending lending;
+  LocalBudget granted;
+  Lender lender;
+  std::map<InstanceId, Borrowing> borrowings;
+  std::map<Ticket, PendingClaim> pending;
+  // Source of each reservation.
+  std::map<Ticket, TokenSource> reserved;
+  std::vector<LoanReply> loanReplies;
+  std::vector<InstanceId> silent;
+  // Claims that waited for a process of an allocator that has ended.
+  std::vector<Decision> dropped;
+  bool isOnline = true;
+};
+
 } // namespace lycheestand::budget
 
 #endif
--- a/packages/budget/src/local_budget.cc
+++ b/packages/budget/src/local_budget.cc
@@ -114,6 +114,55 @@
   this->UpdateRate(account, aNow);
 }
 
+void
+LocalBudget::Lend(Ticket aTicket)
+{
+  auto found = this->reservations.find(aTicket);
+  if (found == this->reservations.end()) {
+    return;
+  }
+  Account& account = this->accounts[found->second.workspace];
+  account.reserved -= found->second.tokens;
+  account.lent += found->second.tokens;
+  this->reservations.erase(found);
+}
+
+bool
+LocalBudget::TakeBack(const WorkspaceUsage& aUsage)
+{
+  Account& account = this->accounts[aUsage.workspace];
+  if (aUsage.spent < Tokens(0) || aUsage.returned < Tokens(0) ||
+      aUsage.spent > account.lent ||
+      aUsage.returned > account.lent - aUsage.spent) {
+    return false;
+  }
+  account.lent -= aUsage.spent + aUsage.returned;
+  account.available += aUsage.returned;
+  account.unreported.spent += aUsage.spent;
+  account.unreported.requests += aUsage.requests;
+  return true;
+}
+
+void
+LocalBudget::SetPurpose(const WorkspaceId& aWorkspace, Purpose aPurpose)
+{
+  this->accounts[aWorkspace].purpose = aPurpose;
+}
+
+const LocalBudget::Account*
+LocalBudget::Find(const WorkspaceId& aWorkspace) const
+{
+  auto found = this->accounts.find(aWorkspace);
+  return found == this->accounts.end() ? nullptr : &found->second;
+}
+
+bool
+LocalBudget::HoldsMajority(const WorkspaceId& aWorkspace) const
+{
+  const Account* account = this->Find(aWorkspace);
+  return account != nullptr && account->holdsTokenMajority;
+}
+
 std::vector<Decision>
 LocalBudget::Poll(TimePoint aNow)
 {
@@ -142,7 +191,8 @@
                this->PotentialTokens(claim.workspace, aAccount) <
                  claim.minimum) {
       aDecisions.push_back({ claim.ticket, Tokens(0), Refusal::Exhausted });
-    } else if (head.deadline <= aNow) {
+    } else if (head.deadline <= aNow ||
+               (this->options.isOnDemand && aAccount.isUnfilled)) {
       aDecisions.push_back(
         { claim.ticket, Tokens(0), this->RefusalAtDeadline(aAccount) });
     } else {
@@ -152,6 +202,7 @@
     aAccount.queue.pop_front();
     // The next claim may need fewer tokens, so it needs a reply of its own.
     aAccount.exhausted = false;
+    aAccount.isUnfilled = false;
   }
 }
 
@@ -161,7 +212,7 @@
   if (aAccount.exhausted) {
     return Refusal::Exhausted;
   }
-  if (!this->isOnline) {
+  if (!this->isOnline || aAccount.isLenderOffline) {
     return Refusal::Offline;
   }
   return aAccount.pendingGrant ? Refusal::NoReply : Refusal::NoFreeTokens;
@@ -228,7 +279,8 @@
 Tokens
 LocalBudget::LowWatermark(const Account& aAccount) const
 {
-  if (this->options.prefetchThreshold == Duration(0) || this->isClosing ||
+  if (!this->KeepsTokens(aAccount) ||
+      this->options.prefetchThreshold == Duration(0) || this->isClosing ||
       aAccount.tokensPerSecond < kMinPrefetchTokensPerSecond) {
     return Tokens(0);
   }
@@ -237,14 +289,31 @@
     aAccount.lastWanted);
 }
 
+// Returns whether tokens are held for claims to come.
+bool
+LocalBudget::KeepsTokens(const Account& aAccount) const
+{
+  return !this->options.isOnDemand && aAccount.purpose != Purpose::None;
+}
+
 // Returns the demand expected within aTime, scaled up if this router holds the
-// majority of the granted tokens.
+// majority of the granted tokens, or holds tokens for its zone.
 Tokens
 LocalBudget::ExpectedDemand(const Account& aAccount, Duration aTime) const
 {
-  double factor =
-    aAccount.holdsTokenMajority ? this->options.majorityDemandFactor : 1;
-  return this->options.sizeGrant(aAccount.tokensPerSecond * factor, aTime);
+  if (!this->KeepsTokens(aAccount)) {
+    return Tokens(0);
+  }
+  double factor = 1;
+  if (aAccount.holdsTokenMajority) {
+    factor = this->options.majorityDemandFactor;
+  } else if (aAccount.purpose == Purpose::Zone) {
+    factor = this->options.zoneDemandFactor;
+  }
+  double limit =
+    ToSeconds(this->horizonLimit) / ToSeconds(this->options.grantHorizon);
+  return this->options.sizeGrant(
+    aAccount.tokensPerSecond * std::min(factor, limit), aTime);
 }
 
 std::vector<GrantRequest>
@@ -272,6 +341,8 @@
   account.pendingGrant.reset();
   account.available += aReply.tokens;
   account.holdsTokenMajority = aReply.holdsTokenMajority;
+  account.isUnfilled = aReply.tokens == Tokens(0) && !account.queue.empty();
+  account.isLenderOffline = aReply.isLenderOffline;
   // The reply to a request made in advance says nothing about claims that
   // arrive later: the budget may have been topped up by then.
   account.exhausted =
@@ -321,7 +392,7 @@
 LocalBudget::PotentialTokens(const WorkspaceId& aWorkspace,
                              const Account& aAccount) const
 {
-  Tokens sum = aAccount.available + aAccount.reserved;
+  Tokens sum = aAccount.available + aAccount.reserved + aAccount.lent;
   if (this->unacknowledgedBatch) {
     for (const auto& usage : this->unacknowledgedBatch->entries) {
       sum += usage.workspace == aWorkspace ? usage.returned : Tokens(0);
@@ -336,7 +407,8 @@
   if (!aAccount.queue.empty() || aAccount.available == Tokens(0)) {
     return;
   }
-  if (aNow - aAccount.lastClaimAt >= this->options.idleReturnDelay) {
+  if (!this->KeepsTokens(aAccount) ||
+      aNow - aAccount.lastClaimAt >= this->options.idleReturnDelay) {
     Return(aAccount, aAccount.available);
     return;
   }
@@ -398,9 +470,7 @@
 void
 LocalBudget::SetHorizon(Duration aTime)
 {
-  this->options.grantHorizon = std::min(this->options.grantHorizon, aTime);
-  this->options.prefetchThreshold =
-    std::min(this->options.prefetchThreshold, aTime / 2);
+  this->horizonLimit = std::min(this->horizonLimit, aTime);
 }
 
 bool
@@ -412,8 +482,8 @@
   return std::all_of(
     this->accounts.begin(), this->accounts.end(), [](const auto& aEntry) {
       const Account& account = aEntry.second;
-      return account.available == Tokens(0) && !account.pendingGrant &&
-             account.unreported.requests == 0 &&
+      return account.available == Tokens(0) && account.lent == Tokens(0) &&
+             !account.pendingGrant && account.unreported.requests == 0 &&
              account.unreported.spent == Tokens(0) &&
              account.unreported.returned == Tokens(0);
     });
@@ -426,6 +496,7 @@
   for (const auto& [workspace, account] : this->accounts) {
     holdings[workspace] = { account.available,
                             account.reserved,
+                            account.lent,
                             account.unreported.spent +
                               account.unreported.returned };
   }
--- /dev/null
+++ b/packages/budget/test/zone_simulation.cc
@@ -0,0 +1,430 @@
+#include "zone_simulation.h"
+
+#include <algorithm>
+
+namespace lycheestand::budget {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kStep = 1ms;
+constexpr Duration kUsageInterval = 200ms;
+constexpr Duration kDelayToControl = 4ms;
+constexpr Duration kDelayToPeer = 1ms;
+constexpr Duration kReconnectTime = 300ms;
+constexpr std::int64_t kRecallFactor = 3;
+
+LocalBudgetOptions
+GrantedOptions()
+{
+  LocalBudgetOptions options;
+  options.claimTimeout = 100ms;
+  options.grantHorizon = 1s;
+  options.prefetchThreshold = 700ms;
+  options.surplusFactor = 1.2;
+  options.majorityDemandFactor = 12;
+  options.zoneDemandFactor = 10;
+  options.idleReturnDelay = 20s;
+  options.retryDelay = 15ms;
+  options.maxRetryDelay = 1s;
+  options.rateWeight = 0.1;
+  return options;
+}
+
+LocalBudgetOptions
+BorrowedOptions()
+{
+  LocalBudgetOptions options;
+  options.claimTimeout = 250ms;
+  options.retryDelay = Duration(0);
+  options.maxRetryDelay = Duration(0);
+  options.isOnDemand = true;
+  return options;
+}
+
+} // namespace
+
+ZoneSimulation::ZoneSimulation(ZoneFleet aFleet)
+  : fleet(aFleet)
+  , random(aFleet.seed)
+  , routers(aFleet.zones * aFleet.routersPerZone)
+{
+  this->machine.Apply(
+    state::CreateWorkspace{ ChangeId("create"), this->workspace });
+  this->machine.Apply(
+    state::TopUpBudget{ ChangeId("pay"), this->workspace, aFleet.paid });
+  for (std::size_t router = 0; router < this->routers.size(); ++router) {
+    this->Start(router);
+  }
+}
+
+void
+ZoneSimulation::Start(std::size_t aRouter)
+{
+  Router& router = this->routers[aRouter];
+  bool isCut = router.isCut;
+  router = {};
+  router.isCut = isCut;
+  router.session = SessionId(this->nextSession++);
+  router.budget = std::make_unique<RouterBudget>(
+    RouterBudgetOptions{ GrantedOptions(), BorrowedOptions(), [this] {
+                          return Ticket(this->nextTicket++);
+                        } });
+  router.budget->SetLending(this->LendingFor(aRouter));
+  this->machine.Apply(state::RegisterSession{
+    InstanceId(std::to_string(aRouter)), router.session });
+}
+
+bool
+ZoneSimulation::IsAllocator(std::size_t aRouter) const
+{
+  return aRouter % this->fleet.routersPerZone < this->fleet.allocatorsPerZone;
+}
+
+std::size_t
+ZoneSimulation::IndexOf(const InstanceId& aInstance) const
+{
+  return std::stoul(aInstance.Get());
+}
+
+LendingPlan
+ZoneSimulation::PlanFor(std::size_t aRouter) const
+{
+  LendingPlan plan;
+  if (this->fleet.allocatorsPerZone == 0) {
+    return plan;
+  }
+  std::size_t ownZone = aRouter / this->fleet.routersPerZone;
+  for (std::size_t i = 0; i < this->fleet.zones; ++i) {
+    std::size_t zone = (ownZone + i) % this->fleet.zones;
+    std::size_t allocator = zone * this->fleet.routersPerZone;
+    if (allocator == aRouter) {
+      plan.isOwnAllocator = true;
+    } else {
+      plan.allocators.emplace_back(std::to_string(allocator));
+    }
+  }
+  return plan;
+}
+
+Lending
+ZoneSimulation::LendingFor(std::size_t aRouter) const
+{
+  Lending lending;
+  lending.plan = [this, aRouter](const WorkspaceId&) {
+    return this->PlanFor(aRouter);
+  };
+  for (const auto& allocator : this->PlanFor(aRouter).allocators) {
+    bool isOwn = this->IndexOf(allocator) / this->fleet.routersPerZone ==
+                 aRouter / this->fleet.routersPerZone;
+    (isOwn ? lending.own : lending.others).push_back(allocator);
+  }
+  return lending;
+}
+
+void
+ZoneSimulation::At(std::size_t aRouter,
+                   Duration aDelay,
+                   std::function<void()> aRun)
+{
+  this->events.emplace(
+    this->now + aDelay,
+    Event{ aRouter, this->routers[aRouter].session, std::move(aRun) });
+}
+
+bool
+ZoneSimulation::IsLost()
+{
+  return this->random() % 100 < this->fleet.lostPercent;
+}
+
+void
+ZoneSimulation::Request(std::size_t aRouter,
+                        Tokens aReserved,
+                        Tokens aSpent,
+                        Duration aTime)
+{
+  Ticket ticket(this->nextTicket++);
+  this->running[ticket] = { aRouter, ticket, aSpent, aTime };
+  auto decision = this->routers[aRouter].budget->Reserve(
+    { ticket, this->workspace, aReserved, aReserved }, this->now);
+  if (decision) {
+    this->Decide(aRouter, *decision);
+  }
+}
+
+void
+ZoneSimulation::Decide(std::size_t aRouter, const Decision& aDecision)
+{
+  Running request = this->running.at(aDecision.ticket);
+  if (aDecision.refusal) {
+    bool isExhausted = *aDecision.refusal == Refusal::Exhausted;
+    ++(isExhausted ? this->counts.exhausted : this->counts.unavailable);
+    this->running.erase(aDecision.ticket);
+    return;
+  }
+  ++this->counts.covered;
+  this->At(aRouter, request.time, [this, request] {
+    this->spent += request.spent;
+    this->running.erase(request.ticket);
+    this->routers[request.router].budget->Settle(
+      request.ticket, request.spent, this->now);
+  });
+}
+
+void
+ZoneSimulation::CutRouter(std::size_t aRouter, bool aIsCut)
+{
+  this->routers[aRouter].isCut = aIsCut;
+}
+
+void
+ZoneSimulation::Restart(std::size_t aRouter)
+{
+  // What the requests have used so far counts as spent.
+  std::erase_if(this->running, [&](const auto& aEntry) {
+    bool isHere = aEntry.second.router == aRouter;
+    this->spent += isHere ? aEntry.second.spent : Tokens(0);
+    return isHere;
+  });
+  InstanceId instance(std::to_string(aRouter));
+  for (std::size_t other = 0; other < this->routers.size(); ++other) {
+    this->LoseLink(other, instance);
+  }
+  this->Start(aRouter);
+}
+
+void
+ZoneSimulation::Advance(Duration aTime)
+{
+  for (Duration done{}; done < aTime; done += kStep) {
+    this->Step();
+  }
+}
+
+void
+ZoneSimulation::Step()
+{
+  this->now += kStep;
+  while (!this->events.empty() && this->events.begin()->first <= this->now) {
+    auto event = this->events.extract(this->events.begin()).mapped();
+    if (this->routers[event.router].session == event.session) {
+      event.run();
+    }
+  }
+  for (std::size_t router = 0; router < this->routers.size(); ++router) {
+    this->Pump(router);
+  }
+}
+
+void
+ZoneSimulation::Pump(std::size_t aRouter)
+{
+  Router& router = this->routers[aRouter];
+  router.budget->SetOnline(!this->isControlCut);
+  this->Connect(aRouter);
+  for (const auto& decision : router.budget->Poll(this->now)) {
+    this->Decide(aRouter, decision);
+  }
+  for (const auto& loan : router.budget->TakeLoanReplies()) {
+    this->SendLoan(aRouter, loan);
+  }
+  for (const auto& message : router.budget->TakeRequests(this->now)) {
+    this->Send(aRouter, message);
+  }
+  if (this->now < router.reportAt) {
+    return;
+  }
+  router.reportAt = this->now + kUsageInterval;
+  for (const auto& message : router.budget->TakeReports(this->now)) {
+    this->Send(aRouter, message);
+  }
+  // Stands for the resending when the link to control is opened again.
+  for (const auto& message : router.budget->UnansweredMessages({})) {
+    this->Send(aRouter, message);
+  }
+}
+
+void
+ZoneSimulation::Connect(std::size_t aRouter)
+{
+  Router& router = this->routers[aRouter];
+  for (const auto& allocator : router.budget->TakeSilentAllocators()) {
+    this->LoseLink(aRouter, allocator);
+  }
+  for (const auto& allocator : router.budget->NeededAllocators()) {
+    if (!router.links.contains(allocator)) {
+      router.lostLinks.try_emplace(allocator, this->now);
+    }
+  }
+  for (auto lost = router.lostLinks.begin(); lost != router.lostLinks.end();) {
+    const Router& allocator = this->routers[this->IndexOf(lost->first)];
+    if (this->now < lost->second || router.isCut || allocator.isCut) {
+      ++lost;
+      continue;
+    }
+    router.links.insert(lost->first);
+    router.budget->ConnectAllocator(lost->first, allocator.session);
+    TokenSource source{ lost->first };
+    lost = router.lostLinks.erase(lost);
+    for (const auto& message : router.budget->UnansweredMessages(source)) {
+      this->Send(aRouter, message);
+    }
+  }
+}
+
+void
+ZoneSimulation::LoseLink(std::size_t aRouter, const InstanceId& aAllocator)
+{
+  Router& router = this->routers[aRouter];
+  if (router.links.erase(aAllocator) > 0) {
+    router.budget->DisconnectAllocator(aAllocator);
+    router.lostLinks[aAllocator] = this->now + kReconnectTime;
+  }
+}
+
+void
+ZoneSimulation::Send(std::size_t aRouter, const SourceMessage& aMessage)
+{
+  if (aMessage.to.IsControl()) {
+    this->SendToControl(aRouter, aMessage);
+  } else {
+    this->SendToAllocator(aRouter, aMessage);
+  }
+}
+
+void
+ZoneSimulation::SendToControl(std::size_t aRouter,
+                              const SourceMessage& aMessage)
+{
+  if (this->isControlCut || this->IsLost()) {
+    return;
+  }
+  this->controlMessages += 2;
+  SessionId session = this->routers[aRouter].session;
+  if (const auto* request = std::get_if<GrantRequest>(&aMessage.body)) {
+    auto outcome =
+      this->machine.Apply(state::GrantTokens{ session,
+                                              request->request,
+                                              request->workspace,
+                                              request->minimum,
+                                              request->wanted,
+                                              request->isPrefetch });
+    GrantReply reply{ request->request, request->workspace, Tokens(0), true };
+    if (const auto* granted = std::get_if<state::TokensGranted>(&outcome)) {
+      reply.tokens = granted->tokens;
+      reply.exhausted = granted->exhausted;
+      reply.holdsTokenMajority = granted->holdsTokenMajority;
+    }
+    if (!this->IsLost()) {
+      this->At(aRouter, kDelayToControl, [this, aRouter, reply] {
+        this->routers[aRouter].budget->AddGrant({}, reply, this->now);
+      });
+    }
+    if (reply.tokens == Tokens(0) && !reply.exhausted && !request->isPrefetch) {
+      this->Recall(aRouter, Tokens(request->minimum.Get() * kRecallFactor));
+    }
+    return;
+  }
+  const auto& batch = std::get<UsageBatch>(aMessage.body);
+  state::ReportUsage report{ session, batch.number, {} };
+  for (const auto& usage : batch.entries) {
+    report.entries.push_back(
+      { usage.workspace, usage.spent, usage.returned, usage.requests });
+  }
+  auto outcome = this->machine.Apply(report);
+  if (std::holds_alternative<state::Done>(outcome) && !this->IsLost()) {
+    this->At(aRouter, kDelayToControl, [this, aRouter, number = batch.number] {
+      this->routers[aRouter].budget->Acknowledge({}, number);
+    });
+  }
+}
+
+// Recalls from the largest holders first, as control does.
+void
+ZoneSimulation::Recall(std::size_t aRequester, Tokens aTokens)
+{
+  std::vector<std::pair<Tokens, std::size_t>> holders;
+  for (std::size_t other = 0; other < this->routers.size(); ++other) {
+    auto found = this->Ledger().outstanding.find(this->routers[other].session);
+    if (other != aRequester && found != this->Ledger().outstanding.end()) {
+      holders.emplace_back(found->second, other);
+    }
+  }
+  std::sort(holders.rbegin(), holders.rend());
+  for (const auto& holder : holders) {
+    if (aTokens <= Tokens(0)) {
+      return;
+    }
+    Tokens amount = std::min(holder.first, aTokens);
+    aTokens -= amount;
+    this->At(holder.second, kDelayToControl, [this, holder, amount] {
+      Router& router = this->routers[holder.second];
+      router.budget->Recall(this->workspace, amount);
+      router.reportAt = this->now;
+    });
+  }
+}
+
+void
+ZoneSimulation::SendToAllocator(std::size_t aRouter,
+                                const SourceMessage& aMessage)
+{
+  const InstanceId& instance = aMessage.to.allocator;
+  std::size_t allocator = this->IndexOf(instance);
+  if (this->routers[aRouter].isCut || this->routers[allocator].isCut ||
+      this->IsLost()) {
+    this->LoseLink(aRouter, instance);
+    return;
+  }
+  SessionId borrower = this->routers[aRouter].session;
+  this->At(allocator,
+           kDelayToPeer,
+           [this, aRouter, allocator, borrower, message = aMessage] {
+             auto& budget = *this->routers[allocator].budget;
+             if (const auto* request =
+                   std::get_if<GrantRequest>(&message.body)) {
+               if (auto loan = budget.Request(borrower, *request, this->now)) {
+                 this->SendLoan(allocator, *loan);
+               }
+               return;
+             }
+             const auto& batch = std::get<UsageBatch>(message.body);
+             if (budget.Report(borrower, batch) &&
+                 this->routers[aRouter].session == borrower) {
+               this->At(aRouter,
+                        kDelayToPeer,
+                        [this, aRouter, to = message.to, n = batch.number] {
+                          this->routers[aRouter].budget->Acknowledge(to, n);
+                        });
+             }
+           });
+}
+
+void
+ZoneSimulation::SendLoan(std::size_t aAllocator, const LoanReply& aLoan)
+{
+  InstanceId instance(std::to_string(aAllocator));
+  for (std::size_t router = 0; router < this->routers.size(); ++router) {
+    if (this->routers[router].session != aLoan.borrower) {
+      continue;
+    }
+    if (this->routers[router].isCut || this->IsLost()) {
+      this->LoseLink(router, instance);
+      return;
+    }
+    this->At(
+      router, kDelayToPeer, [this, router, instance, reply = aLoan.reply] {
+        this->routers[router].budget->AddGrant({ instance }, reply, this->now);
+      });
+  }
+}
+
+const state::Budget&
+ZoneSimulation::Ledger() const
+{
+  return *this->machine.Budgets().Find(this->workspace);
+}
+
+} // namespace lycheestand::budget
--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -201,6 +201,7 @@
     router.entry.instance = aState.hello.instance;
     router.entry.zone = aState.hello.zone;
     router.entry.callerAddress = aState.hello.callerAddress;
+    router.entry.peerAddress = aState.hello.peerAddress;
     router.entry.leaving = false;
     router.link = aLink;
     this->detector.Join(aState.hello.instance, net::Now(this->GetRuntime()));
--- a/packages/control/src/view_push.cc
+++ b/packages/control/src/view_push.cc
@@ -17,7 +17,8 @@
                                entry.callerAddress,
                                entry.inFlight,
                                entry.leaving,
-                               entry.alive });
+                               entry.alive,
+                               entry.peerAddress });
   }
   for (const auto& entry : delta.endpoints) {
     push.endpoints.push_back({ entry.endpoint,
--- a/packages/membership/include/lycheestand/membership.h
+++ b/packages/membership/include/lycheestand/membership.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lycheestand::membership {
@@ -98,6 +99,9 @@
   std::uint32_t inFlight = 0;
   bool leaving = false;
   bool alive = false;
+  // Address at which it lends tokens to other routers; without a host if it
+  // does not.
+  Address peerAddress;
 
   friend bool operator==(const Instance&, const Instance&) = default;
 };
@@ -201,6 +205,36 @@
 std::uint32_t
 QuantizeLoad(std::uint32_t aInFlight, std::uint32_t aPublished);
 
+// ------------------------------------------------------------ allocators
+
+// The routers that hold tokens of budgets for the routers of their availability
+// zone. All routers with the same view choose the same ones.
+class Allocators
+{
+public:
+  Allocators() = default;
+
+  // Chooses about one in eight of the instances that lend tokens in each zone.
+  // Those on control hosts are left out: when control is cut off from the other
+  // hosts, so are they.
+  Allocators(const std::vector<Instance>& aInstances,
+             const std::set<std::string>& aControlHosts);
+
+  // Returns the allocator of a workspace in a zone; nothing if the zone has
+  // none. A change of the fleet moves few workspaces.
+  std::optional<InstanceId> Find(const ZoneId& aZone,
+                                 const WorkspaceId& aWorkspace) const;
+
+  // Returns the zones that have allocators.
+  std::vector<ZoneId> Zones() const;
+
+  // Returns the allocators in a zone with their addresses for other routers.
+  std::vector<std::pair<InstanceId, Address>> InZone(const ZoneId& aZone) const;
+
+private:
+  std::map<ZoneId, std::vector<std::pair<InstanceId, Address>>> zones;
+};
+
 // ------------------------------------------------------------ entry
 
 // An instance's address for callers, as in the list that tells callers where to
--- a/packages/net/src/http_connection.cc
+++ b/packages/net/src/http_connection.cc
@@ -1,6 +1,5 @@
 #include "http_connection.h"
 
-#include <array>
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
@@ -9,6 +8,7 @@
 #include <caf/send.hpp>
 #include <deque>
 #include <sstream>
+#include <sys/socket.h>
 
 namespace lycheestand::net {
 
@@ -329,13 +329,14 @@
   }
 
   // Tells a close by the caller from a reset, after the socket has become
-  // readable without bytes.
+  // readable without bytes. Asio's receive would block the thread if neither
+  // has happened.
   Disconnect FindDisconnect()
   {
-    std::array<char, 1> byte{};
-    beast::error_code error;
-    this->socket.receive(asio::buffer(byte), tcp::socket::message_peek, error);
-    return error == asio::error::eof ? Disconnect::Closed : Disconnect::Broken;
+    char byte = 0;
+    auto received =
+      ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received == 0 ? Disconnect::Closed : Disconnect::Broken;
   }
 
   // Decides whether the connection is kept after this response. This happens
--- a/packages/router/src/control_link.cc
+++ b/packages/router/src/control_link.cc
@@ -162,6 +162,7 @@
       }
     }
     this->send(this->controllers.membership, SetMembers{ known });
+    this->send(this->controllers.budget, SetMembers{ known });
     this->search.SetMembers(std::move(known));
   }
 
@@ -182,6 +183,9 @@
     hello.acceptsPatches = true;
     hello.acceptsQuarantine = true;
     hello.acceptsLimits = true;
+    if (this->settings.role == settings::Role::Router) {
+      hello.peerAddress = this->settings.peerAddress;
+    }
     this->send(aUp.task, net::LinkSend{ wire::Encode(hello) });
   }
 
@@ -353,6 +357,7 @@
     }
     this->send(this->controllers.endpoint, ViewChanged{ view });
     this->send(this->controllers.membership, ViewChanged{ view });
+    this->send(this->controllers.budget, ViewChanged{ view });
   }
 
   void Forward(const caf::actor& aController, wire::Message& aMessage)
--- a/packages/router/src/controllers.h
+++ b/packages/router/src/controllers.h
@@ -28,10 +28,20 @@
                              Duration aConfirmationLimit,
                              RouteTableReader aReadTable);
 
-// Starts the task that owns the token grants that this router holds.
+// Starts the task that owns the tokens that this router holds, and its loans to
+// and from other routers.
 caf::actor
 SpawnBudgetController(const net::Runtime& aRuntime,
-                      budget::LocalBudgetOptions aOptions);
+                      const settings::ProcessSettings& aSettings);
+
+// Starts the task that owns the links to the routers that lend tokens to this
+// one and to those that borrow from it. Returns a message if it can't listen on
+// the router's peer address.
+Result<caf::actor, std::string>
+SpawnPeerLinks(const net::Runtime& aRuntime,
+               const settings::ProcessSettings& aSettings,
+               const net::FleetKey& aKey,
+               caf::actor aBudget);
 
 // Starts the task that owns the operations whose steps control has not
 // acknowledged, and that runs their calls.
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -128,6 +128,73 @@
 struct ReturnGrants
 {};
 
+// An allocator and its address for links.
+struct AllocatorAddress
+{
+  InstanceId instance;
+  Address address;
+
+  friend bool operator==(const AllocatorAddress&,
+                         const AllocatorAddress&) = default;
+};
+
+// To the peer links: the allocators to which links must be open.
+struct SetAllocatorLinks
+{
+  std::vector<AllocatorAddress> needed;
+};
+
+// To the peer links: an allocator has not replied, so its link is opened again.
+struct AllocatorSilent
+{
+  InstanceId allocator;
+};
+
+// To the peer links: send a message to an allocator, or to the router whose
+// session has borrowed tokens from this one. Without a link the message is
+// dropped.
+struct ToAllocator
+{
+  InstanceId allocator;
+  wire::Message message;
+};
+struct ToBorrower
+{
+  SessionId session;
+  wire::Message message;
+};
+
+// From the peer links to the budget controller: the link to an allocator's
+// process is open, or lost.
+struct AllocatorUp
+{
+  InstanceId allocator;
+  SessionId session;
+};
+struct AllocatorDown
+{
+  InstanceId allocator;
+};
+
+// From the peer links to the budget controller: a message from an allocator, or
+// from a router that borrows from this one.
+struct FromAllocator
+{
+  InstanceId allocator;
+  wire::Message message;
+};
+struct FromBorrower
+{
+  SessionId session;
+  wire::Message message;
+};
+
+// To the budget controller: the task that owns the peer links.
+struct SetPeerLinks
+{
+  caf::actor links;
+};
+
 // ------------------------------------------------------------ operations
 
 // Records one step of a call that must run at most once; the answer is
@@ -358,6 +425,15 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::Settle)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::SetBudgetHorizon)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ReturnGrants)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::SetAllocatorLinks)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::AllocatorSilent)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ToAllocator)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ToBorrower)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::AllocatorUp)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::AllocatorDown)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::FromAllocator)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::FromBorrower)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::SetPeerLinks)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::SubmitOperationStep)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::OperationStepReply)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::RunOperation)
--- a/packages/router/src/router.cc
+++ b/packages/router/src/router.cc
@@ -15,45 +15,6 @@
 // Longest wait for a controller's reply.
 constexpr Duration kControllerReplyTimeout = std::chrono::seconds(1);
 
-// Options of grants for routed requests. A router may be disconnected from
-// control for 7 to 9 s, and the tokens that a router holds are lost if it is
-// killed. docs/budgets.md has the figures behind the times and factors.
-constexpr Duration kRoutedGrantHorizon = std::chrono::seconds(1);
-constexpr Duration kRoutedPrefetchThreshold = std::chrono::milliseconds(700);
-// Covers a disconnection of 8 s for callers that use only this router.
-constexpr double kRoutedMajorityDemandFactor = 12;
-constexpr double kRoutedSurplusFactor = 1.2;
-// Smooths the demand over about 5 s: ten windows of 0.5 s.
-constexpr double kRoutedRateWeight = 0.1;
-// Longer than a disconnection, so that an idle router keeps the tokens it may
-// need during one.
-constexpr Duration kRoutedIdleReturnDelay = std::chrono::seconds(20);
-// Small against 300 ms, the shortest latency target for a first event.
-constexpr Duration kRoutedClaimTimeout = std::chrono::milliseconds(100);
-// Longer than a round trip to control with a disk write, which takes a few
-// milliseconds.
-constexpr Duration kRoutedRetryDelay = std::chrono::milliseconds(15);
-// The Retry-After of a caller that is refused for want of tokens.
-constexpr Duration kRoutedMaxRetryDelay = std::chrono::seconds(1);
-
-budget::LocalBudgetOptions
-MakeLocalBudgetOptions(const settings::ProcessSettings& aSettings)
-{
-  budget::LocalBudgetOptions options;
-  if (aSettings.routes) {
-    options.claimTimeout = kRoutedClaimTimeout;
-    options.grantHorizon = kRoutedGrantHorizon;
-    options.prefetchThreshold = kRoutedPrefetchThreshold;
-    options.surplusFactor = kRoutedSurplusFactor;
-    options.majorityDemandFactor = kRoutedMajorityDemandFactor;
-    options.idleReturnDelay = kRoutedIdleReturnDelay;
-    options.retryDelay = kRoutedRetryDelay;
-    options.maxRetryDelay = kRoutedMaxRetryDelay;
-    options.rateWeight = kRoutedRateWeight;
-  }
-  return options;
-}
-
 // Prompt tokens per second that an engine is assumed to process until it is
 // measured: the lowest rate among the engines in the sites' settings.
 constexpr double kPromptTokensPerSecond = 70000;
@@ -266,8 +227,7 @@
       this->runtime,
       this->settings.confirmationLimit,
       this->protocol ? this->protocol->readTable : RouteTableReader());
-    all.budget = SpawnBudgetController(this->runtime,
-                                       MakeLocalBudgetOptions(this->settings));
+    all.budget = SpawnBudgetController(this->runtime, this->settings);
     all.operation = SpawnOperationController(this->runtime, pool);
     all.admission = SpawnAdmissionController(this->runtime);
     all.endpoint = SpawnEndpointController(
@@ -278,7 +238,13 @@
       SpawnControlLink(this->runtime, this->settings, aKey, all, [this] {
         this->Drain(this->onDrained);
       });
+    auto peerLinks =
+      SpawnPeerLinks(this->runtime, this->settings, aKey, all.budget);
+    if (peerLinks.has_error()) {
+      return peerLinks.error();
+    }
     caf::anon_send(all.budget, all.link);
+    caf::anon_send(all.budget, SetPeerLinks{ peerLinks.value() });
     caf::anon_send(all.operation, all.link);
     caf::anon_send(all.quarantine, all.link);
     caf::anon_send(all.endpoint, all.link);
--- a/packages/router/src/view_receiver.cc
+++ b/packages/router/src/view_receiver.cc
@@ -18,7 +18,8 @@
                                 entry.callerAddress,
                                 entry.inFlight,
                                 entry.leaving,
-                                entry.alive });
+                                entry.alive,
+                                entry.peerAddress });
   }
   for (const auto& entry : aPush.endpoints) {
     delta.endpoints.push_back({ entry.endpoint,
--- a/packages/settings/include/lycheestand/settings.h
+++ b/packages/settings/include/lycheestand/settings.h
@@ -81,7 +81,8 @@
   Role role = Role::Router;
   // Address for callers; routers only.
   Address callerAddress;
-  // Address for links from other processes; control only.
+  // Address for links from other processes: of control, or of a router that
+  // lends tokens; without a host for a router that does not.
   Address peerAddress;
   // Address for metrics, dump, and on control the operators' interface.
   Address adminAddress;
--- a/packages/settings/src/process_settings.cc
+++ b/packages/settings/src/process_settings.cc
@@ -107,8 +107,10 @@
     aSettings.callerAddress = read("caller_address");
   }
   if (aSettings.role == Role::Router) {
-    RejectKeys(
-      aReader, { "peer_address", "data_folder", "platform_list" }, "router");
+    RejectKeys(aReader, { "data_folder", "platform_list" }, "router");
+    if (aReader.Find("peer_address")) {
+      aSettings.peerAddress = read("peer_address");
+    }
   } else {
     aSettings.peerAddress = read("peer_address");
     aSettings.dataFolder = aReader.Get("data_folder").Name();
--- a/packages/wire/include/lycheestand/wire.h
+++ b/packages/wire/include/lycheestand/wire.h
@@ -1,8 +1,8 @@
 #ifndef LYCHEESTAND_WIRE_H
 #define LYCHEESTAND_WIRE_H
 
-// Messages between routers and control instances, and between control
-// instances, with their encoding. Every message is the body of one frame.
+// Messages between routers and control instances, between control instances and
+// between routers, with their encoding. Every message is the body of one frame.
 
 #include <lycheestand/core.h>
 #include <optional>
@@ -17,7 +17,7 @@
 inline constexpr std::uint32_t kProtocolVersion = 1;
 
 // First message on a link, sent by the router or control instance that opened
-// it.
+// it, to control or to a router that lends tokens.
 struct Hello
 {
   InstanceId instance;
@@ -35,6 +35,9 @@
   bool acceptsQuarantine = false;
   // False for a router of an earlier version, which knows no LimitState.
   bool acceptsLimits = false;
+  // Address at which the router lends tokens to other routers; without a host
+  // if it does not.
+  Address peerAddress;
 };
 
 // An instance of the control group.
@@ -62,6 +65,8 @@
   bool tracksCrashes = false;
   // False for control of an earlier version, which knows no PermitRequest.
   bool grantsPermits = false;
+  // Session of a router that lends tokens; control sends none.
+  SessionId session;
 };
 
 // Sent by a router once per heartbeat interval (1 s by default).
@@ -115,6 +120,8 @@
   bool leaving = false;
   // False when the router is suspected to have failed.
   bool alive = false;
+  // Address at which the router lends tokens; without a host if it does not.
+  Address peerAddress;
 
   friend bool operator==(const InstanceEntry&, const InstanceEntry&) = default;
 };
@@ -173,6 +180,8 @@
   // True when this router holds at least twice as many tokens of the budget as
   // all other open sessions together.
   bool holdsTokenMajority = false;
+  // True when the sender is a router without contact with control.
+  bool isLenderOffline = false;
 };
 
 // Asks a router to return unused tokens, so that another router can have them.
--- a/packages/wire/src/codec.cc
+++ b/packages/wire/src/codec.cc
@@ -71,6 +71,7 @@
   out.accepts_patches = aIn.acceptsPatches;
   out.accepts_quarantine = aIn.acceptsQuarantine;
   out.accepts_limits = aIn.acceptsLimits;
+  out.peer_address = PackAddress(aIn.peerAddress);
   return out;
 }
 
@@ -86,7 +87,8 @@
            Revision(aIn.revision),
            aIn.accepts_patches,
            aIn.accepts_quarantine,
-           aIn.accepts_limits };
+           aIn.accepts_limits,
+           UnpackAddress(aIn.peer_address) };
 }
 
 fb::ControlEntryT
@@ -179,6 +181,7 @@
   out.in_flight = aIn.inFlight;
   out.leaving = aIn.leaving;
   out.alive = aIn.alive;
+  out.peer_address = PackAddress(aIn.peerAddress);
   return out;
 }
 
@@ -190,7 +193,8 @@
            UnpackAddress(aIn.caller_address),
            aIn.in_flight,
            aIn.leaving,
-           aIn.alive };
+           aIn.alive,
+           UnpackAddress(aIn.peer_address) };
 }
 
 fb::EndpointEntryT
@@ -310,15 +314,20 @@
   out.control = PackList<fb::ControlEntryT>(aIn.control);
   out.tracks_crashes = aIn.tracksCrashes;
   out.grants_permits = aIn.grantsPermits;
+  out.session = aIn.session.Get();
   return out;
 }
 
 Welcome
 Unpack(const fb::WelcomeT& aIn)
 {
-  return { aIn.accepted,       aIn.leader,
-           aIn.reason,         UnpackList<ControlEntry>(aIn.control),
-           aIn.tracks_crashes, aIn.grants_permits };
+  return { aIn.accepted,
+           aIn.leader,
+           aIn.reason,
+           UnpackList<ControlEntry>(aIn.control),
+           aIn.tracks_crashes,
+           aIn.grants_permits,
+           SessionId(aIn.session) };
 }
 
 fb::HeartbeatAckT
@@ -395,6 +404,7 @@
   out.tokens = aIn.tokens.Get();
   out.exhausted = aIn.exhausted;
   out.most_held = aIn.holdsTokenMajority;
+  out.lender_offline = aIn.isLenderOffline;
   return out;
 }
 
@@ -403,7 +413,8 @@
 {
   return { aIn.request,        WorkspaceId(aIn.workspace),
            GrantId(aIn.grant), Tokens(aIn.tokens),
-           aIn.exhausted,      aIn.most_held };
+           aIn.exhausted,      aIn.most_held,
+           aIn.lender_offline };
 }
 
 fb::RecallT
--- a/test/standins/engine.cc
+++ b/test/standins/engine.cc
@@ -368,8 +368,9 @@
 {
   if (aExchange->Request().target == "/v1/chat/completions") {
     if (auto stream = ParseStream(aExchange)) {
-      aExchange->OnDisconnect(
-        [aEngine, stream] { caf::anon_send(aEngine, CancelStream{ stream }); });
+      aExchange->OnDisconnect([aEngine, stream](net::Disconnect) {
+        caf::anon_send(aEngine, CancelStream{ stream });
+      });
       caf::anon_send(aEngine, BeginStream{ stream });
     } else {
       aExchange->Respond({ 400, {}, "" });
