Pass the group's members on to instances that are not members

Cause: an instance learned the members only from announcements in keep-alives, and only instances with members in their own log sent these. An instance without a disk kept what it had heard to itself. So a new instance whose seeds are all of that kind had links to its seeds only, and its requests to join were ignored there without a word.

Evidence: in the logs of the script, the new instance has three links, all to its seeds, and never a member; the leader never links with it.

Change: PeerDirectory holds what an instance knows of the group. An instance that is not a member announces the members that a member last announced to it, without a leader. What is passed on only adds addresses to dial, so it can't replace newer members, and two instances can't keep a leader that is gone alive between them. The announcement's format is unchanged; an earlier build reads it as one of a member. An instance without a disk now also tells the fleet controller of changed members while the leader stays the same.

Operators see more: join_requested, join_ignored, control_voters_lost, the gauge lycheestand_control_voters_lost, and the known instances in no_leader.

--- a/packages/consensus/include/lycheestand/consensus.h
+++ b/packages/consensus/include/lycheestand/consensus.h
@@ -362,6 +362,9 @@
   LogIndex LastIndex() const { return this->log.Last(); }
   LogIndex SnapshotIndex() const { return this->snapshot.index; }
   const Configuration& Members() const { return this->members; }
+  // Returns the voters that this leader has not heard from for so long that a
+  // learner may replace them; empty if this member does not lead.
+  std::set<Member> LostVoters() const;
   const Log& Entries() const { return this->log; }
 
 private:
--- a/packages/consensus/src/membership.cc
+++ b/packages/consensus/src/membership.cc
@@ -212,6 +212,21 @@
            this->options.electionTimeout * aElectionTimeouts;
 }
 
+std::set<Member>
+Node::LostVoters() const
+{
+  std::set<Member> lost;
+  if (this->role != Role::Leader) {
+    return lost;
+  }
+  for (const auto& voter : this->members.voters) {
+    if (this->IsExpired(voter, kVoterExpiryElectionTimeouts)) {
+      lost.insert(voter);
+    }
+  }
+  return lost;
+}
+
 // Returns whether the instance of a member has joined with another disk. The
 // member with the old disk is then gone for good.
 bool
--- a/packages/control/src/gateway.cc
+++ b/packages/control/src/gateway.cc
@@ -1,6 +1,8 @@
 #include "peer_network.h"
 #include "tasks.h"
 
+#include <set>
+
 namespace lycheestand::control {
 
 namespace {
@@ -18,6 +20,7 @@
           const settings::ProcessSettings& aSettings,
           caf::actor aDialer)
     : net::IoTask(aConfig, aRuntime)
+    , self(aSettings.instance)
     , network(*this, aSettings, std::move(aDialer))
     , keepAliveInterval(aSettings.heartbeatInterval)
   {
@@ -49,9 +52,7 @@
         return RoutesResult{ std::nullopt, this->Leader() };
       },
       [this](PeerLink& aLink) { this->network.HandleLink(aLink); },
-      [this](PeerMessage& aMessage) {
-        this->network.HandleKeepAlive(aMessage.message);
-      },
+      [this](PeerMessage& aMessage) { this->HandleMessage(aMessage); },
       [](LogBudgets) {},
       [this](DumpState) {
         return R"({"role":"gateway","leader":")" + this->Leader().Get() +
@@ -64,6 +65,25 @@
 private:
   InstanceId Leader() const { return this->network.AnnouncedLeader(); }
 
+  // An instance without a disk has no part in the consensus. It logs the first
+  // request to join that each instance sends, because the sender gets no
+  // answer.
+  void HandleMessage(const PeerMessage& aMessage)
+  {
+    this->network.HandleKeepAlive(aMessage.instance, aMessage.message);
+    auto message = FromWire(aMessage.message, this->self);
+    if (message &&
+        std::holds_alternative<consensus::JoinRequest>(message->body) &&
+        this->loggedJoins.insert(aMessage.instance).second) {
+      net::Log(net::LogLevel::Info,
+               "ignored a request to join the control group: this instance has "
+               "no disk and is not a member",
+               { { "event", "join_ignored" },
+                 { "from", aMessage.instance.Get() },
+                 { "leader", this->Leader().Get() } });
+    }
+  }
+
   void TickPeriodically()
   {
     this->network.OpenLinks();
@@ -79,18 +99,29 @@
 
   void Publish()
   {
+    if (!this->fleet) {
+      return;
+    }
+    auto group = this->network.Group();
+    if (group != this->publishedGroup) {
+      this->publishedGroup = group;
+      this->send(this->fleet, GroupChanged{ std::move(group) });
+    }
     LeadershipChanged current{ false, this->Leader() };
-    if (this->fleet && current.leader != this->published.leader) {
+    if (current.leader != this->published.leader) {
       this->published = current;
-      this->send(this->fleet, GroupChanged{ this->network.Group() });
       this->send(this->fleet, current);
     }
   }
 
+  InstanceId self;
   PeerNetwork network;
   Duration keepAliveInterval;
+  // Instances whose requests to join have been logged.
+  std::set<InstanceId> loggedJoins;
   caf::actor fleet;
   LeadershipChanged published;
+  std::vector<wire::ControlEntry> publishedGroup;
 };
 
 } // namespace
--- a/packages/control/src/peer_network.cc
+++ b/packages/control/src/peer_network.cc
@@ -15,14 +15,12 @@
                          caf::actor aDialer)
   : task(aTask)
   , self(aSettings.instance)
-  , announcementTimeout(aSettings.heartbeatInterval * kAnnouncementKeepAlives)
   , dialer(std::move(aDialer))
+  , directory(aSettings.instance,
+              aSettings.heartbeatInterval * kAnnouncementKeepAlives)
   , plan(aSettings.instance)
 {
-  for (const auto& member : aSettings.control) {
-    this->configured[member.instance] = member.peer;
-  }
-  this->UpdateTargets();
+  this->SetConfigured(aSettings.control);
 }
 
 PeerNetwork::Change
@@ -48,6 +46,8 @@
     return Change::None;
   }
   this->links.erase(aLink.instance);
+  this->directory.Forget(aLink.instance);
+  this->UpdateTargets();
   return Change::Disconnected;
 }
 
@@ -65,12 +65,14 @@
 PeerNetwork::SendKeepAlives(const InstanceId& aLeader)
 {
   std::string plain = wire::Encode(MakeKeepAlive(this->self));
-  std::string announcement =
-    this->members.voters.empty()
-      ? plain
-      : wire::Encode(MakeAnnouncement(this->self, aLeader, this->members));
+  std::string announcement = plain;
+  auto announced = this->directory.Announce(aLeader);
+  if (announced) {
+    announcement = wire::Encode(MakeAnnouncement(this->self, *announced));
+  }
   for (const auto& [instance, open] : this->links) {
-    const auto& body = this->members.Find(instance) ? plain : announcement;
+    bool isMember = announced && announced->members.Find(instance);
+    const auto& body = isMember ? plain : announcement;
     for (const auto& link : open) {
       this->task.send(link, net::LinkSend{ body });
     }
@@ -80,33 +82,40 @@
 void
 PeerNetwork::OpenLinks()
 {
-  bool isMember = this->members.Find(this->self).has_value();
-  for (auto& [instance, address] :
-       this->plan.TakeDue(net::Now(this->task.GetRuntime()), isMember)) {
+  for (auto& [instance, address] : this->plan.TakeDue(
+         net::Now(this->task.GetRuntime()), this->directory.IsMember())) {
     this->task.send(this->dialer, DialPeer{ instance, address });
   }
 }
 
+void
+PeerNetwork::SetConfigured(const std::vector<settings::ControlMember>& aControl)
+{
+  std::map<InstanceId, Address> configured;
+  for (const auto& member : aControl) {
+    configured[member.instance] = member.peer;
+  }
+  this->directory.SetConfigured(std::move(configured));
+  this->UpdateTargets();
+}
+
 void
 PeerNetwork::SetMembers(const consensus::Configuration& aMembers)
 {
-  this->members = aMembers;
+  this->directory.SetMembers(aMembers);
   this->UpdateTargets();
 }
 
+// A message that was on its way when the link closed is ignored; Forget would
+// not run for it.
 void
-PeerNetwork::HandleKeepAlive(const wire::Replication& aMessage)
+PeerNetwork::HandleKeepAlive(const InstanceId& aFrom,
+                             const wire::Replication& aMessage)
 {
   auto announced = ReadAnnouncement(aMessage);
-  if (!announced) {
-    return;
-  }
-  if (!aMessage.leader.Get().empty()) {
-    this->announcedLeader = aMessage.leader;
-    this->announcedAt = net::Now(this->task.GetRuntime());
-  }
-  if (*announced != this->announcedMembers) {
-    this->announcedMembers = std::move(*announced);
+  if (announced && this->links.contains(aFrom)) {
+    this->directory.Record(
+      aFrom, *announced, net::Now(this->task.GetRuntime()));
     this->UpdateTargets();
   }
 }
@@ -114,31 +123,20 @@
 InstanceId
 PeerNetwork::AnnouncedLeader() const
 {
-  auto age = net::Now(this->task.GetRuntime()) - this->announcedAt;
-  return age < this->announcementTimeout ? this->announcedLeader : InstanceId();
+  return this->directory.AnnouncedLeader(net::Now(this->task.GetRuntime()));
 }
 
-// The addresses in the settings go first: this instance may reach others by
-// addresses that only it uses.
 void
 PeerNetwork::UpdateTargets()
 {
-  auto targets = this->configured;
-  for (const auto* known : { &this->members, &this->announcedMembers }) {
-    for (const auto& [instance, location] : known->locations) {
-      targets.emplace(instance, location.address);
-    }
-  }
-  this->plan.SetTargets(std::move(targets));
+  this->plan.SetTargets(this->directory.Addresses());
 }
 
 std::vector<wire::ControlEntry>
 PeerNetwork::Group() const
 {
-  const auto& group =
-    this->members.Find(this->self) ? this->members : this->announcedMembers;
   std::vector<wire::ControlEntry> out;
-  for (const auto& [instance, location] : group.locations) {
+  for (const auto& [instance, location] : this->directory.Group().locations) {
     out.push_back({ instance, location.address });
   }
   return out;
--- a/packages/control/src/peer_network.h
+++ b/packages/control/src/peer_network.h
@@ -3,6 +3,7 @@
 
 #include "dial_plan.h"
 #include "messages.h"
+#include "peer_directory.h"
 #include "replication_codec.h"
 
 #include <map>
@@ -10,9 +11,8 @@
 
 namespace lycheestand::control {
 
-// The links of one control instance with the others, and the addresses that it
-// knows: from its settings, from the replicated log, and from keep-alives of
-// other instances. Used only inside the task that owns it.
+// The links of one control instance with the others, which it opens to all
+// addresses in its directory. Used only inside the task that owns it.
 class PeerNetwork
 {
 public:
@@ -34,8 +34,9 @@
   // Sends a message if there is a link with the instance.
   void Send(const InstanceId& aTo, const wire::Replication& aMessage);
 
-  // Sends a keep-alive on all links. Instances that are not members are told of
-  // the members and the leader.
+  // Sends a keep-alive on all links; to instances that are not members, it
+  // announces what this one knows of the group. aLeader is the leader by the
+  // replicated log.
   void SendKeepAlives(const InstanceId& aLeader);
 
   // Opens the links that are due.
@@ -45,28 +46,31 @@
   void SetMembers(const consensus::Configuration& aMembers);
 
   // Handles a keep-alive of another instance.
-  void HandleKeepAlive(const wire::Replication& aMessage);
+  void HandleKeepAlive(const InstanceId& aFrom,
+                       const wire::Replication& aMessage);
 
-  // Returns the leader of which other instances told lately; empty if unknown.
+  // Returns the leader that a member has announced lately; empty if unknown.
   InstanceId AnnouncedLeader() const;
 
   // Returns the members of the group that other processes can reach.
   std::vector<wire::ControlEntry> Group() const;
 
+  // Returns the addresses of all instances that this one knows.
+  std::map<InstanceId, Address> Known() const
+  {
+    return this->directory.Addresses();
+  }
+
   std::size_t LinkCount() const { return this->links.size(); }
 
 private:
+  void SetConfigured(const std::vector<settings::ControlMember>& aControl);
   void UpdateTargets();
 
   net::IoTask& task;
   InstanceId self;
-  Duration announcementTimeout;
   caf::actor dialer;
-  std::map<InstanceId, Address> configured;
-  consensus::Configuration members;
-  consensus::Configuration announcedMembers;
-  InstanceId announcedLeader;
-  TimePoint announcedAt{};
+  PeerDirectory directory;
   // Newest link last. An old one may still be open at this side.
   std::map<InstanceId, std::vector<caf::actor>> links;
   DialPlan plan;
--- a/packages/control/src/replica.cc
+++ b/packages/control/src/replica.cc
@@ -29,6 +29,16 @@
   return out;
 }
 
+std::string
+JoinInstances(const std::map<InstanceId, Address>& aAddresses)
+{
+  std::string out;
+  for (const auto& [instance, address] : aAddresses) {
+    out += (out.empty() ? "" : " ") + instance.Get();
+  }
+  return out;
+}
+
 // Owns the consensus node and the state machine. Passes inputs to the node and
 // carries out the effects that it returns.
 class Replica : public net::IoTask
@@ -101,6 +111,7 @@
     this->ProcessEffects(this->node.Tick(net::Now(this->GetRuntime())));
     this->network.OpenLinks();
     this->WarnIfNoLeader();
+    this->ReportLostVoters();
     this->After(kTickInterval, [this] { this->TickPeriodically(); });
   }
 
@@ -203,14 +214,32 @@
   // in the name of the instance that it gave in its Hello.
   void HandleMessage(const PeerMessage& aMessage)
   {
-    this->network.HandleKeepAlive(aMessage.message);
+    this->network.HandleKeepAlive(aMessage.instance, aMessage.message);
     auto message = FromWire(aMessage.message, this->settings.instance);
     if (message && message->from.instance == aMessage.instance) {
+      this->LogJoin(*message);
       this->ProcessEffects(
         this->node.Receive(net::Now(this->GetRuntime()), *message));
     }
   }
 
+  // Logs the first request to join the group that each disk sends.
+  void LogJoin(const consensus::Message& aMessage)
+  {
+    if (!std::holds_alternative<consensus::JoinRequest>(aMessage.body)) {
+      return;
+    }
+    auto& logged = this->loggedJoins[aMessage.from.instance];
+    if (logged != aMessage.from.disk) {
+      logged = aMessage.from.disk;
+      net::Log(net::LogLevel::Info,
+               "a control instance asks to join the group",
+               { { "event", "join_requested" },
+                 { "from", aMessage.from.instance.Get() },
+                 { "leader", this->LeaderId().Get() } });
+    }
+  }
+
   void HandleStorageResult(std::uint64_t aNumber, const std::string& aError)
   {
     if (!aError.empty()) {
@@ -373,10 +402,36 @@
       { { "event", "no_leader" },
         { "voters", JoinInstances(this->node.Members().voters) },
         { "linked", std::to_string(this->network.LinkCount()) },
+        { "known", JoinInstances(this->network.Known()) },
         { "term", std::to_string(this->node.CurrentTerm().Get()) },
         { "last_index", std::to_string(this->node.LastIndex().Get()) } });
   }
 
+  // A group that still counts voters that are gone bears fewer losses.
+  void ReportLostVoters()
+  {
+    auto lost = this->node.LostVoters();
+    if (lost == this->lostVoters) {
+      return;
+    }
+    this->lostVoters = lost;
+    net::Metrics()
+      .GetGauge("lycheestand_control_voters_lost")
+      .Set(static_cast<std::int64_t>(lost.size()));
+    if (!this->node.IsReady()) {
+      return;
+    }
+    auto tolerated = (this->node.Members().voters.size() - 1) / 2;
+    net::Log(lost.empty() ? net::LogLevel::Info : net::LogLevel::Warning,
+             lost.empty() ? "all voters of the control group are in contact"
+                          : "voters of the control group are out of contact",
+             { { "event", "control_voters_lost" },
+               { "lost", JoinInstances(lost) },
+               { "tolerated_losses",
+                 std::to_string(tolerated - std::min(tolerated, lost.size())) },
+               { "linked", std::to_string(this->network.LinkCount()) } });
+  }
+
   void CompactIfNeeded()
   {
     if (this->state.ShouldCompact(this->node.SnapshotIndex())) {
@@ -433,6 +488,9 @@
   LeadershipChanged publishedLeadership;
   Revision publishedRevision;
   consensus::Configuration knownMembers;
+  std::set<consensus::Member> lostVoters;
+  // The disk of each instance whose request to join has been logged.
+  std::map<InstanceId, DiskId> loggedJoins;
   net::DurationHistogram commitTime =
     net::Metrics().GetHistogram("lycheestand_commit_seconds");
   // Start of the current period without a leader; while there is one, the
--- a/packages/control/src/replication_codec.cc
+++ b/packages/control/src/replication_codec.cc
@@ -183,23 +183,25 @@
 
 // The members are encoded as the only entry of the message.
 wire::Replication
-MakeAnnouncement(const InstanceId& aFrom,
-                 const InstanceId& aLeader,
-                 const consensus::Configuration& aMembers)
+MakeAnnouncement(const InstanceId& aFrom, const Announcement& aAnnouncement)
 {
   wire::Replication out = MakeKeepAlive(aFrom);
-  out.leader = aLeader;
-  out.entries.push_back({ Term(), LogIndex(), 0, EncodeMembers(aMembers) });
+  out.leader = aAnnouncement.leader;
+  out.entries.push_back(
+    { Term(), LogIndex(), 0, EncodeMembers(aAnnouncement.members) });
   return out;
 }
 
-std::optional<consensus::Configuration>
+std::optional<Announcement>
 ReadAnnouncement(const wire::Replication& aMessage)
 {
   if (aMessage.kind != KeepAlive || aMessage.entries.size() != 1) {
     return std::nullopt;
   }
-  return DecodeMembers(aMessage.entries.front().payload);
+  auto members = DecodeMembers(aMessage.entries.front().payload);
+  return members
+           ? std::optional(Announcement{ aMessage.leader, std::move(*members) })
+           : std::nullopt;
 }
 
 wire::Replication
--- a/packages/control/src/replication_codec.h
+++ b/packages/control/src/replication_codec.h
@@ -3,6 +3,8 @@
 
 // Converts between the consensus package's messages and wire::Replication.
 
+#include "peer_directory.h"
+
 #include <lycheestand/consensus.h>
 #include <lycheestand/wire.h>
 
@@ -12,16 +14,13 @@
 wire::Replication
 MakeKeepAlive(const InstanceId& aFrom);
 
-// Returns a keep-alive that tells an instance which is not a member of the
-// group's members and, if it is known, of the leader.
+// Returns a keep-alive that has an announcement.
 wire::Replication
-MakeAnnouncement(const InstanceId& aFrom,
-                 const InstanceId& aLeader,
-                 const consensus::Configuration& aMembers);
+MakeAnnouncement(const InstanceId& aFrom, const Announcement& aAnnouncement);
 
-// Returns the members in a keep-alive, or nothing if it has none or is
+// Returns the announcement in a keep-alive, or nothing if it has none or is
 // malformed. Untrusted input is safe.
-std::optional<consensus::Configuration>
+std::optional<Announcement>
 ReadAnnouncement(const wire::Replication& aMessage);
 
 wire::Replication
--- a/packages/control/test/replication_codec_test.cc
+++ b/packages/control/test/replication_codec_test.cc
@@ -61,11 +61,14 @@
   CHECK(join.location.address == Address{ "10.1.0.9", 7340 });
   CHECK(join.location.zone == ZoneId("z2"));
 
-  auto decoded = wire::Decode(wire::Encode(
-    MakeAnnouncement(this->from.instance, this->to.instance, this->members)));
+  auto decoded = wire::Decode(wire::Encode(MakeAnnouncement(
+    this->from.instance, { this->to.instance, this->members })));
   const auto& keepAlive = std::get<wire::Replication>(decoded.value());
   CHECK(keepAlive.leader == this->to.instance);
-  CHECK(ReadAnnouncement(keepAlive) == this->members);
+  auto announced = ReadAnnouncement(keepAlive);
+  REQUIRE(announced);
+  CHECK(announced->leader == this->to.instance);
+  CHECK(announced->members == this->members);
   CHECK_FALSE(ReadAnnouncement(MakeKeepAlive(this->from.instance)));
   CHECK_FALSE(FromWire(keepAlive, this->to.instance));
 }
--- a/test/faults/group_test.cc
+++ b/test/faults/group_test.cc
@@ -226,4 +226,76 @@
   }
 }
 
+namespace {
+
+// Three machines with disks that form the group, and three without.
+class GatewayFixture : public GroupFixture
+{
+public:
+  static constexpr std::array kMembers{ 1, 2, 3 };
+  static constexpr std::array kGateways{ 4, 5, 6 };
+
+  MachineOptions Options(const std::vector<int>& aSeeds, bool aHasDisk) const
+  {
+    MachineOptions options;
+    options.seeds = aSeeds;
+    options.hasDisk = aHasDisk;
+    return options;
+  }
+
+  void Form()
+  {
+    for (int machine : kMembers) {
+      MachineOptions options = this->Options({ 1, 2, 3 }, true);
+      options.bootstrap = true;
+      this->fleet.StartControl(machine, options);
+    }
+    for (int machine : kGateways) {
+      this->fleet.StartControl(machine, this->Options({ 1, 2, 3 }, false));
+    }
+    REQUIRE(WaitFor(kRecoveryTime, [this] {
+      return this->fleet.PutConfiguration(4, 3) == 200;
+    }));
+  }
+
+  void ExchangeSeeds()
+  {
+    for (int machine : kMembers) {
+      this->fleet.Reload(machine, this->Options({ 4, 5, 6 }, true));
+    }
+    for (int machine : kGateways) {
+      this->fleet.Reload(machine, this->Options({ 4, 5, 6 }, false));
+    }
+  }
+};
+
+} // namespace
+
+// Guards against a new instance that never joins the group because its seeds
+// have no disk: the group would then count the lost machine for ever, and the
+// next lost disk would take the configuration with it.
+TEST_CASE_METHOD(GatewayFixture,
+                 "a new machine joins although its seeds are not members",
+                 "[group-seeds-exchanged]")
+{
+  this->Form();
+  this->ExchangeSeeds();
+  this->fleet.Machine(3).Kill();
+  this->fleet.StartControl(9, this->Options({ 4, 5, 6 }, true));
+  // The lost machine counts as the one that may be lost until then.
+  std::this_thread::sleep_for(kCatchUpTime);
+  int leader = this->FindLeader();
+  REQUIRE(leader > 0);
+  CHECK(this->fleet.ReadMetric(
+          leader, true, "lycheestand_control_voters_lost") == 0);
+  REQUIRE(this->fleet.PutConfiguration(4, 5) == 200);
+
+  this->fleet.Machine(1).Kill();
+  this->fleet.LoseDisk(1);
+  this->fleet.StartControl(1, this->Options({ 4, 5, 6 }, true));
+  CHECK(this->ReadsVersion(5, 4));
+  CHECK(WaitFor(kRecoveryTime,
+                [this] { return this->fleet.PutConfiguration(5, 8) == 200; }));
+}
+
 } // namespace lycheestand::faults
--- a/test/faults/platform_fleet.cc
+++ b/test/faults/platform_fleet.cc
@@ -122,10 +122,10 @@
   this->Start(aMachine, aOptions, "router");
 }
 
-void
-PlatformFleet::Start(int aMachine,
-                     const MachineOptions& aOptions,
-                     const std::string& aRole)
+std::filesystem::path
+PlatformFleet::WriteSettings(int aMachine,
+                             const MachineOptions& aOptions,
+                             const std::string& aRole)
 {
   std::string ip = this->environment.MachineIp(aMachine);
   auto at = [&ip](std::uint16_t aPort) {
@@ -174,6 +174,24 @@
   }
   auto file = this->environment.Folder() / (machine + ".json");
   std::ofstream(file) << json::serialize(settings);
+  return file;
+}
+
+void
+PlatformFleet::Reload(int aMachine, const MachineOptions& aOptions)
+{
+  this->WriteSettings(aMachine, aOptions, this->roles.at(aMachine));
+  this->Machine(aMachine).Signal(SIGHUP);
+}
+
+void
+PlatformFleet::Start(int aMachine,
+                     const MachineOptions& aOptions,
+                     const std::string& aRole)
+{
+  auto file = this->WriteSettings(aMachine, aOptions, aRole);
+  std::string machine = aRole + std::to_string(aMachine);
+  this->roles[aMachine] = aRole;
   auto& process = this->processes[aMachine];
   if (!process) {
     process = std::make_unique<Process>(
--- a/test/faults/platform_fleet.h
+++ b/test/faults/platform_fleet.h
@@ -8,6 +8,7 @@
 #include "http_client.h"
 
 #include <boost/json.hpp>
+#include <filesystem>
 #include <memory>
 #include <optional>
 
@@ -55,6 +56,9 @@
   // that runs is not started again.
   void StartControl(int aMachine, const MachineOptions& aOptions);
   void StartRouter(int aMachine, const MachineOptions& aOptions);
+  // Writes the settings file of a machine whose process runs, which then gets
+  // SIGHUP.
+  void Reload(int aMachine, const MachineOptions& aOptions);
   Process& Machine(int aMachine) { return *this->processes.at(aMachine); }
   void KillAll();
   // Deletes the disk of a machine, whose process must not be running.
@@ -98,12 +102,17 @@
   void Start(int aMachine,
              const MachineOptions& aOptions,
              const std::string& aRole);
+  // Writes the settings file of a process and returns its path.
+  std::filesystem::path WriteSettings(int aMachine,
+                                      const MachineOptions& aOptions,
+                                      const std::string& aRole);
   // Sends a request of an operator; follows up to two redirects.
   Reply SendToControl(int aMachine, const Call& aCall) const;
 
   std::string name;
   TestEnvironment environment;
   std::map<int, std::unique_ptr<Process>> processes;
+  std::map<int, std::string> roles;
   int uncaughtExceptions;
 };
 
