Let control instances use the seeds of a reload

What callers would see: after the seeds were exchanged for machines that serve control without a disk, and these were restarted, they answered operators with 503 for as long as the members kept running.

Cause: a reload passed the new seeds to the router only. The restarted instances knew only each other, and the members, which still had the seeds of their own start, did not open links to them.

Change: Control::SetControl replaces the addresses from the settings, as Router::SetControl does, so members open links to the new seeds and announce the group there.

Evidence: faults_group-gateways-restarted fails on (three of four checks: no machine reads the configuration within 15 s) and passes now.

--- a/packages/control/include/lycheestand/control.h
+++ b/packages/control/include/lycheestand/control.h
@@ -60,6 +60,10 @@
   // operator's key first.
   virtual net::HttpHandler OperatorHandler() = 0;
 
+  // Replaces the addresses at which this instance finds others. Links to other
+  // addresses stay open.
+  virtual void SetControl(std::vector<settings::ControlMember> aMembers) = 0;
+
   // Replaces the route table unless the current version is higher. Calls aDone
   // after a quorum has stored the change, or after a failure or a timeout.
   virtual void ReplaceRoutes(net::IoTask& aTask,
--- a/packages/control/src/control.cc
+++ b/packages/control/src/control.cc
@@ -50,6 +50,11 @@
     return MakeOperatorHandler(this->replica, this->fleet);
   }
 
+  void SetControl(std::vector<settings::ControlMember> aMembers) override
+  {
+    caf::anon_send(this->replica, SetPeers{ std::move(aMembers) });
+  }
+
   void ReplaceRoutes(net::IoTask& aTask,
                      RoutesDocument aDocument,
                      RoutesCallback aDone) override
--- a/packages/control/src/gateway.cc
+++ b/packages/control/src/gateway.cc
@@ -53,6 +53,7 @@
       },
       [this](PeerLink& aLink) { this->network.HandleLink(aLink); },
       [this](PeerMessage& aMessage) { this->HandleMessage(aMessage); },
+      [this](SetPeers& aSet) { this->network.SetConfigured(aSet.control); },
       [](LogBudgets) {},
       [this](DumpState) {
         return R"({"role":"gateway","leader":")" + this->Leader().Get() +
--- a/packages/control/src/messages.h
+++ b/packages/control/src/messages.h
@@ -94,6 +94,12 @@
   std::vector<wire::ControlEntry> group;
 };
 
+// Replaces the addresses of other control instances in the settings.
+struct SetPeers
+{
+  std::vector<settings::ControlMember> control;
+};
+
 // Tells the task that opens links to open one to a control instance. The answer
 // is PeerLink.
 struct DialPeer
@@ -227,6 +233,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::FindTokenHolders)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::TokenHolders)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::GroupChanged)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::SetPeers)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::DialPeer)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::PeerLink)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::PeerMessage)
--- a/packages/control/src/peer_network.h
+++ b/packages/control/src/peer_network.h
@@ -42,6 +42,9 @@
   // Opens the links that are due.
   void OpenLinks();
 
+  // Replaces the addresses from the settings.
+  void SetConfigured(const std::vector<settings::ControlMember>& aControl);
+
   // Sets the members of the group by the replicated log.
   void SetMembers(const consensus::Configuration& aMembers);
 
@@ -64,7 +67,6 @@
   std::size_t LinkCount() const { return this->links.size(); }
 
 private:
-  void SetConfigured(const std::vector<settings::ControlMember>& aControl);
   void UpdateTargets();
 
   net::IoTask& task;
--- a/packages/control/src/replica.cc
+++ b/packages/control/src/replica.cc
@@ -88,6 +88,7 @@
       [this](GetRoutes) { return this->HandleGetRoutes(); },
       [this](PeerLink& aLink) { this->HandleLink(aLink); },
       [this](PeerMessage& aMessage) { this->HandleMessage(aMessage); },
+      [this](SetPeers& aSet) { this->network.SetConfigured(aSet.control); },
       [this](LogBudgets) { LogLargestBudgets(this->state.Machine()); },
       [this](DumpState) {
         return FormatReplicaStatus(
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -21,7 +21,7 @@
 constexpr int kExitStartError = 3;
 
 // Interval of the checks for a changed settings file. It needn't be shorter,
-// because the control addresses in the file are used only when a link is lost.
+// because the control addresses in the file are needed only for new links.
 constexpr Duration kFileWatchInterval = std::chrono::seconds(1);
 
 // Time limit for operators' requests in flight at a stop.
@@ -242,9 +242,15 @@
              { { "event", "reload" },
                { "cause", aCause },
                { "seeds", std::to_string(members.size()) } });
-    if (this->router && !members.empty()) {
+    if (members.empty()) {
+      return;
+    }
+    if (this->router) {
       this->router->SetControl(members);
     }
+    if (this->control) {
+      this->control->SetControl(members);
+    }
   }
 
   // Waits for operators' requests in flight, then ends the process.
--- a/test/faults/group_test.cc
+++ b/test/faults/group_test.cc
@@ -298,4 +298,24 @@
                 [this] { return this->fleet.PutConfiguration(5, 8) == 200; }));
 }
 
+// Guards against instances without a disk that never find the group after all
+// of them were restarted: their seeds only name each other, so the members have
+// to use the exchanged seeds.
+TEST_CASE_METHOD(GatewayFixture,
+                 "restarted machines without a disk find the group",
+                 "[group-gateways-restarted]")
+{
+  this->Form();
+  this->ExchangeSeeds();
+  for (int machine : kGateways) {
+    this->fleet.Machine(machine).Kill();
+  }
+  for (int machine : kGateways) {
+    this->fleet.StartControl(machine, this->Options({ 4, 5, 6 }, false));
+  }
+  for (int machine : kGateways) {
+    CHECK(this->ReadsVersion(3, machine));
+  }
+}
+
 } // namespace lycheestand::faults
