Ask for keys also when the configuration has an empty list of tenants

Endpoints got no X-Tenant and no budget was charged.

Cause: RouteTable::HasWorkspaces stood for two things, that there are workspaces and that keys are asked for. The reader of the document did not tell an empty list from a configuration without one, so a table without workspaces was open to everybody. match_route and recheck both went by it.

The new case faults_no-workspaces fails on that binary (requests with the removed, an unknown and an empty key get 200 instead of 401) and passes now.

Change: the table has a KeyPolicy, set by whether the document has the member at all, and RequiresKey(route) replaces HasWorkspaces, so requests that waited are checked by the same rule. The stored and sent form is the operator's text, in which the two cases always differed; no format changes.

The fault tests' plain document had "tenants":[] and sent requests without a key; it relied on this fault and has no tenants now.

--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -65,7 +65,8 @@
                         error-after-stream cut-head endless-answer endless-chat
                         repeated-refusal server-leaving retry-after rate-limit rate-limit-refusal
                         rate-limit-restart late-stop broken-service-stream
-                        late-chat group-seeds-exchanged group-gateways-restarted)
+                        late-chat group-seeds-exchanged group-gateways-restarted
+                        no-workspaces)
 lycheestand_fault_cases(long group-replaced group-seeds budget-killed budget-frozen answers-broken once-race once-cut
                         config-one-way config-frozen config-restart control-race control-resent
                         control-killed control-isolated control-one-way control-disk control-restart
--- a/packages/router/src/match_route.cc
+++ b/packages/router/src/match_route.cc
@@ -36,7 +36,7 @@
 bool
 FindWorkspace(const RequestPtr& aRequest, RoutedCall& aCall, bool aIsConfirmed)
 {
-  if (aCall.route->isPublic || !aCall.table->HasWorkspaces()) {
+  if (!aCall.table->RequiresKey(*aCall.route)) {
     return true;
   }
   const auto& key = aCall.description.key;
--- a/packages/router/src/recheck.cc
+++ b/packages/router/src/recheck.cc
@@ -48,7 +48,7 @@
     return false;
   }
   if (aRequest.workspace.Get().empty()) {
-    return route->isPublic || !aTable.HasWorkspaces();
+    return !aTable.RequiresKey(*route);
   }
   const auto* found =
     aTable.FindWorkspaceByKey(call.description.key.value_or(""));
--- a/packages/routes/include/lycheestand/routes.h
+++ b/packages/routes/include/lycheestand/routes.h
@@ -84,12 +84,21 @@
   std::vector<std::string> keys;
 };
 
+// Whether requests need the key of a workspace, unless their route is public.
+enum class KeyPolicy
+{
+  NotRequired,
+  // Also while there is no workspace, and so no valid key.
+  Required
+};
+
 // One version of the route table.
 class RouteTable
 {
 public:
-  explicit RouteTable(ConfigVersion aVersion)
+  RouteTable(ConfigVersion aVersion, KeyPolicy aKeyPolicy)
     : version(aVersion)
+    , keyPolicy(aKeyPolicy)
   {
   }
 
@@ -111,9 +120,11 @@
   // Returns a service; null if there is none with that name.
   const Service* Find(const ServiceName& aService) const;
 
-  // Returns whether there are workspaces, so that requests need keys unless
-  // their route is public.
-  bool HasWorkspaces() const { return !this->workspaces.empty(); }
+  // Returns whether a request on the route needs the key of a workspace.
+  bool RequiresKey(const Route& aRoute) const
+  {
+    return this->keyPolicy == KeyPolicy::Required && !aRoute.isPublic;
+  }
 
   // Returns the total of prepaid tokens of each workspace.
   std::vector<std::pair<WorkspaceId, Tokens>> PrepaidByWorkspace() const;
@@ -123,6 +134,7 @@
   using RouteKey = std::pair<std::string, std::string>;
 
   ConfigVersion version;
+  KeyPolicy keyPolicy;
   std::map<RouteKey, Route, std::less<>> routes;
   std::map<ServiceName, Service> services;
   std::map<WorkspaceId, Workspace> workspaces;
--- a/packages/routes/test/routes_test.cc
+++ b/packages/routes/test/routes_test.cc
@@ -24,7 +24,7 @@
     return route;
   }
 
-  RouteTable table{ ConfigVersion(1) };
+  RouteTable table{ ConfigVersion(1), KeyPolicy::Required };
 };
 
 } // namespace
@@ -70,6 +70,23 @@
   CHECK(this->table.Add(second) == "two workspaces share a key");
 }
 
+// Guards against a table that is open to everybody once its last workspace has
+// been removed.
+TEST_CASE_METHOD(RoutesFixture, "keys are required without workspaces, too")
+{
+  Route open = this->MakeRoute("/open/");
+  open.isPublic = true;
+  REQUIRE(this->table.Add(open) == "");
+  REQUIRE(this->table.Add(this->MakeRoute("/a/")) == "");
+  CHECK(this->table.RequiresKey(*this->table.Find("a.example", "/a/")));
+  CHECK_FALSE(
+    this->table.RequiresKey(*this->table.Find("a.example", "/open/")));
+  CHECK(this->table.FindWorkspaceByKey("") == nullptr);
+
+  RouteTable keyless(ConfigVersion(1), KeyPolicy::NotRequired);
+  CHECK_FALSE(keyless.RequiresKey(this->MakeRoute("/a/")));
+}
+
 // Guards against a split that sends requests to a service with weight 0.
 TEST_CASE_METHOD(RoutesFixture, "services are chosen by their weights")
 {
--- a/packages/settings/test/settings_test.cc
+++ b/packages/settings/test/settings_test.cc
@@ -39,6 +39,25 @@
     settings.AllowsModel(workspace, SiteId("depot"), ModelName("b")));
 }
 
+// Guards against an empty list that is taken for one that was left out, and so
+// allows everything, also after the way from control to a router.
+TEST_CASE("An empty list of names allows nothing")
+{
+  auto snapshot = ParseFleetSnapshot(FormatFleetSnapshot(
+    R"({"models":{"a":{}},"workspaces":{"none":{"models":[],"services":[]}},)"
+    R"("sites":{"depot":{"models":[]}}})",
+    {}));
+  REQUIRE(snapshot.has_value());
+  const auto& settings = snapshot.value().settings;
+  const ModelName model("a");
+  CHECK(settings.AllowsModel(WorkspaceId("all"), SiteId(), model));
+  CHECK_FALSE(settings.AllowsModel(WorkspaceId("none"), SiteId(), model));
+  CHECK_FALSE(
+    settings.AllowsService(WorkspaceId("none"), SiteId(), ServiceName("s")));
+  CHECK_FALSE(settings.AllowsModel(WorkspaceId("all"), SiteId("depot"), model));
+  CHECK(snapshot.value().keys.empty());
+}
+
 // Guards against settings or keys that are lost between control and routers.
 TEST_CASE("A formatted snapshot is parsed to the same settings and keys")
 {
--- a/test/faults/platform_fleet.cc
+++ b/test/faults/platform_fleet.cc
@@ -48,8 +48,7 @@
     { "services",
       json::array{ json::object{
         { "name", "s" }, { "healthPath", "/health" }, { "maxConns", 10 } } } },
-    { "limits", json::object() },
-    { "tenants", json::array() } });
+    { "limits", json::object() } });
 }
 
 } // namespace
@@ -71,10 +70,20 @@
 
 std::string
 MakeEngineDocument(json::array aRoutes, std::int64_t aPrepaid)
+{
+  json::object tenant{ { "name", "w" },
+                       { "apiKeys", json::array{ "k" } },
+                       { "prepaid", aPrepaid } };
+  return MakeEngineDocument(
+    1, std::move(aRoutes), json::array{ std::move(tenant) });
+}
+
+std::string
+MakeEngineDocument(int aVersion, json::array aRoutes, json::array aTenants)
 {
   json::object engine{ { "slots", 16 }, { "kvCapacityTokens", 100000 } };
   return json::serialize(json::object{
-    { "version", 1 },
+    { "version", aVersion },
     { "routes", std::move(aRoutes) },
     { "services",
       json::array{ json::object{ { "name", "llm" },
@@ -82,10 +91,7 @@
                                  { "maxConns", 100 },
                                  { "engine", std::move(engine) } } } },
     { "limits", json::object() },
-    { "tenants",
-      json::array{ json::object{ { "name", "w" },
-                                 { "apiKeys", json::array{ "k" } },
-                                 { "prepaid", aPrepaid } } } } });
+    { "tenants", std::move(aTenants) } });
 }
 
 PlatformFleet::PlatformFleet(std::string aCase)
--- a/test/faults/platform_fleet.h
+++ b/test/faults/platform_fleet.h
@@ -36,11 +36,16 @@
 json::object
 MakeEngineRoute(const std::string& aName, const char* aKind, bool aIsResumable);
 
-// Returns a configuration with these routes, the service "llm", and a workspace
-// with the key "k" that may spend aPrepaid tokens.
+// Returns version 1 of a configuration with these routes, the service "llm",
+// and a workspace with the key "k" that may spend aPrepaid tokens.
 std::string
 MakeEngineDocument(json::array aRoutes, std::int64_t aPrepaid);
 
+// Returns a configuration with these routes and workspaces, and the service
+// "llm".
+std::string
+MakeEngineDocument(int aVersion, json::array aRoutes, json::array aTenants);
+
 // Machines are numbered from 1. A machine runs one process, which is control or
 // a router. Machines 1, 2 and 3 are in different availability zones, and so on
 // in turn.
--- a/test/faults/replica_faults_test.cc
+++ b/test/faults/replica_faults_test.cc
@@ -43,13 +43,9 @@
     this->fleet.StartControl(kControlNumber, options);
     this->fleet.StartRouter(kRouterNumber, options);
     REQUIRE(WaitFor(kServeTime, [this, aPrepaid] {
-      json::array routes{ MakeEngineRoute("resumable", "streaming", true),
-                          MakeEngineRoute("stream", "streaming", false),
-                          MakeEngineRoute("safe", "safe", false),
-                          MakeEngineRoute("once", "unsafe", false) };
       return this->fleet.PutDocument(
-               kControlNumber,
-               MakeEngineDocument(std::move(routes), aPrepaid)) == 200;
+               kControlNumber, MakeEngineDocument(MakeRoutes(), aPrepaid)) ==
+             200;
     }));
     this->SetAnswer([](int, const ReplicaRequest& aRequest) {
       return ReplicaAnswer{ { MakeAnswer(200, aRequest, "sound") } };
@@ -58,6 +54,14 @@
                     [this] { return this->Send("/safe/1").status == 200; }));
   }
 
+  static json::array MakeRoutes()
+  {
+    return { MakeEngineRoute("resumable", "streaming", true),
+             MakeEngineRoute("stream", "streaming", false),
+             MakeEngineRoute("safe", "safe", false),
+             MakeEngineRoute("once", "unsafe", false) };
+  }
+
   // Sets how replicas answer from now on.
   void SetAnswer(Answer aAnswer)
   {
@@ -66,14 +70,14 @@
   }
 
   // Sends a request of 230 tokens at most.
-  Reply Send(const std::string& aTarget)
+  Reply Send(const std::string& aTarget, const std::string& aKey = "k")
   {
     Call call;
     call.method = "POST";
     call.target = aTarget;
     call.headers = { { "Host", "h.example" },
                      { "X-Request-Id", "q" + std::to_string(++this->requests) },
-                     { "X-Key", "k" },
+                     { "X-Key", aKey },
                      { "X-Deadline-Ms", "3000" } };
     if (aTarget.find("/safe/") == std::string::npos &&
         aTarget.find("/once/") == std::string::npos) {
@@ -116,6 +120,34 @@
 
 } // namespace
 
+// Guards against a fleet that is open to everybody once the operator has taken
+// the last workspace out of the configuration.
+TEST_CASE_METHOD(ReplicaFaultsFixture,
+                 "without workspaces no key is valid",
+                 "[no-workspaces]")
+{
+  constexpr Duration kApplyTime = 2s;
+  std::atomic<int> runs{ 0 };
+  this->SetAnswer([&](int, const ReplicaRequest& aRequest) {
+    ++runs;
+    return ReplicaAnswer{ { MakeAnswer(200, aRequest, "run") } };
+  });
+  CHECK(this->Send("/once/1", "unknown").status == 401);
+  CHECK(this->Send("/once/1").status == 200);
+  REQUIRE(this->fleet.PutDocument(
+            kControlNumber,
+            MakeEngineDocument(2, MakeRoutes(), json::array())) == 200);
+  std::this_thread::sleep_for(kApplyTime);
+  runs = 0;
+  for (const char* key : { "k", "unknown", "" }) {
+    for (const char* target : { "/once/1", "/safe/1", "/stream/1" }) {
+      INFO("key \"" << key << "\", " << target);
+      CHECK(this->Send(target, key).status == 401);
+    }
+  }
+  CHECK(runs == 0);
+}
+
 // Guards against callers that are refused as out of budget after runs that
 // failed: they got nothing for the tokens.
 TEST_CASE_METHOD(SmallBudgetFixture,
