Bound the memory that large requests and answers take together

What callers would see (an operator's report: bytes without end filled a machine's memory, and the requests of others ended with it): each message had a limit, 4 MiB for a body and 1 MiB for an event, but their sum had none. Many answers that stopped before their end, or many requests that callers did not complete, took more memory than a machine has.

Evidence: two new cases send 40 messages of 4 MB that stop 1 kB before their end, beside small requests, to a router whose machine has 88 MB.

Change: the HTTP server owns a ledger of bytes. A connection holds 32 KiB without asking; for more it asks its server, in powers of two, while a request arrives (counted twice, since it is copied when it is forwarded) and while an answer or an event is kept. A message gets at most half of what the others leave, so that large ones don't lock small ones out. A request that gets none is refused at once with 503 and Retry-After; it has not run. An answer that gets none ends its attempt like an interrupted one.

The rest of a refused request is read and dropped for up to a second, so that the refusal is not lost with a reset. This also holds for requests over the size limits.

Not covered: answers of services on the project's own interface (Fetch, 4 MiB each), and what a connection keeps below 32 KiB.

--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -20,7 +20,7 @@
 lycheestand_package(quarantine DEPS lycheestand_core)
 lycheestand_package(limits DEPS lycheestand_core)
 lycheestand_package(routes DEPS lycheestand_core)
-lycheestand_package(discovery DEPS lycheestand_net lycheestand_membership)
+lycheestand_package(discovery DEPS lycheestand_net lycheestand_membership TEST_INCLUDE packages/net/test)
 lycheestand_package(router DEPS lycheestand_routes lycheestand_discovery lycheestand_net lycheestand_settings lycheestand_budget lycheestand_routing lycheestand_membership lycheestand_quarantine lycheestand_limits lycheestand_wire)
 lycheestand_package(control DEPS lycheestand_discovery lycheestand_net lycheestand_settings lycheestand_state lycheestand_membership lycheestand_quarantine lycheestand_limits lycheestand_wire lycheestand_journal lycheestand_consensus lycheestand_storage)
 lycheestand_package(client DEPS lycheestand_net lycheestand_settings)
@@ -65,7 +65,7 @@
                         error-after-stream cut-head endless-answer endless-chat
                         repeated-refusal server-leaving retry-after rate-limit rate-limit-refusal
                         rate-limit-restart late-stop broken-service-stream
-                        late-chat group-seeds-exchanged group-gateways-restarted
+                        late-chat large-answers large-requests group-seeds-exchanged group-gateways-restarted
                         no-workspaces)
 lycheestand_fault_cases(long group-replaced group-seeds budget-killed budget-frozen answers-broken once-race once-cut
                         config-one-way config-frozen config-restart control-race control-resent
--- a/packages/net/include/lycheestand/net.h
+++ b/packages/net/include/lycheestand/net.h
@@ -234,6 +234,9 @@
   // Returns false for a default-constructed handle, which refers to no call.
   bool IsValid() const { return this->task != nullptr; }
 
+  // Returns whether both refer to the same call.
+  friend bool operator==(const CallHandle&, const CallHandle&) = default;
+
 private:
   IoTask* task = nullptr;
   std::uint64_t id = 0;
@@ -344,6 +347,12 @@
   virtual void WriteStream(std::string aChunk,
                            std::function<void()> aWritten) = 0;
 
+  // Asks to hold this many bytes of a response in memory until the response is
+  // complete. aDone gets whether they may be held; it may run at once, and does
+  // not run after the connection has closed.
+  virtual void HoldBytes(std::size_t aBytes,
+                         std::function<void(bool)> aDone) = 0;
+
   // Marks a streamed response as complete.
   virtual void EndStream() = 0;
 
@@ -373,6 +382,9 @@
 {
   std::size_t maxHeaderBytes = 16 * 1024;
   std::size_t maxBodyBytes = 4 * 1024 * 1024;
+  // Bytes of large requests and responses that all connections together hold in
+  // memory. A request beyond that is refused with 503.
+  std::size_t maxBufferedBytes = 32 * 1024 * 1024;
   // While this many are open, no more are accepted.
   std::size_t maxConnections = 4096;
   // Maximum time for a connection's first request to arrive.
--- a/packages/net/src/http_connection.cc
+++ b/packages/net/src/http_connection.cc
@@ -1,5 +1,7 @@
 #include "http_connection.h"
 
+#include <algorithm>
+#include <bit>
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
@@ -22,6 +24,23 @@
 // Longest time for which the rest of an aborted response is written.
 constexpr Duration kMaxAbortTime = std::chrono::milliseconds(250);
 
+// Longest time for which the rest of a rejected request is read and dropped.
+constexpr Duration kMaxDiscardTime = std::chrono::seconds(1);
+constexpr std::size_t kDiscardBytes = 16 * 1024;
+
+// Bytes of its request and response that a connection holds without asking its
+// server.
+constexpr std::size_t kUnheldBytes = 32 * 1024;
+
+// Read buffer of a connection while it gets a large request.
+constexpr std::size_t kLargeReadBytes = 32 * 1024;
+
+// A request is copied when it is forwarded.
+constexpr std::size_t kRequestCopies = 2;
+
+// Retry-After of a request for which there is no memory now.
+constexpr const char* kNoMemoryRetrySeconds = "0.5";
+
 // Returns whether the error means that the received bytes are not a valid HTTP
 // request. Other errors mean that the connection has ended.
 bool
@@ -128,6 +147,13 @@
       }
     }
 
+    void HoldBytes(std::size_t aBytes, std::function<void(bool)> aDone) override
+    {
+      if (this->connection) {
+        this->connection->HoldBytes(aBytes, std::move(aDone));
+      }
+    }
+
     void EndStream() override
     {
       if (this->connection) {
@@ -210,16 +236,89 @@
     this->parser.emplace();
     this->parser->header_limit(this->options.maxHeaderBytes);
     this->parser->body_limit(this->options.maxBodyBytes);
-    http::async_read(
+    this->parser->eager(true);
+    this->requestBytes = 0;
+    this->ReadMore();
+  }
+
+  void ReadMore()
+  {
+    http::async_read_some(
       this->socket,
       this->buffer,
       *this->parser,
       asio::bind_executor(this->Executor(),
                           [this](beast::error_code aError, std::size_t) {
-                            this->HandleRequest(aError);
+                            if (aError || this->parser->is_done()) {
+                              this->HandleRequest(aError);
+                            } else {
+                              this->HandlePart();
+                            }
                           }));
   }
 
+  // A limit of each request alone would not keep many callers from filling the
+  // memory with requests that they never complete.
+  void HandlePart()
+  {
+    this->requestBytes = this->parser->get().body().size() * kRequestCopies;
+    if (this->requestBytes > kUnheldBytes) {
+      // Beast reads at most the buffer's capacity at once.
+      this->buffer.reserve(kLargeReadBytes);
+    }
+    this->HoldBytes(0, [this](bool aMayHold) {
+      if (aMayHold) {
+        this->ReadMore();
+      } else {
+        this->RejectForMemory();
+      }
+    });
+  }
+
+  // Asks the server to hold the request and this many bytes of a response.
+  void HoldBytes(std::size_t aResponseBytes, std::function<void(bool)> aDone)
+  {
+    std::size_t bytes = this->requestBytes + aResponseBytes;
+    if (bytes <= std::max(kUnheldBytes, this->heldBytes)) {
+      aDone(true);
+      return;
+    }
+    // Powers of two keep the number of questions low while a message grows.
+    bytes = std::bit_ceil(bytes);
+    this->request(this->server, caf::infinite, HoldBuffer{ bytes })
+      .then([this, bytes, done = std::move(aDone)](bool aMayHold) {
+        if (aMayHold) {
+          this->heldBytes = std::max(this->heldBytes, bytes);
+        }
+        done(aMayHold);
+      });
+  }
+
+  void ReleaseBytes()
+  {
+    if (this->heldBytes > 0) {
+      this->heldBytes = 0;
+      this->send(this->server, ReleaseBuffer{});
+    }
+  }
+
+  void RejectForMemory()
+  {
+    Log(LogLevel::Warning,
+        "refused a request: the memory for large requests is used up",
+        { { "event", "buffers_full" }, { "peer", this->peer } });
+    this->keepAlive = false;
+    this->hasUnreadRequest = true;
+    this->parser.reset();
+    this->exchange = std::make_shared<ServerExchange>(this, HttpRequest{});
+    this->exchange->Respond(
+      { 503,
+        { { "Content-Type", "application/json" },
+          { "Retry-After", kNoMemoryRetrySeconds } },
+        R"({"error":{"code":"buffers_full","message":)"
+        R"("this instance has no memory for the request now","ran":"not_run"}})" });
+  }
+
   void HandleRequest(beast::error_code aError)
   {
     if (aError == http::error::body_limit ||
@@ -276,6 +375,7 @@
   void RejectOversized(unsigned aStatus)
   {
     this->keepAlive = false;
+    this->hasUnreadRequest = true;
     this->exchange = std::make_shared<ServerExchange>(this, HttpRequest{});
     this->exchange->Respond(
       { aStatus,
@@ -461,15 +561,38 @@
   {
     this->exchange->Complete();
     this->exchange.reset();
+    this->ReleaseBytes();
     if (!this->keepAlive) {
       beast::error_code ignored;
       this->socket.shutdown(tcp::socket::shutdown_send, ignored);
-      this->quit();
+      if (this->hasUnreadRequest) {
+        this->After(kMaxDiscardTime, [this] { this->quit(); });
+        this->DiscardInput();
+      } else {
+        this->quit();
+      }
       return;
     }
     this->ReadRequest();
   }
 
+  // Drops what the caller still sends. Closing a socket with unread data resets
+  // the connection, and the caller may then lose the response.
+  void DiscardInput()
+  {
+    this->buffer.clear();
+    this->socket.async_read_some(
+      this->buffer.prepare(kDiscardBytes),
+      asio::bind_executor(this->Executor(),
+                          [this](beast::error_code aError, std::size_t) {
+                            if (aError) {
+                              this->quit();
+                            } else {
+                              this->DiscardInput();
+                            }
+                          }));
+  }
+
   // Closes the connection after the request in progress, or immediately if
   // there is none.
   void StopAfterRequest()
@@ -487,6 +610,10 @@
   std::string peer;
   beast::flat_buffer buffer;
   std::optional<http::request_parser<http::string_body>> parser;
+  // Bytes that the request in progress takes, and bytes that the server lets
+  // this connection hold.
+  std::size_t requestBytes = 0;
+  std::size_t heldBytes = 0;
   std::shared_ptr<ServerExchange> exchange;
   std::uint64_t exchangeNumber = 0;
   std::deque<QueuedWrite> writes;
@@ -497,6 +624,8 @@
   // The next response announces that the connection will be closed.
   bool closeAfterResponse = false;
   bool isHeadRequest = false;
+  // The request in progress was rejected before all of it had arrived.
+  bool hasUnreadRequest = false;
   bool isWatchingDisconnect = false;
   // Reported to the exchange when the connection ends before its response.
   Disconnect disconnect = Disconnect::Broken;
--- a/packages/net/src/http_connection.h
+++ b/packages/net/src/http_connection.h
@@ -12,6 +12,17 @@
 struct ConnectionEnded
 {};
 
+// Request from a connection to its server to hold this many bytes of its
+// request and response in all; the server replies with whether it may.
+struct HoldBuffer
+{
+  std::size_t bytes = 0;
+};
+
+// Sent by a connection to its server when it holds no such bytes any more.
+struct ReleaseBuffer
+{};
+
 // Starts the task that owns a caller's socket and handles its requests
 // sequentially.
 caf::actor
@@ -25,5 +36,7 @@
 } // namespace lycheestand::net
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::ConnectionEnded)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::HoldBuffer)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::ReleaseBuffer)
 
 #endif
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -1,4 +1,5 @@
 #include "accept_loop.h"
+#include "buffer_ledger.h"
 #include "http_connection.h"
 
 #include <caf/send.hpp>
@@ -26,6 +27,7 @@
     , connectionPool(std::move(aPool))
     , options(aOptions)
     , handler(std::move(aHandler))
+    , buffers(aOptions.maxBufferedBytes)
     , acceptLoop(
         *this,
         std::move(*aAcceptor),
@@ -46,8 +48,15 @@
     return {
       [this](ConnectionEnded) {
         this->connections.erase(this->current_sender());
+        this->buffers.Release(this->Sender());
         this->acceptLoop.Resume();
       },
+      [this](HoldBuffer aHold) {
+        bool mayHold = this->buffers.Set(this->Sender(), aHold.bytes);
+        (mayHold ? this->holds : this->refusedHolds).Add();
+        return mayHold;
+      },
+      [this](ReleaseBuffer) { this->buffers.Release(this->Sender()); },
       [this](SetListening aSet) {
         this->acceptLoop.SetListening(aSet.isListening);
       },
@@ -58,6 +67,11 @@
   }
 
 private:
+  BufferHolderId Sender()
+  {
+    return BufferHolderId(this->current_sender()->id());
+  }
+
   void Accept(tcp::socket aSocket)
   {
     const auto& serves = this->options.servesNewConnection;
@@ -102,6 +116,10 @@
   HttpHandler handler;
   std::set<caf::strong_actor_ptr> connections;
   bool closesAfterResponses = false;
+  BufferLedger buffers;
+  Counter holds = Metrics().GetCounter("lycheestand_buffer_holds_total");
+  Counter refusedHolds =
+    Metrics().GetCounter("lycheestand_buffer_refusals_total");
   AcceptLoop acceptLoop;
 };
 
--- a/packages/net/test/http_server_test.cc
+++ b/packages/net/test/http_server_test.cc
@@ -123,6 +123,50 @@
   REQUIRE_FALSE(wasHandled);
 }
 
+// Guards against callers that fill the memory with requests that they don't
+// complete, each below the size limit.
+TEST_CASE_METHOD(NetFixture,
+                 "Requests beyond the memory for them are refused with 503")
+{
+  constexpr std::size_t kBodyBytes = 400 * 1024;
+  HttpServerOptions options;
+  options.maxBufferedBytes = 2 * 1024 * 1024;
+  auto address = this->Serve(
+    [](const ExchangePtr& aExchange) {
+      aExchange->Respond({ 200, {}, "body" });
+    },
+    options);
+  const std::string begin = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                            std::to_string(kBodyBytes) + "\r\n\r\n" +
+                            std::string(kBodyBytes - 1, 'x');
+  RawCaller first(address);
+  first.Send(begin);
+  // Enough for the server to read all of it.
+  constexpr int kReadRounds = 200;
+  this->RunUntil([rounds = 0]() mutable { return ++rounds > kReadRounds; });
+  RawCaller second(address);
+  second.Send(begin);
+  this->RunUntil(
+    [&] { return second.Received().find(" 503 ") != std::string::npos; });
+  CHECK(second.Received().find("Retry-After: 0.5") != std::string::npos);
+
+  // Small requests are still served, and so is the large one.
+  RawCaller small(address);
+  small.Send(kGetRequest);
+  this->RunUntil(
+    [&] { return small.Received().find(" 200 ") != std::string::npos; });
+  first.Send("x");
+  this->RunUntil(
+    [&] { return first.Received().find(" 200 ") != std::string::npos; });
+
+  // Its memory is free again, with its connection still open.
+  RawCaller third(address);
+  third.Send(begin + "x");
+  this->RunUntil(
+    [&] { return third.Received().find(" 200 ") != std::string::npos; });
+  CHECK_FALSE(first.IsClosed());
+}
+
 // Guards against chunks that were ready for the caller and are lost when the
 // stream breaks off after them.
 TEST_CASE_METHOD(NetFixture, "An aborted stream has all chunks before the end")
--- a/packages/router/src/forward.cc
+++ b/packages/router/src/forward.cc
@@ -186,4 +186,21 @@
   };
 }
 
+void
+ContinueHolding(const RequestPtr& aRequest,
+                std::size_t aBytes,
+                std::function<void()> aOnRefused)
+{
+  aRequest->exchange->HoldBytes(
+    aBytes,
+    [aRequest, call = aRequest->upstream, refused = std::move(aOnRefused)](
+      bool aMayHold) {
+      if (aMayHold) {
+        call.Continue();
+      } else if (!aRequest->isFinished && aRequest->upstream == call) {
+        refused();
+      }
+    });
+}
+
 } // namespace lycheestand::router
--- a/packages/router/src/forward.h
+++ b/packages/router/src/forward.h
@@ -19,6 +19,10 @@
 inline constexpr std::size_t kMaxErrorBodyBytes = 64 * 1024;
 inline constexpr std::size_t kMaxEventBytes = 1024 * 1024;
 
+// Reason of an attempt that ended because the router may not hold its answer.
+inline constexpr const char* kNoMemoryReason =
+  "there is no memory for an answer of this size now";
+
 // Chooses an endpoint that the request has not tried and calls aCall with its
 // address. Calls aOnNoEndpoint if there is none or the retry budget is used up.
 void
@@ -56,6 +60,14 @@
 double
 RetryAfterNoEndpoint(const Request& aRequest, double aDefault);
 
+// Continues the call of the current attempt once the router may hold this many
+// bytes of its answer. Calls aOnRefused instead if it may not and the call is
+// still in progress.
+void
+ContinueHolding(const RequestPtr& aRequest,
+                std::size_t aBytes,
+                std::function<void()> aOnRefused);
+
 // Forwards a chat call.
 void
 ForwardChat(const RequestPtr& aRequest);
--- a/packages/router/src/forward_buffered.cc
+++ b/packages/router/src/forward_buffered.cc
@@ -25,8 +25,7 @@
       self->HandleHead(aHead);
     };
     observer.onBody = [self](const std::string& aChunk) {
-      self->response.body += aChunk;
-      self->request->upstream.Continue();
+      self->HandleBody(aChunk);
     };
     observer.onEnd = [self] { self->HandleEnd(); };
     observer.onFailure = [self](net::CallFailure aFailure,
@@ -54,6 +53,20 @@
     }
   }
 
+  void HandleBody(const std::string& aChunk)
+  {
+    this->response.body += aChunk;
+    std::size_t kept =
+      this->keptErrorAnswer ? this->keptErrorAnswer->body.size() : 0;
+    ContinueHolding(this->request,
+                    this->response.body.size() + kept,
+                    [self = this->shared_from_this()] {
+                      self->request->upstream.Cancel();
+                      self->HandleFailure(net::CallFailure::Interrupted,
+                                          kNoMemoryReason);
+                    });
+  }
+
   void HandleEnd()
   {
     const auto outcome = OutcomeOf(*this->answer, this->response.status);
--- a/packages/router/src/forward_chat.cc
+++ b/packages/router/src/forward_chat.cc
@@ -190,7 +190,11 @@
       return;
     }
     if (!this->call.stream || out.empty()) {
-      this->request->upstream.Continue();
+      std::size_t kept = this->call.stream ? 0 : this->text.size();
+      ContinueHolding(
+        this->request,
+        this->events.PendingBytes() + kept,
+        [self = this->shared_from_this()] { self->Cancel(kNoMemoryReason); });
     } else {
       this->StartStream();
       ++this->unwrittenChunks;
--- a/packages/router/src/forward_events.cc
+++ b/packages/router/src/forward_events.cc
@@ -126,7 +126,10 @@
       return;
     }
     if (ready.empty()) {
-      this->request->upstream.Continue();
+      ContinueHolding(
+        this->request,
+        this->events.Remainder().size(),
+        [self = this->shared_from_this()] { self->Cancel(kNoMemoryReason); });
     } else {
       this->Write(std::move(ready));
     }
--- a/packages/router/src/router.cc
+++ b/packages/router/src/router.cc
@@ -353,6 +353,7 @@
     net::HttpServerOptions options;
     options.maxHeaderBytes = this->settings.maxHeaderBytes;
     options.maxBodyBytes = this->settings.maxBodyBytes;
+    options.maxBufferedBytes = this->settings.maxBufferedBytes;
     options.maxConnections = this->settings.maxConnections;
     options.requestTimeout = this->settings.requestTimeout;
     options.servesNewConnection = [this] { return this->AcceptsRequest(); };
--- a/packages/settings/include/lycheestand/settings.h
+++ b/packages/settings/include/lycheestand/settings.h
@@ -127,10 +127,18 @@
   std::size_t threads = 4;
   std::size_t maxConnections = 4096;
   std::size_t maxBodyBytes = 4 * 1024 * 1024;
+  // Bytes of large requests and answers that a router holds in memory in all.
+  std::size_t maxBufferedBytes = 32 * 1024 * 1024;
   std::size_t maxHeaderBytes = 16 * 1024;
   Milliseconds requestTimeout{ 20000 };
 };
 
+// Returns the least maxBufferedBytes with which a request of maxBodyBytes can
+// be held: it is copied when it is forwarded, and a message may take at most
+// half of the memory.
+std::size_t
+LeastBufferedBytes(std::size_t aMaxBodyBytes);
+
 // Returns the link options that the settings give; others have their defaults.
 template<class LinkOptions>
 LinkOptions
--- a/packages/settings/src/process_settings.cc
+++ b/packages/settings/src/process_settings.cc
@@ -1,6 +1,7 @@
 #include "reader.h"
 
 #include <algorithm>
+#include <bit>
 
 namespace lycheestand::settings {
 
@@ -175,6 +176,13 @@
     ReadSize(aReader, "max_connections", aSettings.maxConnections, 1, 1000000);
   aSettings.maxBodyBytes =
     ReadSize(aReader, "max_body_bytes", aSettings.maxBodyBytes, 1024, 1 << 28);
+  auto leastBuffered = LeastBufferedBytes(aSettings.maxBodyBytes);
+  aSettings.maxBufferedBytes =
+    ReadSize(aReader,
+             "max_buffered_bytes",
+             std::max(aSettings.maxBufferedBytes, leastBuffered),
+             static_cast<std::int64_t>(leastBuffered),
+             std::int64_t(1) << 40);
   aSettings.maxHeaderBytes = ReadSize(
     aReader, "max_header_bytes", aSettings.maxHeaderBytes, 1024, 1 << 20);
 }
@@ -200,6 +208,7 @@
                               "threads",
                               "max_connections",
                               "max_body_bytes",
+                              "max_buffered_bytes",
                               "max_header_bytes",
                               "request_timeout_ms" });
   ProcessSettings settings;
@@ -224,6 +233,14 @@
 
 } // namespace
 
+std::size_t
+LeastBufferedBytes(std::size_t aMaxBodyBytes)
+{
+  constexpr std::size_t kCopies = 2;
+  constexpr std::size_t kShareDivisor = 2;
+  return std::bit_ceil(aMaxBodyBytes) * kCopies * kShareDivisor;
+}
+
 Result<ProcessSettings, SettingsError>
 ParseProcessSettings(std::string_view aText)
 {
--- a/test/faults/http_client.cc
+++ b/test/faults/http_client.cc
@@ -105,4 +105,29 @@
   return HttpClient(aAddress).Send(aCall);
 }
 
+void
+SendPart(const Address& aAddress,
+         const std::string& aBytes,
+         const std::atomic<bool>& aIsDone)
+{
+  constexpr Duration kCheckInterval = 20ms;
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket socket(io);
+  boost::system::error_code error;
+  socket.connect(
+    { boost::asio::ip::make_address(aAddress.host), aAddress.port }, error);
+  socket.non_blocking(true, error);
+  std::size_t sent = 0;
+  while (!aIsDone) {
+    sent += socket.write_some(
+      boost::asio::buffer(aBytes.data() + sent, aBytes.size() - sent), error);
+    if (error && error != boost::asio::error::would_block) {
+      return;
+    }
+    if (error || sent == aBytes.size()) {
+      std::this_thread::sleep_for(kCheckInterval);
+    }
+  }
+}
+
 } // namespace lycheestand::faults
--- a/test/faults/http_client.h
+++ b/test/faults/http_client.h
@@ -5,6 +5,7 @@
 
 #include "process.h"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -65,6 +66,13 @@
 Reply
 Send(const Address& aAddress, const Call& aCall);
 
+// Sends bytes on a new connection and keeps it open until aIsDone is set.
+// Returns early if the other side closes it before it has read all of them.
+void
+SendPart(const Address& aAddress,
+         const std::string& aBytes,
+         const std::atomic<bool>& aIsDone);
+
 } // namespace lycheestand::faults
 
 #endif
--- a/test/faults/platform_fleet.cc
+++ b/test/faults/platform_fleet.cc
@@ -170,6 +170,9 @@
       json::object{ { "retryBudgetRatio", 0.2 },
                     { "retrySlack", kRetrySlack } } }
   };
+  if (aOptions.memoryMb) {
+    settings["limits"].as_object()["memoryMb"] = *aOptions.memoryMb;
+  }
   auto folder = this->environment.Folder() / machine;
   if (aOptions.listAddress) {
     settings["cloud"] = { { "address", ToString(*aOptions.listAddress) } };
--- a/test/faults/platform_fleet.h
+++ b/test/faults/platform_fleet.h
@@ -27,6 +27,8 @@
   bool hasDisk = true;
   // Number of machines with disks that may be lost at once.
   int toleratedLosses = 1;
+  // Memory of the machine; none if the file does not say.
+  std::optional<int> memoryMb;
   // Address of the platform's list of replicas.
   std::optional<Address> listAddress;
 };
--- a/test/faults/replica_faults_test.cc
+++ b/test/faults/replica_faults_test.cc
@@ -20,6 +20,11 @@
 constexpr int kRouterNumber = 2;
 constexpr int kReplicas = 3;
 
+// The smallest machine of the users has 88 MB for a process.
+constexpr int kMachineMegabytes = 88;
+constexpr std::size_t kMachineMemory =
+  kMachineMegabytes * std::size_t(1'000'000);
+
 // One control instance, one router, and replicas that answer as a test says.
 class ReplicaFaultsFixture
 {
@@ -39,6 +44,7 @@
     MachineOptions options;
     options.seeds = { kControlNumber };
     options.bootstrap = true;
+    options.memoryMb = kMachineMegabytes;
     options.listAddress = this->pool.ListAddress();
     this->fleet.StartControl(kControlNumber, options);
     this->fleet.StartRouter(kRouterNumber, options);
@@ -262,6 +268,93 @@
   }
 }
 
+namespace {
+
+// More bytes at once than a router has memory for: messages that are each
+// below the size limit of 4 MiB and that stop before their end.
+class LargeMessagesFixture : public ReplicaFaultsFixture
+{
+public:
+  static constexpr int kMessages = 40;
+  static constexpr std::size_t kAnnouncedBytes = 4'000'000;
+
+  // A part of a message, which is sent at once.
+  const std::string part = std::string(kAnnouncedBytes - 1000, 'x');
+
+  // Sends small requests while the messages arrive. Returns the most
+  // memory that the router used.
+  std::size_t ServeOthers()
+  {
+    std::size_t maxMemory = 0;
+    for (int i = 0; i < 20; ++i) {
+      CHECK(this->Send("/safe/sound").status == 200);
+      maxMemory =
+        std::max(maxMemory, this->fleet.Machine(kRouterNumber).ResidentBytes());
+      std::this_thread::sleep_for(100ms);
+    }
+    return maxMemory;
+  }
+};
+
+} // namespace
+
+// Guards against many answers that together fill the router's memory
+// although each of them has a limit.
+TEST_CASE_METHOD(LargeMessagesFixture,
+                 "many large answers don't fill the memory",
+                 "[large-answers]")
+{
+  this->SetAnswer([this](int, const ReplicaRequest& aRequest) {
+    if (aRequest.target == "/safe/sound") {
+      return ReplicaAnswer{ { MakeAnswer(200, aRequest, "sound") } };
+    }
+    std::string whole =
+      MakeAnswer(200, aRequest, std::string(kAnnouncedBytes, 'x'));
+    whole.resize(this->part.size());
+    return ReplicaAnswer{ { std::move(whole) } };
+  });
+  std::vector<std::thread> callers;
+  std::atomic<int> failures{ 0 };
+  for (int i = 0; i < kMessages; ++i) {
+    callers.emplace_back([this, &failures] {
+      failures += this->Send("/once/large").status >= 500 ? 1 : 0;
+    });
+  }
+  auto maxMemory = this->ServeOthers();
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  CHECK(failures == kMessages);
+  CAPTURE(maxMemory);
+  CHECK(maxMemory < kMachineMemory);
+}
+
+// Guards against callers that fill the router's memory with requests that
+// they don't complete.
+TEST_CASE_METHOD(LargeMessagesFixture,
+                 "many large requests don't fill the memory",
+                 "[large-requests]")
+{
+  std::vector<std::thread> callers;
+  std::atomic<bool> isDone{ false };
+  for (int i = 0; i < kMessages; ++i) {
+    callers.emplace_back([this, &isDone] {
+      SendPart(this->fleet.CallerAddress(kRouterNumber),
+               "POST /once/large HTTP/1.1\r\nHost: h.example\r\nX-Key: k\r\n"
+               "X-Request-Id: large\r\nContent-Length: " +
+                 std::to_string(kAnnouncedBytes) + "\r\n\r\n" + this->part,
+               isDone);
+    });
+  }
+  auto maxMemory = this->ServeOthers();
+  isDone = true;
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  CAPTURE(maxMemory);
+  CHECK(maxMemory < kMachineMemory);
+}
+
 // Guards against an empty or short answer that looks complete, of a replica
 // that stopped in the middle of its answer's head.
 TEST_CASE_METHOD(ReplicaFaultsFixture,
@@ -342,9 +435,8 @@
     CHECK(time < kLimit);
     CHECK((reply.status >= 500 || !reply.isComplete));
   }
-  // The smallest machine of the users has 88 MB for a process.
   CAPTURE(memoryBefore, maxMemory);
-  CHECK(maxMemory < std::size_t(88'000'000));
+  CHECK(maxMemory < kMachineMemory);
 }
 
 // Guards against requests to a replica that says in its answers that it is
