Give up an endpoint list that does not end

What callers would see: a platform list whose pages name a next page without end fills the memory of the leader's control instance, and a list of empty pages makes it ask the platform as fast as it can. No new list is taken meanwhile.

Cause: each page had a limit of size and time, the number of pages and of entries had none.

Change: a reading ends as failed beyond 50,000 endpoints or 1,000 pages, five times the target size. The last list stays in use.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -1,10 +1,11 @@
 # Defines the library lycheestand_NAME, its test program and its samples from
 # packages/NAME/{include,src,test,samples}, or from FOLDER/{include,...}.
 # DEPS are the libraries that its public header needs; TEST_DEPS are those that
-# only its tests need. HELPERS lists the sources in test/ that aren't named
+# only its tests need, and TEST_INCLUDE the folders of test headers that they
+# share with other packages. HELPERS lists the sources in test/ that aren't named
 # *_test.cc.
 function(lycheestand_package NAME)
-  cmake_parse_arguments(ARG "" "FOLDER" "DEPS;TEST_DEPS;HELPERS" ${ARGN})
+  cmake_parse_arguments(ARG "" "FOLDER" "DEPS;TEST_DEPS;TEST_INCLUDE;HELPERS" ${ARGN})
   set(root ${CMAKE_SOURCE_DIR}/packages/${NAME})
   if(ARG_FOLDER)
     set(root ${CMAKE_SOURCE_DIR}/${ARG_FOLDER})
@@ -30,7 +31,8 @@
   if(tests)
     list(TRANSFORM ARG_HELPERS PREPEND ${root}/test/)
     lycheestand_test(${NAME}_test SOURCES ${tests} ${ARG_HELPERS}
-      DEPS ${target} ${ARG_TEST_DEPS} INCLUDE ${root}/src ${root}/test)
+      DEPS ${target} ${ARG_TEST_DEPS}
+      INCLUDE ${root}/src ${root}/test ${ARG_TEST_INCLUDE})
   endif()
   file(GLOB samples CONFIGURE_DEPENDS ${root}/samples/*.cc)
   foreach(sample ${samples})
--- a/packages/discovery/src/list_reader.cc
+++ b/packages/discovery/src/list_reader.cc
@@ -8,6 +8,11 @@
 // requested again soon after a failure.
 constexpr Duration kPageTimeout = std::chrono::milliseconds(800);
 
+// Largest list, five times the number of endpoints at the target size, and most
+// pages of it. Each page may name a next one, without end.
+constexpr std::size_t kMaxEndpoints = 50'000;
+constexpr std::size_t kMaxPages = 1'000;
+
 // Delay after a failed reading of the list.
 constexpr Duration kRetryDelay = std::chrono::milliseconds(300);
 
@@ -48,6 +53,7 @@
       return;
     }
     this->list = {};
+    this->pages = 0;
     this->malformedEntries = 0;
     this->RequestPage("");
   }
@@ -85,6 +91,12 @@
     for (auto& endpoint : page->endpoints) {
       this->list.endpoints.push_back(std::move(endpoint));
     }
+    if (++this->pages > kMaxPages ||
+        this->list.endpoints.size() > kMaxEndpoints) {
+      this->list = {};
+      this->HandleFailure("the list does not end");
+      return;
+    }
     if (!page->next.empty()) {
       this->RequestPage(page->next);
       return;
@@ -130,6 +142,7 @@
   bool isReading = false;
   bool hasFailed = false;
   ListUpdate list;
+  std::size_t pages = 0;
   std::size_t malformedEntries = 0;
   std::size_t reportedMalformed = 0;
 };
