Test that the leader names the voters that are lost

LostVoters had no test of its own. In the simulation, a follower and the learner that could replace it crash: the leader lists the voter until it is back. The case passes; it was added after the code.

--- a/packages/consensus/test/replacement_test.cc
+++ b/packages/consensus/test/replacement_test.cc
@@ -135,6 +135,29 @@
     [this] { return this->simulation.HasConverged(); }));
 }
 
+// Guards against a group that counts a voter which is gone and that nothing can
+// replace, without an operator being able to see it.
+TEST_CASE_METHOD(ReplacementFixture,
+                 "the leader names the voters that are lost")
+{
+  auto lostVoters = [this](std::size_t aHost) {
+    return this->Host(aHost).node->LostVoters();
+  };
+  std::size_t lost = this->AnyFollower();
+  CHECK(lostVoters(*this->simulation.Leader()).empty());
+  this->simulation.Crash(this->Standby());
+  this->simulation.Crash(lost);
+  REQUIRE(this->simulation.RunUntil([&] {
+    return lostVoters(*this->simulation.Leader()) ==
+           std::set<Member>{ this->MemberOf(lost) };
+  }));
+  CHECK(this->IsVoter(lost));
+
+  this->simulation.Start(lost);
+  CHECK(this->simulation.RunUntil(
+    [&] { return lostVoters(*this->simulation.Leader()).empty(); }));
+}
+
 // Guards against a group in which only the first instances can be members, so
 // that each machine that is replaced makes it smaller for good.
 TEST_CASE_METHOD(ReplacementFixture,
