Add the replicated command SetZoneEvacuation and its register

Cause: an operator's order to evacuate an availability zone must survive the loss of the leader, restarts and a loss of power. Change: EvacuationRegister maps a zone to the revision and change id of its order; each change advances the revision. The register rejects an unknown zone and the last zone that has endpoints when the command is applied, so two orders that were proposed at once can't evacuate everything, and a resent change id gets its first result.

--- a/packages/journal/src/command_codec.cc
+++ b/packages/journal/src/command_codec.cc
@@ -268,6 +268,34 @@
   return out;
 }
 
+fb::SetZoneEvacuationT
+PackBody(const state::SetZoneEvacuation& aIn)
+{
+  fb::SetZoneEvacuationT out;
+  out.change = aIn.change.Get();
+  out.zone = aIn.zone.Get();
+  out.evacuated = aIn.isEvacuated;
+  out.known = aIn.isKnown;
+  for (const auto& zone : aIn.zonesWithEndpoints) {
+    out.endpoint_zones.push_back(zone.Get());
+  }
+  return out;
+}
+
+state::Command
+UnpackBody(const fb::SetZoneEvacuationT& aIn)
+{
+  state::SetZoneEvacuation out;
+  out.change = ChangeId(aIn.change);
+  out.zone = ZoneId(aIn.zone);
+  out.isEvacuated = aIn.evacuated;
+  out.isKnown = aIn.known;
+  for (const auto& zone : aIn.endpoint_zones) {
+    out.zonesWithEndpoints.insert(ZoneId(zone));
+  }
+  return out;
+}
+
 fb::ConfirmOrderT
 PackBody(const state::ConfirmOrder& aIn)
 {
@@ -356,6 +384,8 @@
       return UnpackBody(*aIn.body.AsConfirmOrder());
     case fb::CommandBody::ReplaceRoutes:
       return UnpackBody(*aIn.body.AsReplaceRoutes());
+    case fb::CommandBody::SetZoneEvacuation:
+      return UnpackBody(*aIn.body.AsSetZoneEvacuation());
     case fb::CommandBody::NONE:
       break;
   }
--- a/packages/journal/src/outcome_codec.cc
+++ b/packages/journal/src/outcome_codec.cc
@@ -99,7 +99,7 @@
       return state::Done{};
     case fb::OutcomeBody::Rejected:
       return state::Rejected{ CheckedEnum(aIn.body.AsRejected()->reason,
-                                          state::Rejection::BatchOutOfOrder) };
+                                          state::Rejection::LastZone) };
     case fb::OutcomeBody::ConfigurationApplied:
       return state::ConfigurationApplied{ ConfigVersion(
         aIn.body.AsConfigurationApplied()->version) };
--- a/packages/journal/src/snapshot_codec.cc
+++ b/packages/journal/src/snapshot_codec.cc
@@ -22,6 +22,7 @@
   static void Save(const SessionController& aFrom, Snapshot& aTo);
   static void Save(const ChangeRegister& aFrom, Snapshot& aTo);
   static void Save(const OrderRegister& aFrom, Snapshot& aTo);
+  static void Save(const EvacuationRegister& aFrom, Snapshot& aTo);
   static void Save(const StateMachine& aFrom, Snapshot& aTo);
 
   static void Restore(const Snapshot& aFrom, WorkspaceController& aTo);
@@ -31,6 +32,7 @@
   static void Restore(const Snapshot& aFrom, SessionController& aTo);
   static void Restore(const Snapshot& aFrom, ChangeRegister& aTo);
   static void Restore(const Snapshot& aFrom, OrderRegister& aTo);
+  static void Restore(const Snapshot& aFrom, EvacuationRegister& aTo);
   static void Restore(const Snapshot& aFrom, StateMachine& aTo);
 };
 
@@ -325,6 +327,28 @@
   aTo.nextNumber = std::max<std::uint64_t>(aFrom.next_order, 1);
 }
 
+void
+SnapshotAccess::Save(const EvacuationRegister& aFrom, Snapshot& aTo)
+{
+  for (const auto& [zone, evacuation] : aFrom.evacuations) {
+    auto& entry = Append(aTo.evacuations);
+    entry.zone = zone.Get();
+    entry.revision = evacuation.revision.Get();
+    entry.change = evacuation.change.Get();
+  }
+}
+
+// Snapshots of versions without evacuations have no entries.
+void
+SnapshotAccess::Restore(const Snapshot& aFrom, EvacuationRegister& aTo)
+{
+  for (const auto& entry : aFrom.evacuations) {
+    InsertNew(aTo.evacuations,
+              ZoneId(entry->zone),
+              Evacuation{ Revision(entry->revision), ChangeId(entry->change) });
+  }
+}
+
 void
 SnapshotAccess::Save(const StateMachine& aFrom, Snapshot& aTo)
 {
@@ -336,6 +360,7 @@
   Save(aFrom.sessions, aTo);
   Save(aFrom.changes, aTo);
   Save(aFrom.orders, aTo);
+  Save(aFrom.evacuations, aTo);
   aTo.routes_version = aFrom.routes.version.Get();
   aTo.routes_document = aFrom.routes.document;
 }
@@ -351,6 +376,7 @@
   Restore(aFrom, aTo.sessions);
   Restore(aFrom, aTo.changes);
   Restore(aFrom, aTo.orders);
+  Restore(aFrom, aTo.evacuations);
   aTo.routes.version = ConfigVersion(aFrom.routes_version);
   aTo.routes.document = aFrom.routes_document;
 }
--- a/packages/journal/test/journal_test.cc
+++ b/packages/journal/test/journal_test.cc
@@ -27,7 +27,7 @@
     ChangeId change(this->Name("change-", 2000));
     WorkspaceId workspace(this->Name("w", 4));
     SessionId session(this->Pick(12));
-    switch (this->Pick(13)) {
+    switch (this->Pick(14)) {
       case 0:
         return CreateWorkspace{ change, workspace };
       case 1:
@@ -68,6 +68,12 @@
         return ReplaceRoutes{ ConfigVersion(1 + this->Pick(300)),
                               this->Name("{}", 1000),
                               { { workspace, this->Amount() } } };
+      case 12:
+        return SetZoneEvacuation{ this->Pick(2) == 0 ? change : ChangeId(),
+                                  ZoneId(this->Name("z", 4)),
+                                  this->Pick(2) == 0,
+                                  this->Pick(4) != 0,
+                                  { ZoneId("z0"), ZoneId("z1") } };
       default:
         return this->MakeOperation(session, workspace);
     }
@@ -182,3 +188,60 @@
   REQUIRE(refused > 0);
   REQUIRE(DecodeSnapshot("").has_error());
 }
+
+namespace {
+
+// A command and a snapshot as a build without evacuations wrote them.
+constexpr std::string_view kOldCommand =
+  "0c00000008000e0007000800080000000000000d1000000000000a0014000c0004000800"
+  "0a000000380000000c0000000700000000000000010000000c0000000800100004000800"
+  "080000000c00000009000000000000000100000077000000020000007b7d0000";
+constexpr std::string_view kOldSnapshot =
+  "280000002400300010000400000008000000180000000000000000000000000020000000"
+  "28000c00240000005c000000300000002400000001000000000000000100000000000000"
+  "01000000000000000700000000000000020000007b7d0000010000000c00000008001000"
+  "04000800080000000c000000090000000000000001000000770000000100000004000000"
+  "0100000077000000";
+
+std::string
+FromHex(std::string_view aDigits)
+{
+  std::string out;
+  for (std::size_t i = 0; i + 1 < aDigits.size(); i += 2) {
+    out += static_cast<char>(
+      std::stoi(std::string(aDigits.substr(i, 2)), nullptr, 16));
+  }
+  return out;
+}
+
+} // namespace
+
+// Guards against a new build that can't read the disk of an old one, or takes
+// its state for one with evacuated zones.
+TEST_CASE("A log and a snapshot without evacuations are read as none")
+{
+  auto command = DecodeCommand(FromHex(kOldCommand));
+  REQUIRE(command.has_value());
+  StateMachine replayed;
+  replayed.Apply(command.value());
+  auto snapshot = DecodeSnapshot(FromHex(kOldSnapshot));
+  REQUIRE(snapshot.has_value());
+  CHECK(snapshot.value() == replayed);
+  CHECK(snapshot.value().Routes().Version() == ConfigVersion(7));
+  CHECK(snapshot.value().Evacuations().Evacuations().empty());
+}
+
+// Guards against an acknowledged evacuation that is lost with a restart.
+TEST_CASE("Evacuations are part of the snapshot")
+{
+  StateMachine machine;
+  for (const char* zone : { "a", "b" }) {
+    machine.Apply(
+      SetZoneEvacuation{ ChangeId("c-" + std::string(zone)), ZoneId(zone) });
+  }
+  auto restored = DecodeSnapshot(EncodeSnapshot(machine));
+  REQUIRE(restored.has_value());
+  CHECK(restored.value() == machine);
+  CHECK(restored.value().Evacuations().Evacuations().at(ZoneId("b")) ==
+        Evacuation{ Revision(2), ChangeId("c-b") });
+}
--- a/packages/state/include/lycheestand/state.h
+++ b/packages/state/include/lycheestand/state.h
@@ -189,6 +189,24 @@
   friend bool operator==(const ConfirmOrder&, const ConfirmOrder&) = default;
 };
 
+// Orders or revokes the evacuation of an availability zone, whose endpoints
+// then get no requests. An order of the users' platform has an empty change id
+// and is not deduplicated: it changes nothing if it is already in force.
+struct SetZoneEvacuation
+{
+  ChangeId change;
+  ZoneId zone;
+  bool isEvacuated = true;
+  // The zone is named by the settings or by an instance or endpoint in the view
+  // of the leader that proposed the command.
+  bool isKnown = true;
+  // The zones with endpoints in that view.
+  std::set<ZoneId> zonesWithEndpoints;
+
+  friend bool operator==(const SetZoneEvacuation&,
+                         const SetZoneEvacuation&) = default;
+};
+
 using Command = std::variant<CreateWorkspace,
                              TopUpBudget,
                              CreateKey,
@@ -201,7 +219,8 @@
                              RecordOperation,
                              OrderEngine,
                              ConfirmOrder,
-                             ReplaceRoutes>;
+                             ReplaceRoutes,
+                             SetZoneEvacuation>;
 
 // ---------------------------------------------------------------- outcomes
 
@@ -216,7 +235,10 @@
   UnknownSession,
   SessionClosed,
   InvalidAmount,
-  BatchOutOfOrder
+  BatchOutOfOrder,
+  UnknownZone,
+  // The zone is the only one that has endpoints and is not evacuated.
+  LastZone
 };
 
 // Returns the error code that operators see, such as "version_conflict".
@@ -464,6 +486,48 @@
   std::string document;
 };
 
+// An evacuation that is in force.
+struct Evacuation
+{
+  // Revision at which it was ordered.
+  Revision revision;
+  // Empty if the users' platform ordered it.
+  ChangeId change;
+
+  friend bool operator==(const Evacuation&, const Evacuation&) = default;
+};
+
+// Owns the evacuations of availability zones.
+class EvacuationRegister
+{
+public:
+  // Records an order or revocation that takes effect at aRevision. Returns
+  // Done, also if it is already in force, or rejects an unknown or last zone.
+  Outcome Set(const SetZoneEvacuation& aCommand, Revision aRevision);
+
+  bool Contains(const ZoneId& aZone) const
+  {
+    return this->evacuations.contains(aZone);
+  }
+  const std::map<ZoneId, Evacuation>& Evacuations() const
+  {
+    return this->evacuations;
+  }
+
+  // Returns the evacuated zones.
+  std::set<ZoneId> Zones() const;
+
+  friend bool operator==(const EvacuationRegister&,
+                         const EvacuationRegister&) = default;
+
+private:
+  friend struct SnapshotAccess;
+
+  bool IsLast(const SetZoneEvacuation& aCommand) const;
+
+  std::map<ZoneId, Evacuation> evacuations;
+};
+
 // The record of a service call that must run at most once.
 struct Operation
 {
@@ -636,7 +700,7 @@
   Outcome Apply(const Command& aCommand);
 
   // Returns the number of changes so far that routers must take over:
-  // configurations, route tables, workspaces and keys.
+  // configurations, route tables, workspaces, keys and evacuations.
   Revision CurrentRevision() const { return this->revision; }
 
   const WorkspaceController& Workspaces() const { return this->workspaces; }
@@ -649,6 +713,7 @@
   const SessionController& Sessions() const { return this->sessions; }
   const OrderRegister& Orders() const { return this->orders; }
   const RouteRegister& Routes() const { return this->routes; }
+  const EvacuationRegister& Evacuations() const { return this->evacuations; }
 
   friend bool operator==(const StateMachine&, const StateMachine&) = default;
 
@@ -669,10 +734,12 @@
   Outcome Handle(const OrderEngine& aCommand);
   Outcome Handle(const ConfirmOrder& aCommand);
   Outcome Handle(const ReplaceRoutes& aCommand);
+  Outcome Handle(const SetZoneEvacuation& aCommand);
 
   // Updates the controllers that keep data for open sessions only.
   void EndSession(SessionId aSession);
   void AdvanceRevision();
+  Revision NextRevision() const { return Revision(this->revision.Get() + 1); }
 
   Revision revision;
   WorkspaceController workspaces;
@@ -683,6 +750,7 @@
   ChangeRegister changes;
   OrderRegister orders;
   RouteRegister routes;
+  EvacuationRegister evacuations;
 };
 
 } // namespace lycheestand::state
--- a/packages/state/src/state_machine.cc
+++ b/packages/state/src/state_machine.cc
@@ -8,13 +8,17 @@
 
 namespace {
 
-// Returns the command's change id; null if it is not an operator's command.
+// Returns the command's change id; null if it is not an operator's command, or
+// is an order of the users' platform, which has no change id.
 const ChangeId*
 FindChangeId(const Command& aCommand)
 {
   return std::visit(
     [](const auto& aBody) -> const ChangeId* {
-      if constexpr (requires { aBody.change; }) {
+      using Body = std::decay_t<decltype(aBody)>;
+      if constexpr (std::is_same_v<Body, SetZoneEvacuation>) {
+        return aBody.change.Get().empty() ? nullptr : &aBody.change;
+      } else if constexpr (requires { aBody.change; }) {
         return &aBody.change;
       } else {
         return nullptr;
@@ -25,13 +29,17 @@
 
 // Returns the form of a command that is stored to recognize a resent one. The
 // document of a configuration change is already in the history, so only its
-// fingerprint is stored.
+// fingerprint is stored. What a leader knew when it proposed the evacuation of
+// a zone differs when the command is resent.
 Command
 ToStoredCommand(const Command& aCommand)
 {
   Command stored = aCommand;
   if (auto* apply = std::get_if<ApplyConfiguration>(&stored)) {
     apply->document = DocumentFingerprint(apply->document);
+  } else if (auto* evacuation = std::get_if<SetZoneEvacuation>(&stored)) {
+    evacuation->isKnown = true;
+    evacuation->zonesWithEndpoints.clear();
   }
   return stored;
 }
@@ -85,6 +93,10 @@
       return "session_closed";
     case Rejection::InvalidAmount:
       return "invalid_amount";
+    case Rejection::UnknownZone:
+      return "unknown_zone";
+    case Rejection::LastZone:
+      return "last_zone";
     case Rejection::BatchOutOfOrder:
       break;
   }
@@ -299,6 +311,19 @@
   return ConfigurationApplied{ this->routes.Version() };
 }
 
+// A command that changes nothing keeps the revision, so that nothing is sent to
+// routers.
+Outcome
+StateMachine::Handle(const SetZoneEvacuation& aCommand)
+{
+  bool wasEvacuated = this->evacuations.Contains(aCommand.zone);
+  Outcome outcome = this->evacuations.Set(aCommand, this->NextRevision());
+  if (this->evacuations.Contains(aCommand.zone) != wasEvacuated) {
+    this->AdvanceRevision();
+  }
+  return outcome;
+}
+
 void
 StateMachine::EndSession(SessionId aSession)
 {
@@ -309,7 +334,7 @@
 void
 StateMachine::AdvanceRevision()
 {
-  this->revision = Revision(this->revision.Get() + 1);
+  this->revision = this->NextRevision();
 }
 
 } // namespace lycheestand::state
