Exclude the endpoints of evacuated zones from routing

Cause: requests must not reach the endpoints of an evacuated zone. Change: EndpointTable::SetEvacuatedZones takes them out of the candidates, the capacity and the shortest block; requests in flight there are not affected.

--- a/packages/routing/include/lycheestand/routing.h
+++ b/packages/routing/include/lycheestand/routing.h
@@ -376,6 +376,7 @@
   Endpoint endpoint;
   std::uint32_t inFlight = 0;
   bool leaving = false;
+  bool evacuated = false;
   CircuitBreaker::State breaker = CircuitBreaker::State::Closed;
   std::size_t prefixes = 0;
   std::optional<LoadReport> report;
@@ -392,6 +393,17 @@
   // Replaces the list of endpoints. Removed endpoints get no new requests.
   void SetEndpoints(const std::vector<Endpoint>& aEndpoints);
 
+  // Replaces the set of evacuated availability zones. Their endpoints get no
+  // new requests; requests in flight there are not affected.
+  void SetEvacuatedZones(std::set<ZoneId> aZones)
+  {
+    this->evacuatedZones = std::move(aZones);
+  }
+
+  // Returns whether the endpoint is in an evacuated zone; false if it is
+  // unknown.
+  bool IsEvacuated(const EndpointId& aEndpoint) const;
+
   void SetMaxInFlight(unsigned aLimit) { this->options.maxInFlight = aLimit; }
 
   // Chooses an endpoint and counts the request as in flight there until Finish
@@ -469,6 +481,10 @@
     TimePoint since{};
   };
 
+  bool IsEvacuated(const TrackedEndpoint& aTracked) const
+  {
+    return this->evacuatedZones.contains(aTracked.endpoint.zone);
+  }
   bool CanServe(const TrackedEndpoint& aTracked, const Query& aQuery) const;
   double RemainingPromptTokens(const TrackedEndpoint& aTracked,
                                TimePoint aNow) const;
@@ -490,6 +506,7 @@
   ChoicePolicy policy;
   RandomSource random;
   std::map<EndpointId, TrackedEndpoint> endpoints;
+  std::set<ZoneId> evacuatedZones;
   std::map<RequestNumber, Assignment> assignments;
   // Moving average over all endpoints.
   double serviceSeconds = 1;
--- a/packages/routing/src/endpoint_table.cc
+++ b/packages/routing/src/endpoint_table.cc
@@ -73,6 +73,13 @@
   });
 }
 
+bool
+EndpointTable::IsEvacuated(const EndpointId& aEndpoint) const
+{
+  auto found = this->endpoints.find(aEndpoint);
+  return found != this->endpoints.end() && this->IsEvacuated(found->second);
+}
+
 // An endpoint serves the model in the endpoint list and every model that it
 // reports as loaded.
 bool
@@ -84,7 +91,7 @@
     (aTracked.report && aTracked.report->models.contains(aQuery.serves));
   bool runsPrefill = !aTracked.report || aTracked.report->runsPrefill;
   return servesModel && aTracked.endpoint.isService == aQuery.isService &&
-         runsPrefill && !aTracked.IsLeaving() &&
+         runsPrefill && !aTracked.IsLeaving() && !this->IsEvacuated(aTracked) &&
          aTracked.inFlight < this->options.maxInFlight &&
          !aQuery.excluded.contains(aTracked.endpoint.endpoint);
 }
@@ -337,6 +344,7 @@
   for (const auto& [id, tracked] : this->endpoints) {
     if (tracked.endpoint.serves == aServes &&
         tracked.endpoint.isService == aIsService && !tracked.IsLeaving() &&
+        !this->IsEvacuated(tracked) &&
         tracked.breaker.GetState(aNow) != CircuitBreaker::State::Open) {
       sum = sum.value_or(0) + this->EndpointCapacity(tracked, aRouters, aNow);
     }
@@ -352,6 +360,7 @@
     out.push_back({ tracked.endpoint,
                     tracked.inFlight,
                     tracked.IsLeaving(),
+                    this->IsEvacuated(tracked),
                     tracked.breaker.GetState(aNow),
                     tracked.prefixes.Size(),
                     tracked.report });
--- a/packages/settings/include/lycheestand/settings.h
+++ b/packages/settings/include/lycheestand/settings.h
@@ -78,6 +78,8 @@
 {
   InstanceId instance;
   ZoneId zone;
+  // All availability zones of the deployment, as far as the settings name them.
+  std::set<ZoneId> zones;
   Role role = Role::Router;
   // Address for callers; routers only.
   Address callerAddress;
@@ -357,6 +359,8 @@
   std::map<KeyHash, CallerKey> keys;
   // The route table as the operator sent it; empty if there is none.
   std::string routes;
+  // Availability zones whose endpoints get no requests.
+  std::set<ZoneId> evacuatedZones;
 };
 
 // Returns a snapshot's text. aDocument must have been checked; an empty one
@@ -364,7 +368,8 @@
 std::string
 FormatFleetSnapshot(std::string_view aDocument,
                     const std::map<KeyHash, CallerKey>& aKeys,
-                    std::string_view aRoutes = "");
+                    std::string_view aRoutes = "",
+                    const std::set<ZoneId>& aEvacuatedZones = {});
 
 // Returns a binary patch that turns one snapshot's text into another's. With an
 // empty aFrom the patch is the compressed text.
--- a/packages/settings/src/fleet_settings.cc
+++ b/packages/settings/src/fleet_settings.cc
@@ -390,10 +390,29 @@
   }
 }
 
+namespace {
+
+// Returns a member of the snapshot's object; nothing if no zone is evacuated.
+std::string
+FormatEvacuatedZones(const std::set<ZoneId>& aZones)
+{
+  if (aZones.empty()) {
+    return "";
+  }
+  boost::json::array zones;
+  for (const auto& zone : aZones) {
+    zones.push_back(boost::json::value(zone.Get()));
+  }
+  return ",\"evacuated_zones\":" + boost::json::serialize(zones);
+}
+
+} // namespace
+
 std::string
 FormatFleetSnapshot(std::string_view aDocument,
                     const std::map<KeyHash, CallerKey>& aKeys,
-                    std::string_view aRoutes)
+                    std::string_view aRoutes,
+                    const std::set<ZoneId>& aEvacuatedZones)
 {
   boost::json::object keys;
   for (const auto& [hash, key] : aKeys) {
@@ -408,7 +427,8 @@
       ? ""
       : ",\"routes\":" + boost::json::serialize(boost::json::value(aRoutes));
   return "{\"keys\":" + boost::json::serialize(keys) +
-         ",\"settings\":" + document + routes + "}";
+         ",\"settings\":" + document + routes +
+         FormatEvacuatedZones(aEvacuatedZones) + "}";
 }
 
 Result<FleetSnapshot, SettingsError>
@@ -422,6 +442,11 @@
     if (reader.Object().contains("routes")) {
       snapshot.routes = reader.Get("routes").String();
     }
+    if (auto zones = reader.Find("evacuated_zones")) {
+      for (const auto& zone : zones->Items()) {
+        snapshot.evacuatedZones.insert(ZoneId(zone.String()));
+      }
+    }
     Reader keys = reader.Get("keys");
     for (const auto& member : keys.Object()) {
       std::string hash(member.key());
--- a/packages/settings/test/settings_test.cc
+++ b/packages/settings/test/settings_test.cc
@@ -81,3 +81,20 @@
   REQUIRE(fleet.value().admission.maxQueued == 3);
   REQUIRE(fleet.value().admission.batchPromptThreshold == Tokens(9));
 }
+
+// Guards against routers that serve an evacuated zone because the evacuation is
+// lost on the way from control, and against a snapshot that changes although
+// nothing is evacuated.
+TEST_CASE("Evacuated zones are part of the fleet snapshot")
+{
+  const std::set<ZoneId> zones{ ZoneId("a"), ZoneId("b \"quoted\"") };
+  auto snapshot =
+    ParseFleetSnapshot(FormatFleetSnapshot("", {}, "table", zones));
+  REQUIRE(snapshot.has_value());
+  CHECK(snapshot.value().evacuatedZones == zones);
+  CHECK(snapshot.value().routes == "table");
+  CHECK(FormatFleetSnapshot("", {}) == R"({"keys":{},"settings":{}})");
+  auto none = ParseFleetSnapshot(FormatFleetSnapshot("", {}));
+  REQUIRE(none.has_value());
+  CHECK(none.value().evacuatedZones.empty());
+}
