--- a/packages/client/src/fleet_commands.cc
+++ b/packages/client/src/fleet_commands.cc
@@ -182,6 +182,26 @@
   return ExitCode::Done;
 }
 
+// Returns a command that orders or revokes the evacuation of a zone.
+std::function<ExitCode(CommandLine&, const Arguments&)>
+MakeZoneCommand(const char* aTarget, const char* aResult)
+{
+  return [aTarget, aResult](CommandLine& aLine, const Arguments& aArguments) {
+    TCLAP::UnlabeledValueArg<std::string> zone(
+      "zone", "availability zone", true, "", "zone", aLine.Line());
+    aLine.AddFleetOptions();
+    aLine.AddChangeOption();
+    aLine.Parse(aArguments);
+    FleetClient client = aLine.Connect();
+    ValueOrThrow(client.SendToLeader(
+      "POST",
+      aTarget,
+      { { "change_id", aLine.PrintChangeId() }, { "zone", zone.getValue() } }));
+    aLine.Out() << "zone " << zone.getValue() << " is " << aResult << "\n";
+    return ExitCode::Done;
+  };
+}
+
 ExitCode
 Dump(CommandLine& aLine, const Arguments& aArguments)
 {
@@ -265,6 +285,16 @@
       MakeListCommand(
         "/admin/endpoints",
         { "endpoint", "kind", "serves", "zone", "address", "leaving" }) },
+    { "zone evacuate",
+      "Send no more requests to the endpoints of an availability zone",
+      MakeZoneCommand("/admin/zones/evacuate", "evacuated") },
+    { "zone restore",
+      "Revoke the evacuation of an availability zone",
+      MakeZoneCommand("/admin/zones/restore", "restored") },
+    { "zone list",
+      "List the evacuated availability zones",
+      MakeListCommand("/admin/zones/evacuated",
+                      { "zone", "revision", "change_id" }) },
     { "dump", "Print the state of an instance", Dump },
     { "status", "Show the control instances and the fleet", ShowStatus },
   };
--- a/packages/control/include/lycheestand/control.h
+++ b/packages/control/include/lycheestand/control.h
@@ -50,6 +50,30 @@
 
 using RoutesCallback = std::function<void(const RoutesReply&)>;
 
+// How an order to evacuate or restore an availability zone ended.
+enum class EvacuationResult
+{
+  // The order is in force; it may have been before.
+  Done,
+  UnknownZone,
+  // The zone is the only one that has endpoints and is not evacuated.
+  LastZone
+};
+
+// Result of SetZoneEvacuation. result and problem are valid only if this
+// instance is the leader.
+struct EvacuationReply
+{
+  LeadershipStatus leadershipStatus = LeadershipStatus::Unknown;
+  // Set if another instance is known to be the leader.
+  InstanceId leader;
+  EvacuationResult result = EvacuationResult::Done;
+  // Why the order was rejected.
+  std::string problem;
+};
+
+using EvacuationCallback = std::function<void(const EvacuationReply&)>;
+
 // A running control instance. Callbacks run in the task that is passed in.
 class Control
 {
@@ -70,6 +94,14 @@
                              RoutesDocument aDocument,
                              RoutesCallback aDone) = 0;
 
+  // Orders (or, with false, revokes) the evacuation of an availability zone.
+  // Calls aDone after a quorum has stored the order, or after a failure or a
+  // timeout.
+  virtual void SetZoneEvacuation(net::IoTask& aTask,
+                                 ZoneId aZone,
+                                 bool aIsEvacuated,
+                                 EvacuationCallback aDone) = 0;
+
   // Reads the current route table, after a quorum has confirmed that this
   // instance is still the leader.
   virtual void ReadRoutes(net::IoTask& aTask, RoutesCallback aDone) = 0;
--- a/packages/control/src/control.cc
+++ b/packages/control/src/control.cc
@@ -1,5 +1,6 @@
 #include "storage_task.h"
 #include "tasks.h"
+#include "zone_orders.h"
 
 #include <caf/send.hpp>
 #include <lycheestand/control.h>
@@ -36,6 +37,27 @@
   }
 }
 
+EvacuationReply
+ToReply(const ZoneOrderResult& aResult)
+{
+  const auto& proposal = aResult.proposal;
+  EvacuationReply reply;
+  reply.problem = aResult.problem;
+  if (proposal.outcome) {
+    reply.leadershipStatus = LeadershipStatus::Leader;
+    if (const auto* rejected =
+          std::get_if<state::Rejected>(&*proposal.outcome)) {
+      reply.result = rejected->reason == state::Rejection::LastZone
+                       ? EvacuationResult::LastZone
+                       : EvacuationResult::UnknownZone;
+    }
+  } else if (!proposal.isUnknown && !proposal.leader.Get().empty()) {
+    reply.leadershipStatus = LeadershipStatus::Follower;
+    reply.leader = proposal.leader;
+  }
+  return reply;
+}
+
 class ControlInstance : public Control
 {
 public:
@@ -83,6 +105,22 @@
         [aDone](const caf::error&) { aDone({}); });
   }
 
+  void SetZoneEvacuation(net::IoTask& aTask,
+                         ZoneId aZone,
+                         bool aIsEvacuated,
+                         EvacuationCallback aDone) override
+  {
+    state::SetZoneEvacuation command;
+    command.zone = std::move(aZone);
+    command.isEvacuated = aIsEvacuated;
+    ProposeZoneOrder(
+      aTask,
+      this->replica,
+      this->fleet,
+      std::move(command),
+      [aDone](const ZoneOrderResult& aResult) { aDone(ToReply(aResult)); });
+  }
+
   void ReadRoutes(net::IoTask& aTask, RoutesCallback aDone) override
   {
     aTask.request(this->replica, kReplicaTimeout, GetRoutes{})
--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -27,6 +27,12 @@
 // before it publishes a view.
 constexpr Duration kMaxListWait = std::chrono::seconds(5);
 
+// Maximum time for which a new leader waits for the endpoint list before it
+// tells which zones it knows. Orders for zones are acknowledged after it, and
+// each second of theirs beyond the first counts.
+constexpr Duration kMaxZonesWait = std::chrono::seconds(1);
+constexpr Duration kZonesCheckInterval = std::chrono::milliseconds(50);
+
 constexpr Duration kBudgetLogInterval = std::chrono::seconds(2);
 
 // Minimum time between two published loads of a router. Every published load is
@@ -103,6 +109,7 @@
         }
       },
       [this](GetEndpoints) { return EndpointList{ this->endpoints }; },
+      [this](GetZones) { return this->HandleGetZones(); },
       [this](ListInstances) { return this->FormatInstances(); },
       [this](ListEndpoints) { return this->FormatEndpoints(); },
       [this](DrainInstance& aDrain) { return this->Drain(aDrain); },
@@ -641,6 +648,51 @@
     }
   }
 
+  caf::typed_response_promise<KnownZones> HandleGetZones()
+  {
+    auto promise = this->make_response_promise<KnownZones>();
+    this->DeliverZones(promise, net::Now(this->GetRuntime()) + kMaxZonesWait);
+    return promise;
+  }
+
+  void DeliverZones(caf::typed_response_promise<KnownZones> aPromise,
+                    TimePoint aDeadline)
+  {
+    bool isWaitingForList =
+      this->isLeader && this->listReader && !this->hasReadList;
+    if (isWaitingForList && net::Now(this->GetRuntime()) < aDeadline) {
+      this->After(kZonesCheckInterval, [this, aPromise, aDeadline] {
+        this->DeliverZones(aPromise, aDeadline);
+      });
+      return;
+    }
+    aPromise.deliver(this->FindZones());
+  }
+
+  // Endpoints that an earlier time as leader has left are not used.
+  KnownZones FindZones() const
+  {
+    KnownZones zones;
+    zones.isLeader = this->isLeader;
+    // Empty while this instance is elected but not ready yet.
+    zones.leader =
+      this->leader == this->settings.instance ? InstanceId() : this->leader;
+    zones.known = this->settings.zones;
+    zones.known.insert(this->settings.zone);
+    for (const auto& [id, router] : this->routers) {
+      zones.known.insert(router.entry.zone);
+    }
+    if (this->hasReadList) {
+      for (const auto& endpoint : this->endpoints) {
+        zones.withEndpoints.insert(endpoint.zone);
+      }
+    }
+    zones.known.insert(zones.withEndpoints.begin(), zones.withEndpoints.end());
+    zones.isComplete = this->CanPublishView(net::Now(this->GetRuntime())) &&
+                       this->IsReconnectTimeOver();
+    return zones;
+  }
+
   bool Drain(const DrainInstance& aDrain)
   {
     auto router = this->routers.find(aDrain.instance);
--- a/packages/control/src/messages.h
+++ b/packages/control/src/messages.h
@@ -205,6 +205,23 @@
 struct ListEndpoints
 {};
 
+// Requests the availability zones that the fleet controller knows; the response
+// is KnownZones. A new leader responds once it has read the platform's endpoint
+// list, or after a time limit.
+struct GetZones
+{};
+struct KnownZones
+{
+  bool isLeader = false;
+  // The leader, if it is known.
+  InstanceId leader;
+  // Zones of the settings, and of the instances and endpoints in the view.
+  std::set<ZoneId> known;
+  std::set<ZoneId> withEndpoints;
+  // False if a new leader may not know all instances and endpoints yet.
+  bool isComplete = false;
+};
+
 // Asks a router instance to stop gracefully; the response is a bool, false if
 // the instance is not connected.
 struct DrainInstance
@@ -256,6 +273,8 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::GetEndpoints)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::ListInstances)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::ListEndpoints)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::GetZones)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::KnownZones)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::DrainInstance)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::LogBudgets)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::DumpState)
--- a/packages/control/src/operator_handler.cc
+++ b/packages/control/src/operator_handler.cc
@@ -1,5 +1,6 @@
 #include "state_format.h"
 #include "tasks.h"
+#include "zone_orders.h"
 
 #include <boost/json.hpp>
 
@@ -116,6 +117,7 @@
     case state::Rejection::UnknownWorkspace:
     case state::Rejection::UnknownKey:
     case state::Rejection::UnknownSession:
+    case state::Rejection::UnknownZone:
       return 404;
     case state::Rejection::InvalidAmount:
       return 400;
@@ -139,6 +141,36 @@
   return json::serialize(out);
 }
 
+// Responds with the result of a change. aProblem says why it was rejected, if
+// more is known than the reason's code.
+void
+SendResult(const net::ExchangePtr& aExchange,
+           const ProposalResult& aResult,
+           const std::string& aProblem = "")
+{
+  if (!aResult.outcome) {
+    SendError(aExchange,
+              503,
+              "not_leader",
+              "this instance is not the leader, or lost leadership before it "
+              "learned whether the change was committed; resend the change "
+              "with the same change id to the leader",
+              aResult.isUnknown ? ExecutionState::Unknown
+                                : ExecutionState::NotRun,
+              aResult.leader);
+  } else if (const auto* rejected =
+               std::get_if<state::Rejected>(&*aResult.outcome)) {
+    SendError(aExchange,
+              HttpStatusOf(rejected->reason),
+              ToString(rejected->reason),
+              (aProblem.empty() ? "" : aProblem + "; ") +
+                "the change was rejected and has no effect; send the corrected "
+                "change with a new change id");
+  } else {
+    SendResponse(aExchange, 200, FormatOutcome(*aResult.outcome));
+  }
+}
+
 void
 ProposeChange(const OperatorTasks& aTasks,
               const net::ExchangePtr& aExchange,
@@ -147,26 +179,7 @@
   aExchange->Task()
     .request(aTasks.replica, caf::infinite, Propose{ std::move(aCommand) })
     .then([aExchange](const ProposalResult& aResult) {
-      if (!aResult.outcome) {
-        SendError(aExchange,
-                  503,
-                  "not_leader",
-                  "this instance is not the leader, or lost leadership before "
-                  "it learned whether the change was committed; resend the "
-                  "change with the same change id to the leader",
-                  aResult.isUnknown ? ExecutionState::Unknown
-                                    : ExecutionState::NotRun,
-                  aResult.leader);
-      } else if (const auto* rejected =
-                   std::get_if<state::Rejected>(&*aResult.outcome)) {
-        SendError(aExchange,
-                  HttpStatusOf(rejected->reason),
-                  ToString(rejected->reason),
-                  "the change was rejected and has no effect; send the "
-                  "corrected change with a new change id");
-      } else {
-        SendResponse(aExchange, 200, FormatOutcome(*aResult.outcome));
-      }
+      SendResult(aExchange, aResult);
     });
 }
 
@@ -284,6 +297,41 @@
   ProposeIfValid(aTasks, aExchange, reader, std::move(command));
 }
 
+void
+SetZoneEvacuation(const OperatorTasks& aTasks,
+                  const net::ExchangePtr& aExchange,
+                  bool aIsEvacuated)
+{
+  BodyReader reader(aExchange->Request().body);
+  state::SetZoneEvacuation command;
+  command.change = ChangeId(reader.Id("change_id"));
+  command.zone = ZoneId(reader.Id("zone"));
+  command.isEvacuated = aIsEvacuated;
+  if (!reader.Problem().empty()) {
+    SendError(aExchange, 400, "invalid_request", reader.Problem());
+    return;
+  }
+  ProposeZoneOrder(aExchange->Task(),
+                   aTasks.replica,
+                   aTasks.fleet,
+                   std::move(command),
+                   [aExchange](const ZoneOrderResult& aResult) {
+                     SendResult(aExchange, aResult.proposal, aResult.problem);
+                   });
+}
+
+void
+EvacuateZone(const OperatorTasks& aTasks, const net::ExchangePtr& aExchange)
+{
+  SetZoneEvacuation(aTasks, aExchange, true);
+}
+
+void
+RestoreZone(const OperatorTasks& aTasks, const net::ExchangePtr& aExchange)
+{
+  SetZoneEvacuation(aTasks, aExchange, false);
+}
+
 void
 Drain(const OperatorTasks& aTasks, const net::ExchangePtr& aExchange)
 {
@@ -390,6 +438,9 @@
     { "POST", "/admin/instances/drain", Drain },
     { "POST", "/admin/orders", OrderEngine },
     { "GET", "/admin/orders", read(FormatOrders) },
+    { "POST", "/admin/zones/evacuate", EvacuateZone },
+    { "POST", "/admin/zones/restore", RestoreZone },
+    { "GET", "/admin/zones/evacuated", read(FormatEvacuations) },
     { "GET", "/admin/status", read(FormatStatus) },
     { "GET",
       "/admin/instances",
--- a/packages/control/src/replica.cc
+++ b/packages/control/src/replica.cc
@@ -273,6 +273,7 @@
     }
     this->PublishLeadership();
     this->PublishRevision();
+    this->PublishEvacuations();
     this->UpdateMembers();
     this->CompleteReads(aEffects.confirmedReads, true);
     this->CompleteReads(aEffects.failedReads, false);
@@ -362,6 +363,21 @@
     }
   }
 
+  // All control instances show which zones are evacuated.
+  void PublishEvacuations()
+  {
+    Revision current = this->state.Machine().CurrentRevision();
+    if (this->evacuationsRevision == current) {
+      return;
+    }
+    this->evacuationsRevision = current;
+    auto zones = this->state.Machine().Evacuations().Zones();
+    if (zones != this->evacuatedZones) {
+      net::ReportEvacuatedZones(this->evacuatedZones, zones);
+      this->evacuatedZones = std::move(zones);
+    }
+  }
+
   void UpdateMembers()
   {
     const auto& members = this->node.Members();
@@ -488,6 +504,9 @@
   bool isWriting = false;
   LeadershipChanged publishedLeadership;
   Revision publishedRevision;
+  // Evacuated zones that were last published, and the revision of that time.
+  Revision evacuationsRevision;
+  std::set<ZoneId> evacuatedZones;
   consensus::Configuration knownMembers;
   std::set<consensus::Member> lostVoters;
   // The disk of each instance whose request to join has been logged.
--- a/packages/control/src/replica_state.cc
+++ b/packages/control/src/replica_state.cc
@@ -106,7 +106,8 @@
   return settings::FormatFleetSnapshot(
     records.empty() ? "" : records.back().document,
     keys,
-    this->machine.Routes().Document());
+    this->machine.Routes().Document(),
+    this->machine.Evacuations().Zones());
 }
 
 TokenHolders
--- a/packages/control/src/replica_state.h
+++ b/packages/control/src/replica_state.h
@@ -29,8 +29,8 @@
   // Returns whether the log has grown enough since the last snapshot.
   bool ShouldCompact(LogIndex aSnapshotIndex) const;
 
-  // Returns the configuration, API keys and route table that routers must
-  // apply, as JSON.
+  // Returns the configuration, API keys, route table and evacuated zones that
+  // routers must apply, as JSON.
   std::string FormatFleetSnapshot() const;
 
   TokenHolders FindTokenHolders(const WorkspaceId& aWorkspace) const;
--- a/packages/control/src/state_format.cc
+++ b/packages/control/src/state_format.cc
@@ -128,6 +128,18 @@
   return json::serialize(out);
 }
 
+std::string
+FormatEvacuations(const state::StateMachine& aMachine)
+{
+  json::array out;
+  for (const auto& [zone, evacuation] : aMachine.Evacuations().Evacuations()) {
+    out.push_back({ { "zone", zone.Get() },
+                    { "revision", evacuation.revision.Get() },
+                    { "change_id", evacuation.change.Get() } });
+  }
+  return json::serialize(out);
+}
+
 std::string
 FormatStatus(const state::StateMachine& aMachine)
 {
@@ -135,13 +147,18 @@
   for (const auto& [id, session] : aMachine.Sessions().Sessions()) {
     open += session.closed ? 0 : 1;
   }
+  json::array evacuated;
+  for (const auto& zone : aMachine.Evacuations().Zones()) {
+    evacuated.push_back(json::value(zone.Get()));
+  }
   return json::serialize(json::object{
     { "configuration_version", aMachine.Configuration().Current().Get() },
     { "revision", aMachine.CurrentRevision().Get() },
     { "workspaces", aMachine.Workspaces().Workspaces().size() },
     { "keys", aMachine.Workspaces().Keys().size() },
     { "open_sessions", open },
-    { "operations", aMachine.Operations().Operations().size() } });
+    { "operations", aMachine.Operations().Operations().size() },
+    { "evacuated_zones", std::move(evacuated) } });
 }
 
 } // namespace lycheestand::control
--- a/packages/control/src/state_format.h
+++ b/packages/control/src/state_format.h
@@ -28,6 +28,11 @@
 std::string
 FormatOrders(const state::StateMachine& aMachine);
 
+// Returns the evacuated availability zones, with the revision and the change id
+// of their orders.
+std::string
+FormatEvacuations(const state::StateMachine& aMachine);
+
 // Returns the order kind with a name such as "load_model", or nothing if the
 // name is unknown.
 std::optional<OrderKind>
@@ -36,8 +41,8 @@
 const char*
 ToString(OrderKind aKind);
 
-// Returns the current versions, and the numbers of workspaces, keys, open
-// sessions and operations.
+// Returns the current versions, the numbers of workspaces, keys, open sessions
+// and operations, and the evacuated zones.
 std::string
 FormatStatus(const state::StateMachine& aMachine);
 
--- a/packages/net/include/lycheestand/net.h
+++ b/packages/net/include/lycheestand/net.h
@@ -659,6 +659,12 @@
 MetricsRegistry&
 Metrics();
 
+// Logs the availability zones whose evacuation this process has learned to be
+// ordered or revoked, and publishes the number of evacuated zones.
+void
+ReportEvacuatedZones(const std::set<ZoneId>& aBefore,
+                     const std::set<ZoneId>& aAfter);
+
 } // namespace lycheestand::net
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::PostedHandler)
--- a/packages/router/src/configuration_controller.cc
+++ b/packages/router/src/configuration_controller.cc
@@ -12,10 +12,12 @@
   ConfigurationController(caf::actor_config& aConfig,
                           net::Runtime aRuntime,
                           Duration aConfirmationLimit,
-                          RouteTableReader aReadTable)
+                          RouteTableReader aReadTable,
+                          caf::actor aEndpoint)
     : net::IoTask(aConfig, aRuntime)
     , confirmationLimit(aConfirmationLimit)
     , readTable(std::move(aReadTable))
+    , endpoint(std::move(aEndpoint))
   {
   }
 
@@ -62,6 +64,7 @@
       return;
     }
     this->ApplyRouteTable(parsed.value().routes);
+    this->ApplyEvacuatedZones(parsed.value().evacuatedZones);
     this->revision = aPush.revision;
     this->document = std::move(text.value());
     this->snapshot = std::make_shared<const settings::FleetSnapshot>(
@@ -98,6 +101,20 @@
       .Set(static_cast<std::int64_t>(this->table->Version().Get()));
   }
 
+  // The endpoint controller gets the zones before any request gets the
+  // snapshot, so the first request of a router that has just started avoids
+  // them as well.
+  void ApplyEvacuatedZones(const std::set<ZoneId>& aZones)
+  {
+    const std::set<ZoneId> old =
+      this->snapshot ? this->snapshot->evacuatedZones : std::set<ZoneId>();
+    if (aZones == old) {
+      return;
+    }
+    this->send(this->endpoint, SetEvacuatedZones{ aZones });
+    net::ReportEvacuatedZones(old, aZones);
+  }
+
   // Returns the whole snapshot of a push, which may be a patch.
   Result<std::string, settings::SettingsError> ExpandDocument(
     const wire::ConfigPush& aPush) const
@@ -154,6 +171,7 @@
 
   Duration confirmationLimit;
   RouteTableReader readTable;
+  caf::actor endpoint;
   Revision revision;
   std::string document;
   std::shared_ptr<const settings::FleetSnapshot> snapshot;
@@ -166,10 +184,11 @@
 caf::actor
 SpawnConfigurationController(const net::Runtime& aRuntime,
                              Duration aConfirmationLimit,
-                             RouteTableReader aReadTable)
+                             RouteTableReader aReadTable,
+                             caf::actor aEndpoint)
 {
   return aRuntime.system->spawn<ConfigurationController>(
-    aRuntime, aConfirmationLimit, std::move(aReadTable));
+    aRuntime, aConfirmationLimit, std::move(aReadTable), std::move(aEndpoint));
 }
 
 } // namespace lycheestand::router
--- a/packages/router/src/controllers.h
+++ b/packages/router/src/controllers.h
@@ -22,11 +22,13 @@
   std::function<Result<routes::RouteTable, std::string>(const std::string&)>;
 
 // Starts the task that owns the configuration. It serves the configuration for
-// aConfirmationLimit after control last confirmed that it is current.
+// aConfirmationLimit after control last confirmed that it is current. Evacuated
+// zones are sent to aEndpoint.
 caf::actor
 SpawnConfigurationController(const net::Runtime& aRuntime,
                              Duration aConfirmationLimit,
-                             RouteTableReader aReadTable);
+                             RouteTableReader aReadTable,
+                             caf::actor aEndpoint);
 
 // Starts the task that owns the tokens that this router holds, and its loans to
 // and from other routers.
--- a/packages/router/src/endpoint_controller.cc
+++ b/packages/router/src/endpoint_controller.cc
@@ -107,6 +107,9 @@
       [this](EndpointBlocked& aBlocked) {
         this->table.Block(aBlocked.endpoint, this->Time() + aBlocked.time);
       },
+      [this](SetEvacuatedZones& aSet) {
+        this->EvacuateZones(std::move(aSet.zones));
+      },
       [this](EndpointAnswered& aAnswered) { this->ObserveLimit(aAnswered); },
       [this](PermitSourceChanged& aChanged) {
         this->ChangePermitSource(aChanged.source);
@@ -319,10 +322,20 @@
   // Sends the request to another endpoint, or refuses it.
   void DenyPermit(limits::WaitingRequest aRequest, Duration aWait)
   {
-    if (auto pending = this->TakeWaiting(aRequest)) {
+    auto found = this->waiting.find(aRequest);
+    if (found != this->waiting.end()) {
       this->permitsDenied.Add();
+      this->table.Block(found->second.choice.endpoint, this->Time() + aWait);
+      this->ChooseAgain(aRequest);
+    }
+  }
+
+  // Takes back the choice of a request that waits for a permit, and makes
+  // another.
+  void ChooseAgain(limits::WaitingRequest aRequest)
+  {
+    if (auto pending = this->TakeWaiting(aRequest)) {
       this->Undo(pending->choose.ticket);
-      this->table.Block(pending->choice.endpoint, this->Time() + aWait);
       this->Choose(std::move(pending->choose), std::move(pending->promise));
     }
   }
@@ -385,6 +398,23 @@
     }
   }
 
+  // Requests that wait for a permit of an endpoint that is evacuated now are
+  // chosen for again, so a permit that is granted later sends nothing there.
+  void EvacuateZones(std::set<ZoneId> aZones)
+  {
+    this->table.SetEvacuatedZones(std::move(aZones));
+    std::vector<limits::WaitingRequest> evacuated;
+    for (const auto& [request, pending] : this->waiting) {
+      if (this->table.IsEvacuated(pending.choice.endpoint)) {
+        evacuated.push_back(request);
+      }
+    }
+    for (auto request : evacuated) {
+      this->ChooseAgain(request);
+    }
+    this->PublishCapacity();
+  }
+
   void MakeRetry(Ticket aTicket)
   {
     auto found = this->retries.find(aTicket);
@@ -413,7 +443,8 @@
   {
     auto now = this->Time();
     for (auto& [id, polled] : this->polled) {
-      if (polled.isRequestPending || !this->options.pollsEndpoints) {
+      if (polled.isRequestPending || !this->options.pollsEndpoints ||
+          this->table.IsEvacuated(id)) {
         continue;
       }
       if (now >= polled.nextLoadPoll) {
@@ -536,6 +567,7 @@
                                  { "zone", status.endpoint.zone.Get() },
                                  { "in_flight", status.inFlight },
                                  { "leaving", status.leaving },
+                                 { "evacuated", status.evacuated },
                                  { "breaker", ToText(status.breaker) },
                                  { "prefixes", status.prefixes } };
       if (status.report) {
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -293,6 +293,13 @@
   TimePoint sentAt{};
 };
 
+// To the endpoint controller: the availability zones whose endpoints get no
+// requests.
+struct SetEvacuatedZones
+{
+  std::set<ZoneId> zones;
+};
+
 // Says where permits for limited endpoints come from now.
 struct PermitSourceChanged
 {
@@ -445,6 +452,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointLeaving)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointBlocked)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointAnswered)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::SetEvacuatedZones)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::PermitSourceChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CrashSuspected)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::PartsSucceeded)
--- a/packages/router/src/router.cc
+++ b/packages/router/src/router.cc
@@ -223,15 +223,16 @@
         caf::anon_send(overload, ConnectTime{ aTime });
       });
     Controllers& all = this->controllers;
-    all.configuration = SpawnConfigurationController(
-      this->runtime,
-      this->settings.confirmationLimit,
-      this->protocol ? this->protocol->readTable : RouteTableReader());
     all.budget = SpawnBudgetController(this->runtime, this->settings);
     all.operation = SpawnOperationController(this->runtime, pool);
     all.admission = SpawnAdmissionController(this->runtime);
     all.endpoint = SpawnEndpointController(
       this->runtime, pool, MakeEndpointOptions(this->settings), all.admission);
+    all.configuration = SpawnConfigurationController(
+      this->runtime,
+      this->settings.confirmationLimit,
+      this->protocol ? this->protocol->readTable : RouteTableReader(),
+      all.endpoint);
     all.membership = SpawnMembershipController(this->runtime, this->settings);
     all.quarantine = SpawnQuarantineController(this->runtime);
     all.link =
