--- a/packages/client/test/client_test.cc
+++ b/packages/client/test/client_test.cc
@@ -124,6 +124,27 @@
           static_cast<int>(ExitCode::Unavailable));
 }
 
+// Guards against an order for a zone that is sent to the wrong path or without
+// its change id, and against a status that hides an evacuation.
+TEST_CASE_METHOD(ClientFixture, "Zones are evacuated, restored and shown")
+{
+  this->replies = { AdminResponse{ 200, R"({"ok":true})" } };
+  for (const char* order : { "evacuate", "restore" }) {
+    REQUIRE(this->RunFleet({ "zone", order, "z2", "--change-id", "c7" }) == 0);
+    CHECK(this->requests.back().target == std::string("/admin/zones/") + order);
+    CHECK(this->LastBodyMember("zone") == "z2");
+    CHECK(this->LastBodyMember("change_id") == "c7");
+  }
+  CHECK(this->out.str().find("zone z2 is restored") != std::string::npos);
+  this->replies = { AdminResponse{ 200, R"({"evacuated_zones":["z2"]})" } };
+  REQUIRE(this->RunFleet({ "status" }) == 0);
+  CHECK(this->out.str().find(R"(evacuated_zones: ["z2"])") !=
+        std::string::npos);
+  REQUIRE(this->RunFleet({ "status", "--json" }) == 0);
+  CHECK(this->out.str().find(R"("evacuated_zones":["z2"])") !=
+        std::string::npos);
+}
+
 // Guards against endless redirects between two instances that name each other
 // as the leader.
 TEST_CASE_METHOD(ClientFixture, "Redirects between two instances are limited")
--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -27,9 +27,9 @@
 // before it publishes a view.
 constexpr Duration kMaxListWait = std::chrono::seconds(5);
 
-// Maximum time for which a new leader waits for the endpoint list before it
-// tells which zones it knows. Orders for zones are acknowledged after it, and
-// each second of theirs beyond the first counts.
+// Maximum time for which a new leader waits for the endpoint list, or for
+// routers to connect, before it tells which zones it knows. Orders for zones
+// are acknowledged after it, and each second of theirs beyond the first counts.
 constexpr Duration kMaxZonesWait = std::chrono::seconds(1);
 constexpr Duration kZonesCheckInterval = std::chrono::milliseconds(50);
 
@@ -109,7 +109,7 @@
         }
       },
       [this](GetEndpoints) { return EndpointList{ this->endpoints }; },
-      [this](GetZones) { return this->HandleGetZones(); },
+      [this](GetZones& aGet) { return this->HandleGetZones(aGet.zone); },
       [this](ListInstances) { return this->FormatInstances(); },
       [this](ListEndpoints) { return this->FormatEndpoints(); },
       [this](DrainInstance& aDrain) { return this->Drain(aDrain); },
@@ -648,25 +648,29 @@
     }
   }
 
-  caf::typed_response_promise<KnownZones> HandleGetZones()
+  caf::typed_response_promise<KnownZones> HandleGetZones(const ZoneId& aZone)
   {
     auto promise = this->make_response_promise<KnownZones>();
-    this->DeliverZones(promise, net::Now(this->GetRuntime()) + kMaxZonesWait);
+    this->DeliverZones(
+      promise, aZone, net::Now(this->GetRuntime()) + kMaxZonesWait);
     return promise;
   }
 
   void DeliverZones(caf::typed_response_promise<KnownZones> aPromise,
+                    const ZoneId& aZone,
                     TimePoint aDeadline)
   {
-    bool isWaitingForList =
-      this->isLeader && this->listReader && !this->hasReadList;
-    if (isWaitingForList && net::Now(this->GetRuntime()) < aDeadline) {
-      this->After(kZonesCheckInterval, [this, aPromise, aDeadline] {
-        this->DeliverZones(aPromise, aDeadline);
+    KnownZones zones = this->FindZones();
+    bool isWaitingForList = this->listReader && !this->hasReadList;
+    bool maySoonKnow = !zones.known.contains(aZone) && !zones.isComplete;
+    if (this->isLeader && (isWaitingForList || maySoonKnow) &&
+        net::Now(this->GetRuntime()) < aDeadline) {
+      this->After(kZonesCheckInterval, [this, aPromise, aZone, aDeadline] {
+        this->DeliverZones(aPromise, aZone, aDeadline);
       });
       return;
     }
-    aPromise.deliver(this->FindZones());
+    aPromise.deliver(std::move(zones));
   }
 
   // Endpoints that an earlier time as leader has left are not used.
--- a/packages/control/src/messages.h
+++ b/packages/control/src/messages.h
@@ -207,9 +207,12 @@
 
 // Requests the availability zones that the fleet controller knows; the response
 // is KnownZones. A new leader responds once it has read the platform's endpoint
-// list, or after a time limit.
+// list and, if it does not know the zone, once it knows all instances, or after
+// a time limit.
 struct GetZones
-{};
+{
+  ZoneId zone;
+};
 struct KnownZones
 {
   bool isLeader = false;
--- a/packages/control/src/zone_orders.cc
+++ b/packages/control/src/zone_orders.cc
@@ -97,7 +97,7 @@
                  state::SetZoneEvacuation aCommand,
                  std::function<void(const ZoneOrderResult&)> aDone)
 {
-  aTask.request(aFleet, kZonesTimeout, GetZones{})
+  aTask.request(aFleet, kZonesTimeout, GetZones{ aCommand.zone })
     .then(
       [&task = aTask, aReplica, command = std::move(aCommand), aDone](
         const KnownZones& aZones) mutable {
--- a/test/faults/platform_fleet.cc
+++ b/test/faults/platform_fleet.cc
@@ -173,6 +173,10 @@
   if (aOptions.memoryMb) {
     settings["limits"].as_object()["memoryMb"] = *aOptions.memoryMb;
   }
+  if (!aOptions.zones.empty()) {
+    settings["zones"] =
+      json::array(aOptions.zones.begin(), aOptions.zones.end());
+  }
   auto folder = this->environment.Folder() / machine;
   if (aOptions.listAddress) {
     settings["cloud"] = { { "address", ToString(*aOptions.listAddress) } };
@@ -302,6 +306,19 @@
   return this->SendToControl(aMachine, call).status;
 }
 
+Reply
+PlatformFleet::OrderEvacuation(int aMachine,
+                               const std::string& aZone,
+                               bool aIsEvacuated) const
+{
+  constexpr Duration kAckTimeout = 5s;
+  Call call;
+  call.method = aIsEvacuated ? "POST" : "DELETE";
+  call.target = "/evacuate/" + aZone;
+  call.timeout = kAckTimeout;
+  return this->SendToControl(aMachine, call);
+}
+
 std::int64_t
 PlatformFleet::ReadVersion(int aMachine)
 {
--- a/test/faults/platform_fleet.h
+++ b/test/faults/platform_fleet.h
@@ -31,6 +31,8 @@
   std::optional<int> memoryMb;
   // Address of the platform's list of replicas.
   std::optional<Address> listAddress;
+  // Names of the deployment's availability zones; left out if empty.
+  std::vector<std::string> zones;
 };
 
 // Returns a route of a configuration: the host is "h.example", the prefix the
@@ -92,6 +94,13 @@
   unsigned PutConfiguration(int aMachine, int aVersion);
   // The same with the configuration's text.
   unsigned PutDocument(int aMachine, const std::string& aDocument);
+  // Orders or revokes the evacuation of a zone at a control instance, and
+  // follows redirects.
+  Reply OrderEvacuation(int aMachine,
+                        const std::string& aZone,
+                        bool aIsEvacuated = true) const;
+  // Sends a request of an operator; follows up to two redirects.
+  Reply SendToControl(int aMachine, const Call& aCall) const;
   // Returns the version of the configuration that an operator reads at a
   // control instance, or -1.
   std::int64_t ReadVersion(int aMachine);
@@ -113,8 +122,6 @@
   std::filesystem::path WriteSettings(int aMachine,
                                       const MachineOptions& aOptions,
                                       const std::string& aRole);
-  // Sends a request of an operator; follows up to two redirects.
-  Reply SendToControl(int aMachine, const Call& aCall) const;
 
   std::string name;
   TestEnvironment environment;
