Test operators' orders for zones, and the loss of one of three zones

Cause: no test covered change ids of evacuations over HTTP, nor that a group of five voters, spread 2+2+1, works on after each of its zones is lost.

--- a/packages/consensus/test/replacement_test.cc
+++ b/packages/consensus/test/replacement_test.cc
@@ -273,3 +273,43 @@
   }));
   CHECK(simulation.violations.empty());
 }
+
+// Guards against a group of five voters in three zones that stands still, or
+// loses what it acknowledged, when the machines of one zone are gone at once.
+TEST_CASE("the loss of any one of three zones leaves a working group")
+{
+  constexpr std::size_t kHosts = 5;
+  constexpr std::size_t kZones = 3;
+  // An election and the first commit fit well into the time for a recovery.
+  constexpr Milliseconds kMaxOutage{ 5000 };
+  for (unsigned seed : { 1, 2, 3, 4, 5 }) {
+    Simulation simulation(kHosts, seed, { 3, kHosts, kZones });
+    REQUIRE(simulation.RunUntil([&] { return simulation.HasFullGroup(); }));
+    for (std::size_t lostZone = 0; lostZone < kZones; ++lostZone) {
+      CAPTURE(seed, lostZone);
+      std::string before = "before " + std::to_string(lostZone);
+      std::string after = "after " + std::to_string(lostZone);
+      REQUIRE(simulation.Commit(before));
+      for (std::size_t host = lostZone; host < kHosts; host += kZones) {
+        simulation.Crash(host);
+      }
+      REQUIRE(simulation.RunUntil(
+        [&] {
+          auto leader = simulation.Leader();
+          return leader && simulation.hosts[*leader].node->IsReady();
+        },
+        kMaxOutage));
+      CHECK(simulation.Commit(after));
+      for (std::size_t host = lostZone; host < kHosts; host += kZones) {
+        simulation.Start(host);
+      }
+      REQUIRE(simulation.RunUntil([&] {
+        return simulation.HasConverged() && simulation.HasFullGroup();
+      }));
+      const auto& applied = simulation.hosts[lostZone].applied;
+      CHECK(std::find(applied.begin(), applied.end(), before) != applied.end());
+      CHECK(applied.back() == after);
+    }
+    CHECK(simulation.violations.empty());
+  }
+}
--- a/packages/control/src/zone_orders.cc
+++ b/packages/control/src/zone_orders.cc
@@ -39,6 +39,8 @@
       return "all other zones that have endpoints are evacuated; restore one "
              "of them before zone \"" +
              aZone.Get() + "\" is evacuated";
+    case state::Rejection::ChangeIdReused:
+      return "the change id belongs to another change";
     default:
       return ToString(rejected->reason);
   }
--- a/test/faults/zone_evacuation_test.cc
+++ b/test/faults/zone_evacuation_test.cc
@@ -1,6 +1,7 @@
 // Evacuations of availability zones on the users' platform: replicas of an
 // evacuated zone get no requests, whatever happens to control.
 
+#include "fleet.h"
 #include "platform_fleet.h"
 #include "replica_pool.h"
 
@@ -312,4 +313,34 @@
   CHECK(WaitFor(kEvacuateTime, [&] { return pushes() == before + 2; }));
 }
 
+// Guards against an operator's order that takes effect a second time when it is
+// resent after it was revoked, and against a status that hides an evacuation.
+TEST_CASE("an operator's orders for zones are deduplicated", "[zone-changes]")
+{
+  FleetOptions options;
+  options.controls = 3;
+  options.engines = 0;
+  Fleet fleet("zone-changes", 1, options);
+  auto order = [&](const char* aPath, const char* aChange, const char* aZone) {
+    Reply reply;
+    WaitFor(kZonesServeTime, [&] {
+      reply = fleet.SendAdminRequest(
+        "POST", aPath, { { "change_id", aChange }, { "zone", aZone } });
+      return reply.status != 0 && reply.status != 503;
+    });
+    return reply.status;
+  };
+  auto showsEvacuation = [&] {
+    auto status = fleet.SendAdminRequest("GET", "/admin/status", {});
+    return status.body.find(R"("evacuated_zones":["z1"])") != std::string::npos;
+  };
+  CHECK(order("/admin/zones/evacuate", "c1", "z1") == 200);
+  CHECK(showsEvacuation());
+  CHECK(order("/admin/zones/restore", "c2", "z1") == 200);
+  CHECK(order("/admin/zones/evacuate", "c1", "z1") == 200);
+  CHECK_FALSE(showsEvacuation());
+  CHECK(order("/admin/zones/evacuate", "c1", "z2") == 409);
+  CHECK(order("/admin/zones/evacuate", "c3", "z2") == 404);
+}
+
 } // namespace lycheestand::faults
