--- a/packages/control/src/replica.cc
+++ b/packages/control/src/replica.cc
@@ -67,6 +67,7 @@
 protected:
   void Start() override
   {
+    net::ReportEvacuatedZones({}, this->evacuatedZones);
     this->TickPeriodically();
     this->SendKeepAlives();
   }
--- a/packages/router/src/configuration_controller.cc
+++ b/packages/router/src/configuration_controller.cc
@@ -22,6 +22,9 @@
   }
 
 protected:
+  // The gauge exists from the start.
+  void Start() override { net::ReportEvacuatedZones({}, {}); }
+
   caf::message_handler Handlers() override
   {
     return {
