--- a/packages/control/include/lycheestand/control.h
+++ b/packages/control/include/lycheestand/control.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <lycheestand/core.h>
 #include <lycheestand/discovery.h>
+#include <lycheestand/limits.h>
 #include <lycheestand/net.h>
 #include <lycheestand/settings.h>
 #include <memory>
@@ -80,6 +81,15 @@
                     std::function<void(std::string)> aDone) = 0;
 };
 
+// Hooks for the formats of a platform.
+struct PlatformFormat
+{
+  discovery::ListFormat list = discovery::MakePlainFormat();
+  // Returns what a route document says about cold endpoints. If it is not set,
+  // their requests are not bounded.
+  std::function<limits::ColdRules(const std::string& aDocument)> readColdRules;
+};
+
 // Starts a control instance; on failure, returns an error message. aPool is the
 // connection pool for HTTP requests to engines and to the platform.
 Result<std::unique_ptr<Control>, std::string>
@@ -87,7 +97,7 @@
              caf::actor aPool,
              const settings::ProcessSettings& aSettings,
              const net::FleetKey& aKey,
-             discovery::ListFormat aListFormat = discovery::MakePlainFormat());
+             PlatformFormat aFormat = {});
 
 // Formats the data folder of an initial member of the control group. The
 // members bootstrap the group once all of them run. Returns an error message on
--- a/packages/control/src/control.cc
+++ b/packages/control/src/control.cc
@@ -125,7 +125,7 @@
              caf::actor aPool,
              const settings::ProcessSettings& aSettings,
              const net::FleetKey& aKey,
-             discovery::ListFormat aListFormat)
+             PlatformFormat aFormat)
 {
   using R = Result<std::unique_ptr<Control>, std::string>;
   if (aSettings.mayBootstrap && !aSettings.dataFolder.empty()) {
@@ -149,7 +149,8 @@
     fleet,
     SetQuarantineController{ SpawnQuarantineController(aRuntime, fleet) });
   caf::anon_send(fleet,
-                 SetLimitController{ SpawnLimitController(aRuntime, fleet) });
+                 SetLimitController{ SpawnLimitController(
+                   aRuntime, fleet, std::move(aFormat.readColdRules)) });
   caf::anon_send(replica, fleet);
   auto server =
     net::SpawnLinkServer(aRuntime,
@@ -168,7 +169,7 @@
     auto reader = discovery::SpawnListReader(aRuntime,
                                              std::move(aPool),
                                              *aSettings.endpointListAddress,
-                                             std::move(aListFormat),
+                                             std::move(aFormat.list),
                                              fleet);
     caf::anon_send(fleet, SetListReader{ reader });
   }
--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -80,7 +80,14 @@
         ++this->groupVersion;
       },
       [this](RevisionChanged& aChanged) { this->PushRevision(aChanged); },
-      [this](discovery::ListUpdate& aList) { this->HandleListUpdate(aList); },
+      // The limit controller goes first, so that routers know the limits of
+      // cold endpoints before the endpoints.
+      [this](discovery::ListUpdate& aList) {
+        this->send(this->limits, std::move(aList));
+      },
+      [this](EndpointsChecked& aChecked) {
+        this->HandleEndpointsChecked(aChecked);
+      },
       [this](SetListReader& aSet) {
         this->listReader = aSet.reader;
         this->send(this->listReader,
@@ -211,13 +218,13 @@
                                 .control = this->group,
                                 .tracksCrashes = true,
                                 .grantsPermits = true });
+    if (this->limitState && aState.hello.acceptsLimits) {
+      this->SendTo(aState, *this->limitState);
+    }
     this->PushUpdates(aState);
     if (this->quarantineState && aState.hello.acceptsQuarantine) {
       this->SendTo(aState, *this->quarantineState);
     }
-    if (this->limitState && aState.hello.acceptsLimits) {
-      this->SendTo(aState, *this->limitState);
-    }
     net::Log(net::LogLevel::Info,
              "router connected",
              { { "event", "router_connected" },
@@ -527,6 +534,7 @@
       this->leaderSince = net::Now(this->GetRuntime());
       this->hasReadList = false;
       this->view = {};
+      this->checkedLimits = {};
     }
     if (this->isLeader) {
       return;
@@ -544,6 +552,7 @@
   void PushRevision(const RevisionChanged& aChanged)
   {
     this->snapshots.Add(aChanged.revision, aChanged.document);
+    this->send(this->limits, aChanged);
     for (auto& [id, link] : this->links) {
       this->PushUpdates(link);
     }
@@ -571,7 +580,10 @@
     // better than none.
     bool isNew = aState.hello.revision == Revision(0);
     if (aState.pushedView != this->view.Version() &&
-        (isNew || this->IsReconnectTimeOver())) {
+        (isNew || this->CanReplaceView())) {
+      if (isNew && !this->limitState && aState.hello.acceptsLimits) {
+        this->SendTo(aState, this->checkedLimits);
+      }
       this->SendTo(aState, MakeViewPush(this->view, aState.pushedView));
       aState.pushedView = this->view.Version();
     }
@@ -592,9 +604,10 @@
                 [this] { this->UpdateViewPeriodically(); });
   }
 
-  void HandleListUpdate(discovery::ListUpdate& aList)
+  void HandleEndpointsChecked(EndpointsChecked& aChecked)
   {
-    this->endpoints = std::move(aList.endpoints);
+    this->endpoints = std::move(aChecked.endpoints);
+    this->checkedLimits = std::move(aChecked.limits);
     this->hasReadList = true;
     this->UpdateView();
   }
@@ -615,6 +628,13 @@
            kRouterReconnectTime;
   }
 
+  // Routers must know the limits of the endpoints in a view before the view.
+  bool CanReplaceView() const
+  {
+    return this->IsReconnectTimeOver() &&
+           (!this->listReader || this->limitState);
+  }
+
   void UpdateView()
   {
     auto now = net::Now(this->GetRuntime());
@@ -679,7 +699,8 @@
                       { "address", ToString(entry.address) },
                       { "serves", entry.serves },
                       { "kind", entry.isService ? "service" : "model" },
-                      { "leaving", entry.leaving } });
+                      { "leaving", entry.leaving },
+                      { "cold", entry.isCold } });
     }
     return boost::json::serialize(out);
   }
@@ -708,6 +729,8 @@
   caf::actor limits;
   // The same of the limit controller.
   std::optional<wire::LimitState> limitState;
+  // The limits at the last reading of the endpoint list.
+  wire::LimitState checkedLimits;
   // When this instance became the leader.
   TimePoint leaderSince{};
   // Whether an endpoint list has been read since then.
--- a/packages/control/src/limit_controller.cc
+++ b/packages/control/src/limit_controller.cc
@@ -15,17 +15,36 @@
 // Until then they keep to these, and it sends none.
 constexpr Duration kReportTime = std::chrono::seconds(1);
 
-// Owns the limits that endpoints have named, and gives out permits, while this
-// instance is the leader. Nothing of it is replicated: routers tell each new
-// leader the limits that they know.
+// Time for which an endpoint is taken to be cold after a router has told a new
+// leader that it was, if the list can't be read.
+constexpr Duration kKnownColdTime = std::chrono::seconds(10);
+
+std::vector<wire::EndpointLimit>
+ToEntries(const limits::Limits& aLimits)
+{
+  std::vector<wire::EndpointLimit> out;
+  for (const auto& [endpoint, rate] : aLimits) {
+    out.push_back({ endpoint, rate });
+  }
+  return out;
+}
+
+// Owns the limits that endpoints have named and those of cold endpoints, and
+// gives out permits, while this instance is the leader. Nothing of it is
+// replicated: routers tell each new leader the limits that they know.
 class LimitController : public net::IoTask
 {
 public:
+  using ReadColdRules =
+    std::function<limits::ColdRules(const std::string& aDocument)>;
+
   LimitController(caf::actor_config& aConfig,
                   net::Runtime aRuntime,
-                  caf::actor aFleet)
+                  caf::actor aFleet,
+                  ReadColdRules aReadColdRules)
     : net::IoTask(aConfig, aRuntime)
     , fleet(std::move(aFleet))
+    , readColdRules(std::move(aReadColdRules))
   {
   }
 
@@ -41,11 +60,23 @@
     return {
       [this](LeadershipChanged& aChanged) {
         this->isLeader = aChanged.isLeader;
+        this->coldEndpoints.Set(0);
         this->ledger = limits::PermitLedger();
+        this->cold.Clear();
+        this->endpoints.clear();
+        this->hasEndpoints = false;
         this->isChanged = aChanged.isLeader;
         this->publishFrom = this->Time() + kReportTime;
       },
-      [this](wire::LimitReport& aReport) { this->Handle(aReport); },
+      [this](RevisionChanged& aChanged) { this->UpdateRules(aChanged); },
+      [this](discovery::ListUpdate& aList) { this->Handle(aList); },
+      [this](wire::LimitReport& aReport) {
+        if (aReport.isCold) {
+          this->HandleCold(aReport);
+        } else {
+          this->Handle(aReport);
+        }
+      },
       [this](RequestPermits& aRequest) { this->Handle(aRequest); },
     };
   }
@@ -53,6 +84,107 @@
 private:
   TimePoint Time() const { return net::Now(this->GetRuntime()); }
 
+  void UpdateRules(const RevisionChanged& aChanged)
+  {
+    if (!this->readColdRules) {
+      return;
+    }
+    auto snapshot = settings::ParseFleetSnapshot(*aChanged.document);
+    if (snapshot.has_error() || snapshot.value().routes == this->routes) {
+      return;
+    }
+    this->routes = std::move(snapshot.value().routes);
+    this->cold.SetRules(this->readColdRules(this->routes));
+    this->ApplyCold({});
+    this->Publish();
+  }
+
+  // The limits are on their way to the fleet controller, and so to routers,
+  // before the endpoints that they belong to.
+  void Handle(discovery::ListUpdate& aList)
+  {
+    if (!this->isLeader) {
+      return;
+    }
+    std::vector<limits::ListedEndpoint> listed;
+    for (const auto& entry : aList.endpoints) {
+      auto found = aList.coldRemaining.find(entry.endpoint);
+      listed.push_back(
+        { entry.endpoint,
+          entry.serves,
+          entry.startTime,
+          found == aList.coldRemaining.end() ? Duration{} : found->second });
+    }
+    this->endpoints = std::move(aList.endpoints);
+    this->hasEndpoints = true;
+    this->ApplyCold(this->cold.Read(listed, this->Time()));
+    this->Publish();
+    this->SendEndpoints();
+  }
+
+  void HandleCold(const wire::LimitReport& aReport)
+  {
+    if (!aReport.limit) {
+      return;
+    }
+    Duration remaining =
+      aReport.isObserved ? Duration(aReport.coldRemaining) : kKnownColdTime;
+    this->UpdateCold(this->cold.Report(
+      aReport.endpoint, *aReport.limit, remaining, this->Time()));
+  }
+
+  // Applies changes that no reading of the list has caused.
+  void UpdateCold(const limits::ColdChanges& aChanges)
+  {
+    this->ApplyCold(aChanges);
+    if (!aChanges.cold.empty() || !aChanges.warm.empty()) {
+      this->Publish();
+      if (this->hasEndpoints) {
+        this->SendEndpoints();
+      }
+    }
+  }
+
+  // What was known of an endpoint's last process does not hold for the new one.
+  void ApplyCold(const limits::ColdChanges& aChanges)
+  {
+    for (const auto& endpoint : aChanges.restarted) {
+      this->isChanged |= this->ledger.Set(endpoint, std::nullopt, this->Time());
+      this->LogEndpoint("endpoint_restarted", endpoint);
+    }
+    for (const auto& endpoint : aChanges.cold) {
+      this->LogEndpoint("endpoint_cold", endpoint);
+    }
+    for (const auto& endpoint : aChanges.warm) {
+      this->LogEndpoint("endpoint_warm", endpoint);
+    }
+    this->isChanged |=
+      this->ledger.SetCold(this->cold.CurrentLimits(), this->Time());
+    this->coldEndpoints.Set(static_cast<std::int64_t>(this->cold.CountCold()));
+  }
+
+  void LogEndpoint(const char* aEvent, const EndpointId& aEndpoint)
+  {
+    net::Log(net::LogLevel::Info,
+             "the state of an endpoint has changed",
+             { { "event", aEvent }, { "endpoint", aEndpoint.Get() } });
+  }
+
+  void SendEndpoints()
+  {
+    EndpointsChecked checked{ this->endpoints, this->MakeState() };
+    for (auto& endpoint : checked.endpoints) {
+      endpoint.isCold = this->cold.IsCold(endpoint.endpoint);
+    }
+    this->send(this->fleet, std::move(checked));
+  }
+
+  wire::LimitState MakeState() const
+  {
+    return { ToEntries(this->ledger.CurrentLimits()),
+             ToEntries(this->ledger.ColdLimits()) };
+  }
+
   void Handle(const wire::LimitReport& aReport)
   {
     bool isNews =
@@ -89,21 +221,27 @@
 
   void PublishPeriodically()
   {
-    if (this->isLeader && this->isChanged &&
-        this->Time() >= this->publishFrom) {
-      this->isChanged = false;
-      wire::LimitState state;
-      for (const auto& [endpoint, rate] : this->ledger.CurrentLimits()) {
-        state.limits.push_back({ endpoint, rate });
-      }
-      net::Metrics()
-        .GetGauge("lycheestand_limited_endpoints")
-        .Set(static_cast<std::int64_t>(state.limits.size()));
-      this->send(this->fleet, LimitsChanged{ std::move(state) });
+    if (this->isLeader) {
+      this->UpdateCold(this->cold.Expire(this->Time()));
     }
+    this->Publish();
     this->After(kPublishInterval, [this] { this->PublishPeriodically(); });
   }
 
+  void Publish()
+  {
+    if (!this->isLeader || !this->isChanged ||
+        this->Time() < this->publishFrom) {
+      return;
+    }
+    this->isChanged = false;
+    auto state = this->MakeState();
+    net::Metrics()
+      .GetGauge("lycheestand_limited_endpoints")
+      .Set(static_cast<std::int64_t>(state.limits.size()));
+    this->send(this->fleet, LimitsChanged{ std::move(state) });
+  }
+
   void CleanUpPeriodically()
   {
     this->isChanged |= this->ledger.RemoveUnused(this->Time());
@@ -113,9 +251,18 @@
   caf::actor fleet;
   bool isLeader = false;
   TimePoint publishFrom{};
+  ReadColdRules readColdRules;
+  // The route document that the rules were read from.
+  std::string routes;
   limits::PermitLedger ledger;
+  limits::ColdTracker cold;
+  // The endpoints of the last reading of the list.
+  std::vector<membership::Endpoint> endpoints;
+  bool hasEndpoints = false;
   // The limits differ from those that were last sent to routers.
   bool isChanged = false;
+  net::Gauge coldEndpoints =
+    net::Metrics().GetGauge("lycheestand_cold_endpoints");
   net::Counter granted =
     net::Metrics().GetCounter("lycheestand_permits_granted_total");
   net::Counter denied =
@@ -125,9 +272,13 @@
 } // namespace
 
 caf::actor
-SpawnLimitController(const net::Runtime& aRuntime, caf::actor aFleet)
+SpawnLimitController(
+  const net::Runtime& aRuntime,
+  caf::actor aFleet,
+  std::function<limits::ColdRules(const std::string&)> aReadColdRules)
 {
-  return aRuntime.system->spawn<LimitController>(aRuntime, std::move(aFleet));
+  return aRuntime.system->spawn<LimitController>(
+    aRuntime, std::move(aFleet), std::move(aReadColdRules));
 }
 
 } // namespace lycheestand::control
--- a/packages/control/src/messages.h
+++ b/packages/control/src/messages.h
@@ -169,6 +169,16 @@
 {
   wire::LimitState state;
 };
+// To the fleet controller: the endpoints of the last reading of the list, with
+// the ones that are cold. It is sent after the LimitsChanged that has their
+// limits.
+struct EndpointsChecked
+{
+  std::vector<membership::Endpoint> endpoints;
+  // The limits that are known by now, for routers that have just started. In
+  // the first second of a leader others may be missing.
+  wire::LimitState limits;
+};
 struct SetLimitController
 {
   caf::actor controller;
@@ -245,6 +255,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::QuarantineChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::SetQuarantineController)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::LimitsChanged)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::EndpointsChecked)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::SetLimitController)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::RequestPermits)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::SendToRouter)
--- a/packages/control/src/tasks.h
+++ b/packages/control/src/tasks.h
@@ -5,6 +5,9 @@
 
 #include "messages.h"
 
+#include <functional>
+#include <lycheestand/limits.h>
+
 namespace lycheestand::control {
 
 // Starts the task that owns the replicated log and the state machine, and the
@@ -39,11 +42,15 @@
 caf::actor
 SpawnQuarantineController(const net::Runtime& aRuntime, caf::actor aFleet);
 
-// Starts the task that gives out permits for endpoints that name a limit. It
-// gets LeadershipChanged and the routers' messages from the fleet controller,
-// and sends LimitsChanged and SendToRouter to it.
+// Starts the task that gives out permits for endpoints that name a limit or are
+// cold. It gets LeadershipChanged, RevisionChanged, each reading of the
+// endpoint list, and the routers' messages from the fleet controller, and sends
+// LimitsChanged, EndpointsChecked and SendToRouter to it.
 caf::actor
-SpawnLimitController(const net::Runtime& aRuntime, caf::actor aFleet);
+SpawnLimitController(
+  const net::Runtime& aRuntime,
+  caf::actor aFleet,
+  std::function<limits::ColdRules(const std::string&)> aReadColdRules);
 
 // Starts the task that sends orders to engines while this instance is the
 // leader.
--- a/packages/control/src/view_push.cc
+++ b/packages/control/src/view_push.cc
@@ -26,7 +26,9 @@
                                entry.address,
                                entry.serves,
                                entry.isService,
-                               entry.leaving });
+                               entry.leaving,
+                               entry.startTime,
+                               entry.isCold });
   }
   push.removedInstances = std::move(delta.removedInstances);
   push.removedEndpoints = std::move(delta.removedEndpoints);
--- a/packages/core/include/lycheestand/core.h
+++ b/packages/core/include/lycheestand/core.h
@@ -134,6 +134,11 @@
 // Requests a second.
 using RequestRate = StrongType<struct RequestRateTag, double>;
 
+// When an endpoint's process started, in Unix milliseconds by the endpoint's
+// clock; 0 if it does not say. Another value at the same id means another
+// process. It is only compared for equality.
+using StartTime = StrongType<struct StartTimeTag, std::uint64_t>;
+
 // Identifies a part of a prompt that several requests may share.
 using PromptPartId = StrongType<struct PromptPartIdTag, std::uint64_t>;
 
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -105,7 +105,9 @@
         pool,
         this->settings,
         aKey,
-        this->node ? platform::MakeListFormat() : discovery::MakePlainFormat());
+        this->node ? control::PlatformFormat{ platform::MakeListFormat(),
+                                              platform::ReadColdRules }
+                   : control::PlatformFormat{});
       if (control.has_error()) {
         return control.error();
       }
--- a/packages/discovery/include/lycheestand/discovery.h
+++ b/packages/discovery/include/lycheestand/discovery.h
@@ -7,6 +7,7 @@
 #include <lycheestand/core.h>
 #include <lycheestand/membership.h>
 #include <lycheestand/net.h>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -17,6 +18,8 @@
 struct ListPage
 {
   std::vector<membership::Endpoint> endpoints;
+  // Time for which endpoints stay cold; warm ones are not in it.
+  std::map<EndpointId, Duration> coldRemaining;
   // Number of malformed entries, which were skipped.
   std::size_t malformedEntries = 0;
   // Token of the next page; empty on the last page.
@@ -44,6 +47,8 @@
 struct ListUpdate
 {
   std::vector<membership::Endpoint> endpoints;
+  // As in ListPage.
+  std::map<EndpointId, Duration> coldRemaining;
 };
 
 // Sent to the reader to start or stop polling.
--- a/packages/discovery/src/list_reader.cc
+++ b/packages/discovery/src/list_reader.cc
@@ -91,6 +91,7 @@
     for (auto& endpoint : page->endpoints) {
       this->list.endpoints.push_back(std::move(endpoint));
     }
+    this->list.coldRemaining.merge(page->coldRemaining);
     if (++this->pages > kMaxPages ||
         this->list.endpoints.size() > kMaxEndpoints) {
       this->list = {};
--- a/packages/limits/src/permit_ledger.cc
+++ b/packages/limits/src/permit_ledger.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 #include <lycheestand/limits.h>
 
 namespace lycheestand::limits {
@@ -9,6 +10,11 @@
 // burst is let through; the sum over any longer time stays near the rate.
 constexpr double kBurstSeconds = 0.5;
 
+// The same for a cold endpoint, which crashes above one and a half times its
+// rate in any one second. The rest of that half is for permits that are used
+// late and for routers without control.
+constexpr double kColdBurstSeconds = 0.1;
+
 // Shortest wait that is told to a router whose request was denied, so that it
 // does not ask again at once.
 constexpr Duration kMinWait = std::chrono::milliseconds(50);
@@ -19,29 +25,91 @@
 constexpr Duration kUnusedTime = std::chrono::minutes(1);
 
 double
-BurstOf(RequestRate aRate)
+BurstOf(std::optional<RequestRate> aRate, double aSeconds)
 {
-  return std::max(1.0, aRate.Get() * kBurstSeconds);
+  return aRate ? std::max(1.0, aRate->Get() * aSeconds)
+               : std::numeric_limits<double>::infinity();
 }
 
 } // namespace
 
+double
+PermitLedger::Account::Rate() const
+{
+  double none = std::numeric_limits<double>::infinity();
+  return std::min(this->named ? this->named->Get() : none,
+                  this->cold ? this->cold->Get() : none);
+}
+
+double
+PermitLedger::Account::Burst() const
+{
+  return std::min(BurstOf(this->named, kBurstSeconds),
+                  BurstOf(this->cold, kColdBurstSeconds));
+}
+
+// Also drops the permits above the burst of a limit that has become lower.
+void
+PermitLedger::Account::Accumulate(TimePoint aNow)
+{
+  if (this->named || this->cold) {
+    this->permits = std::min(
+      this->Burst(),
+      this->permits + this->Rate() * ToSeconds(aNow - this->updatedAt));
+  }
+  this->updatedAt = aNow;
+}
+
+PermitLedger::Account&
+PermitLedger::FindOrAdd(const EndpointId& aEndpoint, TimePoint aNow)
+{
+  Account added;
+  added.updatedAt = aNow;
+  added.usedAt = aNow;
+  Account& account = this->accounts.try_emplace(aEndpoint, added).first->second;
+  // Permits up to now accumulate at the old rate.
+  account.Accumulate(aNow);
+  return account;
+}
+
 bool
 PermitLedger::Set(const EndpointId& aEndpoint,
                   std::optional<RequestRate> aLimit,
                   TimePoint aNow)
 {
-  if (!aLimit) {
-    return this->accounts.erase(aEndpoint) > 0;
+  if (!aLimit && !this->accounts.contains(aEndpoint)) {
+    return false;
   }
-  auto [found, isNew] =
-    this->accounts.try_emplace(aEndpoint, Account{ *aLimit, 0, aNow, aNow });
-  if (!isNew) {
-    // Permits up to now accumulate at the old rate.
-    this->Take(aEndpoint, 0, aNow);
+  Account& account = this->FindOrAdd(aEndpoint, aNow);
+  bool isChanged = account.named != aLimit;
+  account.named = aLimit;
+  account.usedAt = aNow;
+  if (!account.named && !account.cold) {
+    this->accounts.erase(aEndpoint);
   }
-  bool isChanged = isNew || found->second.rate != *aLimit;
-  found->second.rate = *aLimit;
+  return isChanged;
+}
+
+bool
+PermitLedger::SetCold(const Limits& aCold, TimePoint aNow)
+{
+  bool isChanged = false;
+  for (const auto& [endpoint, rate] : aCold) {
+    Account& account = this->FindOrAdd(endpoint, aNow);
+    isChanged |= account.cold != rate;
+    account.cold = rate;
+  }
+  for (auto& [endpoint, account] : this->accounts) {
+    if (account.cold && !aCold.contains(endpoint)) {
+      account.Accumulate(aNow);
+      account.cold.reset();
+      account.usedAt = aNow;
+      isChanged = true;
+    }
+  }
+  std::erase_if(this->accounts, [](const auto& aAccount) {
+    return !aAccount.second.named && !aAccount.second.cold;
+  });
   return isChanged;
 }
 
@@ -50,8 +118,9 @@
                        RequestRate aLimit,
                        TimePoint aNow)
 {
-  return !this->accounts.contains(aEndpoint) &&
-         this->Set(aEndpoint, aLimit, aNow);
+  auto found = this->accounts.find(aEndpoint);
+  bool isNamed = found != this->accounts.end() && found->second.named;
+  return !isNamed && this->Set(aEndpoint, aLimit, aNow);
 }
 
 PermitGrant
@@ -64,11 +133,8 @@
     return { aWanted, {} };
   }
   Account& account = found->second;
-  double rate = account.rate.Get();
-  account.permits =
-    std::min(BurstOf(account.rate),
-             account.permits + rate * ToSeconds(aNow - account.updatedAt));
-  account.updatedAt = aNow;
+  double rate = account.Rate();
+  account.Accumulate(aNow);
   account.usedAt = aNow;
   PermitGrant grant;
   grant.granted = std::min(aWanted, static_cast<unsigned>(account.permits));
@@ -85,9 +151,17 @@
 bool
 PermitLedger::RemoveUnused(TimePoint aNow)
 {
-  return std::erase_if(this->accounts, [aNow](const auto& aAccount) {
-           return aNow - aAccount.second.usedAt > kUnusedTime;
-         }) > 0;
+  bool isChanged = false;
+  for (auto& [endpoint, account] : this->accounts) {
+    if (account.named && aNow - account.usedAt > kUnusedTime) {
+      account.named.reset();
+      isChanged = true;
+    }
+  }
+  std::erase_if(this->accounts, [](const auto& aAccount) {
+    return !aAccount.second.named && !aAccount.second.cold;
+  });
+  return isChanged;
 }
 
 Limits
@@ -95,7 +169,21 @@
 {
   Limits out;
   for (const auto& [endpoint, account] : this->accounts) {
-    out[endpoint] = account.rate;
+    if (account.named) {
+      out[endpoint] = *account.named;
+    }
+  }
+  return out;
+}
+
+Limits
+PermitLedger::ColdLimits() const
+{
+  Limits out;
+  for (const auto& [endpoint, account] : this->accounts) {
+    if (account.cold) {
+      out[endpoint] = *account.cold;
+    }
   }
   return out;
 }
--- a/packages/limits/src/permit_queue.cc
+++ b/packages/limits/src/permit_queue.cc
@@ -18,6 +18,18 @@
 // granted in the time before. Control may give its part to others meanwhile,
 // and all of them together should stay within one and a half times the limit.
 constexpr double kLocalFraction = 0.5;
+
+// The same for a cold endpoint, whose bound is over one second instead of four,
+// so that less of it is left for routers without control.
+constexpr double kColdLocalFraction = 0.25;
+
+// Time for which a request may be sent after its turn at a cold endpoint. A
+// turn that is missed is lost: routers whose turns accumulated would all send
+// at the same time when requests come.
+constexpr Duration kColdTurn = std::chrono::milliseconds(250);
+
+constexpr std::uint64_t kRandomSteps = 1U << 20;
+
 constexpr Duration kGrantHistory = std::chrono::seconds(4);
 
 bool
@@ -31,6 +43,15 @@
   return difference <= kReportedChange * aLeft->Get();
 }
 
+// Returns the time between two requests to a cold endpoint of a router without
+// control that was granted this many a second.
+Duration
+ColdInterval(double aGrantedPerSecond)
+{
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+    1 / (kColdLocalFraction * aGrantedPerSecond)));
+}
+
 } // namespace
 
 void
@@ -47,11 +68,22 @@
     return !this->limits.contains(aEntry.first) &&
            !this->observations.contains(aEntry.first);
   });
+  std::erase_if(this->coldObservations, [aNow](const auto& aEntry) {
+    return aNow >= aEntry.second.until;
+  });
   std::erase_if(this->grants, [this](const auto& aEntry) {
-    return !this->knownSince.contains(aEntry.first);
+    return !this->knownSince.contains(aEntry.first) &&
+           !this->coldLimits.contains(aEntry.first) &&
+           !this->coldObservations.contains(aEntry.first);
   });
 }
 
+void
+PermitQueue::SetColdLimits(const Limits& aLimits)
+{
+  this->coldLimits = aLimits;
+}
+
 std::vector<WaitingRequest>
 PermitQueue::SetSource(PermitSource aSource, TimePoint aNow)
 {
@@ -76,20 +108,38 @@
       std::count_if(times.begin(), times.end(), [aNow](TimePoint aTime) {
         return aNow - aTime < kGrantHistory;
       });
-    this->local[endpoint] = { kLocalFraction * static_cast<double>(recent) /
-                                ToSeconds(kGrantHistory),
-                              0,
-                              aNow };
+    LocalAccount account;
+    account.ratePerSecond =
+      kLocalFraction * static_cast<double>(recent) / ToSeconds(kGrantHistory);
+    account.updatedAt = aNow;
+    account.nextColdSend = this->FirstColdSend(recent, aNow);
+    this->local[endpoint] = account;
   }
 }
 
+// Many routers may lose control at the same time with the same number of
+// grants, so the first turn is at random within the interval of turns.
+TimePoint
+PermitQueue::FirstColdSend(std::ptrdiff_t aGrants, TimePoint aNow) const
+{
+  if (aGrants == 0) {
+    return TimePoint::max();
+  }
+  Duration interval =
+    ColdInterval(static_cast<double>(aGrants) / ToSeconds(kGrantHistory));
+  double part = this->random ? static_cast<double>(this->random(kRandomSteps)) /
+                                 static_cast<double>(kRandomSteps)
+                             : 1;
+  return aNow + std::chrono::duration_cast<Duration>(interval * part);
+}
+
 bool
 PermitQueue::Observe(const EndpointId& aEndpoint,
                      std::optional<RequestRate> aLimit,
                      TimePoint aSentAt,
                      TimePoint aNow)
 {
-  auto known = this->FindLimit(aEndpoint, aNow);
+  auto known = this->FindNamed(aEndpoint, aNow);
   if (IsNearlyEqual(known, aLimit)) {
     return false;
   }
@@ -103,8 +153,56 @@
   return true;
 }
 
+bool
+PermitQueue::ObserveCold(const EndpointId& aEndpoint,
+                         RequestRate aLimit,
+                         Duration aRemaining,
+                         TimePoint aNow)
+{
+  bool isNews = !this->FindCold(aEndpoint, aNow);
+  auto found = this->coldObservations.find(aEndpoint);
+  if (!isNews && found == this->coldObservations.end()) {
+    return false;
+  }
+  // While control does not confirm it, an observation lasts for a short time
+  // and is then reported again.
+  TimePoint time = isNews ? aNow : found->second.time;
+  this->coldObservations[aEndpoint] = { aLimit, time, aNow + aRemaining };
+  return isNews;
+}
+
 std::optional<RequestRate>
 PermitQueue::FindLimit(const EndpointId& aEndpoint, TimePoint aNow) const
+{
+  auto named = this->FindNamed(aEndpoint, aNow);
+  auto cold = this->FindCold(aEndpoint, aNow);
+  if (!named || !cold) {
+    return named ? named : cold;
+  }
+  return std::min(*named, *cold);
+}
+
+// Without control, an observation lasts for the time that the endpoint gave.
+std::optional<RequestRate>
+PermitQueue::FindCold(const EndpointId& aEndpoint, TimePoint aNow) const
+{
+  auto found = this->coldLimits.find(aEndpoint);
+  if (found != this->coldLimits.end()) {
+    return found->second;
+  }
+  auto observed = this->coldObservations.find(aEndpoint);
+  if (observed == this->coldObservations.end()) {
+    return std::nullopt;
+  }
+  const ColdObservation& cold = observed->second;
+  bool isRecent = this->source != PermitSource::Control ||
+                  aNow - cold.time < kObservationTime;
+  return isRecent && aNow < cold.until ? std::optional(cold.limit)
+                                       : std::nullopt;
+}
+
+std::optional<RequestRate>
+PermitQueue::FindNamed(const EndpointId& aEndpoint, TimePoint aNow) const
 {
   auto observed = this->observations.find(aEndpoint);
   if (observed != this->observations.end() &&
@@ -121,13 +219,25 @@
 {
   Limits out;
   for (const auto& [endpoint, since] : this->knownSince) {
-    if (auto limit = this->FindLimit(endpoint, aNow)) {
+    if (auto limit = this->FindNamed(endpoint, aNow)) {
       out[endpoint] = *limit;
     }
   }
   return out;
 }
 
+Limits
+PermitQueue::KnownColdLimits(TimePoint aNow) const
+{
+  Limits out = this->coldLimits;
+  for (const auto& [endpoint, observation] : this->coldObservations) {
+    if (aNow < observation.until) {
+      out.try_emplace(endpoint, observation.limit);
+    }
+  }
+  return out;
+}
+
 bool
 PermitQueue::NeedsPermit(const EndpointId& aEndpoint, TimePoint aNow) const
 {
@@ -143,6 +253,9 @@
     return false;
   }
   LocalAccount& account = found->second;
+  if (this->FindCold(aEndpoint, aNow)) {
+    return TakeLocalCold(account, aNow);
+  }
   account.permits =
     std::min(1.0,
              account.permits +
@@ -155,6 +268,18 @@
   return true;
 }
 
+bool
+PermitQueue::TakeLocalCold(LocalAccount& aAccount, TimePoint aNow)
+{
+  if (aNow < aAccount.nextColdSend) {
+    return false;
+  }
+  Duration interval = ColdInterval(aAccount.ratePerSecond / kLocalFraction);
+  Duration late = (aNow - aAccount.nextColdSend) % interval;
+  aAccount.nextColdSend = aNow - late + interval;
+  return late < kColdTurn;
+}
+
 unsigned
 PermitQueue::Add(const EndpointId& aEndpoint, WaitingRequest aRequest)
 {
--- a/packages/membership/include/lycheestand/membership.h
+++ b/packages/membership/include/lycheestand/membership.h
@@ -116,6 +116,10 @@
   std::string serves;
   bool isService = false;
   bool leaving = false;
+  StartTime startTime;
+  // The endpoint takes few requests, because it has started or idled. For how
+  // long is not part of the view, which would change with every reading.
+  bool isCold = false;
 
   friend bool operator==(const Endpoint&, const Endpoint&) = default;
 };
--- a/packages/router/include/lycheestand/router.h
+++ b/packages/router/include/lycheestand/router.h
@@ -81,6 +81,8 @@
   std::optional<routing::LoadReport> load;
   // Rate of requests that the endpoint takes from all routers together.
   std::optional<RequestRate> limit;
+  // Time for which the endpoint stays cold; zero if it does not say.
+  Duration coldRemaining{};
 };
 
 // The encoding of requests that are served by a route table, as hooks. All
--- a/packages/router/src/endpoint_controller.cc
+++ b/packages/router/src/endpoint_controller.cc
@@ -55,7 +55,19 @@
                     entry.address,
                     entry.serves,
                     entry.isService,
-                    entry.leaving });
+                    entry.leaving,
+                    entry.startTime,
+                    entry.isCold });
+  }
+  return out;
+}
+
+limits::Limits
+ToLimits(const std::vector<wire::EndpointLimit>& aEntries)
+{
+  limits::Limits out;
+  for (const auto& entry : aEntries) {
+    out[entry.endpoint] = entry.rate;
   }
   return out;
 }
@@ -89,6 +101,7 @@
     , admission(std::move(aAdmission))
     , random(net::MakeRandomSource())
     , table(this->options.table, this->options.policy, net::MakeRandomSource())
+    , permits(net::MakeRandomSource())
   {
   }
 
@@ -108,6 +121,7 @@
         this->table.Block(aBlocked.endpoint, this->Time() + aBlocked.time);
       },
       [this](EndpointAnswered& aAnswered) { this->ObserveLimit(aAnswered); },
+      [this](EndpointCold& aCold) { this->ObserveCold(aCold); },
       [this](PermitSourceChanged& aChanged) {
         this->ChangePermitSource(aChanged.source);
       },
@@ -164,7 +178,8 @@
       PolledEndpoint& polled = next[endpoint.endpoint];
       auto found = this->polled.find(endpoint.endpoint);
       if (found != this->polled.end() &&
-          found->second.endpoint.address == endpoint.address) {
+          found->second.endpoint.address == endpoint.address &&
+          found->second.endpoint.startTime == endpoint.startTime) {
         polled = found->second;
       }
       polled.endpoint = endpoint;
@@ -330,11 +345,8 @@
   void Handle(const wire::Message& aMessage)
   {
     if (const auto* state = std::get_if<wire::LimitState>(&aMessage)) {
-      limits::Limits known;
-      for (const auto& entry : state->limits) {
-        known[entry.endpoint] = entry.rate;
-      }
-      this->permits.SetLimits(known, this->Time());
+      this->permits.SetColdLimits(ToLimits(state->coldLimits));
+      this->permits.SetLimits(ToLimits(state->limits), this->Time());
     } else if (const auto* reply = std::get_if<wire::PermitReply>(&aMessage)) {
       auto decision = this->permits.HandleReply(
         reply->endpoint, reply->granted, this->Time());
@@ -368,6 +380,23 @@
                  aAnswered.endpoint, aAnswered.limit, true } });
   }
 
+  // The leader's next reading of the endpoint list may be two seconds away. The
+  // limit holds at this router at once, and the report is on the link before
+  // the first request for a permit.
+  void ObserveCold(const EndpointCold& aCold)
+  {
+    if (this->permits.ObserveCold(
+          aCold.endpoint, aCold.limit, aCold.remaining, this->Time())) {
+      this->send(this->link,
+                 ToControl{ wire::LimitReport{
+                   aCold.endpoint,
+                   aCold.limit,
+                   true,
+                   true,
+                   std::chrono::ceil<Milliseconds>(aCold.remaining) } });
+    }
+  }
+
   // A new leader does not know the limits. Requests that wait for the last one
   // are chosen for again.
   void ChangePermitSource(limits::PermitSource aSource)
@@ -379,6 +408,12 @@
         this->send(this->link,
                    ToControl{ wire::LimitReport{ endpoint, rate, false } });
       }
+      for (const auto& [endpoint, rate] :
+           this->permits.KnownColdLimits(this->Time())) {
+        this->send(
+          this->link,
+          ToControl{ wire::LimitReport{ endpoint, rate, false, true } });
+      }
     }
     for (auto request : requests) {
       this->DenyPermit(request, Duration(0));
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -293,6 +293,15 @@
   TimePoint sentAt{};
 };
 
+// An answer says that its endpoint is cold for a time. The limit is the one of
+// its service.
+struct EndpointCold
+{
+  EndpointId endpoint;
+  RequestRate limit;
+  Duration remaining{};
+};
+
 // Says where permits for limited endpoints come from now.
 struct PermitSourceChanged
 {
@@ -445,6 +454,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointLeaving)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointBlocked)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointAnswered)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointCold)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::PermitSourceChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CrashSuspected)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::PartsSucceeded)
--- a/packages/router/src/route_attempt.cc
+++ b/packages/router/src/route_attempt.cc
@@ -151,6 +151,23 @@
   return aAnswer.id == aRequest && (!isSuccess || isWhole);
 }
 
+namespace {
+
+void
+ReportCold(const RequestPtr& aRequest, Duration aRemaining)
+{
+  const auto& call = std::get<RoutedCall>(aRequest->call);
+  const auto* service = call.table->Find(call.service);
+  if (aRemaining > Duration(0) && service != nullptr &&
+      service->coldRate > RequestRate(0)) {
+    aRequest->exchange->Task().send(
+      aRequest->controllers.endpoint,
+      EndpointCold{ aRequest->endpoint, service->coldRate, aRemaining });
+  }
+}
+
+} // namespace
+
 std::optional<AnswerDescription>
 ReadAnswerHead(const RequestPtr& aRequest, const net::CallHead& aHead)
 {
@@ -172,6 +189,9 @@
       EndpointAnswered{
         aRequest->endpoint, answer.limit, aRequest->attemptStartedAt });
   }
+  if (!answer.isFromOtherEndpoint) {
+    ReportCold(aRequest, answer.coldRemaining);
+  }
   if (answer.load && !answer.isFromOtherEndpoint) {
     aRequest->exchange->Task().send(
       aRequest->controllers.endpoint,
--- a/packages/router/src/view_receiver.cc
+++ b/packages/router/src/view_receiver.cc
@@ -27,7 +27,9 @@
                                 entry.address,
                                 entry.serves,
                                 entry.isService,
-                                entry.leaving });
+                                entry.leaving,
+                                entry.startTime,
+                                entry.isCold });
   }
   delta.removedInstances = aPush.removedInstances;
   delta.removedEndpoints = aPush.removedEndpoints;
--- a/packages/routes/include/lycheestand/routes.h
+++ b/packages/routes/include/lycheestand/routes.h
@@ -72,6 +72,11 @@
   // Most connections that one endpoint accepts from all instances together.
   unsigned maxConnections = 0;
   std::optional<Engine> engine;
+  // Requests a second that a cold endpoint takes from all instances together;
+  // 0 if they are not bounded.
+  RequestRate coldRate;
+  // Time for which an endpoint stays cold after its start.
+  Milliseconds coldTime{};
 };
 
 // A customer account with its prepaid tokens and its keys.
@@ -120,6 +125,11 @@
   // Returns a service; null if there is none with that name.
   const Service* Find(const ServiceName& aService) const;
 
+  const std::map<ServiceName, Service>& Services() const
+  {
+    return this->services;
+  }
+
   // Returns whether a request on the route needs the key of a workspace.
   bool RequiresKey(const Route& aRoute) const
   {
--- a/packages/routing/include/lycheestand/routing.h
+++ b/packages/routing/include/lycheestand/routing.h
@@ -205,6 +205,9 @@
   bool isService = false;
   // Set while the endpoint is draining: it takes no new requests.
   bool leaving = false;
+  StartTime startTime;
+  // It is slower than others until it has warmed up.
+  bool isCold = false;
 };
 
 // Load of an endpoint as reported by the endpoint itself.
@@ -263,6 +266,7 @@
   bool isBusy = false;
   // Mean service time of a request.
   double serviceSeconds = 1;
+  bool isCold = false;
 };
 
 using Candidates = std::span<const Candidate>;
@@ -284,6 +288,11 @@
   double otherZoneSeconds = 0.001;
   double notLoadedSeconds = 30;
   double busySeconds = 1;
+  // A cold endpoint has this multiple of the cost of a warm one, and this cost
+  // in addition, so that an idle one gets requests only when warm ones are
+  // nearly full.
+  double coldSlowdown = 2;
+  double coldSeconds = 0.05;
   // Softmax temperature of the random choice: an endpoint whose cost is higher
   // by this much is e times less likely to be chosen.
   double temperatureSeconds = 0.02;
@@ -443,6 +452,8 @@
   struct TrackedEndpoint
   {
     Endpoint endpoint;
+    // Counts the processes that had this id.
+    std::uint64_t process = 0;
     bool isListed = true;
     bool announcedLeaving = false;
     std::uint32_t inFlight = 0;
@@ -467,6 +478,8 @@
   {
     EndpointId endpoint;
     TimePoint since{};
+    // TrackedEndpoint::process at the start of the request.
+    std::uint64_t process = 0;
   };
 
   bool CanServe(const TrackedEndpoint& aTracked, const Query& aQuery) const;
--- a/packages/routing/src/endpoint_table.cc
+++ b/packages/routing/src/endpoint_table.cc
@@ -29,6 +29,17 @@
   }
 }
 
+// Returns whether another process has taken over an endpoint's id: its address
+// has changed, or the time of its start has.
+bool
+IsOtherProcess(const Endpoint& aKnown, const Endpoint& aListed)
+{
+  const StartTime unknown;
+  return aKnown.address != aListed.address ||
+         (aKnown.startTime != unknown && aListed.startTime != unknown &&
+          aKnown.startTime != aListed.startTime);
+}
+
 } // namespace
 
 EndpointTable::EndpointTable(TableOptions aOptions,
@@ -56,16 +67,22 @@
   for (const auto& endpoint : aEndpoints) {
     auto [found, isNew] = this->endpoints.try_emplace(endpoint.endpoint);
     TrackedEndpoint& tracked = found->second;
-    // A changed address means that another process has taken over the id.
-    if (isNew || tracked.endpoint.address != endpoint.address) {
+    if (isNew || IsOtherProcess(tracked.endpoint, endpoint)) {
+      ++tracked.process;
       tracked.announcedLeaving = false;
       tracked.blockedUntil = {};
+      tracked.busyUntil = {};
+      tracked.pendingPromptTokens = 0;
       tracked.report.reset();
       tracked.breaker = CircuitBreaker(this->options.breaker);
       tracked.prefixes = PrefixCacheModel(this->options.prefixesPerEndpoint);
       tracked.nextEvent = 0;
     }
+    StartTime startTime = endpoint.startTime == StartTime()
+                            ? tracked.endpoint.startTime
+                            : endpoint.startTime;
     tracked.endpoint = endpoint;
+    tracked.endpoint.startTime = startTime;
     tracked.isListed = true;
   }
   std::erase_if(this->endpoints, [](const auto& aTracked) {
@@ -112,6 +129,7 @@
   out.isSameZone = aTracked.endpoint.zone == this->options.zone;
   out.isBusy = aNow < aTracked.busyUntil;
   out.serviceSeconds = this->serviceSeconds;
+  out.isCold = aTracked.endpoint.isCold;
   if (aTracked.report) {
     const auto& report = *aTracked.report;
     out.hasReport = true;
@@ -184,7 +202,9 @@
     aTracked.inFlightChanges, aTracked.inFlightChangeSinceReport, 1, aNow);
   aTracked.breaker.Begin(aNow);
   aTracked.prefixes.RecordRequest(aQuery.prefix);
-  this->assignments[aRequest] = { aTracked.endpoint.endpoint, aNow };
+  this->assignments[aRequest] = { aTracked.endpoint.endpoint,
+                                  aNow,
+                                  aTracked.process };
 }
 
 void
@@ -204,6 +224,10 @@
   --tracked.inFlight;
   RecordInFlightChange(
     tracked.inFlightChanges, tracked.inFlightChangeSinceReport, -1, aNow);
+  // The end of a request to an earlier process says nothing about this one.
+  if (request.process != tracked.process) {
+    return;
+  }
   switch (aOutcome) {
     case Outcome::Succeeded:
       tracked.breaker.Succeed(aNow);
--- a/packages/routing/src/policies.cc
+++ b/packages/routing/src/policies.cc
@@ -77,7 +77,8 @@
   cost += aCandidate.isSameZone ? 0 : aOptions.otherZoneSeconds;
   cost += aCandidate.isLoaded ? 0 : aOptions.notLoadedSeconds;
   cost += aCandidate.isBusy ? aOptions.busySeconds : 0;
-  return cost;
+  return aCandidate.isCold ? cost * aOptions.coldSlowdown + aOptions.coldSeconds
+                           : cost;
 }
 
 // Returns a random index with softmax weights: a cost that is one temperature
--- a/packages/routing/test/choice_test.cc
+++ b/packages/routing/test/choice_test.cc
@@ -222,3 +222,64 @@
   REQUIRE(this->table.Status(this->now)[0].prefixes == 1);
   REQUIRE(this->Choose(1, this->MakeQuery(2)) == "a");
 }
+
+// Guards against an endpoint that has been started anew at its address and
+// stays without requests because of the failures of the process before.
+TEST_CASE_METHOD(TableFixture,
+                 "A new start clears what is known of an endpoint")
+{
+  this->list.resize(1);
+  this->list[0].startTime = StartTime(1000);
+  this->table.SetEndpoints(this->list);
+  for (std::uint64_t i = 1; i <= 6; ++i) {
+    this->Choose(i, this->MakeQuery());
+  }
+  for (std::uint64_t i = 1; i <= 5; ++i) {
+    this->table.Finish(RequestNumber(i), Outcome::Failed, this->now);
+  }
+  this->Report("a", { .running = 8 });
+  auto status = [this] { return this->table.Status(this->now).at(0); };
+  // A list that lacks the start time says nothing.
+  this->list[0].startTime = StartTime();
+  this->table.SetEndpoints(this->list);
+  CHECK(status().breaker == CircuitBreaker::State::Open);
+  CHECK(status().report);
+  this->list[0].startTime = StartTime(2000);
+  this->table.SetEndpoints(this->list);
+  CHECK(status().breaker == CircuitBreaker::State::Closed);
+  CHECK_FALSE(status().report);
+  CHECK(status().prefixes == 0);
+  CHECK(status().inFlight == 1);
+  // The last request to the process before does not count.
+  for (std::uint64_t i = 7; i <= 10; ++i) {
+    this->Choose(i, this->MakeQuery());
+    this->table.Finish(RequestNumber(i), Outcome::Failed, this->now);
+  }
+  this->table.Finish(RequestNumber(6), Outcome::Failed, this->now);
+  CHECK(status().breaker == CircuitBreaker::State::Closed);
+  CHECK(status().inFlight == 0);
+}
+
+// Guards against a cold endpoint that attracts requests because it is idle.
+TEST_CASE_METHOD(TableFixture, "A cold endpoint gets fewer requests")
+{
+  auto share = [this](std::uint32_t aRunning) {
+    this->list.resize(2);
+    this->list[0].isCold = true;
+    this->table.SetEndpoints(this->list);
+    int cold = 0;
+    for (std::uint64_t i = 0; i < 400; ++i) {
+      this->now += 10s;
+      this->Report("a", {});
+      this->Report("b", { .running = aRunning });
+      Query query;
+      query.serves = "m";
+      cold += this->Choose(i, query) == "a" ? 1 : 0;
+      this->table.Finish(RequestNumber(i), Outcome::Abandoned, this->now);
+    }
+    return cold;
+  };
+  CHECK(share(0) < 60);
+  // It takes a part of the load when the warm one is full.
+  CHECK(share(12) > 200);
+}
--- a/packages/wire/include/lycheestand/wire.h
+++ b/packages/wire/include/lycheestand/wire.h
@@ -136,6 +136,8 @@
   std::string serves;
   bool isService = false;
   bool leaving = false;
+  StartTime startTime;
+  bool isCold = false;
 
   friend bool operator==(const EndpointEntry&, const EndpointEntry&) = default;
 };
@@ -266,13 +268,17 @@
 };
 
 // From a router: an endpoint names the rate of requests that it takes from the
-// whole fleet, or has stopped to.
+// whole fleet, or has stopped to, or is cold and has the limit of its service.
 struct LimitReport
 {
   EndpointId endpoint;
   std::optional<RequestRate> limit;
   // False for a limit that the router knows from an earlier leader.
   bool isObserved = false;
+  // The limit is that of a cold endpoint.
+  bool isCold = false;
+  // Time for which an endpoint that was observed stays cold.
+  Milliseconds coldRemaining{};
 };
 
 // An endpoint that takes at most this rate from the whole fleet.
@@ -282,10 +288,12 @@
   RequestRate rate;
 };
 
-// From control: all endpoints with a limit.
+// From control: all endpoints that name a limit, and the cold ones that have
+// one. An endpoint may be in both lists; the lower limit counts.
 struct LimitState
 {
   std::vector<EndpointLimit> limits;
+  std::vector<EndpointLimit> coldLimits;
 };
 
 // A router asks for permits to send requests to a limited endpoint.
--- a/packages/wire/src/codec.cc
+++ b/packages/wire/src/codec.cc
@@ -207,6 +207,8 @@
   out.serves = aIn.serves;
   out.is_service = aIn.isService;
   out.leaving = aIn.leaving;
+  out.start_time = aIn.startTime.Get();
+  out.is_cold = aIn.isCold;
   return out;
 }
 
@@ -218,7 +220,9 @@
            UnpackAddress(aIn.address),
            aIn.serves,
            aIn.is_service,
-           aIn.leaving };
+           aIn.leaving,
+           StartTime(aIn.start_time),
+           aIn.is_cold };
 }
 
 fb::UsageEntryT
@@ -596,6 +600,8 @@
   out.is_limited = aIn.limit.has_value();
   out.per_second = aIn.limit.value_or(RequestRate()).Get();
   out.is_observed = aIn.isObserved;
+  out.is_cold = aIn.isCold;
+  out.cold_ms = static_cast<std::uint32_t>(aIn.coldRemaining.count());
   return out;
 }
 
@@ -608,6 +614,8 @@
     out.limit = UnpackRate(aIn.per_second);
   }
   out.isObserved = aIn.is_observed;
+  out.isCold = aIn.is_cold;
+  out.coldRemaining = Milliseconds(aIn.cold_ms);
   return out;
 }
 
@@ -616,13 +624,15 @@
 {
   fb::LimitStateT out;
   out.limits = PackList<fb::EndpointLimitT>(aIn.limits);
+  out.cold_limits = PackList<fb::EndpointLimitT>(aIn.coldLimits);
   return out;
 }
 
 LimitState
 Unpack(const fb::LimitStateT& aIn)
 {
-  return { UnpackList<EndpointLimit>(aIn.limits) };
+  return { UnpackList<EndpointLimit>(aIn.limits),
+           UnpackList<EndpointLimit>(aIn.cold_limits) };
 }
 
 fb::PermitRequestT
--- a/packages/wire/test/codec_test.cc
+++ b/packages/wire/test/codec_test.cc
@@ -4,6 +4,7 @@
 
 using namespace lycheestand;
 using namespace lycheestand::wire;
+using namespace std::chrono_literals;
 
 // Fails if Pack or Unpack misses a field of a usage report.
 TEST_CASE("A decoded message has the fields of the encoded one")
@@ -74,6 +75,21 @@
   REQUIRE(limits.size() == 2);
   CHECK(limits[1].endpoint == EndpointId("b"));
   CHECK(limits[1].rate == RequestRate(3));
+  auto cold = Decode(
+    Encode(LimitReport{ EndpointId("e"), RequestRate(18), true, true, 7s }));
+  CHECK(std::get<LimitReport>(cold.value()).isCold);
+  CHECK(std::get<LimitReport>(cold.value()).coldRemaining == 7s);
+  auto both =
+    Decode(Encode(LimitState{ {}, { { EndpointId("c"), RequestRate(18) } } }));
+  CHECK(std::get<LimitState>(both.value()).limits.empty());
+  CHECK(std::get<LimitState>(both.value()).coldLimits.at(0).rate ==
+        RequestRate(18));
+  ViewPush push;
+  push.endpoints.resize(1);
+  push.endpoints[0].startTime = StartTime(1'790'000'000'000);
+  push.endpoints[0].isCold = true;
+  auto view = Decode(Encode(push));
+  CHECK(std::get<ViewPush>(view.value()).endpoints == push.endpoints);
   auto request = Decode(Encode(PermitRequest{ EndpointId("e"), 4 }));
   CHECK(std::get<PermitRequest>(request.value()).count == 4);
   auto reply =
--- a/test/faults/replica_pool.cc
+++ b/test/faults/replica_pool.cc
@@ -397,7 +397,13 @@
   {
     json::array entries;
     for (const auto& replica : this->pool.replicas) {
-      entries.push_back(replica->Entry(this->service));
+      json::object entry = replica->Entry(this->service);
+      if (this->pool.entryMembers) {
+        for (auto& member : this->pool.entryMembers(replica->Number())) {
+          entry.insert_or_assign(member.key(), member.value());
+        }
+      }
+      entries.push_back(std::move(entry));
     }
     std::string body = json::serialize(
       json::object{ { "instances", entries }, { "next", nullptr } });
@@ -434,6 +440,15 @@
   this->thread.join();
 }
 
+void
+ReplicaPool::SetEntryMembers(
+  std::function<boost::json::object(int aReplica)> aHook)
+{
+  asio::post(this->io, [this, hook = std::move(aHook)]() mutable {
+    this->entryMembers = std::move(hook);
+  });
+}
+
 Address
 ReplicaPool::ListAddress() const
 {
--- a/test/faults/replica_pool.h
+++ b/test/faults/replica_pool.h
@@ -7,6 +7,7 @@
 #include "process.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -104,6 +105,10 @@
   // Address of the platform's list.
   Address ListAddress() const;
 
+  // Sets a hook that returns the further members of a replica's entry in the
+  // list. It is called in the pool's thread.
+  void SetEntryMembers(std::function<boost::json::object(int aReplica)> aHook);
+
 private:
   class Replica;
   class Connection;
@@ -111,6 +116,7 @@
 
   boost::asio::io_context io;
   Answer answer;
+  std::function<boost::json::object(int aReplica)> entryMembers;
   std::vector<std::shared_ptr<Replica>> replicas;
   std::shared_ptr<ListServer> list;
   std::thread thread;
