Test the cold bound after a pause and with all permits at two routers

The simulated fleet now gives all permits to the two routers that lose control, and all routers want to send after a pause of 2 s.

--- a/packages/limits/test/cold_endpoints_test.cc
+++ b/packages/limits/test/cold_endpoints_test.cc
@@ -68,6 +68,13 @@
     }
   }
 
+  void SetDemand(double aPerSecond)
+  {
+    for (auto& router : this->routers) {
+      router.demand = aPerSecond;
+    }
+  }
+
   void Disconnect(SimulatedRouter& aRouter)
   {
     aRouter.isConnected = false;
@@ -231,14 +238,24 @@
 TEST_CASE_METHOD(ColdFleetFixture,
                  "cold endpoints get no more than their bound")
 {
-  // Half of all permits go to the two routers that lose control.
+  // The two routers that lose control have had all the permits; then the others
+  // get requests.
+  this->SetDemand(0);
   this->routers[0].demand = this->routers[1].demand = 200;
   this->Run(6s);
   CHECK(this->TakeMeanRate(6s) > kRate * 0.7);
   this->Disconnect(this->routers[0]);
   this->Disconnect(this->routers[1]);
+  this->SetDemand(40);
+  this->routers[0].demand = this->routers[1].demand = 200;
   this->Run(12s);
   CHECK(this->TakeMeanRate(12s) > kRate * 0.7);
+  // A pause in which permits accumulate, and a burst after it.
+  this->SetDemand(0);
+  this->Run(2s);
+  this->SetDemand(200);
+  this->Run(4s);
+  this->TakeMeanRate(6s);
   this->ChangeLeader(2);
   this->Run(6s);
   CHECK(this->TakeMeanRate(6s) > kRate * 0.5);
@@ -253,12 +270,10 @@
   this->Run(6s);
   for (auto& router : this->routers) {
     this->Disconnect(router);
-    router.demand = 0;
   }
+  this->SetDemand(0);
   this->Run(30s);
-  for (auto& router : this->routers) {
-    router.demand = 200;
-  }
+  this->SetDemand(200);
   this->TakeMeanRate(1s);
   this->Run(20s);
   CHECK(this->TakeMeanRate(20s) > 1);
