Tell routers without a permit for a cold endpoint different times

All denied routers were told the time of the next permit, and came back together for each of the endpoints that are cold at once. Each is now told a turn of its own, at most half a second ahead.

--- a/packages/limits/include/lycheestand/limits.h
+++ b/packages/limits/include/lycheestand/limits.h
@@ -159,10 +159,13 @@
     double permits = 0;
     TimePoint updatedAt{};
     TimePoint usedAt{};
+    // Time that the last denied router of a cold endpoint was told.
+    TimePoint lastTurn{};
 
     double Rate() const;
     double Burst() const;
     void Accumulate(TimePoint aNow);
+    Duration Queue(Duration aWait, TimePoint aNow);
   };
 
   Account& FindOrAdd(const EndpointId& aEndpoint, TimePoint aNow);
--- a/packages/limits/src/permit_ledger.cc
+++ b/packages/limits/src/permit_ledger.cc
@@ -22,6 +22,10 @@
 // Wait that is told for an endpoint that takes no requests at all.
 constexpr Duration kMaxWait = std::chrono::seconds(1);
 
+// Longest wait that is told for a cold endpoint because other routers were told
+// earlier times. A longer one would leave permits unused.
+constexpr Duration kMaxColdQueue = std::chrono::milliseconds(500);
+
 constexpr Duration kUnusedTime = std::chrono::minutes(1);
 
 double
@@ -144,10 +148,26 @@
     auto wait = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(seconds));
     grant.wait = rate > 0 ? std::max(kMinWait, wait) : kMaxWait;
+    if (account.cold && rate > 0) {
+      grant.wait = account.Queue(grant.wait, aNow);
+    }
   }
   return grant;
 }
 
+// Many endpoints are cold at the same time, and each of many routers would ask
+// for the next permit of each of them. Every denied router is told a time of
+// its own instead.
+Duration
+PermitLedger::Account::Queue(Duration aWait, TimePoint aNow)
+{
+  auto interval = std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(1 / this->Rate()));
+  TimePoint turn = std::min(this->lastTurn + interval, aNow + kMaxColdQueue);
+  this->lastTurn = std::max(turn, aNow + aWait);
+  return this->lastTurn - aNow;
+}
+
 bool
 PermitLedger::RemoveUnused(TimePoint aNow)
 {
--- a/packages/limits/test/cold_endpoints_test.cc
+++ b/packages/limits/test/cold_endpoints_test.cc
@@ -136,6 +136,8 @@
   Limits cold;
   PermitLedger ledger;
   std::vector<SimulatedRouter> routers;
+  // Requests for permits.
+  std::size_t messages = 0;
 
 private:
   void After(Duration aDelay, std::function<void()> aEvent)
@@ -178,6 +180,7 @@
     if (aCount == 0) {
       return;
     }
+    ++this->messages;
     this->After(this->Latency(), [this, &aRouter, aEndpoint, aCount] {
       auto grant = this->ledger.Take(aEndpoint, aCount, this->now);
       this->After(this->Latency(), [this, &aRouter, aEndpoint, grant] {
@@ -262,6 +265,20 @@
   CHECK(this->MostInSecond() <= kMaxPerSecond);
 }
 
+// Guards against routers that all ask for the next permit of each cold endpoint
+// again and again: the leader gets that many messages times the endpoints.
+TEST_CASE_METHOD(ColdFleetFixture,
+                 "routers ask rarely when there are no permits")
+{
+  this->SetDemand(200);
+  this->Run(5s);
+  this->messages = 0;
+  this->TakeMeanRate(5s);
+  this->Run(5s);
+  CHECK(this->TakeMeanRate(5s) > kRate * 0.7);
+  CHECK(this->messages / 5 / kEndpoints < 300);
+}
+
 // Guards against routers whose permits accumulate while control is away, and
 // which all use them when requests come.
 TEST_CASE_METHOD(ColdFleetFixture,
