--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -64,7 +64,7 @@
                         unconfirmed-denial deadly-part undelivered-charge broken-event
                         error-after-stream cut-head endless-answer endless-chat
                         repeated-refusal server-leaving retry-after rate-limit rate-limit-refusal
-                        rate-limit-restart cold late-stop broken-service-stream
+                        rate-limit-restart cold cold-start late-stop broken-service-stream
                         late-chat large-answers large-requests group-seeds-exchanged group-gateways-restarted
                         no-workspaces soak)
 lycheestand_fault_cases(long group-replaced group-seeds budget-killed budget-frozen answers-broken once-race once-cut
--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -79,9 +79,14 @@
         this->group = std::move(aChanged.group);
         ++this->groupVersion;
       },
-      [this](RevisionChanged& aChanged) { this->PushRevision(aChanged); },
       // The limit controller goes first, so that routers know the limits of
-      // cold endpoints before the endpoints.
+      // cold endpoints before the endpoints, and before the routes to them.
+      [this](RevisionChanged& aChanged) {
+        this->send(this->limits, std::move(aChanged));
+      },
+      [this](RevisionChecked& aChecked) {
+        this->PushRevision(aChecked.changed);
+      },
       [this](discovery::ListUpdate& aList) {
         this->send(this->limits, std::move(aList));
       },
@@ -552,7 +557,6 @@
   void PushRevision(const RevisionChanged& aChanged)
   {
     this->snapshots.Add(aChanged.revision, aChanged.document);
-    this->send(this->limits, aChanged);
     for (auto& [id, link] : this->links) {
       this->PushUpdates(link);
     }
--- a/packages/control/src/limit_controller.cc
+++ b/packages/control/src/limit_controller.cc
@@ -68,7 +68,10 @@
         this->isChanged = aChanged.isLeader;
         this->publishFrom = this->Time() + kReportTime;
       },
-      [this](RevisionChanged& aChanged) { this->UpdateRules(aChanged); },
+      [this](RevisionChanged& aChanged) {
+        this->UpdateRules(aChanged);
+        this->send(this->fleet, RevisionChecked{ std::move(aChanged) });
+      },
       [this](discovery::ListUpdate& aList) { this->Handle(aList); },
       [this](wire::LimitReport& aReport) {
         if (aReport.isCold) {
--- a/packages/control/src/messages.h
+++ b/packages/control/src/messages.h
@@ -179,6 +179,12 @@
   // the first second of a leader others may be missing.
   wire::LimitState limits;
 };
+// To the fleet controller: a revision that it has passed to the limit
+// controller. It is sent after the LimitsChanged that the revision causes.
+struct RevisionChecked
+{
+  RevisionChanged changed;
+};
 struct SetLimitController
 {
   caf::actor controller;
@@ -256,6 +262,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::SetQuarantineController)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::LimitsChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::EndpointsChecked)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::RevisionChecked)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::SetLimitController)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::RequestPermits)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::SendToRouter)
--- a/packages/control/src/tasks.h
+++ b/packages/control/src/tasks.h
@@ -45,7 +45,7 @@
 // Starts the task that gives out permits for endpoints that name a limit or are
 // cold. It gets LeadershipChanged, RevisionChanged, each reading of the
 // endpoint list, and the routers' messages from the fleet controller, and sends
-// LimitsChanged, EndpointsChecked and SendToRouter to it.
+// LimitsChanged, EndpointsChecked, RevisionChecked and SendToRouter to it.
 caf::actor
 SpawnLimitController(
   const net::Runtime& aRuntime,
--- a/test/faults/cold_test.cc
+++ b/test/faults/cold_test.cc
@@ -31,8 +31,9 @@
 class ColdFixture
 {
 public:
-  ColdFixture()
-    : pool({ this->fleet.MachineIp(101), this->fleet.MachineIp(102) },
+  explicit ColdFixture(bool aIsCold = false)
+    : isCold(aIsCold)
+    , pool({ this->fleet.MachineIp(101), this->fleet.MachineIp(102) },
            this->fleet.MachineIp(120),
            "llm",
            2s,
@@ -47,9 +48,7 @@
                ? json::object{ { "coldRemainingMs", 6000 } }
                : json::object{};
     });
-    MachineOptions options;
-    options.seeds = { kColdControl };
-    options.listAddress = this->pool.ListAddress();
+    auto options = this->Options();
     options.bootstrap = true;
     this->fleet.StartControl(kColdControl, options);
     for (int router : kColdRouters) {
@@ -72,6 +71,14 @@
     }
   }
 
+  MachineOptions Options() const
+  {
+    MachineOptions options;
+    options.seeds = { kColdControl };
+    options.listAddress = this->pool.ListAddress();
+    return options;
+  }
+
   Reply Send(int aRouter)
   {
     Call call;
@@ -129,7 +136,7 @@
   }
 
   PlatformFleet fleet{ "cold" };
-  std::atomic<bool> isCold{ false };
+  std::atomic<bool> isCold;
 
 private:
   std::mutex mutex;
@@ -138,6 +145,15 @@
   ReplicaPool pool;
 };
 
+class ColdStartFixture : public ColdFixture
+{
+public:
+  ColdStartFixture()
+    : ColdFixture(true)
+  {
+  }
+};
+
 } // namespace
 
 // Guards against a cold replica that crashes because each router sends it as
@@ -167,4 +183,25 @@
   CHECK(this->MostInSecond(again) > kMaxInSecond);
 }
 
+// Guards against routers that get to know a cold replica before its limit, when
+// it starts, when a router starts, and when the leader does.
+TEST_CASE_METHOD(ColdStartFixture,
+                 "a replica that starts cold is never above its bound",
+                 "[cold-start]")
+{
+  std::thread restarts([this] {
+    std::this_thread::sleep_for(2s);
+    this->fleet.Machine(kColdRouters[0]).Kill();
+    this->fleet.StartRouter(kColdRouters[0], this->Options());
+    std::this_thread::sleep_for(2s);
+    this->fleet.Machine(kColdControl).Kill();
+    this->fleet.StartControl(kColdControl, this->Options());
+  });
+  this->SendLoad(10s);
+  restarts.join();
+  CHECK(this->MostInSecond({}) <= kMaxInSecond);
+  // The rate is made use of.
+  CHECK(this->MostInSecond({}) >= 3);
+}
+
 } // namespace lycheestand::faults
