Send cold limits in the first second of a leader

A new leader sends no limits for a second, in which routers tell it those that they know. A configuration or an endpoint that came in that second reached routers before the limit. It now sends a partial LimitState, with cold limits that routers add to theirs. Changes from reports are published with the next tick, so that many reports cause one message.

--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -223,9 +223,7 @@
                                 .control = this->group,
                                 .tracksCrashes = true,
                                 .grantsPermits = true });
-    if (this->limitState && aState.hello.acceptsLimits) {
-      this->SendTo(aState, *this->limitState);
-    }
+    this->SendLimits(aState);
     this->PushUpdates(aState);
     if (this->quarantineState && aState.hello.acceptsQuarantine) {
       this->SendTo(aState, *this->quarantineState);
@@ -460,14 +458,26 @@
 
   void PushLimits(wire::LimitState aState)
   {
-    this->limitState = std::move(aState);
+    (aState.isPartial ? this->partialLimits : this->limitState) =
+      std::move(aState);
     for (auto& [id, link] : this->links) {
-      if (link.isAccepted && link.hello.acceptsLimits) {
-        this->SendTo(link, *this->limitState);
+      if (link.isAccepted) {
+        this->SendLimits(link);
       }
     }
   }
 
+  // Call it before a view or a revision is sent, which may have endpoints and
+  // routes to which the limits apply.
+  void SendLimits(LinkState& aState)
+  {
+    if (this->limitState && aState.hello.acceptsLimits) {
+      this->SendTo(aState, *this->limitState);
+    } else if (this->partialLimits && aState.hello.acceptsPartialLimits) {
+      this->SendTo(aState, *this->partialLimits);
+    }
+  }
+
   void Handle(net::LinkId, LinkState& aState, const wire::Replication& aMessage)
   {
     if (aState.hello.isControl) {
@@ -527,6 +537,7 @@
       this->quarantineState.reset();
       this->send(this->quarantine, aChanged);
       this->limitState.reset();
+      this->partialLimits.reset();
       this->send(this->limits, aChanged);
     }
     this->isLeader = aChanged.isLeader;
@@ -539,7 +550,6 @@
       this->leaderSince = net::Now(this->GetRuntime());
       this->hasReadList = false;
       this->view = {};
-      this->checkedLimits = {};
     }
     if (this->isLeader) {
       return;
@@ -584,10 +594,7 @@
     // better than none.
     bool isNew = aState.hello.revision == Revision(0);
     if (aState.pushedView != this->view.Version() &&
-        (isNew || this->CanReplaceView())) {
-      if (isNew && !this->limitState && aState.hello.acceptsLimits) {
-        this->SendTo(aState, this->checkedLimits);
-      }
+        (isNew || this->IsReconnectTimeOver())) {
       this->SendTo(aState, MakeViewPush(this->view, aState.pushedView));
       aState.pushedView = this->view.Version();
     }
@@ -611,7 +618,6 @@
   void HandleEndpointsChecked(EndpointsChecked& aChecked)
   {
     this->endpoints = std::move(aChecked.endpoints);
-    this->checkedLimits = std::move(aChecked.limits);
     this->hasReadList = true;
     this->UpdateView();
   }
@@ -632,13 +638,6 @@
            kRouterReconnectTime;
   }
 
-  // Routers must know the limits of the endpoints in a view before the view.
-  bool CanReplaceView() const
-  {
-    return this->IsReconnectTimeOver() &&
-           (!this->listReader || this->limitState);
-  }
-
   void UpdateView()
   {
     auto now = net::Now(this->GetRuntime());
@@ -733,8 +732,8 @@
   caf::actor limits;
   // The same of the limit controller.
   std::optional<wire::LimitState> limitState;
-  // The limits at the last reading of the endpoint list.
-  wire::LimitState checkedLimits;
+  // The cold limits that a new leader has sent before that.
+  std::optional<wire::LimitState> partialLimits;
   // When this instance became the leader.
   TimePoint leaderSince{};
   // Whether an endpoint list has been read since then.
--- a/packages/control/src/limit_controller.cc
+++ b/packages/control/src/limit_controller.cc
@@ -65,6 +65,8 @@
         this->cold.Clear();
         this->endpoints.clear();
         this->hasEndpoints = false;
+        this->hasColdChanges = false;
+        this->isNewlyChanged = false;
         this->isChanged = aChanged.isLeader;
         this->publishFrom = this->Time() + kReportTime;
       },
@@ -136,23 +138,20 @@
       aReport.endpoint, *aReport.limit, remaining, this->Time()));
   }
 
-  // Applies changes that no reading of the list has caused.
+  // Applies changes that no reading of the list has caused. They are published
+  // soon, together with others: each router tells a new leader what it knows.
   void UpdateCold(const limits::ColdChanges& aChanges)
   {
     this->ApplyCold(aChanges);
-    if (!aChanges.cold.empty() || !aChanges.warm.empty()) {
-      this->Publish();
-      if (this->hasEndpoints) {
-        this->SendEndpoints();
-      }
-    }
+    this->hasColdChanges |= !aChanges.cold.empty() || !aChanges.warm.empty();
   }
 
   // What was known of an endpoint's last process does not hold for the new one.
   void ApplyCold(const limits::ColdChanges& aChanges)
   {
     for (const auto& endpoint : aChanges.restarted) {
-      this->isChanged |= this->ledger.Set(endpoint, std::nullopt, this->Time());
+      this->MarkChanged(
+        this->ledger.Set(endpoint, std::nullopt, this->Time()));
       this->LogEndpoint("endpoint_restarted", endpoint);
     }
     for (const auto& endpoint : aChanges.cold) {
@@ -161,8 +160,8 @@
     for (const auto& endpoint : aChanges.warm) {
       this->LogEndpoint("endpoint_warm", endpoint);
     }
-    this->isChanged |=
-      this->ledger.SetCold(this->cold.CurrentLimits(), this->Time());
+    this->MarkChanged(
+      this->ledger.SetCold(this->cold.CurrentLimits(), this->Time()));
     this->coldEndpoints.Set(static_cast<std::int64_t>(this->cold.CountCold()));
   }
 
@@ -175,19 +174,14 @@
 
   void SendEndpoints()
   {
-    EndpointsChecked checked{ this->endpoints, this->MakeState() };
+    this->hasColdChanges = false;
+    EndpointsChecked checked{ this->endpoints };
     for (auto& endpoint : checked.endpoints) {
       endpoint.isCold = this->cold.IsCold(endpoint.endpoint);
     }
     this->send(this->fleet, std::move(checked));
   }
 
-  wire::LimitState MakeState() const
-  {
-    return { ToEntries(this->ledger.CurrentLimits()),
-             ToEntries(this->ledger.ColdLimits()) };
-  }
-
   void Handle(const wire::LimitReport& aReport)
   {
     bool isNews =
@@ -204,7 +198,7 @@
           { "per_second",
             aReport.limit ? std::to_string(aReport.limit->Get()) : "" } });
     }
-    this->isChanged |= isNews;
+    this->MarkChanged(isNews);
   }
 
   void Handle(const RequestPermits& aRequest)
@@ -222,32 +216,50 @@
                                std::chrono::ceil<Milliseconds>(grant.wait) } });
   }
 
+  void MarkChanged(bool aIsChanged)
+  {
+    this->isChanged |= aIsChanged;
+    this->isNewlyChanged |= aIsChanged;
+  }
+
   void PublishPeriodically()
   {
     if (this->isLeader) {
       this->UpdateCold(this->cold.Expire(this->Time()));
+      this->Publish();
+    }
+    if (this->hasColdChanges && this->hasEndpoints) {
+      this->SendEndpoints();
     }
-    this->Publish();
     this->After(kPublishInterval, [this] { this->PublishPeriodically(); });
   }
 
+  // While routers may still tell limits that they know, only those of cold
+  // endpoints are sent, which routers add to theirs.
   void Publish()
   {
-    if (!this->isLeader || !this->isChanged ||
-        this->Time() < this->publishFrom) {
+    bool isComplete = this->Time() >= this->publishFrom;
+    if (!this->isLeader ||
+        !(isComplete ? this->isChanged : this->isNewlyChanged)) {
       return;
     }
-    this->isChanged = false;
-    auto state = this->MakeState();
-    net::Metrics()
-      .GetGauge("lycheestand_limited_endpoints")
-      .Set(static_cast<std::int64_t>(state.limits.size()));
+    this->isNewlyChanged = false;
+    this->isChanged &= !isComplete;
+    wire::LimitState state;
+    state.isPartial = !isComplete;
+    state.coldLimits = ToEntries(this->ledger.ColdLimits());
+    if (isComplete) {
+      state.limits = ToEntries(this->ledger.CurrentLimits());
+      net::Metrics()
+        .GetGauge("lycheestand_limited_endpoints")
+        .Set(static_cast<std::int64_t>(state.limits.size()));
+    }
     this->send(this->fleet, LimitsChanged{ std::move(state) });
   }
 
   void CleanUpPeriodically()
   {
-    this->isChanged |= this->ledger.RemoveUnused(this->Time());
+    this->MarkChanged(this->ledger.RemoveUnused(this->Time()));
     this->After(kCleanUpInterval, [this] { this->CleanUpPeriodically(); });
   }
 
@@ -262,8 +274,12 @@
   // The endpoints of the last reading of the list.
   std::vector<membership::Endpoint> endpoints;
   bool hasEndpoints = false;
+  // Endpoints have become cold or warm since they were last sent.
+  bool hasColdChanges = false;
   // The limits differ from those that were last sent to routers.
   bool isChanged = false;
+  // The same, where partial ones are counted as sent.
+  bool isNewlyChanged = false;
   net::Gauge coldEndpoints =
     net::Metrics().GetGauge("lycheestand_cold_endpoints");
   net::Counter granted =
--- a/packages/control/src/messages.h
+++ b/packages/control/src/messages.h
@@ -164,7 +164,8 @@
   caf::actor controller;
 };
 
-// To the fleet controller: the limits that routers must know.
+// To the fleet controller: the limits that routers must know. In the first
+// second of a leader they are partial.
 struct LimitsChanged
 {
   wire::LimitState state;
@@ -175,9 +176,6 @@
 struct EndpointsChecked
 {
   std::vector<membership::Endpoint> endpoints;
-  // The limits that are known by now, for routers that have just started. In
-  // the first second of a leader others may be missing.
-  wire::LimitState limits;
 };
 // To the fleet controller: a revision that it has passed to the limit
 // controller. It is sent after the LimitsChanged that the revision causes.
--- a/packages/limits/include/lycheestand/limits.h
+++ b/packages/limits/include/lycheestand/limits.h
@@ -214,6 +214,8 @@
   void SetLimits(const Limits& aLimits, TimePoint aNow);
   // Replaces the limits of cold endpoints. Call it before SetLimits.
   void SetColdLimits(const Limits& aLimits);
+  // Adds limits of cold endpoints to those that are known.
+  void AddColdLimits(const Limits& aLimits);
 
   // Returns the requests that waited for control.
   std::vector<WaitingRequest> SetSource(PermitSource aSource, TimePoint aNow);
--- a/packages/limits/src/permit_queue.cc
+++ b/packages/limits/src/permit_queue.cc
@@ -84,6 +84,14 @@
   this->coldLimits = aLimits;
 }
 
+void
+PermitQueue::AddColdLimits(const Limits& aLimits)
+{
+  for (const auto& [endpoint, rate] : aLimits) {
+    this->coldLimits[endpoint] = rate;
+  }
+}
+
 std::vector<WaitingRequest>
 PermitQueue::SetSource(PermitSource aSource, TimePoint aNow)
 {
--- a/packages/router/src/control_link.cc
+++ b/packages/router/src/control_link.cc
@@ -183,6 +183,7 @@
     hello.acceptsPatches = true;
     hello.acceptsQuarantine = true;
     hello.acceptsLimits = true;
+    hello.acceptsPartialLimits = true;
     if (this->settings.role == settings::Role::Router) {
       hello.peerAddress = this->settings.peerAddress;
     }
--- a/packages/router/src/endpoint_controller.cc
+++ b/packages/router/src/endpoint_controller.cc
@@ -345,8 +345,7 @@
   void Handle(const wire::Message& aMessage)
   {
     if (const auto* state = std::get_if<wire::LimitState>(&aMessage)) {
-      this->permits.SetColdLimits(ToLimits(state->coldLimits));
-      this->permits.SetLimits(ToLimits(state->limits), this->Time());
+      this->UpdateLimits(*state);
     } else if (const auto* reply = std::get_if<wire::PermitReply>(&aMessage)) {
       auto decision = this->permits.HandleReply(
         reply->endpoint, reply->granted, this->Time());
@@ -360,6 +359,16 @@
     }
   }
 
+  void UpdateLimits(const wire::LimitState& aState)
+  {
+    if (aState.isPartial) {
+      this->permits.AddColdLimits(ToLimits(aState.coldLimits));
+      return;
+    }
+    this->permits.SetColdLimits(ToLimits(aState.coldLimits));
+    this->permits.SetLimits(ToLimits(aState.limits), this->Time());
+  }
+
   void ObserveLimit(const EndpointAnswered& aAnswered)
   {
     bool isNews = this->permits.Observe(
--- a/packages/wire/include/lycheestand/wire.h
+++ b/packages/wire/include/lycheestand/wire.h
@@ -38,6 +38,8 @@
   // Address at which the router lends tokens to other routers; without a host
   // if it does not.
   Address peerAddress;
+  // False for a router of an earlier version.
+  bool acceptsPartialLimits = false;
 };
 
 // An instance of the control group.
@@ -294,6 +296,9 @@
 {
   std::vector<EndpointLimit> limits;
   std::vector<EndpointLimit> coldLimits;
+  // The cold limits are added to those that the router knows, and the others
+  // are not told: a new leader does not know all limits yet.
+  bool isPartial = false;
 };
 
 // A router asks for permits to send requests to a limited endpoint.
--- a/packages/wire/src/codec.cc
+++ b/packages/wire/src/codec.cc
@@ -72,6 +72,7 @@
   out.accepts_quarantine = aIn.acceptsQuarantine;
   out.accepts_limits = aIn.acceptsLimits;
   out.peer_address = PackAddress(aIn.peerAddress);
+  out.accepts_partial_limits = aIn.acceptsPartialLimits;
   return out;
 }
 
@@ -88,7 +89,8 @@
            aIn.accepts_patches,
            aIn.accepts_quarantine,
            aIn.accepts_limits,
-           UnpackAddress(aIn.peer_address) };
+           UnpackAddress(aIn.peer_address),
+           aIn.accepts_partial_limits };
 }
 
 fb::ControlEntryT
@@ -625,6 +627,7 @@
   fb::LimitStateT out;
   out.limits = PackList<fb::EndpointLimitT>(aIn.limits);
   out.cold_limits = PackList<fb::EndpointLimitT>(aIn.coldLimits);
+  out.is_partial = aIn.isPartial;
   return out;
 }
 
@@ -632,7 +635,8 @@
 Unpack(const fb::LimitStateT& aIn)
 {
   return { UnpackList<EndpointLimit>(aIn.limits),
-           UnpackList<EndpointLimit>(aIn.cold_limits) };
+           UnpackList<EndpointLimit>(aIn.cold_limits),
+           aIn.is_partial };
 }
 
 fb::PermitRequestT
--- a/packages/wire/test/codec_test.cc
+++ b/packages/wire/test/codec_test.cc
@@ -79,9 +79,10 @@
     Encode(LimitReport{ EndpointId("e"), RequestRate(18), true, true, 7s }));
   CHECK(std::get<LimitReport>(cold.value()).isCold);
   CHECK(std::get<LimitReport>(cold.value()).coldRemaining == 7s);
-  auto both =
-    Decode(Encode(LimitState{ {}, { { EndpointId("c"), RequestRate(18) } } }));
+  auto both = Decode(
+    Encode(LimitState{ {}, { { EndpointId("c"), RequestRate(18) } }, true }));
   CHECK(std::get<LimitState>(both.value()).limits.empty());
+  CHECK(std::get<LimitState>(both.value()).isPartial);
   CHECK(std::get<LimitState>(both.value()).coldLimits.at(0).rate ==
         RequestRate(18));
   ViewPush push;
@@ -101,6 +102,8 @@
   CHECK(negative.error() == WireError::InvalidValue);
   auto hello = Decode(Encode(Hello{ .acceptsLimits = true }));
   CHECK(std::get<Hello>(hello.value()).acceptsLimits);
+  auto partial = Decode(Encode(Hello{ .acceptsPartialLimits = true }));
+  CHECK(std::get<Hello>(partial.value()).acceptsPartialLimits);
   auto welcome = Decode(Encode(Welcome{ .grantsPermits = true }));
   CHECK(std::get<Welcome>(welcome.value()).grantsPermits);
 }
--- a/test/faults/cold_test.cc
+++ b/test/faults/cold_test.cc
@@ -26,13 +26,13 @@
 // the list is read once a second.
 constexpr Duration kColdNoticeTime = 3s;
 
-// One control instance, three routers, and two replicas, of which the first one
-// becomes cold while it serves.
+// One control instance, three routers, and two replicas that
+// become cold while they serve, one after the other.
 class ColdFixture
 {
 public:
-  explicit ColdFixture(bool aIsCold = false)
-    : isCold(aIsCold)
+  explicit ColdFixture(int aColdReplicas = 0)
+    : coldReplicas(aColdReplicas)
     , pool({ this->fleet.MachineIp(101), this->fleet.MachineIp(102) },
            this->fleet.MachineIp(120),
            "llm",
@@ -44,7 +44,7 @@
            })
   {
     this->pool.SetEntryMembers([this](int aReplica) {
-      return aReplica == 0 && this->isCold
+      return aReplica < this->coldReplicas
                ? json::object{ { "coldRemainingMs", 6000 } }
                : json::object{};
     });
@@ -136,7 +136,8 @@
   }
 
   PlatformFleet fleet{ "cold" };
-  std::atomic<bool> isCold;
+  // Replicas with a lower number than this are cold.
+  std::atomic<int> coldReplicas;
 
 private:
   std::mutex mutex;
@@ -149,7 +150,7 @@
 {
 public:
   ColdStartFixture()
-    : ColdFixture(true)
+    : ColdFixture(2)
   {
   }
 };
@@ -166,14 +167,16 @@
   auto warm = Clock::now();
   this->SendLoad(3s);
   CHECK(this->MostInSecond(warm) > kMaxInSecond);
-  this->isCold = true;
+  this->coldReplicas = 1;
   auto cold = Clock::now();
   // The other replica takes the rest.
-  CHECK(this->SendLoad(9s) == 0);
+  CHECK(this->SendLoad(4s) == 0);
+  this->coldReplicas = 2;
+  this->SendLoad(6s);
   CHECK(this->MostInSecond(cold + kColdNoticeTime) <= kMaxInSecond);
   CHECK(this->fleet.ReadMetric(
-          kColdControl, true, "lycheestand_cold_endpoints") == 1);
-  this->isCold = false;
+          kColdControl, true, "lycheestand_cold_endpoints") == 2);
+  this->coldReplicas = 0;
   CHECK(WaitFor(5s, [this] {
     return this->fleet.ReadMetric(
              kColdControl, true, "lycheestand_cold_endpoints") == 0;
@@ -201,7 +204,7 @@
   restarts.join();
   CHECK(this->MostInSecond({}) <= kMaxInSecond);
   // The rate is made use of.
-  CHECK(this->MostInSecond({}) >= 3);
+  CHECK(this->MostInSecond({}) >= kColdRate / 2);
 }
 
 } // namespace lycheestand::faults
