--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -85,8 +85,20 @@
         this->group = std::move(aChanged.group);
         ++this->groupVersion;
       },
-      [this](RevisionChanged& aChanged) { this->PushRevision(aChanged); },
-      [this](discovery::ListUpdate& aList) { this->HandleListUpdate(aList); },
+      // The limit controller goes first, so that routers know the limits of
+      // cold endpoints before the endpoints, and before the routes to them.
+      [this](RevisionChanged& aChanged) {
+        this->send(this->limits, std::move(aChanged));
+      },
+      [this](RevisionChecked& aChecked) {
+        this->PushRevision(aChecked.changed);
+      },
+      [this](discovery::ListUpdate& aList) {
+        this->send(this->limits, std::move(aList));
+      },
+      [this](EndpointsChecked& aChecked) {
+        this->HandleEndpointsChecked(aChecked);
+      },
       [this](SetListReader& aSet) {
         this->listReader = aSet.reader;
         this->send(this->listReader,
@@ -218,13 +230,11 @@
                                 .control = this->group,
                                 .tracksCrashes = true,
                                 .grantsPermits = true });
+    this->SendLimits(aState);
     this->PushUpdates(aState);
     if (this->quarantineState && aState.hello.acceptsQuarantine) {
       this->SendTo(aState, *this->quarantineState);
     }
-    if (this->limitState && aState.hello.acceptsLimits) {
-      this->SendTo(aState, *this->limitState);
-    }
     net::Log(net::LogLevel::Info,
              "router connected",
              { { "event", "router_connected" },
@@ -455,14 +465,26 @@
 
   void PushLimits(wire::LimitState aState)
   {
-    this->limitState = std::move(aState);
+    (aState.isPartial ? this->partialLimits : this->limitState) =
+      std::move(aState);
     for (auto& [id, link] : this->links) {
-      if (link.isAccepted && link.hello.acceptsLimits) {
-        this->SendTo(link, *this->limitState);
+      if (link.isAccepted) {
+        this->SendLimits(link);
       }
     }
   }
 
+  // Call it before a view or a revision is sent, which may have endpoints and
+  // routes to which the limits apply.
+  void SendLimits(LinkState& aState)
+  {
+    if (this->limitState && aState.hello.acceptsLimits) {
+      this->SendTo(aState, *this->limitState);
+    } else if (this->partialLimits && aState.hello.acceptsPartialLimits) {
+      this->SendTo(aState, *this->partialLimits);
+    }
+  }
+
   void Handle(net::LinkId, LinkState& aState, const wire::Replication& aMessage)
   {
     if (aState.hello.isControl) {
@@ -522,6 +544,7 @@
       this->quarantineState.reset();
       this->send(this->quarantine, aChanged);
       this->limitState.reset();
+      this->partialLimits.reset();
       this->send(this->limits, aChanged);
     }
     this->isLeader = aChanged.isLeader;
@@ -599,9 +622,9 @@
                 [this] { this->UpdateViewPeriodically(); });
   }
 
-  void HandleListUpdate(discovery::ListUpdate& aList)
+  void HandleEndpointsChecked(EndpointsChecked& aChecked)
   {
-    this->endpoints = std::move(aList.endpoints);
+    this->endpoints = std::move(aChecked.endpoints);
     this->hasReadList = true;
     this->UpdateView();
   }
@@ -735,7 +758,8 @@
                       { "address", ToString(entry.address) },
                       { "serves", entry.serves },
                       { "kind", entry.isService ? "service" : "model" },
-                      { "leaving", entry.leaving } });
+                      { "leaving", entry.leaving },
+                      { "cold", entry.isCold } });
     }
     return boost::json::serialize(out);
   }
@@ -764,6 +788,8 @@
   caf::actor limits;
   // The same of the limit controller.
   std::optional<wire::LimitState> limitState;
+  // The cold limits that a new leader has sent before that.
+  std::optional<wire::LimitState> partialLimits;
   // When this instance became the leader.
   TimePoint leaderSince{};
   // Whether an endpoint list has been read since then.
--- a/packages/control/src/messages.h
+++ b/packages/control/src/messages.h
@@ -164,11 +164,25 @@
   caf::actor controller;
 };
 
-// To the fleet controller: the limits that routers must know.
+// To the fleet controller: the limits that routers must know. In the first
+// second of a leader they are partial.
 struct LimitsChanged
 {
   wire::LimitState state;
 };
+// To the fleet controller: the endpoints of the last reading of the list, with
+// the ones that are cold. It is sent after the LimitsChanged that has their
+// limits.
+struct EndpointsChecked
+{
+  std::vector<membership::Endpoint> endpoints;
+};
+// To the fleet controller: a revision that it has passed to the limit
+// controller. It is sent after the LimitsChanged that the revision causes.
+struct RevisionChecked
+{
+  RevisionChanged changed;
+};
 struct SetLimitController
 {
   caf::actor controller;
@@ -265,6 +279,8 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::QuarantineChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::SetQuarantineController)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::LimitsChanged)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::EndpointsChecked)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::RevisionChecked)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::SetLimitController)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::RequestPermits)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::SendToRouter)
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -298,6 +298,13 @@
 struct SetEvacuatedZones
 {
   std::set<ZoneId> zones;
+// An answer says that its endpoint is cold for a time. The limit is the one of
+// its service.
+struct EndpointCold
+{
+  EndpointId endpoint;
+  RequestRate limit;
+  Duration remaining{};
 };
 
 // Says where permits for limited endpoints come from now.
@@ -453,6 +460,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointBlocked)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointAnswered)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::SetEvacuatedZones)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointCold)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::PermitSourceChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CrashSuspected)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::PartsSucceeded)
