Add fault tests of clients without limits

Callers that the operators don't control can fill a process's memory with bytes that no limit counts. The cases run real processes with 32 MB in their settings and check only that they live, that memory stays below 88 MB and descriptors below 1,300, and that an ordinary request is answered.

--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -73,6 +73,15 @@
                         orders-fenced orders-ignored
                         pair-85 pair-88 pair-90 pair-100 pair-110 pair-118)
 
+# These fill the memory and the connections of a process, so they run alone.
+set(untrusted_cases endless-trailers endless-trailers-entry endless-trailers-control endless-trailers-admin
+                    endless-extensions slow-headers small-fields unread-pipeline slow-readers idle-buffers
+                    half-open absent-bodies)
+lycheestand_fault_cases(short ${untrusted_cases})
+foreach(case ${untrusted_cases})
+  set_tests_properties(faults_${case} PROPERTIES RUN_SERIAL TRUE)
+endforeach()
+
 lycheestand_program(bench_load bench/load DEPS lycheestand_net)
 
 # Benchmark of a fleet; it uses the harness of the fault tests.
--- a/packages/net/test/http_server_test.cc
+++ b/packages/net/test/http_server_test.cc
@@ -167,6 +167,48 @@
   CHECK_FALSE(first.IsClosed());
 }
 
+// Guards against an idle connection that keeps bytes which it was granted after
+// its response was complete.
+TEST_CASE_METHOD(NetFixture, "A late grant of bytes is given back")
+{
+  constexpr std::size_t kLateBytes = 1024 * 1024;
+  HttpServerOptions options;
+  options.maxBufferedBytes = 2 * kLateBytes;
+  std::vector<bool> grants;
+  auto address = this->Serve(
+    [&grants](const ExchangePtr& aExchange) {
+      if (aExchange->Request().target == "/late") {
+        aExchange->StartStream(200, {});
+        aExchange->WriteStream("late", [aExchange] {
+          aExchange->HoldBytes(kLateBytes, [](bool) {});
+        });
+        aExchange->EndStream();
+      } else {
+        aExchange->HoldBytes(kLateBytes, [&grants, aExchange](bool aMayHold) {
+          grants.push_back(aMayHold);
+          aExchange->Respond({ 200, {}, "body" });
+        });
+      }
+    },
+    options);
+  RawCaller late(address);
+  late.Send("GET /late HTTP/1.1\r\nHost: x\r\n\r\n");
+  // The completion of a write and each message are handled in turn, so that the
+  // grant comes after the response.
+  for (int i = 0; i < 400; ++i) {
+    this->io.poll();
+    this->io.restart();
+    this->Coordinator().try_run_once();
+    std::this_thread::sleep_for(100us);
+  }
+  REQUIRE(late.Received().ends_with("0\r\n\r\n"));
+  RawCaller other(address);
+  other.Send(kGetRequest);
+  this->RunUntil([&] { return grants.size() == 1; });
+  CHECK(grants.back());
+  CHECK_FALSE(late.IsClosed());
+}
+
 // Guards against chunks that were ready for the caller and are lost when the
 // stream breaks off after them.
 TEST_CASE_METHOD(NetFixture, "An aborted stream has all chunks before the end")
