Count and limit all bytes that connections hold

The read buffer, headers, trailers, chunk extensions and responses that wait to be written were in no account; trailers and extensions had no limit at all, because Beast's parser takes them only when they are complete. Each server of a process had a ledger of its own.

RequestReader reads requests with a limit for each part and an estimate of the memory that is asked for before headers are parsed. One task divides the memory of all servers of a process (SpawnBufferController). When it is short, the largest holder without progress loses its connection. A HoldBuffer reply that comes after the response gives the bytes back. Headers and bodies that arrive late are refused with 408. Fields of trailers are not passed on any more.

--- a/packages/daemon/src/admin_server.cc
+++ b/packages/daemon/src/admin_server.cc
@@ -63,10 +63,28 @@
 
 } // namespace
 
+// The limits of a caller's header and body do not apply: a configuration may be
+// larger.
+net::HttpServerOptions
+MakeServerOptions(const settings::ProcessSettings& aSettings,
+                  const caf::actor& aBuffers)
+{
+  // Connections that are left for callers are worth more than these.
+  constexpr std::size_t kConnectionsDivisor = 4;
+  net::HttpServerOptions options;
+  options.buffers = aBuffers;
+  options.maxConnections =
+    std::max<std::size_t>(aSettings.maxConnections / kConnectionsDivisor, 1);
+  options.headerTimeout = aSettings.headerTimeout;
+  options.requestTimeout = aSettings.requestTimeout;
+  return options;
+}
+
 Result<caf::actor, std::string>
 StartAdminServer(const net::Runtime& aRuntime,
                  caf::actor aPool,
                  const settings::ProcessSettings& aSettings,
+                 const caf::actor& aBuffers,
                  router::Router* aRouter,
                  control::Control* aControl)
 {
@@ -99,8 +117,11 @@
         R"(control; use a control instance's address","ran":"not_run"}})");
     }
   };
-  return net::SpawnHttpServer(
-    aRuntime, std::move(aPool), aSettings.adminAddress, {}, handle);
+  return net::SpawnHttpServer(aRuntime,
+                              std::move(aPool),
+                              aSettings.adminAddress,
+                              MakeServerOptions(aSettings, aBuffers),
+                              handle);
 }
 
 } // namespace lycheestand::daemon
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -99,6 +99,8 @@
   Result<void, std::string> Start(const net::FleetKey& aKey)
   {
     auto pool = net::SpawnConnectionPool(this->runtime);
+    auto buffers = net::SpawnBufferController(this->runtime,
+                                              this->settings.maxBufferedBytes);
     if (this->settings.role != settings::Role::Router) {
       auto control = control::StartControl(
         this->runtime,
@@ -118,8 +120,8 @@
       if (this->node) {
         protocol = platform::MakeRouteProtocol();
       }
-      auto router =
-        router::StartRouter(this->runtime, this->settings, aKey, protocol);
+      auto router = router::StartRouter(
+        this->runtime, this->settings, aKey, buffers, protocol);
       if (router.has_error()) {
         return router.error();
       }
@@ -129,17 +131,19 @@
     auto admin = StartAdminServer(this->runtime,
                                   pool,
                                   this->settings,
+                                  buffers,
                                   this->router.get(),
                                   this->control.get());
     if (admin.has_error()) {
       return admin.error();
     }
     this->admin = admin.value();
-    return this->StartPlatformServers(pool);
+    return this->StartPlatformServers(pool, buffers);
   }
 
   // Starts the HTTP servers of the platform's interfaces.
-  Result<void, std::string> StartPlatformServers(const caf::actor& aPool)
+  Result<void, std::string> StartPlatformServers(const caf::actor& aPool,
+                                                 const caf::actor& aBuffers)
   {
     if (!this->node) {
       return boost::outcome_v2::success();
@@ -160,7 +164,11 @@
     }
     for (auto& [address, handler] : servers) {
       auto server =
-        net::SpawnHttpServer(this->runtime, aPool, address, {}, handler);
+        net::SpawnHttpServer(this->runtime,
+                             aPool,
+                             address,
+                             MakeServerOptions(this->settings, aBuffers),
+                             handler);
       if (server.has_error()) {
         return server.error();
       }
--- a/packages/daemon/src/daemon.h
+++ b/packages/daemon/src/daemon.h
@@ -25,6 +25,12 @@
 int
 Format(const settings::ProcessSettings& aSettings);
 
+// Returns the limits of the servers for operators and of the platform's
+// interfaces, which share the memory of aBuffers.
+net::HttpServerOptions
+MakeServerOptions(const settings::ProcessSettings& aSettings,
+                  const caf::actor& aBuffers);
+
 // Starts the HTTP server at the admin address: metrics, health, dump, and on
 // control the operators' interface. The object of a role that this process
 // doesn't have is null.
@@ -32,6 +38,7 @@
 StartAdminServer(const net::Runtime& aRuntime,
                  caf::actor aPool,
                  const settings::ProcessSettings& aSettings,
+                 const caf::actor& aBuffers,
                  router::Router* aRouter,
                  control::Control* aControl);
 
--- a/packages/net/include/lycheestand/net.h
+++ b/packages/net/include/lycheestand/net.h
@@ -382,16 +382,25 @@
 {
   std::size_t maxHeaderBytes = 16 * 1024;
   std::size_t maxBodyBytes = 4 * 1024 * 1024;
+  // Task that divides the memory for bytes from outside among the servers of a
+  // process, see SpawnBufferController. If there is none, the server starts one
+  // with maxBufferedBytes.
+  caf::actor buffers;
   // Bytes of large requests and responses that all connections together hold in
   // memory. A request beyond that is refused with 503.
   std::size_t maxBufferedBytes = 32 * 1024 * 1024;
   // While this many are open, no more are accepted.
   std::size_t maxConnections = 4096;
-  // Maximum time for a connection's first request to arrive.
+  // Maximum time from the first byte of a request to the end of its headers;
+  // then it is refused with 408.
+  Duration headerTimeout = std::chrono::seconds(20);
+  // Maximum time until a connection's first byte, and without a further byte of
+  // a body. A whole request may take three times as long, and longer the larger
+  // it is; then it is refused with 408.
   Duration requestTimeout = std::chrono::seconds(20);
   // Maximum time without progress in writing to the caller.
   Duration writeTimeout = std::chrono::seconds(30);
-  // Maximum time for each further request on a connection to arrive.
+  // Maximum time from a response to the first byte of the next request.
   Duration keepAliveTimeout = std::chrono::seconds(60);
   // Returns whether a new connection is served; if not, it is reset without
   // being read. Empty to serve all.
@@ -419,6 +428,12 @@
 struct CloseAfterResponses
 {};
 
+// Starts the task that divides this many bytes of memory among the connections
+// of the servers that name it. When it has too few, the connection that holds
+// the most without making progress is closed.
+caf::actor
+SpawnBufferController(const Runtime& aRuntime, std::size_t aCapacity);
+
 // Starts an HTTP server on an address and returns its task, or a message if it
 // can't listen there. aPool is used for calls that handlers make.
 Result<caf::actor, std::string>
--- a/packages/net/src/buffer_ledger.cc
+++ b/packages/net/src/buffer_ledger.cc
@@ -1,5 +1,7 @@
 #include "buffer_ledger.h"
 
+#include <algorithm>
+
 namespace lycheestand::net {
 
 namespace {
@@ -33,4 +35,22 @@
   }
 }
 
+std::vector<BufferHolderId>
+BufferLedger::FindLargest(std::size_t aCount) const
+{
+  std::vector<std::pair<std::size_t, BufferHolderId>> sizes;
+  for (const auto& [holder, bytes] : this->holders) {
+    sizes.emplace_back(bytes, holder);
+  }
+  auto count = std::min(aCount, sizes.size());
+  auto end = sizes.begin() + static_cast<std::ptrdiff_t>(count);
+  std::partial_sort(sizes.begin(), end, sizes.end(), std::greater<>());
+  std::vector<BufferHolderId> out;
+  std::transform(sizes.begin(),
+                 end,
+                 std::back_inserter(out),
+                 [](const auto& aItem) { return aItem.second; });
+  return out;
+}
+
 } // namespace lycheestand::net
--- a/packages/net/src/buffer_ledger.h
+++ b/packages/net/src/buffer_ledger.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <lycheestand/core.h>
 #include <map>
+#include <vector>
 
 namespace lycheestand::net {
 
@@ -26,6 +27,9 @@
 
   void Release(BufferHolderId aHolder);
 
+  // Returns at most aCount holders, those with the most bytes first.
+  std::vector<BufferHolderId> FindLargest(std::size_t aCount) const;
+
   // Returns the bytes that all holders have.
   std::size_t Held() const { return this->held; }
 
--- a/packages/net/src/http_connection.cc
+++ b/packages/net/src/http_connection.cc
@@ -1,11 +1,13 @@
 #include "http_connection.h"
 
+#include "buffer_controller.h"
+#include "request_reader.h"
+
 #include <algorithm>
+#include <array>
 #include <bit>
 #include <boost/asio/bind_executor.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <caf/send.hpp>
 #include <deque>
@@ -28,29 +30,58 @@
 constexpr Duration kMaxDiscardTime = std::chrono::seconds(1);
 constexpr std::size_t kDiscardBytes = 16 * 1024;
 
-// Bytes of its request and response that a connection holds without asking its
-// server.
-constexpr std::size_t kUnheldBytes = 32 * 1024;
+// Bytes of its request and response that a connection holds without asking.
+// Most requests are smaller and cost no message to the buffers' task.
+constexpr std::size_t kUnheldBytes = 16 * 1024;
+
+// A message asks for more memory at most this many times while its size
+// doubles.
+constexpr std::size_t kHoldSteps = 8;
+
+// A larger body is written by itself, so that it is not copied.
+constexpr std::size_t kCopiedBodyBytes = 16 * 1024;
+
+// While others lack memory, a connection must move kProgressBytes in
+// kNoProgressTime or lose its memory: 2 kB a second, less than the slowest
+// sound callers.
+constexpr std::size_t kProgressBytes = 4 * 1024;
+constexpr Duration kNoProgressTime = std::chrono::seconds(2);
+
+// A whole request may take this many times HttpServerOptions::requestTimeout
+// and a second for each kBytesPerSecond. Slower requests would hold their
+// connections for hours.
+constexpr int kWholeRequestTimeouts = 3;
+constexpr std::size_t kBytesPerSecond = 16 * 1024;
 
-// Read buffer of a connection while it gets a large request.
-constexpr std::size_t kLargeReadBytes = 32 * 1024;
+// While the server has no room for another connection, one without a request is
+// kept for this time. The users' platform reuses connections that were idle for
+// up to 12 s.
+constexpr Duration kUnusedTime = std::chrono::seconds(15);
 
-// A request is copied when it is forwarded.
-constexpr std::size_t kRequestCopies = 2;
+// The same for one whose caller does not read its response. The system's
+// buffers hold more than 100 kB, so a sound caller is seldom late at all.
+constexpr Duration kUnreadTime = std::chrono::seconds(5);
 
 // Retry-After of a request for which there is no memory now.
 constexpr const char* kNoMemoryRetrySeconds = "0.5";
 
-// Returns whether the error means that the received bytes are not a valid HTTP
-// request. Other errors mean that the connection has ended.
-bool
-IsMalformed(beast::error_code aError)
+struct ConnectionCounters
 {
-  static const auto& kHttpCategory =
-    beast::error_code(http::error::bad_method).category();
-  return aError.category() == kHttpCategory &&
-         aError != http::error::end_of_stream &&
-         aError != http::error::partial_message;
+  Counter stalledHolders =
+    Metrics().GetCounter("lycheestand_buffer_holders_closed_total");
+  Counter lateRequests =
+    Metrics().GetCounter("lycheestand_request_timeouts_total");
+  Counter droppedResponses =
+    Metrics().GetCounter("lycheestand_responses_dropped_total");
+  Counter unused =
+    Metrics().GetCounter("lycheestand_unused_connections_closed_total");
+};
+
+ConnectionCounters&
+GetConnectionCounters()
+{
+  static ConnectionCounters counters;
+  return counters;
 }
 
 // Owns a caller's socket and handles its requests sequentially.
@@ -69,6 +100,7 @@
     , socket(std::move(*aSocket))
     , options(aOptions)
     , handler(std::move(aHandler))
+    , reader({ this->options.maxHeaderBytes, this->options.maxBodyBytes })
   {
     // A request to another task, which the response depends on, has failed or
     // timed out. Without closing the connection, the caller would never get a
@@ -84,6 +116,9 @@
     if (this->exchange) {
       this->exchange->Detach(this->disconnect);
     }
+    if (this->hasAskedForBytes) {
+      this->send(this->options.buffers, ReleaseBuffer{});
+    }
     this->send(this->server, ConnectionEnded{});
   }
 
@@ -92,6 +127,7 @@
   {
     beast::error_code ignored;
     this->socket.set_option(tcp::no_delay(true), ignored);
+    this->socket.non_blocking(true, ignored);
     auto remote = this->socket.remote_endpoint(ignored);
     this->peer = remote.address().to_string();
     this->RecordProgress();
@@ -102,7 +138,9 @@
   caf::message_handler Handlers() override
   {
     return { [this](StopListening) { this->StopAfterRequest(); },
-             [this](CloseAfterResponses) { this->closeAfterResponse = true; } };
+             [this](CloseAfterResponses) { this->closeAfterResponse = true; },
+             [this](CloseUnused) { this->CloseIfUnused(); },
+             [this](YieldBuffer) { return this->Yield(); } };
   }
 
 private:
@@ -201,9 +239,31 @@
     std::string bytes;
     std::function<void()> written;
     bool isLast = false;
+    std::size_t writtenBytes = 0;
   };
 
-  void RecordProgress() { this->lastProgress = Now(this->GetRuntime()); }
+  void RecordProgress()
+  {
+    this->lastProgress = Now(this->GetRuntime());
+    this->progressBytes = 0;
+  }
+
+  // A caller that moves single bytes makes no progress.
+  void RecordBytes(std::size_t aBytes)
+  {
+    this->progressBytes += aBytes;
+    if (this->progressBytes >= kProgressBytes) {
+      this->RecordProgress();
+    }
+  }
+
+  // Returns whether a request can arrive now: none is in progress or refused.
+  bool IsReading() const { return !this->exchange && !this->hasUnreadRequest; }
+
+  Duration TimeSinceProgress() const
+  {
+    return Now(this->GetRuntime()) - this->lastProgress;
+  }
 
   // Checks the timeouts every 2 seconds and closes the connection when one has
   // expired.
@@ -214,68 +274,165 @@
         this->quit();
         return;
       }
+      if (this->IsRequestLate()) {
+        this->RejectLate();
+      }
       this->ScheduleTimeoutCheck();
     });
   }
 
   bool HasTimedOut() const
   {
-    auto elapsed = Now(this->GetRuntime()) - this->lastProgress;
     if (!this->writes.empty()) {
-      return elapsed >= this->options.writeTimeout;
+      return this->TimeSinceProgress() >= this->options.writeTimeout;
     }
-    if (this->exchange) {
+    if (!this->IsReading() || this->reader.HasBegun()) {
+      return false;
+    }
+    return this->TimeSinceProgress() >= (this->isFirstRequest
+                                           ? this->options.requestTimeout
+                                           : this->options.keepAliveTimeout);
+  }
+
+  bool IsRequestLate() const
+  {
+    if (!this->IsReading() || !this->reader.HasBegun()) {
       return false;
     }
-    return elapsed >= (this->isFirstRequest ? this->options.requestTimeout
-                                            : this->options.keepAliveTimeout);
+    auto now = Now(this->GetRuntime());
+    auto elapsed = now - this->requestStartedAt;
+    if (!this->reader.IsHeaderComplete()) {
+      return elapsed >= this->options.headerTimeout;
+    }
+    auto limit = this->options.requestTimeout;
+    auto whole =
+      limit * kWholeRequestTimeouts +
+      std::chrono::seconds(this->reader.ReceivedBytes() / kBytesPerSecond);
+    return now - this->lastReceivedAt >= limit || elapsed >= whole;
+  }
+
+  void CloseIfUnused()
+  {
+    bool isUnused = this->IsReading() && !this->reader.HasBegun() &&
+                    this->TimeSinceProgress() >= kUnusedTime;
+    bool isUnread =
+      !this->writes.empty() && this->TimeSinceProgress() >= kUnreadTime;
+    if (isUnused || isUnread) {
+      GetConnectionCounters().unused.Add();
+      this->quit();
+    }
+  }
+
+  // Returns whether the connection gives up its memory because its caller
+  // neither sends nor reads.
+  caf::result<bool> Yield()
+  {
+    bool waitsForCaller = !this->writes.empty() || this->IsReading();
+    auto promise = this->make_response_promise();
+    if (!waitsForCaller || this->TimeSinceProgress() < kNoProgressTime) {
+      promise.deliver(false);
+      return promise;
+    }
+    Log(LogLevel::Warning,
+        "closed a connection that held memory without progress",
+        { { "event", "buffer_holder_closed" },
+          { "peer", this->peer },
+          { "bytes", std::to_string(this->heldBytes) } });
+    GetConnectionCounters().stalledHolders.Add();
+    this->ReleaseBytes();
+    promise.deliver(true);
+    if (this->IsReading()) {
+      this->RejectForMemory();
+    } else {
+      this->quit();
+    }
+    return promise;
   }
 
   void ReadRequest()
   {
-    this->parser.emplace();
-    this->parser->header_limit(this->options.maxHeaderBytes);
-    this->parser->body_limit(this->options.maxBodyBytes);
-    this->parser->eager(true);
     this->requestBytes = 0;
-    this->ReadMore();
+    this->requestStartedAt = Now(this->GetRuntime());
+    this->lastReceivedAt = this->requestStartedAt;
+    if (this->reader.HasBegun()) {
+      this->HoldReceived();
+    } else {
+      this->ReadMore();
+    }
   }
 
+  // A connection without a request in progress has no read buffer.
   void ReadMore()
   {
-    http::async_read_some(
-      this->socket,
-      this->buffer,
-      *this->parser,
-      asio::bind_executor(this->Executor(),
-                          [this](beast::error_code aError, std::size_t) {
-                            if (aError || this->parser->is_done()) {
-                              this->HandleRequest(aError);
-                            } else {
-                              this->HandlePart();
-                            }
-                          }));
+    this->socket.async_wait(
+      tcp::socket::wait_read,
+      asio::bind_executor(this->Executor(), [this](beast::error_code aError) {
+        if (aError) {
+          this->quit();
+        } else if (this->IsReading()) {
+          this->ReadAvailable();
+        }
+      }));
   }
 
-  // A limit of each request alone would not keep many callers from filling the
-  // memory with requests that they never complete.
-  void HandlePart()
+  void ReadAvailable()
   {
-    this->requestBytes = this->parser->get().body().size() * kRequestCopies;
-    if (this->requestBytes > kUnheldBytes) {
-      // Beast reads at most the buffer's capacity at once.
-      this->buffer.reserve(kLargeReadBytes);
+    beast::error_code error;
+    auto bytes = this->socket.read_some(this->reader.Prepare(), error);
+    if (error == asio::error::would_block || error == asio::error::try_again) {
+      this->ReadMore();
+      return;
+    }
+    if (error) {
+      this->quit();
+      return;
     }
+    this->lastReceivedAt = Now(this->GetRuntime());
+    if (!this->reader.HasBegun()) {
+      this->requestStartedAt = this->lastReceivedAt;
+      this->RecordProgress();
+    }
+    this->reader.Commit(bytes);
+    this->RecordBytes(bytes);
+    this->HoldReceived();
+  }
+
+  // A limit of each request alone would not keep many callers from filling the
+  // memory with requests that they never complete. The memory is asked for
+  // before the headers are parsed, which takes many times their bytes.
+  void HoldReceived()
+  {
+    this->requestBytes = this->reader.HeldBytes();
     this->HoldBytes(0, [this](bool aMayHold) {
+      // It may have been refused as late meanwhile.
+      if (!this->IsReading()) {
+        return;
+      }
       if (aMayHold) {
-        this->ReadMore();
+        this->ParseRequest();
       } else {
         this->RejectForMemory();
       }
     });
   }
 
-  // Asks the server to hold the request and this many bytes of a response.
+  void ParseRequest()
+  {
+    using State = RequestReader::State;
+    auto state = this->reader.Read();
+    this->requestBytes = this->reader.HeldBytes();
+    if (state == State::Incomplete) {
+      this->ReadMore();
+    } else if (state == State::Complete) {
+      this->HandleRequest();
+    } else if (state == State::Malformed) {
+      this->RejectMalformed();
+    } else {
+      this->RejectOversized(state == State::BodyTooLarge ? 413 : 431);
+    }
+  }
+
+  // Asks to hold the request and this many bytes of a response.
   void HoldBytes(std::size_t aResponseBytes, std::function<void(bool)> aDone)
   {
     std::size_t bytes = this->requestBytes + aResponseBytes;
@@ -283,105 +440,106 @@
       aDone(true);
       return;
     }
-    // Powers of two keep the number of questions low while a message grows.
-    bytes = std::bit_ceil(bytes);
-    this->request(this->server, caf::infinite, HoldBuffer{ bytes })
-      .then([this, bytes, done = std::move(aDone)](bool aMayHold) {
-        if (aMayHold) {
+    // Steps keep the number of questions low while a message grows.
+    auto step = std::bit_ceil(bytes) / kHoldSteps;
+    bytes = (bytes + step - 1) / step * step;
+    this->hasAskedForBytes = true;
+    ++this->pendingHolds;
+    this->request(this->options.buffers, caf::infinite, HoldBuffer{ bytes })
+      .then([this, bytes, round = this->holdRound, done = std::move(aDone)](
+              bool aMayHold) {
+        --this->pendingHolds;
+        // The response was completed meanwhile, and the bytes were released.
+        bool isValid = aMayHold && round == this->holdRound;
+        if (isValid) {
           this->heldBytes = std::max(this->heldBytes, bytes);
         }
-        done(aMayHold);
+        done(isValid);
       });
   }
 
+  // The message follows all HoldBuffer messages, so nothing stays held.
   void ReleaseBytes()
   {
-    if (this->heldBytes > 0) {
+    if (this->heldBytes > 0 || this->pendingHolds > 0) {
       this->heldBytes = 0;
-      this->send(this->server, ReleaseBuffer{});
+      ++this->holdRound;
+      this->send(this->options.buffers, ReleaseBuffer{});
     }
   }
 
+  void HandleRequest()
+  {
+    this->isFirstRequest = false;
+    this->RecordProgress();
+    this->keepAlive = this->keepAlive && this->reader.KeepsAlive();
+    this->isHeadRequest = this->reader.IsHead();
+    ++this->exchangeNumber;
+    this->exchange =
+      std::make_shared<ServerExchange>(this, this->reader.Take());
+    this->WatchDisconnect();
+    this->handler(this->exchange);
+  }
+
+  // Refuses a request that has not been passed to the handler, and closes the
+  // connection: the start of the next request can't be found.
+  void Reject(unsigned aStatus,
+              const std::string& aCode,
+              const std::string& aMessage,
+              Headers aHeaders = {})
+  {
+    this->keepAlive = false;
+    this->hasUnreadRequest = true;
+    this->reader.Clear();
+    this->requestBytes = 0;
+    this->exchange = std::make_shared<ServerExchange>(this, HttpRequest{});
+    aHeaders.emplace_back("Content-Type", "application/json");
+    this->exchange->Respond({ aStatus,
+                              std::move(aHeaders),
+                              R"({"error":{"code":")" + aCode +
+                                R"(","message":")" + aMessage +
+                                R"(","ran":"not_run"}})" });
+  }
+
   void RejectForMemory()
   {
     Log(LogLevel::Warning,
         "refused a request: the memory for large requests is used up",
         { { "event", "buffers_full" }, { "peer", this->peer } });
-    this->keepAlive = false;
-    this->hasUnreadRequest = true;
-    this->parser.reset();
-    this->exchange = std::make_shared<ServerExchange>(this, HttpRequest{});
-    this->exchange->Respond(
-      { 503,
-        { { "Content-Type", "application/json" },
-          { "Retry-After", kNoMemoryRetrySeconds } },
-        R"({"error":{"code":"buffers_full","message":)"
-        R"("this instance has no memory for the request now","ran":"not_run"}})" });
+    this->Reject(503,
+                 "buffers_full",
+                 "this instance has no memory for the request now",
+                 { { "Retry-After", kNoMemoryRetrySeconds } });
   }
 
-  void HandleRequest(beast::error_code aError)
+  void RejectLate()
   {
-    if (aError == http::error::body_limit ||
-        aError == http::error::header_limit) {
-      this->RejectOversized(aError == http::error::body_limit ? 413 : 431);
-      return;
-    }
-    if (aError && IsMalformed(aError)) {
-      this->RejectMalformed(aError);
-      return;
-    }
-    if (aError) {
-      this->quit();
-      return;
-    }
-    this->isFirstRequest = false;
-    this->RecordProgress();
-    auto message = this->parser->release();
-    this->parser.reset();
-    HttpRequest request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto& field : message) {
-      request.headers.emplace_back(std::string(field.name_string()),
-                                   std::string(field.value()));
-    }
-    request.body = std::move(message.body());
-    this->keepAlive = this->keepAlive && message.keep_alive();
-    this->isHeadRequest = message.method() == http::verb::head;
-    ++this->exchangeNumber;
-    this->exchange = std::make_shared<ServerExchange>(this, std::move(request));
-    this->WatchDisconnect();
-    this->handler(this->exchange);
+    Log(LogLevel::Warning,
+        "refused a request that did not arrive in time",
+        { { "event", "request_timeout" },
+          { "peer", this->peer },
+          { "part", this->reader.IsHeaderComplete() ? "body" : "headers" },
+          { "bytes", std::to_string(this->reader.ReceivedBytes()) } });
+    GetConnectionCounters().lateRequests.Add();
+    this->Reject(408, "request_timeout", "the request did not arrive in time");
   }
 
-  // Responds with 400 and closes the connection, since the start of the next
-  // request can't be found after a malformed one.
-  void RejectMalformed(beast::error_code aError)
+  void RejectMalformed()
   {
+    auto problem = this->reader.Problem();
     Log(LogLevel::Warning,
         "rejected a malformed HTTP request",
         { { "event", "malformed_request" },
           { "peer", this->peer },
-          { "reason", aError.message() } });
-    this->keepAlive = false;
-    this->exchange = std::make_shared<ServerExchange>(this, HttpRequest{});
-    this->exchange->Respond(
-      { 400,
-        { { "Content-Type", "application/json" } },
-        R"({"error":{"code":"malformed_request","message":")" +
-          aError.message() + R"(","ran":"not_run"}})" });
+          { "reason", problem } });
+    this->Reject(400, "malformed_request", problem);
   }
 
   void RejectOversized(unsigned aStatus)
   {
-    this->keepAlive = false;
-    this->hasUnreadRequest = true;
-    this->exchange = std::make_shared<ServerExchange>(this, HttpRequest{});
-    this->exchange->Respond(
-      { aStatus,
-        { { "Content-Type", "application/json" } },
-        R"({"error":{"code":"request_too_large","message":)"
-        R"("the request headers or body exceed the size limit","ran":"not_run"}})" });
+    this->Reject(aStatus,
+                 "request_too_large",
+                 "the request headers or body exceed the size limit");
   }
 
   // Closes the connection if the caller disconnects while its request is in
@@ -463,12 +621,14 @@
     message.body() = std::move(aResponse.body);
     message.prepare_payload();
     std::ostringstream text;
-    if (this->isHeadRequest) {
-      text << message.base();
+    text << message.base();
+    auto body = this->isHeadRequest ? std::string() : std::move(message.body());
+    if (body.size() > kCopiedBodyBytes) {
+      this->Enqueue({ text.str(), nullptr, false });
+      this->Enqueue({ std::move(body), nullptr, true });
     } else {
-      text << message;
+      this->Enqueue({ text.str() + body, nullptr, true });
     }
-    this->Enqueue({ text.str(), nullptr, true });
   }
 
   void WriteHead(unsigned aStatus, const Headers& aHeaders)
@@ -504,6 +664,7 @@
     if (this->closesAfterWrites) {
       return;
     }
+    this->queuedBytes += aWrite.bytes.size();
     this->writes.push_back(std::move(aWrite));
     if (this->writes.size() == 1) {
       this->RecordProgress();
@@ -513,24 +674,33 @@
 
   void WriteNext()
   {
-    asio::async_write(
-      this->socket,
-      asio::buffer(this->writes.front().bytes),
+    const auto& write = this->writes.front();
+    this->socket.async_write_some(
+      asio::buffer(write.bytes) + write.writtenBytes,
       asio::bind_executor(this->Executor(),
-                          [this](beast::error_code aError, std::size_t) {
-                            this->HandleWritten(aError);
+                          [this](beast::error_code aError, std::size_t aBytes) {
+                            if (aError) {
+                              this->quit();
+                            } else {
+                              this->HandleWritten(aBytes);
+                            }
                           }));
   }
 
-  void HandleWritten(beast::error_code aError)
+  void HandleWritten(std::size_t aBytes)
   {
-    if (aError) {
-      this->quit();
+    this->RecordBytes(aBytes);
+    auto& write = this->writes.front();
+    write.writtenBytes += aBytes;
+    if (write.writtenBytes < write.bytes.size()) {
+      this->HoldQueued();
+      this->WriteNext();
       return;
     }
     this->RecordProgress();
-    QueuedWrite done = std::move(this->writes.front());
+    QueuedWrite done = std::move(write);
     this->writes.pop_front();
+    this->queuedBytes -= done.bytes.size();
     if (done.written) {
       done.written();
     }
@@ -545,6 +715,22 @@
     }
   }
 
+  // The caller does not read as fast as the response comes. Without this, many
+  // callers that don't read would fill the memory.
+  void HoldQueued()
+  {
+    this->HoldBytes(
+      this->queuedBytes, [this, round = this->holdRound](bool aMayHold) {
+        if (!aMayHold && round == this->holdRound) {
+          Log(LogLevel::Warning,
+              "closed a connection: no memory for a response that is not read",
+              { { "event", "response_dropped" }, { "peer", this->peer } });
+          GetConnectionCounters().droppedResponses.Add();
+          this->quit();
+        }
+      });
+  }
+
   // Closes the connection once what was sent so far is written, or after
   // kMaxAbortTime if the caller does not read it.
   void CloseAfterWrites()
@@ -580,17 +766,20 @@
   // the connection, and the caller may then lose the response.
   void DiscardInput()
   {
-    this->buffer.clear();
-    this->socket.async_read_some(
-      this->buffer.prepare(kDiscardBytes),
-      asio::bind_executor(this->Executor(),
-                          [this](beast::error_code aError, std::size_t) {
-                            if (aError) {
-                              this->quit();
-                            } else {
-                              this->DiscardInput();
-                            }
-                          }));
+    this->socket.async_wait(
+      tcp::socket::wait_read,
+      asio::bind_executor(this->Executor(), [this](beast::error_code aError) {
+        std::array<char, kDiscardBytes> bytes;
+        if (!aError) {
+          this->socket.read_some(asio::buffer(bytes), aError);
+        }
+        if (aError && aError != asio::error::would_block &&
+            aError != asio::error::try_again) {
+          this->quit();
+        } else {
+          this->DiscardInput();
+        }
+      }));
   }
 
   // Closes the connection after the request in progress, or immediately if
@@ -608,16 +797,23 @@
   HttpServerOptions options;
   HttpHandler handler;
   std::string peer;
-  beast::flat_buffer buffer;
-  std::optional<http::request_parser<http::string_body>> parser;
-  // Bytes that the request in progress takes, and bytes that the server lets
-  // this connection hold.
+  RequestReader reader;
+  // Bytes that the request in progress takes, bytes that wait to be written,
+  // and bytes that the buffers' task lets this connection hold.
   std::size_t requestBytes = 0;
+  std::size_t queuedBytes = 0;
   std::size_t heldBytes = 0;
+  // Counts the releases, to tell replies to questions before the last one.
+  std::uint64_t holdRound = 0;
+  int pendingHolds = 0;
+  bool hasAskedForBytes = false;
   std::shared_ptr<ServerExchange> exchange;
   std::uint64_t exchangeNumber = 0;
   std::deque<QueuedWrite> writes;
+  TimePoint requestStartedAt;
+  TimePoint lastReceivedAt;
   TimePoint lastProgress;
+  std::size_t progressBytes = 0;
   bool isFirstRequest = true;
   bool keepAlive = true;
   bool closesAfterWrites = false;
--- a/packages/net/src/http_connection.h
+++ b/packages/net/src/http_connection.h
@@ -12,19 +12,13 @@
 struct ConnectionEnded
 {};
 
-// Request from a connection to its server to hold this many bytes of its
-// request and response in all; the server replies with whether it may.
-struct HoldBuffer
-{
-  std::size_t bytes = 0;
-};
-
-// Sent by a connection to its server when it holds no such bytes any more.
-struct ReleaseBuffer
+// Message from a server to its connections when it has no room for another:
+// close if no request has arrived for a while, or if the caller does not read.
+struct CloseUnused
 {};
 
 // Starts the task that owns a caller's socket and handles its requests
-// sequentially.
+// sequentially. aOptions must name the buffers' task.
 caf::actor
 SpawnHttpConnection(const Runtime& aRuntime,
                     caf::actor aPool,
@@ -36,7 +30,6 @@
 } // namespace lycheestand::net
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::ConnectionEnded)
-CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::HoldBuffer)
-CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::ReleaseBuffer)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::CloseUnused)
 
 #endif
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -1,5 +1,4 @@
 #include "accept_loop.h"
-#include "buffer_ledger.h"
 #include "http_connection.h"
 
 #include <caf/send.hpp>
@@ -13,6 +12,10 @@
 
 namespace {
 
+// Pause between requests to unused connections to close while there is no room
+// for another.
+constexpr Duration kCloseUnusedInterval = std::chrono::seconds(1);
+
 // Accepts connections and starts a task for each.
 class HttpServer : public IoTask
 {
@@ -27,15 +30,16 @@
     , connectionPool(std::move(aPool))
     , options(aOptions)
     , handler(std::move(aHandler))
-    , buffers(aOptions.maxBufferedBytes)
     , acceptLoop(
         *this,
         std::move(*aAcceptor),
-        [this] {
-          return this->connections.size() >= this->options.maxConnections;
-        },
+        [this] { return this->IsFull(); },
         [this](tcp::socket aSocket) { this->Accept(std::move(aSocket)); })
   {
+    if (!this->options.buffers) {
+      this->options.buffers =
+        SpawnBufferController(aRuntime, this->options.maxBufferedBytes);
+    }
   }
 
   void on_exit() override { this->acceptLoop.Close(); }
@@ -48,15 +52,8 @@
     return {
       [this](ConnectionEnded) {
         this->connections.erase(this->current_sender());
-        this->buffers.Release(this->Sender());
         this->acceptLoop.Resume();
       },
-      [this](HoldBuffer aHold) {
-        bool mayHold = this->buffers.Set(this->Sender(), aHold.bytes);
-        (mayHold ? this->holds : this->refusedHolds).Add();
-        return mayHold;
-      },
-      [this](ReleaseBuffer) { this->buffers.Release(this->Sender()); },
       [this](SetListening aSet) {
         this->acceptLoop.SetListening(aSet.isListening);
       },
@@ -67,9 +64,26 @@
   }
 
 private:
-  BufferHolderId Sender()
+  bool IsFull() const
+  {
+    return this->connections.size() >= this->options.maxConnections;
+  }
+
+  // Without this, connections that nobody uses would keep callers waiting until
+  // they time out.
+  void CloseUnusedWhileFull()
   {
-    return BufferHolderId(this->current_sender()->id());
+    if (this->isClosingUnused || !this->IsFull()) {
+      return;
+    }
+    this->isClosingUnused = true;
+    for (const auto& connection : this->connections) {
+      this->send(caf::actor_cast<caf::actor>(connection), CloseUnused{});
+    }
+    this->After(kCloseUnusedInterval, [this] {
+      this->isClosingUnused = false;
+      this->CloseUnusedWhileFull();
+    });
   }
 
   void Accept(tcp::socket aSocket)
@@ -92,6 +106,7 @@
     if (this->closesAfterResponses) {
       this->send(connection, CloseAfterResponses{});
     }
+    this->CloseUnusedWhileFull();
   }
 
   void AnnounceClose()
@@ -116,10 +131,7 @@
   HttpHandler handler;
   std::set<caf::strong_actor_ptr> connections;
   bool closesAfterResponses = false;
-  BufferLedger buffers;
-  Counter holds = Metrics().GetCounter("lycheestand_buffer_holds_total");
-  Counter refusedHolds =
-    Metrics().GetCounter("lycheestand_buffer_refusals_total");
+  bool isClosingUnused = false;
   AcceptLoop acceptLoop;
 };
 
--- a/packages/net/test/buffer_ledger_test.cc
+++ b/packages/net/test/buffer_ledger_test.cc
@@ -35,6 +35,16 @@
   CHECK(ledger.Held() == 750);
 }
 
+// Guards against small holders that lose their bytes to large ones.
+TEST_CASE("The largest holders are found first")
+{
+  BufferLedger ledger(1000);
+  REQUIRE(ledger.Set(kFirst, 100));
+  REQUIRE(ledger.Set(kSecond, 200));
+  CHECK(ledger.FindLargest(1) == std::vector{ kSecond });
+  CHECK(ledger.FindLargest(9) == std::vector{ kSecond, kFirst });
+}
+
 // Guards against bytes that stay taken after their holder needs fewer or none.
 TEST_CASE("Released bytes can be taken again")
 {
--- a/packages/net/test/net_fixture.h
+++ b/packages/net/test/net_fixture.h
@@ -132,6 +132,14 @@
     boost::asio::write(this->socket, boost::asio::buffer(aText));
   }
 
+  // Sends what can be sent at once; returns the number of bytes.
+  std::size_t SendSome(std::string_view aText)
+  {
+    boost::system::error_code ignored;
+    return this->socket.write_some(
+      boost::asio::buffer(aText.data(), aText.size()), ignored);
+  }
+
   // Reads the available bytes; returns all bytes received so far.
   const std::string& Received()
   {
--- a/packages/router/include/lycheestand/router.h
+++ b/packages/router/include/lycheestand/router.h
@@ -142,12 +142,14 @@
                     std::function<void(std::string)> aDone) = 0;
 };
 
-// Starts a router, or returns why it can't start. With a protocol the router
-// serves requests by the route table instead of the project's own interface.
+// Starts a router, or returns why it can't start. aBuffers divides the memory
+// of the process's servers. With a protocol the router serves requests by the
+// route table instead of the project's own interface.
 Result<std::unique_ptr<Router>, std::string>
 StartRouter(const net::Runtime& aRuntime,
             const settings::ProcessSettings& aSettings,
             const net::FleetKey& aKey,
+            caf::actor aBuffers,
             std::optional<RouteProtocol> aProtocol = std::nullopt);
 
 } // namespace lycheestand::router
--- a/packages/router/src/router.cc
+++ b/packages/router/src/router.cc
@@ -195,9 +195,11 @@
 public:
   RunningRouter(const net::Runtime& aRuntime,
                 const settings::ProcessSettings& aSettings,
+                caf::actor aBuffers,
                 std::optional<RouteProtocol> aProtocol)
     : runtime(aRuntime)
     , settings(aSettings)
+    , buffers(std::move(aBuffers))
     , protocol(aProtocol ? std::make_shared<const RouteProtocol>(*aProtocol)
                          : nullptr)
     , plan(MakeStopPlan(aSettings))
@@ -353,8 +355,9 @@
     net::HttpServerOptions options;
     options.maxHeaderBytes = this->settings.maxHeaderBytes;
     options.maxBodyBytes = this->settings.maxBodyBytes;
-    options.maxBufferedBytes = this->settings.maxBufferedBytes;
+    options.buffers = this->buffers;
     options.maxConnections = this->settings.maxConnections;
+    options.headerTimeout = this->settings.headerTimeout;
     options.requestTimeout = this->settings.requestTimeout;
     options.servesNewConnection = [this] { return this->AcceptsRequest(); };
     options.keepsConnections = [this] { return !this->isOverloaded; };
@@ -411,6 +414,7 @@
 
   net::Runtime runtime;
   settings::ProcessSettings settings;
+  caf::actor buffers;
   std::shared_ptr<const RouteProtocol> protocol;
   StopPlan plan;
   FilterChain chain;
@@ -436,10 +440,11 @@
 StartRouter(const net::Runtime& aRuntime,
             const settings::ProcessSettings& aSettings,
             const net::FleetKey& aKey,
+            caf::actor aBuffers,
             std::optional<RouteProtocol> aProtocol)
 {
-  auto router =
-    std::make_unique<RunningRouter>(aRuntime, aSettings, std::move(aProtocol));
+  auto router = std::make_unique<RunningRouter>(
+    aRuntime, aSettings, std::move(aBuffers), std::move(aProtocol));
   auto started = router->Start(aKey);
   if (started.has_error()) {
     return Result<std::unique_ptr<Router>, std::string>(
--- a/packages/settings/include/lycheestand/settings.h
+++ b/packages/settings/include/lycheestand/settings.h
@@ -130,14 +130,15 @@
   // Bytes of large requests and answers that a router holds in memory in all.
   std::size_t maxBufferedBytes = 32 * 1024 * 1024;
   std::size_t maxHeaderBytes = 16 * 1024;
+  Milliseconds headerTimeout{ 5000 };
   Milliseconds requestTimeout{ 20000 };
 };
 
-// Returns the least maxBufferedBytes with which a request of maxBodyBytes can
-// be held: it is copied when it is forwarded, and a message may take at most
-// half of the memory.
+// Returns the least maxBufferedBytes with which a request of maxBodyBytes and
+// maxHeaderBytes can be held: it is copied when it is forwarded, and a message
+// may take at most half of the memory.
 std::size_t
-LeastBufferedBytes(std::size_t aMaxBodyBytes);
+LeastBufferedBytes(std::size_t aMaxBodyBytes, std::size_t aMaxHeaderBytes);
 
 // Returns the link options that the settings give; others have their defaults.
 template<class LinkOptions>
--- a/packages/settings/src/process_settings.cc
+++ b/packages/settings/src/process_settings.cc
@@ -169,6 +169,8 @@
     aReader, "entry_keep_ms", aSettings.entryCacheTime, 100, 600000);
   aSettings.confirmationLimit = ReadMilliseconds(
     aReader, "confirmation_limit_ms", aSettings.confirmationLimit, 1000, 6000);
+  aSettings.headerTimeout = ReadMilliseconds(
+    aReader, "header_timeout_ms", aSettings.headerTimeout, 100, 600000);
   aSettings.requestTimeout = ReadMilliseconds(
     aReader, "request_timeout_ms", aSettings.requestTimeout, 100, 600000);
   aSettings.threads = ReadSize(aReader, "threads", aSettings.threads, 1, 64);
@@ -176,15 +178,16 @@
     ReadSize(aReader, "max_connections", aSettings.maxConnections, 1, 1000000);
   aSettings.maxBodyBytes =
     ReadSize(aReader, "max_body_bytes", aSettings.maxBodyBytes, 1024, 1 << 28);
-  auto leastBuffered = LeastBufferedBytes(aSettings.maxBodyBytes);
+  aSettings.maxHeaderBytes = ReadSize(
+    aReader, "max_header_bytes", aSettings.maxHeaderBytes, 1024, 1 << 20);
+  auto leastBuffered =
+    LeastBufferedBytes(aSettings.maxBodyBytes, aSettings.maxHeaderBytes);
   aSettings.maxBufferedBytes =
     ReadSize(aReader,
              "max_buffered_bytes",
              std::max(aSettings.maxBufferedBytes, leastBuffered),
              static_cast<std::int64_t>(leastBuffered),
              std::int64_t(1) << 40);
-  aSettings.maxHeaderBytes = ReadSize(
-    aReader, "max_header_bytes", aSettings.maxHeaderBytes, 1024, 1 << 20);
 }
 
 ProcessSettings
@@ -210,6 +213,7 @@
                               "max_body_bytes",
                               "max_buffered_bytes",
                               "max_header_bytes",
+                              "header_timeout_ms",
                               "request_timeout_ms" });
   ProcessSettings settings;
   settings.instance = InstanceId(aReader.Get("instance").Name());
@@ -234,11 +238,19 @@
 } // namespace
 
 std::size_t
-LeastBufferedBytes(std::size_t aMaxBodyBytes)
+LeastBufferedBytes(std::size_t aMaxBodyBytes, std::size_t aMaxHeaderBytes)
 {
   constexpr std::size_t kCopies = 2;
   constexpr std::size_t kShareDivisor = 2;
-  return std::bit_ceil(aMaxBodyBytes) * kCopies * kShareDivisor;
+  // A header of many short fields takes this many times its bytes.
+  constexpr std::size_t kHeaderMemory = 40;
+  constexpr std::size_t kReadBuffer = 64 * 1024;
+  // Connections ask for memory in steps of an eighth of a power of two.
+  constexpr std::size_t kSteps = 8;
+  std::size_t bytes =
+    aMaxBodyBytes * kCopies + aMaxHeaderBytes * kHeaderMemory + kReadBuffer;
+  std::size_t step = std::bit_ceil(bytes) / kSteps;
+  return (bytes + step - 1) / step * step * kShareDivisor;
 }
 
 Result<ProcessSettings, SettingsError>
