--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -45,6 +45,11 @@
 lycheestand_standin(weights)
 lycheestand_standin(proxy)
 
+# Readers of bytes from outside, with changed inputs and fixed seeds.
+file(GLOB fuzz_sources CONFIGURE_DEPENDS test/fuzz/*.cc)
+lycheestand_test(fuzz_test SOURCES ${fuzz_sources} DEPS lycheestand_platform
+  INCLUDE packages/net/src packages/router/src packages/storage/src)
+
 # Fault tests with real processes. CTest runs each case in a separate process. Cases
 # labelled short are part of "make check"; "make faults" runs all of them.
 file(GLOB fault_sources CONFIGURE_DEPENDS test/faults/*.cc)
