Estimate the speed of each endpoint from the times of its answers

Endpoints of a service were treated as equally fast: an idle slow endpoint got as many requests as the others, and its requests were late.

The pure module endpoint_capacity compares each time with the usual one of its service and filters it by its noise. EndpointTable keeps one estimate for each endpoint, and the cost policies use its speed and limit. Endpoints of plain services whose slots are full are avoided. Nothing reports times yet.

--- a/packages/routing/include/lycheestand/routing.h
+++ b/packages/routing/include/lycheestand/routing.h
@@ -192,6 +192,165 @@
   std::uint64_t lostEvents = 0;
 };
 
+// ------------------------------------------------------------ capacity
+// estimate
+
+// What a measured time of a request covers.
+enum class TimedPart
+{
+  // From sending the request to its answer, or to a stream's first event.
+  Answer,
+  // Mean time between events of a stream.
+  Gap
+};
+
+// A measured time of a request, and what it depends on.
+struct TimeSample
+{
+  TimedPart part = TimedPart::Answer;
+  double seconds = 0;
+  // Prompt tokens that the endpoint had to process.
+  double promptTokens = 0;
+  // Requests running and queued at the endpoint, per slot; 0 if unknown.
+  double runningPerSlot = 0;
+  double queuedPerSlot = 0;
+  // The request ended without an answer after this time.
+  bool isLowerBound = false;
+};
+
+// Estimates how slow one endpoint is in comparison with its service, as the
+// logarithm of the ratio of times. It has a lasting and a momentary part, and
+// both return to 0 with time.
+class EndpointCapacity
+{
+public:
+  // Adds a measured deviation with its variance. aMemory is the time after
+  // which the lasting part is forgotten.
+  void Observe(double aDeviation,
+               double aVariance,
+               Duration aMemory,
+               TimePoint aNow);
+
+  // The endpoint has reported how long work takes there at this moment; 1 is
+  // the usual time.
+  void ObservePace(double aPace, TimePoint aNow);
+
+  // Returns the estimate, and its variance due to what is unknown.
+  double Deviation(TimePoint aNow) const;
+  double Variance(TimePoint aNow) const;
+
+  // Returns the speed; 1 is the mean of the service. An estimate that may be
+  // due to noise counts as 1.
+  double Speed(TimePoint aNow) const;
+
+private:
+  struct Covariance
+  {
+    double lasting = 0;
+    double both = 0;
+    double momentary = 0;
+  };
+  struct Decay
+  {
+    double lasting = 1;
+    double momentary = 1;
+  };
+
+  Decay DecayUntil(TimePoint aNow) const;
+  void Predict(TimePoint aNow);
+  double PaceRatio(TimePoint aNow) const;
+
+  double lasting = 0;
+  double momentary = 0;
+  // Uncertainty of the estimate, and its variance if the endpoint is as fast as
+  // the mean.
+  Covariance uncertainty;
+  Covariance noise;
+  Duration memory{};
+  TimePoint updatedAt{};
+  bool isMeasured = false;
+  double pace = 1;
+  double meanPace = 1;
+  TimePoint paceAt{};
+  bool hasPace = false;
+};
+
+// Returns the requests in flight that an endpoint of this speed takes well.
+double
+InFlightLimit(double aSlots, double aSpeed);
+
+// Learns the usual time of one part of a request over all endpoints of a
+// service: a linear regression over one variable.
+class TimeModel
+{
+public:
+  // aPriorSlope is the expected increase of the time, in seconds, for each unit
+  // of the variable.
+  explicit TimeModel(double aPriorSlope = 0)
+    : priorSlope(aPriorSlope)
+  {
+  }
+
+  // Returns the logarithm of the ratio of a time to the usual one.
+  double Deviation(double aSeconds, double aVariable) const;
+
+  // Adds a time.
+  void Add(double aSeconds, double aVariable);
+
+  // Adds how far a deviation was from what the endpoint's estimate predicted,
+  // whose variance was aVariance.
+  void AddError(double aError, double aVariance);
+
+  // Returns the usual time if the variable is 0.
+  double BaseSeconds() const;
+
+  // Variance of a deviation that is not due to the endpoint.
+  double Noise() const { return this->noise; }
+
+  // Returns whether there are enough times to compare others with.
+  bool IsReady() const;
+
+private:
+  double Gain() const;
+  double Slope() const;
+
+  double priorSlope;
+  unsigned count = 0;
+  double meanSeconds = 0;
+  double meanVariable = 0;
+  double variance = 0;
+  double covariance = 0;
+  double meanDeviation = 0;
+  // Assumed until it is measured: single times vary by about a factor of 1.6.
+  double noise = 0.25;
+};
+
+// Compares the times of requests at the endpoints of one service.
+class ServiceTimes
+{
+public:
+  explicit ServiceTimes(double aPromptTokensPerSecond = 8000);
+
+  // Adds a time to the estimate of its endpoint, one of aEndpoints.
+  void Record(EndpointCapacity& aCapacity,
+              const TimeSample& aSample,
+              std::size_t aEndpoints,
+              TimePoint aNow);
+
+  // Returns the usual time from sending a request without a prompt to its
+  // answer; 0 while it is not known.
+  double UsualSeconds() const;
+
+private:
+  Duration Memory(std::size_t aEndpoints) const;
+
+  TimeModel answer;
+  TimeModel gap;
+  // Mean time between two samples, and the time of the last one.
+  double intervalSeconds = 1;
+  TimePoint lastSampleAt{};
+};
+
 // ------------------------------------------------------------ endpoint choice
 
 // An endpoint from the fleet's endpoint list.
@@ -223,6 +382,8 @@
   // False for a decode-only engine, which continues prompts that another engine
   // has processed.
   bool runsPrefill = true;
+  // How long work takes at this moment; 1 is the usual time.
+  std::optional<double> pace;
   // Time of the measurement on the router's clock.
   TimePoint measuredAt{};
 };
@@ -263,6 +424,10 @@
   bool isBusy = false;
   // Mean service time of a request.
   double serviceSeconds = 1;
+  // Estimated speed; 1 is the mean of the service.
+  double speed = 1;
+  // Usual time until the answer to a request without a prompt; 0 if unknown.
+  double usualSeconds = 0;
 };
 
 using Candidates = std::span<const Candidate>;
@@ -284,6 +449,15 @@
   double otherZoneSeconds = 0.001;
   double notLoadedSeconds = 30;
   double busySeconds = 1;
+  // Exponent of the speed in the probability of a choice among nearly equal
+  // costs.
+  double speedExponent = 3;
+  // An endpoint that is slower than the mean by more than this factor costs the
+  // extra time of a usual request.
+  double slownessTolerance = 1.25;
+  // Cost of an endpoint of a plain service whose slots are full, in multiples
+  // of the temperature.
+  double fullTemperatures = 10;
   // Softmax temperature of the random choice: an endpoint whose cost is higher
   // by this much is e times less likely to be chosen.
   double temperatureSeconds = 0.02;
@@ -360,6 +534,10 @@
   double reportAgeSeconds = 0;
   // Prompt tokens that the endpoint is expected to have cached.
   double cachedTokens = 0;
+  // Estimated speed, and the requests in flight that the endpoint takes well; 0
+  // if unknown.
+  double speed = 1;
+  double limit = 0;
 };
 
 // The chosen endpoint.
@@ -379,6 +557,10 @@
   CircuitBreaker::State breaker = CircuitBreaker::State::Closed;
   std::size_t prefixes = 0;
   std::optional<LoadReport> report;
+  // Estimated speed, and the requests in flight that it takes well; 0 if
+  // unknown.
+  double speed = 1;
+  double limit = 0;
 };
 
 // Tracks the state of all endpoints and chooses one for each request.
@@ -403,6 +585,16 @@
   // Ends a request. Does nothing for a request without a chosen endpoint.
   void Finish(RequestNumber aRequest, Outcome aOutcome, TimePoint aNow);
 
+  // Takes back the choice for a request that has not been sent.
+  void Withdraw(RequestNumber aRequest, TimePoint aNow);
+
+  // Adds a measured time of a request in flight: until the answer, if it was a
+  // success, or the mean gap between events of its stream.
+  void RecordTime(RequestNumber aRequest,
+                  TimedPart aPart,
+                  Duration aTime,
+                  TimePoint aNow);
+
   // A response of the endpoint has announced that it is draining. It gets no
   // new requests.
   void SetLeaving(const EndpointId& aEndpoint);
@@ -459,20 +651,44 @@
     // Sequence number of the endpoint's next cache event.
     std::uint64_t nextEvent = 0;
     std::optional<LoadReport> report;
+    EndpointCapacity capacity;
+    // Speed at speedAt; computed again when it is due.
+    double speed = 1;
+    TimePoint speedAt{};
 
     bool IsLeaving() const;
+    double Slots() const;
   };
 
   struct Assignment
   {
     EndpointId endpoint;
     TimePoint since{};
+    double uncachedTokens = 0;
+    // The time until its answer is known.
+    bool isTimed = false;
+  };
+
+  // A service's times, and the number of its endpoints.
+  struct TrackedService
+  {
+    ServiceTimes times;
+    std::size_t endpoints = 0;
   };
+  // Name as in Endpoint::serves, and whether it is a service.
+  using ServiceKey = std::pair<std::string, bool>;
+
+  void UpdateServices();
+  void Record(TrackedEndpoint& aTracked, TimeSample aSample, TimePoint aNow);
+  void RecordLowerBound(TrackedEndpoint& aTracked,
+                        const Assignment& aRequest,
+                        TimePoint aNow);
+  static double CurrentSpeed(TrackedEndpoint& aTracked, TimePoint aNow);
 
   bool CanServe(const TrackedEndpoint& aTracked, const Query& aQuery) const;
   double RemainingPromptTokens(const TrackedEndpoint& aTracked,
                                TimePoint aNow) const;
-  Candidate MakeCandidate(const TrackedEndpoint& aTracked,
+  Candidate MakeCandidate(TrackedEndpoint& aTracked,
                           const Query& aQuery,
                           TimePoint aNow) const;
   std::vector<TrackedEndpoint*> FindCandidates(const Query& aQuery,
@@ -491,6 +707,7 @@
   RandomSource random;
   std::map<EndpointId, TrackedEndpoint> endpoints;
   std::map<RequestNumber, Assignment> assignments;
+  std::map<ServiceKey, TrackedService> services;
   // Moving average over all endpoints.
   double serviceSeconds = 1;
 };
--- a/packages/routing/src/endpoint_table.cc
+++ b/packages/routing/src/endpoint_table.cc
@@ -15,6 +15,10 @@
 // so that a freed slot is refilled without a round trip to the router.
 constexpr double kQueuedPerSlot = 0.25;
 
+// Interval at which an endpoint's speed is computed again. The exponentials
+// would otherwise be a large part of the cost of a choice.
+constexpr Duration kSpeedInterval = std::chrono::milliseconds(100);
+
 void
 RecordInFlightChange(std::deque<std::pair<TimePoint, int>>& aChanges,
                      int& aSum,
@@ -47,6 +51,13 @@
          (this->report && this->report->leaving);
 }
 
+// Returns 0 if the slots are unknown.
+double
+EndpointTable::TrackedEndpoint::Slots() const
+{
+  return this->report ? this->report->slots : 0;
+}
+
 void
 EndpointTable::SetEndpoints(const std::vector<Endpoint>& aEndpoints)
 {
@@ -64,6 +75,8 @@
       tracked.breaker = CircuitBreaker(this->options.breaker);
       tracked.prefixes = PrefixCacheModel(this->options.prefixesPerEndpoint);
       tracked.nextEvent = 0;
+      tracked.capacity = {};
+      tracked.speedAt = {};
     }
     tracked.endpoint = endpoint;
     tracked.isListed = true;
@@ -71,6 +84,99 @@
   std::erase_if(this->endpoints, [](const auto& aTracked) {
     return !aTracked.second.isListed && aTracked.second.inFlight == 0;
   });
+  this->UpdateServices();
+}
+
+// Forgets services without endpoints, so that the number of services is bounded
+// by that of endpoints.
+void
+EndpointTable::UpdateServices()
+{
+  for (auto& [key, service] : this->services) {
+    service.endpoints = 0;
+  }
+  for (const auto& [id, tracked] : this->endpoints) {
+    ServiceKey key(tracked.endpoint.serves, tracked.endpoint.isService);
+    auto found =
+      this->services
+        .try_emplace(std::move(key),
+                     TrackedService{
+                       ServiceTimes(this->options.promptTokensPerSecond), 0 })
+        .first;
+    ++found->second.endpoints;
+  }
+  std::erase_if(this->services, [](const auto& aService) {
+    return aService.second.endpoints == 0;
+  });
+}
+
+double
+EndpointTable::CurrentSpeed(TrackedEndpoint& aTracked, TimePoint aNow)
+{
+  if (aNow - aTracked.speedAt >= kSpeedInterval ||
+      aTracked.speedAt == TimePoint{}) {
+    aTracked.speed = aTracked.capacity.Speed(aNow);
+    aTracked.speedAt = aNow;
+  }
+  return aTracked.speed;
+}
+
+void
+EndpointTable::Record(TrackedEndpoint& aTracked,
+                      TimeSample aSample,
+                      TimePoint aNow)
+{
+  auto service = this->services.find(
+    { aTracked.endpoint.serves, aTracked.endpoint.isService });
+  if (service == this->services.end()) {
+    return;
+  }
+  if (aTracked.Slots() > 0 &&
+      aNow - aTracked.report->measuredAt <= this->options.reportLifetime) {
+    aSample.runningPerSlot = aTracked.report->running / aTracked.Slots();
+    aSample.queuedPerSlot = aTracked.report->queued / aTracked.Slots();
+  }
+  service->second.times.Record(
+    aTracked.capacity, aSample, service->second.endpoints, aNow);
+  aTracked.speedAt = {};
+}
+
+void
+EndpointTable::RecordTime(RequestNumber aRequest,
+                          TimedPart aPart,
+                          Duration aTime,
+                          TimePoint aNow)
+{
+  auto found = this->assignments.find(aRequest);
+  if (found == this->assignments.end()) {
+    return;
+  }
+  auto endpoint = this->endpoints.find(found->second.endpoint);
+  if (endpoint == this->endpoints.end()) {
+    return;
+  }
+  found->second.isTimed = true;
+  this->Record(endpoint->second,
+               { .part = aPart,
+                 .seconds = ToSeconds(aTime),
+                 .promptTokens = found->second.uncachedTokens },
+               aNow);
+}
+
+// A request that has ended without an answer would have taken at least as long
+// as it waited.
+void
+EndpointTable::RecordLowerBound(TrackedEndpoint& aTracked,
+                                const Assignment& aRequest,
+                                TimePoint aNow)
+{
+  if (!aRequest.isTimed) {
+    this->Record(aTracked,
+                 { .seconds = ToSeconds(aNow - aRequest.since),
+                   .promptTokens = aRequest.uncachedTokens,
+                   .isLowerBound = true },
+                 aNow);
+  }
 }
 
 // An endpoint serves the model in the endpoint list and every model that it
@@ -99,7 +205,7 @@
 }
 
 Candidate
-EndpointTable::MakeCandidate(const TrackedEndpoint& aTracked,
+EndpointTable::MakeCandidate(TrackedEndpoint& aTracked,
                              const Query& aQuery,
                              TimePoint aNow) const
 {
@@ -112,6 +218,7 @@
   out.isSameZone = aTracked.endpoint.zone == this->options.zone;
   out.isBusy = aNow < aTracked.busyUntil;
   out.serviceSeconds = this->serviceSeconds;
+  out.speed = CurrentSpeed(aTracked, aNow);
   if (aTracked.report) {
     const auto& report = *aTracked.report;
     out.hasReport = true;
@@ -148,10 +255,14 @@
   if (available.empty()) {
     return std::nullopt;
   }
+  auto service = this->services.find({ aQuery.serves, aQuery.isService });
+  double usualSeconds =
+    service == this->services.end() ? 0 : service->second.times.UsualSeconds();
   std::vector<Candidate> candidates;
   candidates.reserve(available.size());
-  for (const auto* tracked : available) {
+  for (auto* tracked : available) {
     candidates.push_back(this->MakeCandidate(*tracked, aQuery, aNow));
+    candidates.back().usualSeconds = usualSeconds;
   }
   std::size_t index = this->policy(aQuery, candidates, this->random);
   double uncachedTokens = static_cast<double>(aQuery.promptTokens.Get()) -
@@ -166,7 +277,10 @@
                    best.hasReport,
                    best.reportedRequests,
                    best.reportAgeSeconds,
-                   best.cachedTokens } };
+                   best.cachedTokens,
+                   best.speed,
+                   best.hasReport ? InFlightLimit(best.slots, best.speed)
+                                  : 0 } };
 }
 
 void
@@ -184,7 +298,9 @@
     aTracked.inFlightChanges, aTracked.inFlightChangeSinceReport, 1, aNow);
   aTracked.breaker.Begin(aNow);
   aTracked.prefixes.RecordRequest(aQuery.prefix);
-  this->assignments[aRequest] = { aTracked.endpoint.endpoint, aNow };
+  this->assignments[aRequest] = { aTracked.endpoint.endpoint,
+                                  aNow,
+                                  std::max(0.0, aUncachedTokens) };
 }
 
 void
@@ -213,6 +329,7 @@
       break;
     case Outcome::Failed:
       tracked.breaker.Fail(aNow);
+      this->RecordLowerBound(tracked, request, aNow);
       break;
     case Outcome::Busy:
       tracked.busyUntil = aNow + this->options.busyTime;
@@ -220,10 +337,22 @@
       break;
     case Outcome::Abandoned:
       tracked.breaker.Abandon();
+      this->RecordLowerBound(tracked, request, aNow);
       break;
   }
 }
 
+// The time until now was not spent at the endpoint.
+void
+EndpointTable::Withdraw(RequestNumber aRequest, TimePoint aNow)
+{
+  auto found = this->assignments.find(aRequest);
+  if (found != this->assignments.end()) {
+    found->second.isTimed = true;
+    this->Finish(aRequest, Outcome::Abandoned, aNow);
+  }
+}
+
 void
 EndpointTable::SetLeaving(const EndpointId& aEndpoint)
 {
@@ -273,6 +402,10 @@
     tracked.inFlightChangeSinceReport -= tracked.inFlightChanges.front().second;
     tracked.inFlightChanges.pop_front();
   }
+  if (aReport.pace) {
+    tracked.capacity.ObservePace(*aReport.pace, aReport.measuredAt);
+    tracked.speedAt = {};
+  }
   tracked.report = std::move(aReport);
 }
 
@@ -317,7 +450,9 @@
     return this->options.maxInFlight;
   }
   const auto& report = *aTracked.report;
-  double freeCapacity = report.slots * (1 + kQueuedPerSlot) - report.running -
+  // Requests that wait at a slow endpoint wait longer, so fewer may.
+  double limit = InFlightLimit(report.slots, aTracked.capacity.Speed(aNow));
+  double freeCapacity = report.slots + limit * kQueuedPerSlot - report.running -
                         report.queued - aTracked.inFlightChangeSinceReport;
   double share =
     freeCapacity / static_cast<double>(std::max<std::size_t>(1, aRouters));
@@ -354,7 +489,12 @@
                     tracked.IsLeaving(),
                     tracked.breaker.GetState(aNow),
                     tracked.prefixes.Size(),
-                    tracked.report });
+                    tracked.report,
+                    tracked.capacity.Speed(aNow),
+                    0 });
+    if (tracked.Slots() > 0) {
+      out.back().limit = InFlightLimit(tracked.Slots(), out.back().speed);
+    }
   }
   return out;
 }
--- a/packages/routing/src/policies.cc
+++ b/packages/routing/src/policies.cc
@@ -56,7 +56,25 @@
   return std::max(load, aCandidate.ownInFlight);
 }
 
-// Returns the expected time to the first token in seconds.
+// Returns the additional cost of an endpoint that is slower than the mean, or
+// the negative one of a faster endpoint. A small difference only shifts the
+// shares: all routers learn about the same speeds, and must not all choose the
+// fastest endpoint.
+double
+SpeedCost(const CostOptions& aOptions, const Candidate& aCandidate)
+{
+  if (aCandidate.speed == 1) {
+    return 0;
+  }
+  double slowness = 1 / aCandidate.speed;
+  return aOptions.temperatureSeconds * aOptions.speedExponent *
+           std::log(slowness) +
+         aCandidate.usualSeconds *
+           std::max(0.0, slowness - aOptions.slownessTolerance);
+}
+
+// Returns the expected time to the first token in seconds. All terms have the
+// same value without a speed as with the speed 1.
 double
 EstimateCost(const CostOptions& aOptions,
              const Query& aQuery,
@@ -65,15 +83,23 @@
 {
   double load = EstimateLoad(aOptions, aCandidate, aMeanReport);
   double slots = aCandidate.hasReport ? aCandidate.slots : aMeanReport.slots;
-  double waitingRequests = std::max(0.0, load + 1 - slots);
+  double slowness = 1 / aCandidate.speed;
+  double limit = InFlightLimit(slots, aCandidate.speed);
+  double waitingRequests = std::max(0.0, load + 1 - limit);
   double promptTokens = static_cast<double>(aQuery.promptTokens.Get());
   double unprocessedTokens =
     std::max(0.0, promptTokens - aCandidate.cachedTokens) +
     aCandidate.ownPendingPromptTokens;
-  double cost = waitingRequests * aCandidate.serviceSeconds / slots;
-  cost += std::min(1.0, load / slots) * aOptions.fullBatchSlowdown *
+  double cost = waitingRequests * aCandidate.serviceSeconds / slots * slowness;
+  cost += std::min(1.0, load / limit) * aOptions.fullBatchSlowdown *
           aCandidate.serviceSeconds;
-  cost += unprocessedTokens / aOptions.promptTokensPerSecond;
+  cost += unprocessedTokens / aOptions.promptTokensPerSecond * slowness;
+  cost += SpeedCost(aOptions, aCandidate);
+  // Without any report the slots are taken as 1, which says nothing.
+  if (aQuery.isService && promptTokens == 0 && slots > 1) {
+    cost += aOptions.fullTemperatures * aOptions.temperatureSeconds *
+            std::min(1.0, waitingRequests);
+  }
   cost += aCandidate.isSameZone ? 0 : aOptions.otherZoneSeconds;
   cost += aCandidate.isLoaded ? 0 : aOptions.notLoadedSeconds;
   cost += aCandidate.isBusy ? aOptions.busySeconds : 0;
