Report the times of answers and stream events to the endpoint table

The estimates of the endpoints' speed had no input. A router now reports the time from sending to a successful answer or a stream's first event, and once a second the mean gap between a stream's events; gaps that a slow caller may have caused are left out.

The request log line gets endpoint_speed_percent and endpoint_limit, and the dump speed and limit.

--- a/packages/router/src/endpoint_controller.cc
+++ b/packages/router/src/endpoint_controller.cc
@@ -101,6 +101,12 @@
       [this](ViewChanged& aChanged) { this->Update(*aChanged.view); },
       [this](ChooseEndpoint& aChoose) { return this->HandleChoose(aChoose); },
       [this](CallFinished& aFinished) { this->Finish(aFinished); },
+      [this](CallTimed& aTimed) {
+        this->table.RecordTime(ToRequestNumber(aTimed.ticket),
+                               aTimed.part,
+                               aTimed.time,
+                               this->Time());
+      },
       [this](EndpointLeaving& aLeaving) {
         this->table.SetLeaving(aLeaving.endpoint);
       },
@@ -269,8 +275,7 @@
   // Takes back a choice that is not used.
   void Undo(Ticket aTicket)
   {
-    this->table.Finish(
-      ToRequestNumber(aTicket), routing::Outcome::Abandoned, this->Time());
+    this->table.Withdraw(ToRequestNumber(aTicket), this->Time());
   }
 
   static limits::WaitingRequest ToWaitingRequest(Ticket aTicket)
@@ -404,6 +409,7 @@
     }
     if (auto waiting = this->TakeWaiting(ToWaitingRequest(aFinished.ticket))) {
       waiting->promise.deliver(ChooseEndpointReply{});
+      this->Undo(aFinished.ticket);
     }
     this->table.Finish(
       ToRequestNumber(aFinished.ticket), aFinished.outcome, this->Time());
@@ -537,7 +543,9 @@
                                  { "in_flight", status.inFlight },
                                  { "leaving", status.leaving },
                                  { "breaker", ToText(status.breaker) },
-                                 { "prefixes", status.prefixes } };
+                                 { "prefixes", status.prefixes },
+                                 { "speed", status.speed },
+                                 { "limit", status.limit } };
       if (status.report) {
         entry["running"] = status.report->running;
         entry["queued"] = status.report->queued;
--- a/packages/router/src/event_stream.cc
+++ b/packages/router/src/event_stream.cc
@@ -49,6 +49,11 @@
 
 constexpr unsigned kStatusNoContent = 204;
 
+// Least time and events between two results of a GapMeter. Each is a message to
+// the endpoint controller, and a router may have some hundred streams.
+constexpr Duration kGapWindow = std::chrono::seconds(1);
+constexpr std::size_t kMinGapEvents = 4;
+
 // Length of the longest terminator of an event, "\n\r\n".
 constexpr std::size_t kMaxTerminatorBytes = 3;
 
@@ -87,6 +92,25 @@
   return *aEvent.id == *aLast + 1 ? EventAction::Deliver : EventAction::Gap;
 }
 
+std::optional<Duration>
+GapMeter::Add(std::size_t aEvents, TimePoint aNow)
+{
+  if (!this->startedAt) {
+    this->startedAt = aNow;
+    this->events = 0;
+    return std::nullopt;
+  }
+  this->events += aEvents;
+  Duration time = aNow - *this->startedAt;
+  if (time < kGapWindow || this->events < kMinGapEvents) {
+    return std::nullopt;
+  }
+  Duration gap = time / static_cast<std::int64_t>(this->events);
+  this->startedAt = aNow;
+  this->events = 0;
+  return gap;
+}
+
 bool
 EndsWithConnection(unsigned aStatus, const net::Headers& aHeaders)
 {
--- a/packages/router/src/event_stream.h
+++ b/packages/router/src/event_stream.h
@@ -70,6 +70,23 @@
 CallResult
 RejectBrokenStream(const CallResult& aResult);
 
+// Measures the mean gap between the events of a stream.
+class GapMeter
+{
+public:
+  // Adds events that arrived together. Returns the mean gap if enough time and
+  // events have passed since the last result.
+  std::optional<Duration> Add(std::size_t aEvents, TimePoint aNow);
+
+  // The events since the last result don't count, since the caller has delayed
+  // them.
+  void Discard() { this->startedAt.reset(); }
+
+private:
+  std::optional<TimePoint> startedAt;
+  std::size_t events = 0;
+};
+
 } // namespace lycheestand::router
 
 #endif
--- a/packages/router/src/finish.cc
+++ b/packages/router/src/finish.cc
@@ -63,6 +63,10 @@
       fields.emplace_back("report_age_ms",
                           round(basis.reportAgeSeconds * 1000));
     }
+    fields.emplace_back("endpoint_speed_percent", round(basis.speed * 100));
+    if (basis.limit > 0) {
+      fields.emplace_back("endpoint_limit", round(basis.limit));
+    }
   }
   if (aRequest.answerStartedAt) {
     fields.emplace_back(
--- a/packages/router/src/forward.cc
+++ b/packages/router/src/forward.cc
@@ -38,6 +38,8 @@
         aRequest->endpointAddress = aChosen.address;
         aRequest->basis = aChosen.basis;
         aRequest->isEndpointLimited = aChosen.isLimited;
+        aRequest->attemptStartedAt =
+          net::Now(aRequest->exchange->Task().GetRuntime());
         aRequest->triedEndpoints.insert(*aChosen.endpoint);
         ++aRequest->attempts;
         call(aChosen.address);
@@ -101,6 +103,21 @@
                                   CallFinished{ aRequest->ticket, aOutcome });
 }
 
+void
+ReportTime(const RequestPtr& aRequest, routing::TimedPart aPart, Duration aTime)
+{
+  aRequest->exchange->Task().send(aRequest->controllers.endpoint,
+                                  CallTimed{ aRequest->ticket, aPart, aTime });
+}
+
+void
+ReportAnswerTime(const RequestPtr& aRequest)
+{
+  auto now = net::Now(aRequest->exchange->Task().GetRuntime());
+  ReportTime(
+    aRequest, routing::TimedPart::Answer, now - aRequest->attemptStartedAt);
+}
+
 void
 SetEndpointLeaving(const RequestPtr& aRequest)
 {
--- a/packages/router/src/forward.h
+++ b/packages/router/src/forward.h
@@ -44,6 +44,19 @@
 void
 ReleaseEndpoint(const RequestPtr& aRequest, routing::Outcome aOutcome);
 
+// Tells the endpoint controller a time of the current attempt. Only times of
+// successful answers may be reported, since an endpoint that fails at once must
+// not look fast.
+void
+ReportTime(const RequestPtr& aRequest,
+           routing::TimedPart aPart,
+           Duration aTime);
+
+// Reports the time from sending the current attempt until now, when its answer
+// or its first event arrives.
+void
+ReportAnswerTime(const RequestPtr& aRequest);
+
 // Tells the endpoint controller that the endpoint of the current attempt has
 // announced that it is leaving. Called as soon as the head of an answer says
 // so, since a stream may go on for long.
--- a/packages/router/src/forward_buffered.cc
+++ b/packages/router/src/forward_buffered.cc
@@ -50,6 +50,8 @@
       this->request->upstream.Cancel();
       this->HandleFailure(net::CallFailure::Interrupted,
                           "the answer does not belong to this request");
+    } else if (aHead.status >= 200 && aHead.status < 300) {
+      ReportAnswerTime(this->request);
     }
   }
 
--- a/packages/router/src/forward_chat.cc
+++ b/packages/router/src/forward_chat.cc
@@ -96,6 +96,7 @@
     this->usageBeforeAttempt = this->request->usage;
     this->events = {};
     this->isDone = false;
+    this->isTimed = false;
     this->status = 0;
     auto model = this->request->snapshot->settings.ModelFor(this->request->site,
                                                             this->call.model);
@@ -183,6 +184,10 @@
     std::string out;
     for (const auto& data : this->events.Feed(aChunk)) {
       this->lastEventAt = this->Time();
+      if (!this->isTimed) {
+        this->isTimed = true;
+        ReportAnswerTime(this->request);
+      }
       out += this->HandleEvent(data);
     }
     if (this->events.PendingBytes() > kMaxEventBytes) {
@@ -423,6 +428,8 @@
   std::string errorBody;
   unsigned status = 0;
   bool isDone = false;
+  // The time until the current call's first event is reported.
+  bool isTimed = false;
   // Calls to engines that failed or were refused.
   unsigned endedCalls = 0;
   // When the last event of the current call arrived, or the call began.
--- a/packages/router/src/forward_events.cc
+++ b/packages/router/src/forward_events.cc
@@ -17,6 +17,10 @@
   return std::max<Duration>(aExpected * kSilenceFactor, kMinSilence);
 }
 
+// Events that are written to the caller later than this may have delayed the
+// next ones, which are read only then.
+constexpr Duration kSlowWrite = std::chrono::milliseconds(50);
+
 // Passes the events of a stream on as they become complete. If the stream is
 // interrupted and resumable, another endpoint resumes it after the last event
 // that was passed on, within the same answer.
@@ -36,6 +40,8 @@
     this->answer.reset();
     this->events = {};
     this->errorAnswer = {};
+    this->isTimed = false;
+    this->gaps.Discard();
     net::CallObserver observer;
     observer.onHead = [self](const net::CallHead& aHead) {
       self->HandleHead(aHead);
@@ -106,11 +112,13 @@
       return;
     }
     std::string ready;
+    std::size_t delivered = 0;
     for (auto& event : this->events.Feed(aChunk)) {
       switch (CheckOrder(this->lastEvent, event)) {
         case EventAction::Deliver:
           this->Count(event);
           ready += event.bytes;
+          ++delivered;
           break;
         case EventAction::Skip:
           break;
@@ -120,6 +128,7 @@
           return;
       }
     }
+    this->ReportTimes(delivered);
     if (this->events.Remainder().size() > kMaxEventBytes) {
       this->Write(std::move(ready));
       this->Cancel("an event is too large");
@@ -135,6 +144,26 @@
     }
   }
 
+  TimePoint Time() const
+  {
+    return net::Now(this->request->exchange->Task().GetRuntime());
+  }
+
+  // Reports the time until the attempt's first event, and then the gaps.
+  void ReportTimes(std::size_t aEvents)
+  {
+    if (aEvents == 0) {
+      return;
+    }
+    if (!this->isTimed) {
+      this->isTimed = true;
+      ReportAnswerTime(this->request);
+    }
+    if (auto gap = this->gaps.Add(aEvents, this->Time())) {
+      ReportTime(this->request, routing::TimedPart::Gap, *gap);
+    }
+  }
+
   void Cancel(const std::string& aReason)
   {
     this->request->upstream.Cancel();
@@ -158,7 +187,7 @@
     auto& exchange = *this->request->exchange;
     if (!exchange.IsAnswered()) {
       this->request->status = this->firstStatus;
-      this->request->answerStartedAt = net::Now(exchange.Task().GetRuntime());
+      this->request->answerStartedAt = this->Time();
       exchange.StartStream(this->firstStatus, this->headers);
     }
   }
@@ -169,13 +198,18 @@
       return;
     }
     this->StartAnswer();
-    this->request->exchange->WriteStream(
-      std::move(aBytes),
-      [self = this->shared_from_this(), handle = this->request->upstream] {
-        if (!self->request->isFinished) {
-          handle.Continue();
-        }
-      });
+    this->request->exchange->WriteStream(std::move(aBytes),
+                                         [self = this->shared_from_this(),
+                                          handle = this->request->upstream,
+                                          startedAt = this->Time()] {
+                                           if (!self->request->isFinished) {
+                                             if (self->Time() - startedAt >
+                                                 kSlowWrite) {
+                                               self->gaps.Discard();
+                                             }
+                                             handle.Continue();
+                                           }
+                                         });
   }
 
   void HandleEnd()
@@ -274,6 +308,10 @@
   EventSplitter events;
   // An event has been passed on.
   bool hasEvents = false;
+  // Of the current attempt: the time until its first event is reported, and the
+  // gaps since.
+  bool isTimed = false;
+  GapMeter gaps;
   // The current attempt's answer has a length or chunks.
   bool isFramed = false;
   std::optional<AnswerDescription> answer;
--- a/packages/router/src/forward_service.cc
+++ b/packages/router/src/forward_service.cc
@@ -81,6 +81,9 @@
       BlockEndpoint(aRequest, *time);
     }
   }
+  if (aResult.has_value() && aResult.value().status < 300) {
+    ReportAnswerTime(aRequest);
+  }
   ReleaseEndpoint(aRequest, outcome);
   if (outcome == routing::Outcome::Succeeded) {
     Answer(aRequest, ToAnswer(aResult.value()));
@@ -134,6 +137,9 @@
 void
 HandleRun(const RequestPtr& aRequest, const RunOperationReply& aRun)
 {
+  if (aRun.answer && aRun.answer->status < 300) {
+    ReportAnswerTime(aRequest);
+  }
   ReleaseEndpoint(aRequest,
                   aRun.answer ? routing::Outcome::Succeeded
                               : routing::Outcome::Failed);
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -270,6 +270,15 @@
   routing::LoadReport report;
 };
 
+// A time of the current attempt: until its answer, which is a success, or the
+// mean gap between the last events of its stream.
+struct CallTimed
+{
+  Ticket ticket;
+  routing::TimedPart part = routing::TimedPart::Answer;
+  Duration time{};
+};
+
 // An endpoint announced in an answer that it is leaving.
 struct EndpointLeaving
 {
@@ -454,6 +463,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::AdmitReply)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ReleaseAdmission)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CapacityChanged)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CallTimed)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::LoadReported)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::GetEntryAddresses)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EntryAddresses)
--- a/packages/router/src/route_attempt.cc
+++ b/packages/router/src/route_attempt.cc
@@ -109,7 +109,6 @@
       const Address& aAddress) {
       auto& task = aRequest->exchange->Task();
       auto now = net::Now(task.GetRuntime());
-      aRequest->attemptStartedAt = now;
       aRequest->upstream =
         task.StartCall(aAddress,
                        MakeRequest(*aRequest, call, aLastEvent, now),
@@ -172,6 +171,10 @@
       EndpointAnswered{
         aRequest->endpoint, answer.limit, aRequest->attemptStartedAt });
   }
+  // What a failing endpoint says of its speed doesn't count.
+  if (answer.load && aHead.status >= 300) {
+    answer.load->pace.reset();
+  }
   if (answer.load && !answer.isFromOtherEndpoint) {
     aRequest->exchange->Task().send(
       aRequest->controllers.endpoint,
--- a/packages/router/test/event_stream_test.cc
+++ b/packages/router/test/event_stream_test.cc
@@ -60,3 +60,19 @@
   CHECK(CheckOrder(3, { ": comment\n\n", std::nullopt }) ==
         EventAction::Deliver);
 }
+
+// Guards against gaps of a slow caller that are taken for those of its
+// endpoint.
+TEST_CASE("Gaps are measured over a second and without the caller's delays")
+{
+  using namespace std::chrono_literals;
+  GapMeter gaps;
+  TimePoint now(1000s);
+  CHECK_FALSE(gaps.Add(1, now));
+  CHECK_FALSE(gaps.Add(3, now += 600ms));
+  CHECK(gaps.Add(3, now += 600ms) == 200ms);
+  CHECK_FALSE(gaps.Add(1, now += 3s));
+  gaps.Discard();
+  CHECK_FALSE(gaps.Add(5, now += 3s));
+  CHECK(gaps.Add(10, now += 1s) == 100ms);
+}
