Publish the estimated speed of endpoints in metrics and logs

An operator could not see which endpoint a router takes for slow. The router now has gauges for at most 128 endpoints, removed with their endpoint, and writes endpoint_capacity when an estimate has changed by half, at most every 10 s for an endpoint and 4 lines a second. 'lycheestand explain' shows these lines of the request's router and endpoint.

Tested: routing_test, router_test, client_test and platform_test pass; the new case of client_test fails without the change.

--- a/packages/client/src/request_timeline.cc
+++ b/packages/client/src/request_timeline.cc
@@ -108,6 +108,10 @@
       GetField(aLine.fields, "workspace") == aSummary.workspace) {
     return "[budget] ";
   }
+  if (event == "endpoint_capacity" && aLine.instance == aSummary.router &&
+      aSummary.endpoints.contains(GetField(aLine.fields, "endpoint"))) {
+    return "[endpoint] ";
+  }
   // Another request counts if its log line was written while this request ran,
   // or up to one second later.
   double secondsBeforeEnd =
--- a/packages/client/test/request_timeline_test.cc
+++ b/packages/client/test/request_timeline_test.cc
@@ -39,3 +39,22 @@
   std::istringstream input(kLogLines);
   CHECK(BuildRequestTimeline(ReadLogLines(input), "id2").empty());
 }
+
+// Guards against a late answer whose cause, a slow endpoint, is not shown.
+TEST_CASE("A request's timeline names changes of its endpoint's speed")
+{
+  std::istringstream input(
+    R"({"time":"2026-10-15T19:15:40.000Z","instance":"r","message":"m",)"
+    R"("event":"endpoint_capacity","endpoint":"e","speed_percent":"40"})"
+    "\n"
+    R"({"time":"2026-10-15T19:15:40.100Z","instance":"r","message":"m",)"
+    R"("event":"endpoint_capacity","endpoint":"f","speed_percent":"50"})"
+    "\n"
+    R"({"time":"2026-10-15T19:15:41.000Z","instance":"r","message":"m",)"
+    R"("event":"request","request":"id1","endpoint":"e","ms":"900"})"
+    "\n");
+  auto timeline = BuildRequestTimeline(ReadLogLines(input), "id1");
+  REQUIRE(timeline.size() == 2);
+  CHECK(timeline[0].find("[endpoint] m event=endpoint_capacity endpoint=e") !=
+        std::string::npos);
+}
--- a/packages/net/include/lycheestand/net.h
+++ b/packages/net/include/lycheestand/net.h
@@ -647,6 +647,9 @@
   DurationHistogram GetHistogram(const std::string& aName,
                                  const std::string& aLabels = "");
 
+  // Forgets a gauge, so that the labels of what is gone don't accumulate.
+  void RemoveGauge(const std::string& aName, const std::string& aLabels);
+
   // Returns all metrics in the Prometheus text format.
   std::string Render() const;
 
--- a/packages/net/src/metrics.cc
+++ b/packages/net/src/metrics.cc
@@ -132,6 +132,14 @@
   return this->data->gauges[{ aName, aLabels }];
 }
 
+void
+MetricsRegistry::RemoveGauge(const std::string& aName,
+                             const std::string& aLabels)
+{
+  std::lock_guard lock(this->data->mutex);
+  this->data->gauges.erase({ aName, aLabels });
+}
+
 DurationHistogram
 MetricsRegistry::GetHistogram(const std::string& aName,
                               const std::string& aLabels)
--- a/packages/router/src/endpoint_controller.cc
+++ b/packages/router/src/endpoint_controller.cc
@@ -3,6 +3,7 @@
 
 #include <boost/json.hpp>
 #include <caf/typed_response_promise.hpp>
+#include <cmath>
 
 namespace lycheestand::router {
 
@@ -12,6 +13,14 @@
 // sent to admission.
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 
+// Interval at which the estimated speeds are published as metrics and their
+// changes logged, and the number of endpoints with metrics.
+constexpr Duration kCapacityInterval = std::chrono::seconds(1);
+constexpr std::size_t kMaxEndpointMetrics = 128;
+
+constexpr const char* kSpeedMetric = "lycheestand_endpoint_speed_percent";
+constexpr const char* kLimitMetric = "lycheestand_endpoint_limit";
+
 // Shortest interval between two reports of an endpoint.
 constexpr Duration kMinReportInterval = std::chrono::milliseconds(500);
 
@@ -139,6 +148,12 @@
     bool isRequestPending = false;
   };
 
+  struct EndpointGauges
+  {
+    net::Gauge speed;
+    net::Gauge limit;
+  };
+
   // A choice that waits for the end of a backoff.
   struct PendingRetry
   {
@@ -429,9 +444,60 @@
       }
     }
     this->PublishCapacity();
+    if (now >= this->nextCapacityReport) {
+      this->nextCapacityReport = now + kCapacityInterval;
+      this->LogCapacityChanges(now);
+      this->UpdateCapacityMetrics(now);
+    }
     this->After(kTickInterval, [this] { this->Tick(); });
   }
 
+  void LogCapacityChanges(TimePoint aNow)
+  {
+    for (const auto& change : this->table.TakeCapacityChanges(aNow)) {
+      net::Log(net::LogLevel::Info,
+               "the estimated speed of an endpoint has changed",
+               { { "event", "endpoint_capacity" },
+                 { "endpoint", change.endpoint.Get() },
+                 { "service", change.serves },
+                 { "speed_percent", FormatPercent(change.speed) },
+                 { "previous_percent", FormatPercent(change.previousSpeed) },
+                 { "limit", std::to_string(std::llround(change.limit)) } });
+    }
+  }
+
+  static std::string FormatPercent(double aFraction)
+  {
+    return std::to_string(std::llround(aFraction * 100));
+  }
+
+  void UpdateCapacityMetrics(TimePoint aNow)
+  {
+    std::map<EndpointId, EndpointGauges> next;
+    for (const auto& status :
+         this->table.Capacities(kMaxEndpointMetrics, aNow)) {
+      auto old = this->gauges.extract(status.endpoint);
+      auto labels = EndpointLabel(status.endpoint);
+      EndpointGauges gauges =
+        old ? old.mapped()
+            : EndpointGauges{ net::Metrics().GetGauge(kSpeedMetric, labels),
+                              net::Metrics().GetGauge(kLimitMetric, labels) };
+      gauges.speed.Set(std::llround(status.speed * 100));
+      gauges.limit.Set(std::llround(status.limit));
+      next.emplace(status.endpoint, std::move(gauges));
+    }
+    for (const auto& [id, gauges] : this->gauges) {
+      net::Metrics().RemoveGauge(kSpeedMetric, EndpointLabel(id));
+      net::Metrics().RemoveGauge(kLimitMetric, EndpointLabel(id));
+    }
+    this->gauges = std::move(next);
+  }
+
+  static std::string EndpointLabel(const EndpointId& aEndpoint)
+  {
+    return "endpoint=\"" + aEndpoint.Get() + "\"";
+  }
+
   // Returns the interval at which each endpoint is polled once for its load and
   // once for its events.
   Duration PollInterval() const
@@ -572,6 +638,8 @@
   std::map<EndpointId, PolledEndpoint> polled;
   std::map<std::string, unsigned> publishedPools;
   std::size_t routerCount = 1;
+  TimePoint nextCapacityReport{};
+  std::map<EndpointId, EndpointGauges> gauges;
 };
 
 } // namespace
--- a/packages/routing/include/lycheestand/routing.h
+++ b/packages/routing/include/lycheestand/routing.h
@@ -243,6 +243,9 @@
   // due to noise counts as 1.
   double Speed(TimePoint aNow) const;
 
+  // Returns the speed without the pace, which changes many times a second.
+  double MeasuredSpeed(TimePoint aNow) const;
+
 private:
   struct Covariance
   {
@@ -563,6 +566,18 @@
   double limit = 0;
 };
 
+// An endpoint's estimated speed and the requests in flight that it takes well;
+// 0 if unknown.
+struct CapacityStatus
+{
+  EndpointId endpoint;
+  std::string serves;
+  double speed = 1;
+  double limit = 0;
+  // Speed that was last returned by TakeCapacityChanges.
+  double previousSpeed = 1;
+};
+
 // Tracks the state of all endpoints and chooses one for each request.
 class EndpointTable
 {
@@ -631,6 +646,14 @@
 
   std::vector<EndpointStatus> Status(TimePoint aNow) const;
 
+  // Returns the estimates of the first aMaxCount endpoints.
+  std::vector<CapacityStatus> Capacities(std::size_t aMaxCount,
+                                         TimePoint aNow) const;
+
+  // Returns the estimates that have changed much, of a few endpoints, and of
+  // each endpoint rarely.
+  std::vector<CapacityStatus> TakeCapacityChanges(TimePoint aNow);
+
 private:
   struct TrackedEndpoint
   {
@@ -655,9 +678,13 @@
     // Speed at speedAt; computed again when it is due.
     double speed = 1;
     TimePoint speedAt{};
+    // Speed that TakeCapacityChanges has returned, and when.
+    double returnedSpeed = 1;
+    TimePoint returnedAt{};
 
     bool IsLeaving() const;
     double Slots() const;
+    CapacityStatus ToCapacityStatus(TimePoint aNow) const;
   };
 
   struct Assignment
--- a/packages/routing/src/endpoint_capacity.cc
+++ b/packages/routing/src/endpoint_capacity.cc
@@ -191,25 +191,31 @@
 }
 
 double
-EndpointCapacity::Speed(TimePoint aNow) const
+EndpointCapacity::MeasuredSpeed(TimePoint aNow) const
 {
-  double deviation = 0;
-  if (this->isMeasured) {
-    auto decay = this->DecayUntil(aNow);
-    deviation =
-      this->lasting * decay.lasting + this->momentary * decay.momentary;
-    double caused = this->noise.lasting * Square(decay.lasting) +
-                    2 * this->noise.both * decay.lasting * decay.momentary +
-                    this->noise.momentary * Square(decay.momentary);
-    double significance =
-      std::abs(deviation) / std::sqrt(std::max(caused, 1e-12));
-    deviation *= std::clamp((significance - kIgnoredDeviations) /
-                              (kFullDeviations - kIgnoredDeviations),
-                            0.0,
-                            1.0);
+  if (!this->isMeasured) {
+    return 1;
   }
-  double speed = deviation == 0 ? 1 : std::exp(-deviation);
-  return std::clamp(speed / this->PaceRatio(aNow), kMinSpeed, kMaxSpeed);
+  auto decay = this->DecayUntil(aNow);
+  double deviation =
+    this->lasting * decay.lasting + this->momentary * decay.momentary;
+  double caused = this->noise.lasting * Square(decay.lasting) +
+                  2 * this->noise.both * decay.lasting * decay.momentary +
+                  this->noise.momentary * Square(decay.momentary);
+  double significance =
+    std::abs(deviation) / std::sqrt(std::max(caused, 1e-12));
+  double weight = std::clamp((significance - kIgnoredDeviations) /
+                               (kFullDeviations - kIgnoredDeviations),
+                             0.0,
+                             1.0);
+  return std::clamp(std::exp(-deviation * weight), kMinSpeed, kMaxSpeed);
+}
+
+double
+EndpointCapacity::Speed(TimePoint aNow) const
+{
+  return std::clamp(
+    this->MeasuredSpeed(aNow) / this->PaceRatio(aNow), kMinSpeed, kMaxSpeed);
 }
 
 double
--- a/packages/routing/src/endpoint_table.cc
+++ b/packages/routing/src/endpoint_table.cc
@@ -19,6 +19,13 @@
 // would otherwise be a large part of the cost of a choice.
 constexpr Duration kSpeedInterval = std::chrono::milliseconds(100);
 
+// A speed that differs from the last returned one by this factor is a change.
+// An endpoint's changes are returned at most once in the interval, and those of
+// so many endpoints at a time, which bounds the log.
+constexpr double kSpeedChange = 1.5;
+constexpr Duration kSpeedChangeInterval = std::chrono::seconds(10);
+constexpr std::size_t kMaxSpeedChanges = 4;
+
 void
 RecordInFlightChange(std::deque<std::pair<TimePoint, int>>& aChanges,
                      int& aSum,
@@ -58,6 +65,17 @@
   return this->report ? this->report->slots : 0;
 }
 
+CapacityStatus
+EndpointTable::TrackedEndpoint::ToCapacityStatus(TimePoint aNow) const
+{
+  double speed = this->capacity.MeasuredSpeed(aNow);
+  return { this->endpoint.endpoint,
+           this->endpoint.serves,
+           speed,
+           this->Slots() > 0 ? InFlightLimit(this->Slots(), speed) : 0,
+           this->returnedSpeed };
+}
+
 void
 EndpointTable::SetEndpoints(const std::vector<Endpoint>& aEndpoints)
 {
@@ -479,6 +497,41 @@
   return sum;
 }
 
+std::vector<CapacityStatus>
+EndpointTable::Capacities(std::size_t aMaxCount, TimePoint aNow) const
+{
+  std::vector<CapacityStatus> out;
+  for (const auto& [id, tracked] : this->endpoints) {
+    if (out.size() == aMaxCount) {
+      break;
+    }
+    out.push_back(tracked.ToCapacityStatus(aNow));
+  }
+  return out;
+}
+
+std::vector<CapacityStatus>
+EndpointTable::TakeCapacityChanges(TimePoint aNow)
+{
+  std::vector<CapacityStatus> out;
+  for (auto& [id, tracked] : this->endpoints) {
+    if (out.size() == kMaxSpeedChanges) {
+      break;
+    }
+    if (aNow - tracked.returnedAt < kSpeedChangeInterval) {
+      continue;
+    }
+    double change =
+      tracked.capacity.MeasuredSpeed(aNow) / tracked.returnedSpeed;
+    if (change >= kSpeedChange || change <= 1 / kSpeedChange) {
+      out.push_back(tracked.ToCapacityStatus(aNow));
+      tracked.returnedSpeed = out.back().speed;
+      tracked.returnedAt = aNow;
+    }
+  }
+  return out;
+}
+
 std::vector<EndpointStatus>
 EndpointTable::Status(TimePoint aNow) const
 {
--- a/packages/routing/test/endpoint_capacity_test.cc
+++ b/packages/routing/test/endpoint_capacity_test.cc
@@ -325,6 +325,12 @@
   auto& table = load.tables[0];
   auto now = load.Time(20);
   REQUIRE(table.Status(now)[0].speed < 0.6);
+  // The change is returned once.
+  auto changes = table.TakeCapacityChanges(now);
+  REQUIRE(!changes.empty());
+  CHECK(changes[0].endpoint == EndpointId("0"));
+  CHECK(changes[0].limit < 4);
+  CHECK(table.TakeCapacityChanges(now + 1s).empty());
   table.SetEndpoints({ { EndpointId("0"), {}, { "10.0.0.1", 1 }, "s", true } });
   CHECK(table.Status(now)[0].speed == 1);
 }
