Make the speed estimates robust against long and correlated times

Prompts wait for those of other routers, so long times come several in a row.

A single time now has a bounded effect, times with a common cause count as one, and the prompts that this router has sent before are expected.

--- a/bench/micro/decisions_bench.cc
+++ b/bench/micro/decisions_bench.cc
@@ -63,6 +63,56 @@
 }
 BENCHMARK(ChooseEndpoint)->Arg(13)->Arg(100)->Arg(1000);
 
+// Chooses among the given number of endpoints with an estimated speed, for a
+// request without a prompt, and adds the time of its answer. With the second
+// argument 0 no times are added.
+void
+ChooseBySpeed(benchmark::State& aState)
+{
+  const bool isTimed = aState.range(1) == 1;
+  routing::EndpointTable table(
+    { .maxInFlight = 100000 }, routing::MakeCostPolicy(), MakeSeededSource());
+  TimePoint now(1000s);
+  std::vector<routing::Endpoint> list;
+  for (int i = 0; i < aState.range(0); ++i) {
+    list.push_back(
+      { EndpointId("endpoint-" + std::to_string(i)), {}, {}, "s", true });
+  }
+  table.SetEndpoints(list);
+  for (const auto& endpoint : list) {
+    routing::LoadReport report;
+    report.running = 2;
+    report.slots = 6;
+    report.measuredAt = now;
+    table.UpdateLoadReport(endpoint.endpoint, report);
+  }
+  routing::Query query;
+  query.serves = "s";
+  query.isService = true;
+  std::mt19937 random(1);
+  std::uniform_int_distribution<int> milliseconds(15, 60);
+  std::uint64_t request = 0;
+  for (auto iteration : aState) {
+    routing::RequestNumber number(++request);
+    benchmark::DoNotOptimize(table.Choose(number, query, now));
+    now += 10ms;
+    if (isTimed) {
+      table.RecordTime(number,
+                       routing::TimedPart::Answer,
+                       std::chrono::milliseconds(milliseconds(random)),
+                       now);
+    }
+    table.Finish(number, routing::Outcome::Succeeded, now);
+  }
+}
+BENCHMARK(ChooseBySpeed)
+  ->Args({ 60, 0 })
+  ->Args({ 60, 1 })
+  ->Args({ 1000, 0 })
+  ->Args({ 1000, 1 })
+  ->Args({ 10000, 0 })
+  ->Args({ 10000, 1 });
+
 // Admits and releases one request. The argument is the number of requests, of
 // ten workspaces, that are kept waiting in the queue.
 void
--- a/bench/policy/policy.cc
+++ b/bench/policy/policy.cc
@@ -32,11 +32,24 @@
 constexpr double kWarmUpSeconds = 20;
 constexpr double kEndSeconds = 140;
 
+// How the times of the engines differ from the mean.
+enum class Speeds
+{
+  Even,
+  // Every third engine has 0.55 of the mean speed, the others 1.2.
+  Two,
+  // All engines are the same, but one call in ten takes 2.5 times as long.
+  Noisy
+};
+
 struct Scenario
 {
   double reportAgeSeconds = 1, eventLossRate = 0;
   std::size_t routers = 1;
   std::uint64_t seed = 1;
+  Speeds speeds = Speeds::Even;
+  // Routers measure times, and so estimate the engines' speeds.
+  bool isTimed = false;
 };
 
 struct Call
@@ -145,24 +158,56 @@
   {
     Engine& engine = this->engines[aIndex];
     while (engine.running < kSlotsPerEngine && !engine.queue.empty()) {
+      double slowness = this->Slowness(aIndex);
       Call call = engine.queue.front();
       engine.queue.pop_front();
       ++engine.running;
       bool isHit = this->UseCache(aIndex, call.prefix);
       double tokens = kUniqueTokens + (isHit ? 0 : kPrefixTokens);
       engine.prefillDoneAt = std::max(engine.prefillDoneAt, this->now) +
-                             tokens / kPromptTokensPerSecond;
+                             tokens / kPromptTokensPerSecond * slowness;
       if (call.arrivedAt >= kWarmUpSeconds) {
         ++engine.calls;
         engine.hits += isHit ? 1 : 0;
         this->firstTokenSeconds.push_back(engine.prefillDoneAt -
                                           call.arrivedAt);
       }
+      call.decodeSeconds *= slowness;
+      if (this->scenario.isTimed) {
+        this->Schedule(engine.prefillDoneAt,
+                       [this, call] { this->RecordTime(call); });
+      }
       this->Schedule(engine.prefillDoneAt + call.decodeSeconds,
                      [this, aIndex, call] { this->Finish(aIndex, call); });
     }
   }
 
+  // Returns the factor of the next call's times at an engine.
+  double Slowness(std::size_t aIndex)
+  {
+    switch (this->scenario.speeds) {
+      case Speeds::Two:
+        return 1 / (aIndex % 3 == 0 ? 0.55 : 1.2);
+      case Speeds::Noisy: {
+        bool isSlow = std::bernoulli_distribution(0.1)(this->noiseRandom);
+        std::uniform_real_distribution<double> spread(0.6, 1.1);
+        return isSlow ? 2.5 : spread(this->noiseRandom);
+      }
+      case Speeds::Even:
+        break;
+    }
+    return 1;
+  }
+
+  void RecordTime(const Call& aCall)
+  {
+    this->tables[aCall.router]->RecordTime(RequestNumber(aCall.number),
+                                           TimedPart::Answer,
+                                           this->Time(this->now) -
+                                             this->Time(aCall.arrivedAt),
+                                           this->Time(this->now));
+  }
+
   void Finish(std::size_t aIndex, const Call& aCall)
   {
     --this->engines[aIndex].running;
@@ -249,6 +294,7 @@
   // Draws only the load, so that all policies get the same load.
   std::mt19937_64 random;
   std::mt19937_64 lossRandom;
+  std::mt19937_64 noiseRandom{ 7 };
   double now = 0;
   std::uint64_t nextEventNumber = 0;
   std::size_t nextCall = 1;
@@ -280,6 +326,27 @@
   }
 }
 
+// Compares the cost policy with and without estimates of the engines' speeds.
+void
+CompareSpeeds(Scenario aScenario)
+{
+  const std::pair<Speeds, const char*> speeds[] = {
+    { Speeds::Even, "even engines" },
+    { Speeds::Two, "engines of two speeds" },
+    { Speeds::Noisy, "noisy engines" },
+  };
+  for (const auto& [kind, name] : speeds) {
+    std::printf("%s, %zu routers\n", name, aScenario.routers);
+    aScenario.speeds = kind;
+    for (bool isTimed : { false, true }) {
+      aScenario.isTimed = isTimed;
+      Simulation(aScenario, [] {
+        return MakeCostPolicy();
+      }).Run(isTimed ? "estimated" : "not estimated");
+    }
+  }
+}
+
 } // namespace
 } // namespace lycheestand::bench
 
@@ -291,10 +358,17 @@
     "Compares endpoint choice policies on the same simulated load");
   TCLAP::ValueArg<std::uint64_t> seed("s", "seed", "seed", false, 1, "n", line);
   line.parse(aCount, aArguments);
+  for (std::size_t routers : { 1, 10 }) {
+    CompareSpeeds(
+      { .reportAgeSeconds = 0.5, .routers = routers, .seed = seed.getValue() });
+  }
   for (std::size_t routers : { 1, 10 }) {
     for (double age : { 0.1, 1.0, 5.0 }) {
       for (double loss : { 0.0, 0.3 }) {
-        Compare({ age, loss, routers, seed.getValue() });
+        Compare({ .reportAgeSeconds = age,
+                  .eventLossRate = loss,
+                  .routers = routers,
+                  .seed = seed.getValue() });
       }
     }
   }
--- a/packages/routing/include/lycheestand/routing.h
+++ b/packages/routing/include/lycheestand/routing.h
@@ -209,7 +209,7 @@
 {
   TimedPart part = TimedPart::Answer;
   double seconds = 0;
-  // Prompt tokens that the endpoint had to process.
+  // Prompt tokens that the endpoint had to process before the answer.
   double promptTokens = 0;
   // Requests running and queued at the endpoint, per slot; 0 if unknown.
   double runningPerSlot = 0;
@@ -218,16 +218,28 @@
   bool isLowerBound = false;
 };
 
+// A measured deviation of an endpoint from its service, as the logarithm of the
+// ratio of times.
+struct DeviationSample
+{
+  double deviation = 0;
+  // Variance that is not due to the endpoint.
+  double variance = 0;
+  // A larger error than this, in standard deviations, counts as this one.
+  double maxErrorDeviations = 2;
+  // Samples within this time are caused by the same events.
+  double correlationSeconds = 0;
+};
+
 // Estimates how slow one endpoint is in comparison with its service, as the
 // logarithm of the ratio of times. It has a lasting and a momentary part, and
 // both return to 0 with time.
 class EndpointCapacity
 {
 public:
-  // Adds a measured deviation with its variance. aMemory is the time after
-  // which the lasting part is forgotten.
-  void Observe(double aDeviation,
-               double aVariance,
+  // Adds a measured deviation. aMemory is the time after which the lasting part
+  // is forgotten.
+  void Observe(const DeviationSample& aSample,
                Duration aMemory,
                TimePoint aNow);
 
@@ -310,6 +322,9 @@
   // Variance of a deviation that is not due to the endpoint.
   double Noise() const { return this->noise; }
 
+  // Returns whether the variable has ever been above 0.
+  bool HasVariable() const { return this->meanVariable > 0; }
+
   // Returns whether there are enough times to compare others with.
   bool IsReady() const;
 
@@ -454,7 +469,7 @@
   double busySeconds = 1;
   // Exponent of the speed in the probability of a choice among nearly equal
   // costs.
-  double speedExponent = 3;
+  double speedExponent = 2;
   // An endpoint that is slower than the mean by more than this factor costs the
   // extra time of a usual request.
   double slownessTolerance = 1.25;
@@ -691,7 +706,9 @@
   {
     EndpointId endpoint;
     TimePoint since{};
-    double uncachedTokens = 0;
+    // Prompt tokens that the endpoint has to process before its answer: its own
+    // that are not cached, and those of earlier requests of this router.
+    double promptTokens = 0;
     // The time until its answer is known.
     bool isTimed = false;
   };
--- a/packages/routing/src/endpoint_capacity.cc
+++ b/packages/routing/src/endpoint_capacity.cc
@@ -7,25 +7,37 @@
 namespace {
 
 // Variance of the lasting and of the momentary deviation among endpoints.
-// Speeds from 0.55 to 1.2 of the mean have a standard deviation of about 0.28
-// in the logarithm; a slow-down of 2.5 times is 0.92, three times the momentary
-// one.
-constexpr double kLastingVariance = 0.08;
-constexpr double kMomentaryVariance = 0.1;
+// Speeds from 0.55 to 1.2 of the mean have a standard deviation of about 0.25
+// in the logarithm. Larger values follow changes faster, but made the choice
+// among even endpoints worse in bench/policy.
+constexpr double kLastingVariance = 0.05;
+constexpr double kMomentaryVariance = 0.05;
 
 // Time in which the momentary part decays to 1/e.
 constexpr double kMomentarySeconds = 3;
 
-// A deviation that differs from the estimate by more standard deviations than
-// this counts as one that differs by this many, so that a single extreme time
-// has a bounded effect.
-constexpr double kMaxErrorDeviations = 3;
+// How far a single time may differ from the estimate, and for how long times
+// have a common cause. A prompt waits for prompts of other routers, so some of
+// its times are several times longer, and several in a row. With the values of
+// plain services the choice among even engines was worse in bench/policy.
+struct NoiseTraits
+{
+  double maxErrorDeviations;
+  double correlationSeconds;
+};
+constexpr NoiseTraits kPlainNoise{ 2, 0.1 };
+constexpr NoiseTraits kPromptNoise{ 1, 0.5 };
+
+// The same bound for the measurement of the noise itself.
+constexpr double kMaxNoiseDeviations = 3;
 
 // An estimate of less than the first number of standard deviations of noise
-// counts as 0, and one of more than the second counts in full. 5% of the
-// estimates of even endpoints exceed the first.
-constexpr double kIgnoredDeviations = 2;
-constexpr double kFullDeviations = 3;
+// counts as 0, and one of more than the second counts in full.
+constexpr double kIgnoredDeviations = 2.5;
+constexpr double kFullDeviations = 4;
+
+// Shortest time between two samples that is taken into account.
+constexpr double kMinSampleSeconds = 0.001;
 
 // An endpoint that answers with nothing at once must not attract much load.
 constexpr double kMinSpeed = 0.2;
@@ -113,21 +125,25 @@
 }
 
 // One step of a Kalman filter whose measurement is the sum of both parts.
+// Samples with a common cause have together the weight of one.
 void
-EndpointCapacity::Observe(double aDeviation,
-                          double aVariance,
+EndpointCapacity::Observe(const DeviationSample& aSample,
                           Duration aMemory,
                           TimePoint aNow)
 {
+  double sinceLast =
+    std::max(kMinSampleSeconds, ToSeconds(aNow - this->updatedAt));
+  double variance =
+    aSample.variance * std::max(1.0, aSample.correlationSeconds / sinceLast);
   this->Predict(aNow);
   this->memory = aMemory;
   auto& known = this->uncertainty;
   double ofLasting = known.lasting + known.both;
   double ofMomentary = known.both + known.momentary;
-  double total = ofLasting + ofMomentary + aVariance;
-  double bound = kMaxErrorDeviations * std::sqrt(total);
-  double error =
-    std::clamp(aDeviation - this->lasting - this->momentary, -bound, bound);
+  double total = ofLasting + ofMomentary + variance;
+  double bound = aSample.maxErrorDeviations * std::sqrt(total);
+  double error = std::clamp(
+    aSample.deviation - this->lasting - this->momentary, -bound, bound);
   double gainLasting = ofLasting / total;
   double gainMomentary = ofMomentary / total;
   this->lasting += gainLasting * error;
@@ -139,7 +155,7 @@
   auto& caused = this->noise;
   double causedLasting = caused.lasting + caused.both;
   double causedMomentary = caused.both + caused.momentary;
-  double sum = causedLasting + causedMomentary + aVariance;
+  double sum = causedLasting + causedMomentary + variance;
   caused.lasting += Square(gainLasting) * sum - 2 * gainLasting * causedLasting;
   caused.both += gainLasting * gainMomentary * sum -
                  gainLasting * causedMomentary - gainMomentary * causedLasting;
@@ -286,7 +302,7 @@
 void
 TimeModel::AddError(double aError, double aVariance)
 {
-  double bound = kMaxErrorDeviations * std::sqrt(this->noise + aVariance);
+  double bound = kMaxNoiseDeviations * std::sqrt(this->noise + aVariance);
   double square = Square(std::clamp(aError, -bound, bound));
   this->noise = std::max(
     kMinNoise, this->noise + this->Gain() * (square - aVariance - this->noise));
@@ -327,7 +343,14 @@
   }
   if (model.IsReady()) {
     double variance = aCapacity.Variance(aNow);
-    aCapacity.Observe(deviation, model.Noise(), this->Memory(aEndpoints), aNow);
+    const auto& traits =
+      this->answer.HasVariable() ? kPromptNoise : kPlainNoise;
+    aCapacity.Observe({ deviation,
+                        model.Noise(),
+                        traits.maxErrorDeviations,
+                        traits.correlationSeconds },
+                      this->Memory(aEndpoints),
+                      aNow);
     model.AddError(error, variance);
   }
   // The usual time is that of complete requests.
--- a/packages/routing/src/endpoint_table.cc
+++ b/packages/routing/src/endpoint_table.cc
@@ -177,7 +177,7 @@
   this->Record(endpoint->second,
                { .part = aPart,
                  .seconds = ToSeconds(aTime),
-                 .promptTokens = found->second.uncachedTokens },
+                 .promptTokens = found->second.promptTokens },
                aNow);
 }
 
@@ -191,7 +191,7 @@
   if (!aRequest.isTimed) {
     this->Record(aTracked,
                  { .seconds = ToSeconds(aNow - aRequest.since),
-                   .promptTokens = aRequest.uncachedTokens,
+                   .promptTokens = aRequest.promptTokens,
                    .isLowerBound = true },
                  aNow);
   }
@@ -318,7 +318,7 @@
   aTracked.prefixes.RecordRequest(aQuery.prefix);
   this->assignments[aRequest] = { aTracked.endpoint.endpoint,
                                   aNow,
-                                  std::max(0.0, aUncachedTokens) };
+                                  aTracked.pendingPromptTokens };
 }
 
 void
