Test that times of answers and streams reach the estimates

The case slow-replica runs a router with three replicas, one of which takes 80 ms instead of 10 ms, first with whole answers and then with streams, and waits until the metric of that replica is below 70%. A case of routing_test guards against fast failures that look like speed.

--- a/packages/routing/test/endpoint_capacity_test.cc
+++ b/packages/routing/test/endpoint_capacity_test.cc
@@ -314,6 +314,26 @@
   CHECK(this->measured.Speed(this->now) < 0.5);
 }
 
+// Guards against load that an endpoint attracts since it fails at once.
+TEST_CASE("Fast failures do not look like speed")
+{
+  EndpointTable table({}, MakeCostPolicy(), MakeSource(1));
+  table.SetEndpoints({ { EndpointId("a"), {}, {}, "s", true },
+                       { EndpointId("b"), {}, {}, "s", true } });
+  TimePoint now(1000s);
+  Query query{ .serves = "s", .isService = true };
+  for (std::uint64_t i = 0; i < 100; ++i) {
+    RequestNumber number(i);
+    bool fails = table.Choose(number, query, now)->endpoint.Get() == "a";
+    now += fails ? 1ms : 40ms;
+    if (!fails) {
+      table.RecordTime(number, TimedPart::Answer, 40ms, now);
+    }
+    table.Finish(number, fails ? Outcome::Failed : Outcome::Succeeded, now);
+  }
+  CHECK(table.Status(now)[0].speed == 1);
+}
+
 // Guards against an estimate of another process that had the id before.
 TEST_CASE("A restarted endpoint has no estimate")
 {
--- a/test/faults/replica_faults_test.cc
+++ b/test/faults/replica_faults_test.cc
@@ -507,6 +507,45 @@
   CHECK(WaitFor(5s, [this] { return this->Send("/safe/1").status == 200; }));
 }
 
+// Guards against times that do not reach the estimates: those of whole answers,
+// and those of the first events of streams.
+TEST_CASE_METHOD(ReplicaFaultsFixture,
+                 "a router notices that a replica is slower than the others",
+                 "[slow-replica]")
+{
+  constexpr std::int64_t kSlowPercent = 70;
+  std::mutex idMutex;
+  std::string slowId;
+  int slow = 0;
+  this->SetAnswer([&](int aReplica, const ReplicaRequest& aRequest) {
+    bool isStream = aRequest.target.starts_with("/stream/");
+    auto answer = isStream
+                    ? MakeStream(aRequest)
+                    : ReplicaAnswer{ { MakeAnswer(200, aRequest, "sound") } };
+    std::lock_guard lock(idMutex);
+    answer.pause = aReplica == slow ? 80ms : 10ms;
+    if (aReplica == slow) {
+      slowId = aRequest.Header("x-expect-instance");
+    }
+    return answer;
+  });
+  for (const char* target : { "/safe/1", "/stream/1" }) {
+    CHECK(WaitFor(30s, [&] {
+      for (int i = 0; i < 10; ++i) {
+        this->Send(target);
+      }
+      std::lock_guard lock(idMutex);
+      auto metric =
+        "lycheestand_endpoint_speed_percent{endpoint=\"" + slowId + "\"}";
+      auto speed = this->fleet.ReadMetric(kRouterNumber, false, metric.c_str());
+      return !slowId.empty() && speed > 0 && speed < kSlowPercent;
+    }));
+    std::lock_guard lock(idMutex);
+    slowId.clear();
+    ++slow;
+  }
+}
+
 // Guards against a stopping router that passes on a request which it can't
 // finish, and cuts it at the end of its grace period.
 TEST_CASE_METHOD(ReplicaFaultsFixture,
