--- a/packages/routing/src/endpoint_table.cc
+++ b/packages/routing/src/endpoint_table.cc
@@ -15,6 +15,17 @@
 // so that a freed slot is refilled without a round trip to the router.
 constexpr double kQueuedPerSlot = 0.25;
 
+// Interval at which an endpoint's speed is computed again. The exponentials
+// would otherwise be a large part of the cost of a choice.
+constexpr Duration kSpeedInterval = std::chrono::milliseconds(100);
+
+// A speed that differs from the last returned one by this factor is a change.
+// An endpoint's changes are returned at most once in the interval, and those of
+// so many endpoints at a time, which bounds the log.
+constexpr double kSpeedChange = 1.5;
+constexpr Duration kSpeedChangeInterval = std::chrono::seconds(10);
+constexpr std::size_t kMaxSpeedChanges = 4;
+
 void
 RecordInFlightChange(std::deque<std::pair<TimePoint, int>>& aChanges,
                      int& aSum,
@@ -58,6 +69,24 @@
          (this->report && this->report->leaving);
 }
 
+// Returns 0 if the slots are unknown.
+double
+EndpointTable::TrackedEndpoint::Slots() const
+{
+  return this->report ? this->report->slots : 0;
+}
+
+CapacityStatus
+EndpointTable::TrackedEndpoint::ToCapacityStatus(TimePoint aNow) const
+{
+  double speed = this->capacity.MeasuredSpeed(aNow);
+  return { this->endpoint.endpoint,
+           this->endpoint.serves,
+           speed,
+           this->Slots() > 0 ? InFlightLimit(this->Slots(), speed) : 0,
+           this->returnedSpeed };
+}
+
 void
 EndpointTable::SetEndpoints(const std::vector<Endpoint>& aEndpoints)
 {
@@ -77,6 +106,8 @@
       tracked.breaker = CircuitBreaker(this->options.breaker);
       tracked.prefixes = PrefixCacheModel(this->options.prefixesPerEndpoint);
       tracked.nextEvent = 0;
+      tracked.capacity = {};
+      tracked.speedAt = {};
     }
     StartTime startTime = endpoint.startTime == StartTime()
                             ? tracked.endpoint.startTime
@@ -88,6 +119,99 @@
   std::erase_if(this->endpoints, [](const auto& aTracked) {
     return !aTracked.second.isListed && aTracked.second.inFlight == 0;
   });
+  this->UpdateServices();
+}
+
+// Forgets services without endpoints, so that the number of services is bounded
+// by that of endpoints.
+void
+EndpointTable::UpdateServices()
+{
+  for (auto& [key, service] : this->services) {
+    service.endpoints = 0;
+  }
+  for (const auto& [id, tracked] : this->endpoints) {
+    ServiceKey key(tracked.endpoint.serves, tracked.endpoint.isService);
+    auto found =
+      this->services
+        .try_emplace(std::move(key),
+                     TrackedService{
+                       ServiceTimes(this->options.promptTokensPerSecond), 0 })
+        .first;
+    ++found->second.endpoints;
+  }
+  std::erase_if(this->services, [](const auto& aService) {
+    return aService.second.endpoints == 0;
+  });
+}
+
+double
+EndpointTable::CurrentSpeed(TrackedEndpoint& aTracked, TimePoint aNow)
+{
+  if (aNow - aTracked.speedAt >= kSpeedInterval ||
+      aTracked.speedAt == TimePoint{}) {
+    aTracked.speed = aTracked.capacity.Speed(aNow);
+    aTracked.speedAt = aNow;
+  }
+  return aTracked.speed;
+}
+
+void
+EndpointTable::Record(TrackedEndpoint& aTracked,
+                      TimeSample aSample,
+                      TimePoint aNow)
+{
+  auto service = this->services.find(
+    { aTracked.endpoint.serves, aTracked.endpoint.isService });
+  if (service == this->services.end()) {
+    return;
+  }
+  if (aTracked.Slots() > 0 &&
+      aNow - aTracked.report->measuredAt <= this->options.reportLifetime) {
+    aSample.runningPerSlot = aTracked.report->running / aTracked.Slots();
+    aSample.queuedPerSlot = aTracked.report->queued / aTracked.Slots();
+  }
+  service->second.times.Record(
+    aTracked.capacity, aSample, service->second.endpoints, aNow);
+  aTracked.speedAt = {};
+}
+
+void
+EndpointTable::RecordTime(RequestNumber aRequest,
+                          TimedPart aPart,
+                          Duration aTime,
+                          TimePoint aNow)
+{
+  auto found = this->assignments.find(aRequest);
+  if (found == this->assignments.end()) {
+    return;
+  }
+  auto endpoint = this->endpoints.find(found->second.endpoint);
+  if (endpoint == this->endpoints.end()) {
+    return;
+  }
+  found->second.isTimed = true;
+  this->Record(endpoint->second,
+               { .part = aPart,
+                 .seconds = ToSeconds(aTime),
+                 .promptTokens = found->second.promptTokens },
+               aNow);
+}
+
+// A request that has ended without an answer would have taken at least as long
+// as it waited.
+void
+EndpointTable::RecordLowerBound(TrackedEndpoint& aTracked,
+                                const Assignment& aRequest,
+                                TimePoint aNow)
+{
+  if (!aRequest.isTimed) {
+    this->Record(aTracked,
+                 { .seconds = ToSeconds(aNow - aRequest.since),
+                   .promptTokens = aRequest.promptTokens,
+                   .isLowerBound = true },
+                 aNow);
+  }
 }
 
 bool
@@ -123,7 +247,7 @@
 }
 
 Candidate
-EndpointTable::MakeCandidate(const TrackedEndpoint& aTracked,
+EndpointTable::MakeCandidate(TrackedEndpoint& aTracked,
                              const Query& aQuery,
                              TimePoint aNow) const
 {
@@ -137,6 +261,7 @@
   out.isBusy = aNow < aTracked.busyUntil;
   out.serviceSeconds = this->serviceSeconds;
   out.isCold = aTracked.endpoint.isCold;
+  out.speed = CurrentSpeed(aTracked, aNow);
   if (aTracked.report) {
     const auto& report = *aTracked.report;
     out.hasReport = true;
@@ -173,10 +298,14 @@
   if (available.empty()) {
     return std::nullopt;
   }
+  auto service = this->services.find({ aQuery.serves, aQuery.isService });
+  double usualSeconds =
+    service == this->services.end() ? 0 : service->second.times.UsualSeconds();
   std::vector<Candidate> candidates;
   candidates.reserve(available.size());
-  for (const auto* tracked : available) {
+  for (auto* tracked : available) {
     candidates.push_back(this->MakeCandidate(*tracked, aQuery, aNow));
+    candidates.back().usualSeconds = usualSeconds;
   }
   std::size_t index = this->policy(aQuery, candidates, this->random);
   double uncachedTokens = static_cast<double>(aQuery.promptTokens.Get()) -
@@ -191,7 +320,10 @@
                    best.hasReport,
                    best.reportedRequests,
                    best.reportAgeSeconds,
-                   best.cachedTokens } };
+                   best.cachedTokens,
+                   best.speed,
+                   best.hasReport ? InFlightLimit(best.slots, best.speed)
+                                  : 0 } };
 }
 
 void
@@ -211,7 +343,8 @@
   aTracked.prefixes.RecordRequest(aQuery.prefix);
   this->assignments[aRequest] = { aTracked.endpoint.endpoint,
                                   aNow,
-                                  aTracked.process };
+                                  aTracked.process,
+                                  aTracked.pendingPromptTokens };
 }
 
 void
@@ -244,6 +377,7 @@
       break;
     case Outcome::Failed:
       tracked.breaker.Fail(aNow);
+      this->RecordLowerBound(tracked, request, aNow);
       break;
     case Outcome::Busy:
       tracked.busyUntil = aNow + this->options.busyTime;
@@ -251,10 +385,22 @@
       break;
     case Outcome::Abandoned:
       tracked.breaker.Abandon();
+      this->RecordLowerBound(tracked, request, aNow);
       break;
   }
 }
 
+// The time until now was not spent at the endpoint.
+void
+EndpointTable::Withdraw(RequestNumber aRequest, TimePoint aNow)
+{
+  auto found = this->assignments.find(aRequest);
+  if (found != this->assignments.end()) {
+    found->second.isTimed = true;
+    this->Finish(aRequest, Outcome::Abandoned, aNow);
+  }
+}
+
 void
 EndpointTable::SetLeaving(const EndpointId& aEndpoint)
 {
@@ -304,6 +450,10 @@
     tracked.inFlightChangeSinceReport -= tracked.inFlightChanges.front().second;
     tracked.inFlightChanges.pop_front();
   }
+  if (aReport.pace) {
+    tracked.capacity.ObservePace(*aReport.pace, aReport.measuredAt);
+    tracked.speedAt = {};
+  }
   tracked.report = std::move(aReport);
 }
 
@@ -348,7 +498,9 @@
     return this->options.maxInFlight;
   }
   const auto& report = *aTracked.report;
-  double freeCapacity = report.slots * (1 + kQueuedPerSlot) - report.running -
+  // Requests that wait at a slow endpoint wait longer, so fewer may.
+  double limit = InFlightLimit(report.slots, aTracked.capacity.Speed(aNow));
+  double freeCapacity = report.slots + limit * kQueuedPerSlot - report.running -
                         report.queued - aTracked.inFlightChangeSinceReport;
   double share =
     freeCapacity / static_cast<double>(std::max<std::size_t>(1, aRouters));
@@ -376,6 +528,41 @@
   return sum;
 }
 
+std::vector<CapacityStatus>
+EndpointTable::Capacities(std::size_t aMaxCount, TimePoint aNow) const
+{
+  std::vector<CapacityStatus> out;
+  for (const auto& [id, tracked] : this->endpoints) {
+    if (out.size() == aMaxCount) {
+      break;
+    }
+    out.push_back(tracked.ToCapacityStatus(aNow));
+  }
+  return out;
+}
+
+std::vector<CapacityStatus>
+EndpointTable::TakeCapacityChanges(TimePoint aNow)
+{
+  std::vector<CapacityStatus> out;
+  for (auto& [id, tracked] : this->endpoints) {
+    if (out.size() == kMaxSpeedChanges) {
+      break;
+    }
+    if (aNow - tracked.returnedAt < kSpeedChangeInterval) {
+      continue;
+    }
+    double change =
+      tracked.capacity.MeasuredSpeed(aNow) / tracked.returnedSpeed;
+    if (change >= kSpeedChange || change <= 1 / kSpeedChange) {
+      out.push_back(tracked.ToCapacityStatus(aNow));
+      tracked.returnedSpeed = out.back().speed;
+      tracked.returnedAt = aNow;
+    }
+  }
+  return out;
+}
+
 std::vector<EndpointStatus>
 EndpointTable::Status(TimePoint aNow) const
 {
@@ -387,7 +574,12 @@
                     this->IsEvacuated(tracked),
                     tracked.breaker.GetState(aNow),
                     tracked.prefixes.Size(),
-                    tracked.report });
+                    tracked.report,
+                    tracked.capacity.Speed(aNow),
+                    0 });
+    if (tracked.Slots() > 0) {
+      out.back().limit = InFlightLimit(tracked.Slots(), out.back().speed);
+    }
   }
   return out;
 }
