--- a/packages/budget/test/zone_simulation.cc
+++ b/packages/budget/test/zone_simulation.cc
@@ -10,6 +10,7 @@
 
 constexpr Duration kStep = 1ms;
 constexpr Duration kUsageInterval = 200ms;
+constexpr Duration kPollInterval = 10ms;
 constexpr Duration kDelayToControl = 4ms;
 constexpr Duration kDelayToPeer = 1ms;
 constexpr Duration kReconnectTime = 300ms;
@@ -45,10 +46,23 @@
 
 } // namespace
 
+ClaimCounts&
+ClaimCounts::operator+=(const ClaimCounts& aOther)
+{
+  this->covered += aOther.covered;
+  this->exhausted += aOther.exhausted;
+  this->unavailable += aOther.unavailable;
+  this->noFreeTokens += aOther.noFreeTokens;
+  this->offline += aOther.offline;
+  this->refusedFalsely += aOther.refusedFalsely;
+  this->refusalWait += aOther.refusalWait;
+  return *this;
+}
+
 ZoneSimulation::ZoneSimulation(ZoneFleet aFleet)
   : fleet(aFleet)
   , random(aFleet.seed)
-  , routers(aFleet.zones * aFleet.routersPerZone)
+  , routers(aFleet.zones * aFleet.routersPerZone - aFleet.missingRouters)
 {
   this->machine.Apply(
     state::CreateWorkspace{ ChangeId("create"), this->workspace });
@@ -146,7 +160,10 @@
                         Duration aTime)
 {
   Ticket ticket(this->nextTicket++);
-  this->running[ticket] = { aRouter, ticket, aSpent, aTime };
+  this->running[ticket] = {
+    aRouter, ticket, aReserved, aSpent, aTime, this->now
+  };
+  this->routers[aRouter].isDirty = true;
   auto decision = this->routers[aRouter].budget->Reserve(
     { ticket, this->workspace, aReserved, aReserved }, this->now);
   if (decision) {
@@ -159,20 +176,62 @@
 {
   Running request = this->running.at(aDecision.ticket);
   if (aDecision.refusal) {
-    bool isExhausted = *aDecision.refusal == Refusal::Exhausted;
-    ++(isExhausted ? this->counts.exhausted : this->counts.unavailable);
+    this->CountRefusal(request, *aDecision.refusal);
     this->running.erase(aDecision.ticket);
     return;
   }
   ++this->counts.covered;
+  this->inUse += request.reserved;
+  this->running.at(aDecision.ticket).isReserved = true;
   this->At(aRouter, request.time, [this, request] {
     this->spent += request.spent;
+    this->inUse -= request.reserved;
     this->running.erase(request.ticket);
     this->routers[request.router].budget->Settle(
       request.ticket, request.spent, this->now);
   });
 }
 
+void
+ZoneSimulation::CountRefusal(const Running& aRequest, Refusal aRefusal)
+{
+  bool isExhausted = aRefusal == Refusal::Exhausted;
+  ++(isExhausted ? this->counts.exhausted : this->counts.unavailable);
+  this->counts.noFreeTokens += aRefusal == Refusal::NoFreeTokens ? 1 : 0;
+  this->counts.offline += aRefusal == Refusal::Offline ? 1 : 0;
+  this->counts.refusalWait += this->now - aRequest.since;
+  Tokens left = this->Ledger().paid - this->spent - this->inUse;
+  this->counts.refusedFalsely += left >= aRequest.reserved ? 1 : 0;
+}
+
+Tokens
+ZoneSimulation::HeldUnspent() const
+{
+  return this->Ledger().spent + this->Ledger().Outstanding() - this->spent;
+}
+
+Tokens
+ZoneSimulation::AvailableAt(std::size_t aRouter) const
+{
+  Tokens sum;
+  const RouterBudget& budget = *this->routers[aRouter].budget;
+  for (const auto& holdings :
+       { budget.Holdings(), budget.BorrowedHoldings() }) {
+    auto found = holdings.find(this->workspace);
+    sum += found != holdings.end() ? found->second.available : Tokens(0);
+  }
+  return sum;
+}
+
+void
+ZoneSimulation::CutControl(bool aIsCut)
+{
+  this->isControlCut = aIsCut;
+  for (auto& router : this->routers) {
+    router.isDirty = true;
+  }
+}
+
 void
 ZoneSimulation::CutRouter(std::size_t aRouter, bool aIsCut)
 {
@@ -185,7 +244,9 @@
   // What the requests have used so far counts as spent.
   std::erase_if(this->running, [&](const auto& aEntry) {
     bool isHere = aEntry.second.router == aRouter;
-    this->spent += isHere ? aEntry.second.spent : Tokens(0);
+    bool isRunning = isHere && aEntry.second.isReserved;
+    this->spent += isRunning ? aEntry.second.spent : Tokens(0);
+    this->inUse -= isRunning ? aEntry.second.reserved : Tokens(0);
     return isHere;
   });
   InstanceId instance(std::to_string(aRouter));
@@ -211,10 +272,14 @@
     auto event = this->events.extract(this->events.begin()).mapped();
     if (this->routers[event.router].session == event.session) {
       event.run();
+      this->routers[event.router].isDirty = true;
     }
   }
   for (std::size_t router = 0; router < this->routers.size(); ++router) {
-    this->Pump(router);
+    const Router& entry = this->routers[router];
+    if (entry.isDirty || this->now >= entry.pollAt) {
+      this->Pump(router);
+    }
   }
 }
 
@@ -222,6 +287,8 @@
 ZoneSimulation::Pump(std::size_t aRouter)
 {
   Router& router = this->routers[aRouter];
+  router.isDirty = false;
+  router.pollAt = this->now + kPollInterval;
   router.budget->SetOnline(!this->isControlCut);
   this->Connect(aRouter);
   for (const auto& decision : router.budget->Poll(this->now)) {
--- a/packages/budget/test/zone_simulation.h
+++ b/packages/budget/test/zone_simulation.h
@@ -21,6 +21,8 @@
   std::size_t routersPerZone = 3;
   // Allocators in each zone; 0 if all tokens come from control.
   std::size_t allocatorsPerZone = 1;
+  // By how many routers the last zone is smaller than the others.
+  std::size_t missingRouters = 0;
   Tokens paid;
   // Percentage of messages that are lost. The link that loses one is opened
   // again 300 ms later, and unanswered messages are sent again.
@@ -34,11 +36,21 @@
   std::size_t covered = 0;
   std::size_t exhausted = 0;
   std::size_t unavailable = 0;
+  // Parts of the unavailable ones: tokens are elsewhere, or no contact.
+  std::size_t noFreeTokens = 0;
+  std::size_t offline = 0;
+  // Refused although what is paid, less what is spent and what running requests
+  // may use, covers the claim.
+  std::size_t refusedFalsely = 0;
+  // Sum of the times until a claim was refused.
+  Duration refusalWait{};
 
   std::size_t Total() const
   {
     return this->covered + this->exhausted + this->unavailable;
   }
+
+  ClaimCounts& operator+=(const ClaimCounts& aOther);
 };
 
 // Routers with requests that take a while, in a fleet with allocators.
@@ -57,7 +69,7 @@
   void Advance(Duration aTime);
 
   // Sets whether all routers are cut off from control.
-  void CutControl(bool aIsCut) { this->isControlCut = aIsCut; }
+  void CutControl(bool aIsCut);
 
   // Sets whether a router is cut off from the other routers.
   void CutRouter(std::size_t aRouter, bool aIsCut);
@@ -72,6 +84,11 @@
   // ended.
   Tokens Spent() const { return this->spent; }
   const state::Budget& Ledger() const;
+  // Returns the tokens at all routers that requests have not spent: these are
+  // lost to the workspace if all processes are killed.
+  Tokens HeldUnspent() const;
+  // Returns the tokens that this router holds and no request has reserved.
+  Tokens AvailableAt(std::size_t aRouter) const;
   // Returns the messages to and from control.
   std::uint64_t ControlMessages() const { return this->controlMessages; }
 
@@ -81,6 +98,9 @@
     SessionId session;
     std::unique_ptr<RouterBudget> budget;
     bool isCut = false;
+    // Whether something happened since the last time it was pumped.
+    bool isDirty = true;
+    TimePoint pollAt{};
     TimePoint reportAt{};
     // When links to allocators were lost; they are up again after a while.
     std::map<InstanceId, TimePoint> lostLinks;
@@ -91,8 +111,11 @@
   {
     std::size_t router = 0;
     Ticket ticket;
+    Tokens reserved;
     Tokens spent;
     Duration time{};
+    TimePoint since{};
+    bool isReserved = false;
   };
 
   struct Event
@@ -120,6 +143,7 @@
   void SendLoan(std::size_t aAllocator, const LoanReply& aLoan);
   void Recall(std::size_t aRequester, Tokens aTokens);
   void Decide(std::size_t aRouter, const Decision& aDecision);
+  void CountRefusal(const Running& aRequest, Refusal aRefusal);
 
   ZoneFleet fleet;
   std::mt19937_64 random;
@@ -132,6 +156,8 @@
   std::map<Ticket, Running> running;
   ClaimCounts counts;
   Tokens spent;
+  // Reserved by the requests that run.
+  Tokens inUse;
   std::uint64_t controlMessages = 0;
   std::uint64_t nextTicket = 1;
   std::uint64_t nextSession = 1;
