Ask control about each claim, and refuse known exhausted ones at once

After requests without a grant, the delay before the next request grew to 1 s, longer than the 100 ms that a claim waits. Claims were refused with 'other routers hold them' although control had not been asked. The delay for waiting claims is now at most half of their time. What control could not cover is remembered until the next request is due, at most 50 ms, so that further claims for as much get 402 without waiting.

Both tests failed before.

--- a/packages/budget/include/lycheestand/budget.h
+++ b/packages/budget/include/lycheestand/budget.h
@@ -137,7 +137,9 @@
   Duration claimTimeout = std::chrono::seconds(2);
   // Delay before the next grant request after one that was granted nothing. It
   // doubles with each further one, up to maxRetryDelay: the routers of a budget
-  // that is nearly used up would otherwise keep control busy.
+  // that is nearly used up would otherwise keep control busy. For waiting
+  // claims it is at most half of claimTimeout, so that control is asked about
+  // each.
   Duration retryDelay = std::chrono::milliseconds(100);
   Duration maxRetryDelay = std::chrono::milliseconds(100);
   // Time whose expected demand a grant should cover.
@@ -302,6 +304,9 @@
     // Whether the last reply refused a grant as exhausted while claims were
     // queued. Reset with each claim that is decided at the head of the queue.
     bool exhausted = false;
+    // Tokens beyond the available ones that could not be granted, by the last
+    // reply that refused a grant as exhausted. Known until claimRetry is due.
+    std::optional<Tokens> exhaustedMinimum;
     // Whether the last reply had no tokens for the claim at the head.
     bool isUnfilled = false;
     // GrantReply::isLenderOffline of the last reply.
@@ -331,7 +336,13 @@
   void DecideQueued(Account& aAccount,
                     TimePoint aNow,
                     std::vector<Decision>& aDecisions);
-  void UpdateRetry(RetryTime& aRetry, bool aIsGranted, TimePoint aNow) const;
+  void UpdateRetry(RetryTime& aRetry,
+                   Duration aMaxDelay,
+                   bool aIsGranted,
+                   TimePoint aNow) const;
+  bool IsKnownExhausted(const Account& aAccount,
+                        const Claim& aClaim,
+                        TimePoint aNow) const;
   Refusal RefusalAtDeadline(const Account& aAccount) const;
   void ReserveForSmallerClaims(Account& aAccount,
                                std::vector<Decision>& aDecisions);
--- a/packages/budget/src/local_budget.cc
+++ b/packages/budget/src/local_budget.cc
@@ -76,6 +76,9 @@
   if (!this->isOnline) {
     return Decision{ aClaim.ticket, Tokens(0), Refusal::Offline };
   }
+  if (this->IsKnownExhausted(account, aClaim, aNow)) {
+    return Decision{ aClaim.ticket, Tokens(0), Refusal::Exhausted };
+  }
   account.queue.push_back({ aClaim, aNow + this->options.claimTimeout });
   return std::nullopt;
 }
@@ -200,12 +203,26 @@
       return;
     }
     aAccount.queue.pop_front();
-    // The next claim may need fewer tokens, so it needs a reply of its own.
-    aAccount.exhausted = false;
+    // The next claim may need fewer tokens; then it needs a reply of its own.
+    aAccount.exhausted =
+      !aAccount.queue.empty() &&
+      this->IsKnownExhausted(aAccount, aAccount.queue.front().claim, aNow);
     aAccount.isUnfilled = false;
   }
 }
 
+// Returns whether control has said a short time ago that it could not grant
+// what the claim needs. A later reply may differ, as budgets are topped up.
+bool
+LocalBudget::IsKnownExhausted(const Account& aAccount,
+                              const Claim& aClaim,
+                              TimePoint aNow) const
+{
+  return aAccount.exhaustedMinimum && aNow < aAccount.claimRetry.due &&
+         aClaim.minimum - aAccount.available >= *aAccount.exhaustedMinimum &&
+         this->PotentialTokens(aClaim.workspace, aAccount) < aClaim.minimum;
+}
+
 Refusal
 LocalBudget::RefusalAtDeadline(const Account& aAccount) const
 {
@@ -337,7 +354,7 @@
       account.pendingGrant->request != aReply.request) {
     return;
   }
-  bool isPrefetch = account.pendingGrant->isPrefetch;
+  GrantRequest request = *account.pendingGrant;
   account.pendingGrant.reset();
   account.available += aReply.tokens;
   account.holdsTokenMajority = aReply.holdsTokenMajority;
@@ -347,13 +364,26 @@
   // arrive later: the budget may have been topped up by then.
   account.exhausted =
     aReply.tokens == Tokens(0) && aReply.exhausted && !account.queue.empty();
-  this->UpdateRetry(isPrefetch ? account.prefetchRetry : account.claimRetry,
-                    aReply.tokens > Tokens(0),
-                    aNow);
+  bool isGranted = aReply.tokens > Tokens(0);
+  if (request.isPrefetch) {
+    this->UpdateRetry(
+      account.prefetchRetry, this->options.maxRetryDelay, isGranted, aNow);
+    return;
+  }
+  account.exhaustedMinimum.reset();
+  if (aReply.exhausted && !isGranted) {
+    account.exhaustedMinimum = request.minimum;
+  }
+  this->UpdateRetry(
+    account.claimRetry,
+    std::min(this->options.maxRetryDelay, this->options.claimTimeout / 2),
+    isGranted,
+    aNow);
 }
 
 void
 LocalBudget::UpdateRetry(RetryTime& aRetry,
+                         Duration aMaxDelay,
                          bool aIsGranted,
                          TimePoint aNow) const
 {
@@ -361,8 +391,8 @@
     aRetry = {};
     return;
   }
-  aRetry.delay = std::clamp(
-    aRetry.delay * 2, this->options.retryDelay, this->options.maxRetryDelay);
+  aRetry.delay =
+    std::min(std::max(aRetry.delay * 2, this->options.retryDelay), aMaxDelay);
   aRetry.due = aNow + aRetry.delay;
 }
 
--- a/packages/budget/test/prefetch_test.cc
+++ b/packages/budget/test/prefetch_test.cc
@@ -169,3 +169,60 @@
   CHECK(this->localBudget.Poll(this->now).empty());
   CHECK(this->localBudget.TakeGrantRequests(this->now).size() == 1);
 }
+
+// Guards against a claim that is refused without a request to control, because
+// earlier requests were granted nothing: others may have returned tokens since.
+TEST_CASE("Control is asked about each claim after requests without a grant")
+{
+  LocalBudgetOptions options = PrefetchFixture::MakeOptions();
+  options.claimTimeout = 100ms;
+  LocalBudget localBudget{ options };
+  WorkspaceId workspace("kalkki");
+  TimePoint now(1000s);
+  for (std::uint64_t ticket = 1; ticket <= 30; ++ticket) {
+    std::size_t requests = 0;
+    std::size_t decisions = 0;
+    REQUIRE_FALSE(localBudget.Reserve(
+      { Ticket(ticket), workspace, Tokens(100), Tokens(100) }, now));
+    for (; decisions == 0; now += 10ms) {
+      for (const auto& request : localBudget.TakeGrantRequests(now)) {
+        requests += request.isPrefetch ? 0 : 1;
+        localBudget.AddGrant({ request.request, workspace }, now);
+      }
+      decisions += localBudget.Poll(now).size();
+    }
+    CHECK(requests >= 1);
+  }
+}
+
+// Guards against claims of a budget that is used up which wait to their
+// deadline, and are then told that other routers hold tokens.
+TEST_CASE("A claim that control could not cover just now is refused at once")
+{
+  LocalBudgetOptions options = PrefetchFixture::MakeOptions();
+  options.claimTimeout = 100ms;
+  LocalBudget localBudget{ options };
+  WorkspaceId workspace("kalkki");
+  TimePoint now(1000s);
+  auto claim = [&](std::uint64_t aTicket, std::int64_t aTokens) {
+    Tokens tokens(aTokens);
+    return localBudget.Reserve({ Ticket(aTicket), workspace, tokens, tokens },
+                               now);
+  };
+  REQUIRE_FALSE(claim(1, 100));
+  REQUIRE_FALSE(claim(2, 100));
+  auto requests = localBudget.TakeGrantRequests(now);
+  REQUIRE(requests.size() == 1);
+  GrantReply reply{ requests[0].request, workspace, Tokens(0), true };
+  localBudget.AddGrant(reply, now);
+  auto decisions = localBudget.Poll(now);
+  REQUIRE(decisions.size() == 2);
+  CHECK(decisions[1].refusal == Refusal::Exhausted);
+  auto decision = claim(3, 100);
+  REQUIRE(decision);
+  CHECK(decision->refusal == Refusal::Exhausted);
+  // A smaller claim may still be covered, and any claim after a top-up.
+  CHECK_FALSE(claim(4, 99));
+  now += 200ms;
+  CHECK_FALSE(claim(5, 100));
+}
