Let a zone's main user of a budget hold tokens for an outage of 8 s

A router that got nearly all loans of its zone borrowed every token on demand unless its allocator held most of the whole budget, so with one such router in each zone none held tokens when the links were cut. An allocator now says which router is the main user by its recent loans alone, and stops expecting that demand itself. Near the end of a budget it may hold half of what is left instead of a quarter; the request says so with a new field, so grants in logs of older builds keep their sizes. Times without control are sized by what requests spend, which is less than they reserve.

--- a/packages/budget/include/lycheestand/budget.h
+++ b/packages/budget/include/lycheestand/budget.h
@@ -93,6 +93,8 @@
   // No claim waits for the grant: it covers expected demand, so control need
   // not recall tokens from other routers for it.
   bool isPrefetch = false;
+  // This router serves nearly all claims on the budget, or those of its zone.
+  bool isMainUser = false;
 };
 
 // Control's reply to a GrantRequest.
@@ -105,7 +107,8 @@
   // unused tokens.
   bool exhausted = false;
   // This router holds at least twice as many of the granted tokens as all other
-  // routers with an open session together.
+  // routers with an open session together; from an allocator, that nearly all
+  // loans go to this router.
   bool holdsTokenMajority = false;
   // The reply is from an allocator that has no contact with control, so other
   // routers may have tokens.
@@ -149,8 +152,8 @@
   // claims.
   Duration prefetchThreshold{};
   // Multiplies the expected demand for a budget of which this router holds the
-  // majority: its callers use no other router, even while this one cannot reach
-  // control.
+  // majority or is its zone's main user: its callers use no other router, even
+  // while this one cannot reach control.
   double majorityDemandFactor = 1;
   // Most tokens that a router with demand keeps, as a multiple of the tokens
   // that it would request, so that it does not return tokens only to request
@@ -187,6 +190,8 @@
 {
   // For its own callers.
   Callers,
+  // For its own callers, which are nearly all of its zone.
+  MainUser,
   // For all routers of its zone.
   Zone,
   // For claims that its allocator does not cover: none are kept.
@@ -227,6 +232,10 @@
 
   // Returns whether the last reply said that this router holds the majority.
   bool HoldsMajority(const WorkspaceId& aWorkspace) const;
+  void ForgetMajority(const WorkspaceId& aWorkspace);
+
+  // This part of the demand so far will not come here any more.
+  void RemoveDemand(const WorkspaceId& aWorkspace, double aPart);
 
   // Returns decisions on queued claims, due to grants or timeouts.
   std::vector<Decision> Poll(TimePoint aNow);
@@ -316,6 +325,8 @@
     Purpose purpose = Purpose::Callers;
     // Moving average of the demand.
     double tokensPerSecond = 0;
+    // Part of their reservations that requests spend, a moving average.
+    double spentPart = 1;
     // Tokens wanted by the claims of the current window.
     double windowTokens = 0;
     TimePoint rateWindowStart{};
@@ -347,6 +358,10 @@
   void ReserveForSmallerClaims(Account& aAccount,
                                std::vector<Decision>& aDecisions);
   void UpdateRate(Account& aAccount, TimePoint aNow) const;
+  static void UpdateSpentPart(Account& aAccount,
+                              Tokens aSpent,
+                              Tokens aReserved);
+  static bool IsMainUser(const Account& aAccount);
   void ReturnSurplus(Account& aAccount, TimePoint aNow) const;
   const Account* Find(const WorkspaceId& aWorkspace) const;
   static void Return(Account& aAccount, Tokens aTokens);
@@ -386,8 +401,9 @@
 
   // Decides a request of another router's session, or queues it and returns
   // nothing; Decide then returns the reply. Repeated requests get their first
-  // reply again. A reply says that the session holds the majority if most of
-  // the workspace's tokens are here and most of them are lent to it.
+  // reply again. A reply says that the session holds the majority if nearly all
+  // recent loans of the workspace's tokens went to it; its demand is expected
+  // at control from then on.
   std::optional<LoanReply> Request(SessionId aBorrower,
                                    const GrantRequest& aRequest,
                                    TimePoint aNow);
@@ -410,8 +426,9 @@
   struct Loan
   {
     Tokens outstanding;
-    // Moving sum of the tokens lent.
+    // Moving sums of the tokens lent and of the loans.
     double recentTokens = 0;
+    double recentLoans = 0;
     std::uint64_t lastRequest = 0;
     // Empty while the last request is queued.
     std::optional<GrantReply> lastReply;
@@ -431,7 +448,8 @@
   };
 
   LoanReply Finish(const QueuedRequest& aQueued, const Decision& aDecision);
-  bool IsMainBorrower(const QueuedRequest& aQueued, Tokens aLent);
+  // Counts a loan and returns the borrower's part of the recent loans.
+  double CountLoan(const QueuedRequest& aQueued, Tokens aLent);
   static bool IsCovered(const Session& aSession, const UsageBatch& aBatch);
 
   LocalBudget& budget;
@@ -489,6 +507,13 @@
   std::function<Ticket()> nextTicket;
 };
 
+// Returns the settings of routers that serve by a route table, and of others,
+// without nextTicket.
+RouterBudgetOptions
+MakeRoutedOptions();
+RouterBudgetOptions
+MakeUnroutedOptions();
+
 // All budgets of a router: the tokens that control grants to it and those that
 // allocators lend to it, and its loans to other routers.
 class RouterBudget
@@ -591,8 +616,10 @@
   };
 
   bool IsMainUser(const WorkspaceId& aWorkspace,
-                  const LendingPlan& aPlan) const;
-  std::deque<TokenSource> SourcesFor(const WorkspaceId& aWorkspace);
+                  const LendingPlan& aPlan,
+                  TimePoint aNow);
+  std::deque<TokenSource> SourcesFor(const WorkspaceId& aWorkspace,
+                                     TimePoint aNow);
   std::optional<Decision> TryNext(PendingClaim& aPending,
                                   Refusal aRefusal,
                                   TimePoint aNow);
@@ -611,6 +638,9 @@
   std::map<Ticket, PendingClaim> pending;
   // Source of each reservation.
   std::map<Ticket, TokenSource> reserved;
+  // When the last claim was made on each budget of which this router is the
+  // main user in its zone.
+  std::map<WorkspaceId, TimePoint> mainUses;
   std::vector<LoanReply> loanReplies;
   std::vector<InstanceId> silent;
   // Claims that waited for a process of an allocator that has ended.
--- a/packages/budget/src/lender.cc
+++ b/packages/budget/src/lender.cc
@@ -8,8 +8,10 @@
 // factor with each further loan.
 constexpr double kRecentLoanFactor = 0.95;
 
-// Part of the recent loans that a main borrower has.
+// Part of the recent loans that a main borrower has, and their number: one of
+// few loans says nothing about where callers go.
 constexpr double kMainBorrowerShare = 0.7;
+constexpr double kMainBorrowerLoans = 4;
 
 } // namespace
 
@@ -72,9 +74,15 @@
   reply.exhausted = aDecision.refusal == Refusal::Exhausted;
   reply.isLenderOffline = aDecision.refusal == Refusal::Offline ||
                           aDecision.refusal == Refusal::NoReply;
-  reply.holdsTokenMajority = this->IsMainBorrower(aQueued, aDecision.tokens);
+  double share = this->CountLoan(aQueued, aDecision.tokens);
   this->budget.Lend(aDecision.ticket);
   Loan& loan = this->sessions[aQueued.borrower].loans[aQueued.workspace];
+  // A router that uses nearly all that this one lends of a workspace gets its
+  // tokens from control, without the way over this router.
+  if (share > kMainBorrowerShare && loan.recentLoans >= kMainBorrowerLoans) {
+    reply.holdsTokenMajority = true;
+    this->budget.RemoveDemand(aQueued.workspace, share);
+  }
   loan.outstanding += aDecision.tokens;
   if (loan.lastRequest == aQueued.request) {
     loan.lastReply = reply;
@@ -82,10 +90,8 @@
   return { aQueued.borrower, reply };
 }
 
-// A router that uses nearly all that this one holds of a workspace gets its
-// tokens from control, without the way over this router.
-bool
-Lender::IsMainBorrower(const QueuedRequest& aQueued, Tokens aLent)
+double
+Lender::CountLoan(const QueuedRequest& aQueued, Tokens aLent)
 {
   double sum = 0;
   double share = 0;
@@ -95,15 +101,17 @@
       continue;
     }
     double& recent = loan->second.recentTokens;
+    double& loans = loan->second.recentLoans;
     recent *= kRecentLoanFactor;
+    loans *= kRecentLoanFactor;
     if (borrower == aQueued.borrower) {
       recent += static_cast<double>(aLent.Get());
+      loans += 1;
       share = recent;
     }
     sum += recent;
   }
-  return share > sum * kMainBorrowerShare &&
-         this->budget.HoldsMajority(aQueued.workspace);
+  return sum > 0 ? share / sum : 0;
 }
 
 bool
--- a/packages/budget/src/local_budget.cc
+++ b/packages/budget/src/local_budget.cc
@@ -24,6 +24,10 @@
 
 constexpr Duration kRateWindow = std::chrono::milliseconds(500);
 
+// Weight of a request as large as kSpentPartTokens in the average of spentPart:
+// the average covers about 20 requests of a common size.
+constexpr double kSpentPartTokens = 80000;
+
 Tokens
 SizeGrantByDemand(double aTokensPerSecond, Duration aHorizon)
 {
@@ -110,6 +114,7 @@
   this->reservations.erase(found);
   Account& account = this->accounts[reservation.workspace];
   Tokens spent = std::clamp(aSpent, Tokens(0), reservation.tokens);
+  UpdateSpentPart(account, spent, reservation.tokens);
   account.reserved -= reservation.tokens;
   account.available += reservation.tokens - spent;
   account.unreported.spent += spent;
@@ -139,6 +144,7 @@
       aUsage.returned > account.lent - aUsage.spent) {
     return false;
   }
+  UpdateSpentPart(account, aUsage.spent, aUsage.spent + aUsage.returned);
   account.lent -= aUsage.spent + aUsage.returned;
   account.available += aUsage.returned;
   account.unreported.spent += aUsage.spent;
@@ -280,6 +286,7 @@
     grantRequest.request = this->nextRequest++;
     grantRequest.workspace = workspace;
     grantRequest.isPrefetch = isPrefetch;
+    grantRequest.isMainUser = IsMainUser(account);
     grantRequest.minimum = std::max(minimum, Tokens(1));
     Tokens target = std::max(expectedDemand, lowWatermark);
     grantRequest.wanted =
@@ -313,8 +320,43 @@
   return !this->options.isOnDemand && aAccount.purpose != Purpose::None;
 }
 
-// Returns the demand expected within aTime, scaled up if this router holds the
-// majority of the granted tokens, or holds tokens for its zone.
+// A router that is cut off from control must serve its callers from what it
+// holds if they use no other router.
+bool
+LocalBudget::IsMainUser(const Account& aAccount)
+{
+  return aAccount.holdsTokenMajority || aAccount.purpose == Purpose::MainUser;
+}
+
+void
+LocalBudget::ForgetMajority(const WorkspaceId& aWorkspace)
+{
+  this->accounts[aWorkspace].holdsTokenMajority = false;
+}
+
+void
+LocalBudget::RemoveDemand(const WorkspaceId& aWorkspace, double aPart)
+{
+  Account& account = this->accounts[aWorkspace];
+  account.tokensPerSecond *= 1 - aPart;
+  account.windowTokens *= 1 - aPart;
+}
+
+void
+LocalBudget::UpdateSpentPart(Account& aAccount, Tokens aSpent, Tokens aReserved)
+{
+  if (aReserved <= Tokens(0)) {
+    return;
+  }
+  auto reserved = static_cast<double>(aReserved.Get());
+  double part = static_cast<double>(aSpent.Get()) / reserved;
+  double weight = reserved / (reserved + kSpentPartTokens);
+  aAccount.spentPart += weight * (part - aAccount.spentPart);
+}
+
+// Returns the demand expected within aTime. For a time without control, which
+// is longer than most requests take, it is what requests spend: what they
+// reserve beyond that becomes available again.
 Tokens
 LocalBudget::ExpectedDemand(const Account& aAccount, Duration aTime) const
 {
@@ -322,11 +364,12 @@
     return Tokens(0);
   }
   double factor = 1;
-  if (aAccount.holdsTokenMajority) {
+  if (IsMainUser(aAccount)) {
     factor = this->options.majorityDemandFactor;
   } else if (aAccount.purpose == Purpose::Zone) {
     factor = this->options.zoneDemandFactor;
   }
+  factor = std::max(1.0, factor * aAccount.spentPart);
   double limit =
     ToSeconds(this->horizonLimit) / ToSeconds(this->options.grantHorizon);
   return this->options.sizeGrant(
--- a/packages/budget/src/router_budget.cc
+++ b/packages/budget/src/router_budget.cc
@@ -3,6 +3,14 @@
 
 namespace lycheestand::budget {
 
+namespace {
+
+// Time without a claim after which a router is no longer the main user of a
+// budget in its zone.
+constexpr Duration kMainUserIdleTime = std::chrono::seconds(10);
+
+} // namespace
+
 RouterBudget::RouterBudget(RouterBudgetOptions aOptions)
   : options(std::move(aOptions))
   , granted(this->options.granted)
@@ -16,32 +24,57 @@
   this->lending = std::move(aLending);
 }
 
-// A router that holds most of a budget, since callers use no other, gets its
-// tokens from control.
+// A router that callers of its zone use alone gets its tokens from control. It
+// remains the main user while it has demand: once it no longer borrows, the
+// allocator can't tell.
 bool
 RouterBudget::IsMainUser(const WorkspaceId& aWorkspace,
-                         const LendingPlan& aPlan) const
+                         const LendingPlan& aPlan,
+                         TimePoint aNow)
 {
-  if (this->granted.HoldsMajority(aWorkspace) || aPlan.allocators.empty()) {
-    return true;
+  if (aPlan.allocators.empty()) {
+    return false;
   }
   auto found = this->borrowings.find(aPlan.allocators.front());
-  return found != this->borrowings.end() &&
-         found->second.budget.HoldsMajority(aWorkspace);
+  LocalBudget* borrowed =
+    found == this->borrowings.end() ? nullptr : &found->second.budget;
+  auto last = this->mainUses.find(aWorkspace);
+  if (last != this->mainUses.end()) {
+    if (aNow - last->second < kMainUserIdleTime) {
+      last->second = aNow;
+      return true;
+    }
+    this->mainUses.erase(last);
+    if (borrowed != nullptr) {
+      borrowed->ForgetMajority(aWorkspace);
+    }
+  }
+  if (borrowed == nullptr || !borrowed->HoldsMajority(aWorkspace)) {
+    return false;
+  }
+  this->mainUses[aWorkspace] = aNow;
+  return true;
 }
 
 std::deque<TokenSource>
-RouterBudget::SourcesFor(const WorkspaceId& aWorkspace)
+RouterBudget::SourcesFor(const WorkspaceId& aWorkspace, TimePoint aNow)
 {
   LendingPlan plan;
   if (this->lending.plan) {
     plan = this->lending.plan(aWorkspace);
   }
-  bool isDirect = plan.isOwnAllocator || plan.prefersControl ||
-                  this->IsMainUser(aWorkspace, plan);
+  bool isMainUser =
+    !plan.isOwnAllocator && this->IsMainUser(aWorkspace, plan, aNow);
+  bool isDirect = plan.isOwnAllocator || plan.prefersControl || isMainUser ||
+                  plan.allocators.empty() ||
+                  this->granted.HoldsMajority(aWorkspace);
   Purpose purpose = isDirect ? Purpose::Callers : Purpose::None;
-  this->granted.SetPurpose(aWorkspace,
-                           plan.isOwnAllocator ? Purpose::Zone : purpose);
+  if (plan.isOwnAllocator) {
+    purpose = Purpose::Zone;
+  } else if (isMainUser) {
+    purpose = Purpose::MainUser;
+  }
+  this->granted.SetPurpose(aWorkspace, purpose);
   std::deque<TokenSource> sources{ TokenSource{} };
   for (std::size_t i = 0; i < plan.allocators.size(); ++i) {
     TokenSource source{ plan.allocators[i] };
@@ -76,7 +109,7 @@
 std::optional<Decision>
 RouterBudget::Reserve(const Claim& aClaim, TimePoint aNow)
 {
-  PendingClaim pendingClaim{ aClaim, this->SourcesFor(aClaim.workspace) };
+  PendingClaim pendingClaim{ aClaim, this->SourcesFor(aClaim.workspace, aNow) };
   auto decision = this->TryNext(pendingClaim, Refusal::Offline, aNow);
   if (!decision) {
     this->pending.emplace(aClaim.ticket, std::move(pendingClaim));
--- a/packages/budget/test/concentrated_demand_test.cc
+++ b/packages/budget/test/concentrated_demand_test.cc
@@ -105,3 +105,23 @@
     }
   }
 }
+
+// Guards against a hot router in each zone that borrows every token from its
+// allocator: while no router reached control or another router, it could serve
+// nothing. The other routers, with a tenth of the load, hold nothing.
+TEST_CASE("A router with steady demand serves through an outage of 8 s")
+{
+  for (bool isHotInEachZone : { false, true }) {
+    ConcentratedLoad load({ .requestsPerSecond = 20,
+                            .isHotInEachZone = isHotInEachZone,
+                            .controlCuts = { { 30s, 38s } },
+                            .arePeersCut = true,
+                            .seed = 7 });
+    load.RunUntil(30s);
+    load.Simulation().ResetCounts();
+    load.RunUntil(38s);
+    const auto& counts = load.Simulation().Counts();
+    CHECK(counts.Total() > 100);
+    CHECK(counts.unavailable + counts.exhausted < counts.Total() * 15 / 100);
+  }
+}
--- a/packages/budget/test/zone_simulation.cc
+++ b/packages/budget/test/zone_simulation.cc
@@ -16,34 +16,6 @@
 constexpr Duration kReconnectTime = 300ms;
 constexpr std::int64_t kRecallFactor = 3;
 
-LocalBudgetOptions
-GrantedOptions()
-{
-  LocalBudgetOptions options;
-  options.claimTimeout = 100ms;
-  options.grantHorizon = 1s;
-  options.prefetchThreshold = 700ms;
-  options.surplusFactor = 1.2;
-  options.majorityDemandFactor = 12;
-  options.zoneDemandFactor = 10;
-  options.idleReturnDelay = 20s;
-  options.retryDelay = 15ms;
-  options.maxRetryDelay = 1s;
-  options.rateWeight = 0.1;
-  return options;
-}
-
-LocalBudgetOptions
-BorrowedOptions()
-{
-  LocalBudgetOptions options;
-  options.claimTimeout = 250ms;
-  options.retryDelay = Duration(0);
-  options.maxRetryDelay = Duration(0);
-  options.isOnDemand = true;
-  return options;
-}
-
 } // namespace
 
 ClaimCounts&
@@ -81,10 +53,9 @@
   router = {};
   router.isCut = isCut;
   router.session = SessionId(this->nextSession++);
-  router.budget = std::make_unique<RouterBudget>(
-    RouterBudgetOptions{ GrantedOptions(), BorrowedOptions(), [this] {
-                          return Ticket(this->nextTicket++);
-                        } });
+  auto options = MakeRoutedOptions();
+  options.nextTicket = [this] { return Ticket(this->nextTicket++); };
+  router.budget = std::make_unique<RouterBudget>(std::move(options));
   router.budget->SetLending(this->LendingFor(aRouter));
   this->machine.Apply(state::RegisterSession{
     InstanceId(std::to_string(aRouter)), router.session });
@@ -377,7 +348,8 @@
                                               request->workspace,
                                               request->minimum,
                                               request->wanted,
-                                              request->isPrefetch });
+                                              request->isPrefetch,
+                                              request->isMainUser });
     GrantReply reply{ request->request, request->workspace, Tokens(0), true };
     if (const auto* granted = std::get_if<state::TokensGranted>(&outcome)) {
       reply.tokens = granted->tokens;
--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -277,7 +277,8 @@
                           aRequest.workspace,
                           aRequest.minimum,
                           aRequest.wanted,
-                          aRequest.isPrefetch },
+                          aRequest.isPrefetch,
+                          aRequest.isMainUser },
       [this, aRequest](LinkState& aLinkState, const state::Outcome& aOutcome) {
         this->ReplyToGrantRequest(aLinkState, aRequest, aOutcome);
       });
--- a/packages/journal/src/command_codec.cc
+++ b/packages/journal/src/command_codec.cc
@@ -150,15 +150,18 @@
   out.minimum = aIn.minimum.Get();
   out.wanted = aIn.wanted.Get();
   out.ahead = aIn.isPrefetch;
+  out.main_user = aIn.isMainUser;
   return out;
 }
 
 state::Command
 UnpackBody(const fb::GrantTokensT& aIn)
 {
-  return state::GrantTokens{ SessionId(aIn.session),     aIn.request,
-                             WorkspaceId(aIn.workspace), Tokens(aIn.minimum),
-                             Tokens(aIn.wanted),         aIn.ahead };
+  return state::GrantTokens{
+    SessionId(aIn.session), aIn.request,        WorkspaceId(aIn.workspace),
+    Tokens(aIn.minimum),    Tokens(aIn.wanted), aIn.ahead,
+    aIn.main_user
+  };
 }
 
 fb::ReportUsageT
--- a/packages/journal/test/journal_test.cc
+++ b/packages/journal/test/journal_test.cc
@@ -50,10 +50,7 @@
       case 6:
         return CloseSession{ change, InstanceId(this->Name("r", 4)) };
       case 7:
-        return GrantTokens{
-          session,        1 + this->Pick(50),           workspace,
-          this->Amount(), this->Amount() + Tokens(150), this->Pick(2) == 0
-        };
+        return this->MakeGrant(session, workspace);
       case 8:
         return this->MakeReport(session, workspace);
       case 9:
@@ -73,6 +70,16 @@
     }
   }
 
+  GrantTokens MakeGrant(SessionId aSession, const WorkspaceId& aWorkspace)
+  {
+    GrantTokens grant{
+      aSession,       1 + this->Pick(50),           aWorkspace,
+      this->Amount(), this->Amount() + Tokens(150), this->Pick(2) == 0
+    };
+    grant.isMainUser = grant.request % 2 == 0;
+    return grant;
+  }
+
   Command MakeReport(SessionId aSession, const WorkspaceId& aWorkspace)
   {
     const Session* known = this->machine.Sessions().Find(aSession);
--- a/packages/router/src/budget_controller.cc
+++ b/packages/router/src/budget_controller.cc
@@ -13,62 +13,11 @@
 // Interval at which waiting claims are checked again.
 constexpr Duration kClaimPollInterval = std::chrono::milliseconds(10);
 
-// By how much longer a claim waits for an allocator than the allocator's own
-// claim for control.
-constexpr Duration kLoanMargin = std::chrono::milliseconds(150);
-
-// Options of grants for routed requests. A router may be disconnected from
-// control for 7 to 9 s, and the tokens that a router holds are lost if it is
-// killed. docs/budgets.md has the figures behind the times and factors.
-constexpr Duration kRoutedGrantHorizon = std::chrono::seconds(1);
-constexpr Duration kRoutedPrefetchThreshold = std::chrono::milliseconds(700);
-// Covers a disconnection of 8 s for callers that use only this router.
-constexpr double kRoutedMajorityDemandFactor = 12;
-constexpr double kRoutedSurplusFactor = 1.2;
-// Smooths the demand over about 5 s: ten windows of 0.5 s.
-constexpr double kRoutedRateWeight = 0.1;
-// Longer than a disconnection, so that an idle router keeps the tokens it may
-// need during one.
-constexpr Duration kRoutedIdleReturnDelay = std::chrono::seconds(20);
-// Small against 300 ms, the shortest latency target for a first event.
-constexpr Duration kRoutedClaimTimeout = std::chrono::milliseconds(100);
-// Longer than a round trip to control with a disk write, which takes a few
-// milliseconds.
-constexpr Duration kRoutedRetryDelay = std::chrono::milliseconds(15);
-// The Retry-After of a caller that is refused for want of tokens.
-constexpr Duration kRoutedMaxRetryDelay = std::chrono::seconds(1);
-
-// An allocator serves its zone while control is cut off from all routers.
-constexpr double kRoutedZoneDemandFactor = 10;
-
-budget::LocalBudgetOptions
-MakeGrantedOptions(const settings::ProcessSettings& aSettings)
-{
-  budget::LocalBudgetOptions options;
-  if (aSettings.routes) {
-    options.claimTimeout = kRoutedClaimTimeout;
-    options.grantHorizon = kRoutedGrantHorizon;
-    options.prefetchThreshold = kRoutedPrefetchThreshold;
-    options.surplusFactor = kRoutedSurplusFactor;
-    options.majorityDemandFactor = kRoutedMajorityDemandFactor;
-    options.zoneDemandFactor = kRoutedZoneDemandFactor;
-    options.idleReturnDelay = kRoutedIdleReturnDelay;
-    options.retryDelay = kRoutedRetryDelay;
-    options.maxRetryDelay = kRoutedMaxRetryDelay;
-    options.rateWeight = kRoutedRateWeight;
-  }
-  return options;
-}
-
 budget::RouterBudgetOptions
 MakeOptions(const settings::ProcessSettings& aSettings)
 {
-  budget::RouterBudgetOptions options;
-  options.granted = MakeGrantedOptions(aSettings);
-  options.borrowed.claimTimeout = options.granted.claimTimeout + kLoanMargin;
-  options.borrowed.retryDelay = Duration(0);
-  options.borrowed.maxRetryDelay = Duration(0);
-  options.borrowed.isOnDemand = true;
+  auto options = aSettings.routes ? budget::MakeRoutedOptions()
+                                  : budget::MakeUnroutedOptions();
   options.nextTicket = NextTicket;
   return options;
 }
@@ -116,11 +65,9 @@
 ToWire(const std::variant<budget::GrantRequest, budget::UsageBatch>& aBody)
 {
   if (const auto* request = std::get_if<budget::GrantRequest>(&aBody)) {
-    return wire::GrantRequest{ request->request,
-                               request->workspace,
-                               request->minimum,
-                               request->wanted,
-                               request->isPrefetch };
+    return wire::GrantRequest{ request->request,    request->workspace,
+                               request->minimum,    request->wanted,
+                               request->isPrefetch, request->isMainUser };
   }
   const auto& batch = std::get<budget::UsageBatch>(aBody);
   wire::UsageReport report{ batch.number, {} };
@@ -143,11 +90,8 @@
 budget::GrantRequest
 FromWire(const wire::GrantRequest& aRequest)
 {
-  return { aRequest.request,
-           aRequest.workspace,
-           aRequest.minimum,
-           aRequest.wanted,
-           aRequest.isPrefetch };
+  return { aRequest.request, aRequest.workspace,  aRequest.minimum,
+           aRequest.wanted,  aRequest.isPrefetch, aRequest.isMainUser };
 }
 
 budget::UsageBatch
--- a/packages/state/include/lycheestand/state.h
+++ b/packages/state/include/lycheestand/state.h
@@ -125,6 +125,10 @@
   // True if the router prefetches the tokens and no request waits for them.
   // Such a grant is smaller and leaves a reserve for waiting requests.
   bool isPrefetch = false;
+  // True if the session serves nearly all requests of the workspace, or those
+  // of its zone. Such a session may prefetch more. Commands in logs of older
+  // builds have false, so their grants keep their sizes.
+  bool isMainUser = false;
 
   friend bool operator==(const GrantTokens&, const GrantTokens&) = default;
 };
--- a/packages/state/src/budget_ledger.cc
+++ b/packages/state/src/budget_ledger.cc
@@ -14,6 +14,7 @@
 // a reserve, divided by kPrefetchDivisor. The reserve is the paid tokens
 // divided by kReserveDivisor.
 constexpr std::int64_t kPrefetchDivisor = 8;
+constexpr std::int64_t kMainUserPrefetchDivisor = 2;
 constexpr std::int64_t kReserveDivisor = 16;
 
 // A budget is low if less than the paid tokens divided by this is left to a
@@ -25,6 +26,9 @@
 // router is killed.
 constexpr std::int64_t kLowBudgetHoldingDivisor = 4;
 
+// As kLowBudgetHoldingDivisor, for a session that serves nearly all requests.
+constexpr std::int64_t kMainUserHoldingDivisor = 2;
+
 // A session holds most of a budget if it holds at least this many times what
 // all other open sessions hold together.
 constexpr std::int64_t kTokenMajorityRatio = 2;
@@ -97,10 +101,13 @@
              : Tokens(0);
   }
   std::int64_t available = free - aBudget.paid.Get() / kReserveDivisor;
-  std::int64_t limit = available / kPrefetchDivisor;
+  std::int64_t limit =
+    available /
+    (aCommand.isMainUser ? kMainUserPrefetchDivisor : kPrefetchDivisor);
+  std::int64_t holdingDivisor =
+    aCommand.isMainUser ? kMainUserHoldingDivisor : kLowBudgetHoldingDivisor;
   if (available + held < aBudget.paid.Get() / kLowBudgetDivisor) {
-    limit =
-      std::min(limit, (available + held) / kLowBudgetHoldingDivisor - held);
+    limit = std::min(limit, (available + held) / holdingDivisor - held);
   }
   Tokens share(std::max<std::int64_t>(0, limit));
   Tokens size = std::min(aCommand.wanted, share);
--- a/packages/state/test/state_machine_test.cc
+++ b/packages/state/test/state_machine_test.cc
@@ -136,3 +136,28 @@
     Outcome(Rejected{ Rejection::SessionClosed }));
   REQUIRE_FALSE(this->machine.Sessions().Find(SessionId(3))->closed);
 }
+
+// Guards against replicas that apply a log of an older build with other grant
+// sizes than those that its routers got: their reports would be rejected.
+TEST_CASE("Only a main user's prefetch takes more than before")
+{
+  StateMachine machine;
+  WorkspaceId workspace("kalkki");
+  machine.Apply(CreateWorkspace{ ChangeId("create"), workspace });
+  machine.Apply(TopUpBudget{ ChangeId("pay"), workspace, Tokens(16000) });
+  machine.Apply(RegisterSession{ InstanceId("r"), SessionId(1) });
+  std::uint64_t request = 0;
+  auto prefetch = [&](bool aIsMainUser) {
+    auto outcome = machine.Apply(GrantTokens{ SessionId(1),
+                                              ++request,
+                                              workspace,
+                                              Tokens(1),
+                                              Tokens(16000),
+                                              true,
+                                              aIsMainUser });
+    return std::get<TokensGranted>(outcome).tokens;
+  };
+  // An eighth of what is free beyond the reserve of 1,000, and half of it.
+  CHECK(prefetch(false) == Tokens(1875));
+  CHECK(prefetch(true) == Tokens(6562));
+}
--- a/packages/wire/include/lycheestand/wire.h
+++ b/packages/wire/include/lycheestand/wire.h
@@ -165,6 +165,9 @@
   Tokens wanted;
   // True for a prefetch: no caller's request waits for the tokens.
   bool isPrefetch = false;
+  // True if the router serves nearly all requests of the workspace, or those of
+  // its zone.
+  bool isMainUser = false;
 };
 
 // Reply to GrantRequest. The router may spend the tokens; 0 means that nothing
--- a/packages/wire/src/codec.cc
+++ b/packages/wire/src/codec.cc
@@ -381,17 +381,16 @@
   out.minimum = aIn.minimum.Get();
   out.wanted = aIn.wanted.Get();
   out.ahead = aIn.isPrefetch;
+  out.main_user = aIn.isMainUser;
   return out;
 }
 
 GrantRequest
 Unpack(const fb::GrantRequestT& aIn)
 {
-  return { aIn.request,
-           WorkspaceId(aIn.workspace),
-           Tokens(aIn.minimum),
-           Tokens(aIn.wanted),
-           aIn.ahead };
+  return { aIn.request,         WorkspaceId(aIn.workspace),
+           Tokens(aIn.minimum), Tokens(aIn.wanted),
+           aIn.ahead,           aIn.main_user };
 }
 
 fb::GrantReplyT
