Name the rest of an outage as Retry-After when no router reaches control

Claims refused for want of contact with control got a Retry-After of 1 s, after which callers use other routers. When an allocator replies that it has no contact either, these have none, so the refusal now names the rest of an outage of 9 s.

Both tests failed before.

--- a/packages/budget/include/lycheestand/budget.h
+++ b/packages/budget/include/lycheestand/budget.h
@@ -80,6 +80,9 @@
   // Tokens reserved; zero if refused.
   Tokens tokens;
   std::optional<Refusal> refusal;
+  // If refused: the time after which tokens may be available. By the default,
+  // callers have fetched the entry addresses again and use other routers.
+  Duration retryAfter = std::chrono::seconds(1);
 };
 
 // A request for a grant, to be sent to control.
@@ -532,7 +535,7 @@
   std::vector<Decision> Poll(TimePoint aNow);
 
   // Sets whether control is reachable.
-  void SetOnline(bool aIsOnline);
+  void SetOnline(bool aIsOnline, TimePoint aNow);
 
   // A link to an allocator's process is up or down. What was borrowed from an
   // earlier process of the allocator is forgotten.
@@ -624,6 +627,7 @@
                                   Refusal aRefusal,
                                   TimePoint aNow);
   std::optional<Decision> Continue(const Decision& aDecision, TimePoint aNow);
+  Duration RetryAfterOffline(TimePoint aNow) const;
   LocalBudget* Find(const TokenSource& aSource);
   bool IsConnected(const TokenSource& aSource) const;
   void Forget(const InstanceId& aAllocator);
@@ -646,6 +650,10 @@
   // Claims that waited for a process of an allocator that has ended.
   std::vector<Decision> dropped;
   bool isOnline = true;
+  // When contact with control was lost, and when an allocator last replied that
+  // it has none either.
+  TimePoint offlineSince{};
+  std::optional<TimePoint> lenderOfflineAt;
 };
 
 } // namespace lycheestand::budget
--- a/packages/budget/src/router_budget.cc
+++ b/packages/budget/src/router_budget.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <lycheestand/budget.h>
 #include <utility>
 
@@ -9,6 +10,10 @@
 // budget in its zone.
 constexpr Duration kMainUserIdleTime = std::chrono::seconds(10);
 
+// Disconnections from control last 7 to 9 s.
+constexpr Duration kUsualOutage = std::chrono::seconds(9);
+constexpr Duration kMinOfflineRetry = std::chrono::seconds(1);
+
 } // namespace
 
 RouterBudget::RouterBudget(RouterBudgetOptions aOptions)
@@ -136,7 +141,23 @@
     }
     aRefusal = *decision->refusal;
   }
-  return Decision{ aPending.claim.ticket, Tokens(0), aRefusal };
+  return Decision{
+    aPending.claim.ticket, Tokens(0), aRefusal, this->RetryAfterOffline(aNow)
+  };
+}
+
+// If an allocator has no contact with control either, the other routers of the
+// zone have none, and no tokens move before the outage ends. Otherwise callers
+// find a router that has contact at the next entry addresses.
+Duration
+RouterBudget::RetryAfterOffline(TimePoint aNow) const
+{
+  bool areOthersOffline =
+    this->lenderOfflineAt && *this->lenderOfflineAt >= this->offlineSince;
+  if (this->isOnline || !areOthersOffline) {
+    return kMinOfflineRetry;
+  }
+  return std::max(kMinOfflineRetry, kUsualOutage - (aNow - this->offlineSince));
 }
 
 // A source that says that the budget is exhausted, or that other routers hold
@@ -208,8 +229,11 @@
 }
 
 void
-RouterBudget::SetOnline(bool aIsOnline)
+RouterBudget::SetOnline(bool aIsOnline, TimePoint aNow)
 {
+  if (this->isOnline && !aIsOnline) {
+    this->offlineSince = aNow;
+  }
   this->isOnline = aIsOnline;
   this->granted.SetOnline(aIsOnline);
 }
@@ -340,6 +364,9 @@
                        const GrantReply& aReply,
                        TimePoint aNow)
 {
+  if (aReply.isLenderOffline) {
+    this->lenderOfflineAt = aNow;
+  }
   if (LocalBudget* budget = this->Find(aSource)) {
     budget->AddGrant(aReply, aNow);
   }
--- a/packages/budget/test/allocator_test.cc
+++ b/packages/budget/test/allocator_test.cc
@@ -124,7 +124,7 @@
   {
     this->budget.SetLending(
       { [this](const WorkspaceId&) { return this->plan; }, {}, {} });
-    this->budget.SetOnline(false);
+    this->budget.SetOnline(false, this->now);
     this->budget.ConnectAllocator(this->allocator, SessionId(7));
   }
 
@@ -275,3 +275,23 @@
   CHECK(tokens.Holdings()[workspace].lent == Tokens(0));
   CHECK(tokens.Holdings()[workspace].available == Tokens(40));
 }
+
+// Guards against a Retry-After within an outage of all routers, and against a
+// long one when only this router has lost contact.
+TEST_CASE_METHOD(RouterBudgetFixture,
+                 "Retry-After covers an outage that the allocator confirms")
+{
+  this->now += 1s;
+  this->budget.DisconnectAllocator(this->allocator);
+  auto alone = this->budget.Reserve(this->MakeClaim(1, 100), this->now);
+  REQUIRE(alone);
+  CHECK(alone->retryAfter == 1s);
+  this->budget.ConnectAllocator(this->allocator, SessionId(7));
+  REQUIRE_FALSE(this->budget.Reserve(this->MakeClaim(2, 100), this->now));
+  GrantReply reply{ this->TakeRequest().request, this->workspace };
+  reply.isLenderOffline = true;
+  this->budget.AddGrant({ this->allocator }, reply, this->now);
+  auto decisions = this->budget.Poll(this->now);
+  REQUIRE(decisions.size() == 1);
+  CHECK(decisions[0].retryAfter == 8s);
+}
--- a/packages/budget/test/concentrated_demand_test.cc
+++ b/packages/budget/test/concentrated_demand_test.cc
@@ -183,3 +183,13 @@
   // Exhausted budgets are recognised at once.
   CHECK(counts.exhausted > 150);
 }
+
+// Guards against a Retry-After of 1 s while no router of the zone reaches
+// control: two thirds of the claims were refused again.
+TEST_CASE("Claims refused in an outage are covered at their Retry-After")
+{
+  ClaimCounts counts = RunSeeds(
+    { .paidFactor = 1, .controlCuts = { { 44s, 52s } }, .isRetried = true });
+  CHECK(counts.retried > 50);
+  CHECK(counts.retriesCovered > counts.retried / 2);
+}
--- a/packages/budget/test/concentrated_load.cc
+++ b/packages/budget/test/concentrated_load.cc
@@ -32,6 +32,7 @@
   ZoneFleet fleet;
   fleet.routersPerZone = kRoutersPerZone;
   fleet.missingRouters = 1;
+  fleet.isRetried = aOptions.isRetried;
   fleet.seed = aOptions.seed;
   double spentShare = (kMinSpentShare + kMaxSpentShare) / 2;
   fleet.paid = Tokens(static_cast<std::int64_t>(
--- a/packages/budget/test/concentrated_load.h
+++ b/packages/budget/test/concentrated_load.h
@@ -28,6 +28,8 @@
   // When a tenth of the routers is killed; zero if never. The seed decides
   // which ones: the hot router is among them for one seed in ten.
   Duration killAt{};
+  // As in ZoneFleet.
+  bool isRetried = false;
   std::uint64_t seed = 1;
 };
 
--- a/packages/budget/test/zone_simulation.cc
+++ b/packages/budget/test/zone_simulation.cc
@@ -27,6 +27,8 @@
   this->offline += aOther.offline;
   this->refusedFalsely += aOther.refusedFalsely;
   this->refusalWait += aOther.refusalWait;
+  this->retried += aOther.retried;
+  this->retriesCovered += aOther.retriesCovered;
   return *this;
 }
 
@@ -128,16 +130,23 @@
                         Tokens aReserved,
                         Tokens aSpent,
                         Duration aTime)
+{
+  this->MakeClaim({ aRouter, {}, aReserved, aSpent, aTime, this->now });
+}
+
+void
+ZoneSimulation::MakeClaim(const Running& aRequest)
 {
   Ticket ticket(this->nextTicket++);
-  this->running[ticket] = {
-    aRouter, ticket, aReserved, aSpent, aTime, this->now
-  };
-  this->routers[aRouter].isDirty = true;
-  auto decision = this->routers[aRouter].budget->Reserve(
-    { ticket, this->workspace, aReserved, aReserved }, this->now);
+  Running& request = this->running[ticket];
+  request = aRequest;
+  request.ticket = ticket;
+  this->routers[aRequest.router].isDirty = true;
+  auto decision = this->routers[aRequest.router].budget->Reserve(
+    { ticket, this->workspace, aRequest.reserved, aRequest.reserved },
+    this->now);
   if (decision) {
-    this->Decide(aRouter, *decision);
+    this->Decide(aRequest.router, *decision);
   }
 }
 
@@ -146,11 +155,21 @@
 {
   Running request = this->running.at(aDecision.ticket);
   if (aDecision.refusal) {
-    this->CountRefusal(request, *aDecision.refusal);
     this->running.erase(aDecision.ticket);
+    if (request.isRetry) {
+      return;
+    }
+    this->CountRefusal(request, *aDecision.refusal);
+    if (this->fleet.isRetried && aDecision.refusal != Refusal::Exhausted) {
+      ++this->counts.retried;
+      request.isRetry = true;
+      this->At(aRouter, aDecision.retryAfter, [this, request] {
+        this->MakeClaim(request);
+      });
+    }
     return;
   }
-  ++this->counts.covered;
+  ++(request.isRetry ? this->counts.retriesCovered : this->counts.covered);
   this->inUse += request.reserved;
   this->running.at(aDecision.ticket).isReserved = true;
   this->At(aRouter, request.time, [this, request] {
@@ -259,7 +278,7 @@
   Router& router = this->routers[aRouter];
   router.isDirty = false;
   router.pollAt = this->now + kPollInterval;
-  router.budget->SetOnline(!this->isControlCut);
+  router.budget->SetOnline(!this->isControlCut, this->now);
   this->Connect(aRouter);
   for (const auto& decision : router.budget->Poll(this->now)) {
     this->Decide(aRouter, decision);
--- a/packages/budget/test/zone_simulation.h
+++ b/packages/budget/test/zone_simulation.h
@@ -24,6 +24,9 @@
   // By how many routers the last zone is smaller than the others.
   std::size_t missingRouters = 0;
   Tokens paid;
+  // Whether a refused claim is made once more after its retryAfter, unless the
+  // budget is exhausted.
+  bool isRetried = false;
   // Percentage of messages that are lost. The link that loses one is opened
   // again 300 ms later, and unanswered messages are sent again.
   unsigned lostPercent = 0;
@@ -42,6 +45,9 @@
   // Refused although what is paid, less what is spent and what running requests
   // may use, covers the claim.
   std::size_t refusedFalsely = 0;
+  // Claims made once more, not counted elsewhere, and those covered then.
+  std::size_t retried = 0;
+  std::size_t retriesCovered = 0;
   // Sum of the times until a claim was refused.
   Duration refusalWait{};
 
@@ -116,6 +122,7 @@
     Duration time{};
     TimePoint since{};
     bool isReserved = false;
+    bool isRetry = false;
   };
 
   struct Event
@@ -144,6 +151,7 @@
   void SendLoan(std::size_t aAllocator, const LoanReply& aLoan);
   void Recall(std::size_t aRequester, Tokens aMinimum);
   void Decide(std::size_t aRouter, const Decision& aDecision);
+  void MakeClaim(const Running& aRequest);
   void CountRefusal(const Running& aRequest, Refusal aRefusal);
 
   ZoneFleet fleet;
--- a/packages/router/src/budget_controller.cc
+++ b/packages/router/src/budget_controller.cc
@@ -131,11 +131,11 @@
       [this](FromAllocator& aMessage) { this->Handle(aMessage); },
       [this](FromBorrower& aMessage) { this->Handle(aMessage); },
       [this](ControlUp) {
-        this->budget.SetOnline(true);
+        this->budget.SetOnline(true, this->Time());
         this->Resend({});
       },
       [this](ControlDown) {
-        this->budget.SetOnline(false);
+        this->budget.SetOnline(false, this->Time());
         this->Advance();
       },
       [this](AllocatorUp& aUp) {
@@ -214,7 +214,9 @@
   {
     auto decision = this->budget.Reserve(aReserve.claim, this->Time());
     if (decision) {
-      return ReserveReply{ decision->tokens, decision->refusal };
+      return ReserveReply{ decision->tokens,
+                           decision->refusal,
+                           decision->retryAfter };
     }
     auto promise = this->make_response_promise<ReserveReply>();
     this->waiting.emplace(aReserve.claim.ticket, promise);
@@ -298,8 +300,8 @@
     for (const auto& decision : this->budget.Poll(this->Time())) {
       auto found = this->waiting.find(decision.ticket);
       if (found != this->waiting.end()) {
-        found->second.deliver(
-          ReserveReply{ decision.tokens, decision.refusal });
+        found->second.deliver(ReserveReply{
+          decision.tokens, decision.refusal, decision.retryAfter });
         this->waiting.erase(found);
       }
     }
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -108,6 +108,8 @@
 {
   Tokens tokens;
   std::optional<budget::Refusal> refusal;
+  // If refused: the time after which tokens may be available.
+  Duration retryAfter{};
 };
 
 // Ends a reservation with the tokens that were spent, or withdraws its claim.
--- a/packages/router/src/reserve.cc
+++ b/packages/router/src/reserve.cc
@@ -1,13 +1,11 @@
 #include "filter_chain.h"
 
+#include <cmath>
+
 namespace lycheestand::router {
 
 namespace {
 
-// Retry-After if no grant was available. By then the caller has fetched the
-// entry addresses again and uses a router that is connected to control.
-constexpr double kNoGrantRetrySeconds = 1;
-
 // Tokens that a request needs to be worth forwarding, and the most it may use.
 struct TokenNeed
 {
@@ -52,7 +50,9 @@
 }
 
 void
-RefuseClaim(const RequestPtr& aRequest, budget::Refusal aReason)
+RefuseClaim(const RequestPtr& aRequest,
+            budget::Refusal aReason,
+            Duration aRetryAfter)
 {
   if (aReason == budget::Refusal::Exhausted) {
     Refuse(aRequest,
@@ -66,7 +66,7 @@
            "budget_unavailable",
            ExplainUnavailable(aReason),
            ExecutionState::NotRun,
-           kNoGrantRetrySeconds });
+           std::ceil(ToSeconds(aRetryAfter)) });
 }
 
 } // namespace
@@ -93,7 +93,7 @@
       .then([aRequest, next = std::move(aNext)](ReserveReply& aReply) {
         if (aReply.refusal) {
           aRequest->hasClaim = false;
-          RefuseClaim(aRequest, *aReply.refusal);
+          RefuseClaim(aRequest, *aReply.refusal, aReply.retryAfter);
           return;
         }
         aRequest->reserved = aReply.tokens;
