--- a/packages/budget/include/lycheestand/budget.h
+++ b/packages/budget/include/lycheestand/budget.h
@@ -80,6 +80,9 @@
   // Tokens reserved; zero if refused.
   Tokens tokens;
   std::optional<Refusal> refusal;
+  // If refused: the time after which tokens may be available. By the default,
+  // callers have fetched the entry addresses again and use other routers.
+  Duration retryAfter = std::chrono::seconds(1);
 };
 
 // A request for a grant, to be sent to control.
@@ -93,6 +96,8 @@
   // No claim waits for the grant: it covers expected demand, so control need
   // not recall tokens from other routers for it.
   bool isPrefetch = false;
+  // This router serves nearly all claims on the budget, or those of its zone.
+  bool isMainUser = false;
 };
 
 // Control's reply to a GrantRequest.
@@ -105,7 +110,8 @@
   // unused tokens.
   bool exhausted = false;
   // This router holds at least twice as many of the granted tokens as all other
-  // routers with an open session together.
+  // routers with an open session together; from an allocator, that nearly all
+  // loans go to this router.
   bool holdsTokenMajority = false;
   // The reply is from an allocator that has no contact with control, so other
   // routers may have tokens.
@@ -137,7 +143,9 @@
   Duration claimTimeout = std::chrono::seconds(2);
   // Delay before the next grant request after one that was granted nothing. It
   // doubles with each further one, up to maxRetryDelay: the routers of a budget
-  // that is nearly used up would otherwise keep control busy.
+  // that is nearly used up would otherwise keep control busy. For waiting
+  // claims it is at most half of claimTimeout, so that control is asked about
+  // each.
   Duration retryDelay = std::chrono::milliseconds(100);
   Duration maxRetryDelay = std::chrono::milliseconds(100);
   // Time whose expected demand a grant should cover.
@@ -147,8 +155,8 @@
   // claims.
   Duration prefetchThreshold{};
   // Multiplies the expected demand for a budget of which this router holds the
-  // majority: its callers use no other router, even while this one cannot reach
-  // control.
+  // majority or is its zone's main user: its callers use no other router, even
+  // while this one cannot reach control.
   double majorityDemandFactor = 1;
   // Most tokens that a router with demand keeps, as a multiple of the tokens
   // that it would request, so that it does not return tokens only to request
@@ -185,6 +193,8 @@
 {
   // For its own callers.
   Callers,
+  // For its own callers, which are nearly all of its zone.
+  MainUser,
   // For all routers of its zone.
   Zone,
   // For claims that its allocator does not cover: none are kept.
@@ -225,6 +235,10 @@
 
   // Returns whether the last reply said that this router holds the majority.
   bool HoldsMajority(const WorkspaceId& aWorkspace) const;
+  void ForgetMajority(const WorkspaceId& aWorkspace);
+
+  // This part of the demand so far will not come here any more.
+  void RemoveDemand(const WorkspaceId& aWorkspace, double aPart);
 
   // Returns decisions on queued claims, due to grants or timeouts.
   std::vector<Decision> Poll(TimePoint aNow);
@@ -302,6 +316,9 @@
     // Whether the last reply refused a grant as exhausted while claims were
     // queued. Reset with each claim that is decided at the head of the queue.
     bool exhausted = false;
+    // Tokens beyond the available ones that could not be granted, by the last
+    // reply that refused a grant as exhausted. Known until claimRetry is due.
+    std::optional<Tokens> exhaustedMinimum;
     // Whether the last reply had no tokens for the claim at the head.
     bool isUnfilled = false;
     // GrantReply::isLenderOffline of the last reply.
@@ -311,6 +328,8 @@
     Purpose purpose = Purpose::Callers;
     // Moving average of the demand.
     double tokensPerSecond = 0;
+    // Part of their reservations that requests spend, a moving average.
+    double spentPart = 1;
     // Tokens wanted by the claims of the current window.
     double windowTokens = 0;
     TimePoint rateWindowStart{};
@@ -331,11 +350,21 @@
   void DecideQueued(Account& aAccount,
                     TimePoint aNow,
                     std::vector<Decision>& aDecisions);
-  void UpdateRetry(RetryTime& aRetry, bool aIsGranted, TimePoint aNow) const;
+  void UpdateRetry(RetryTime& aRetry,
+                   Duration aMaxDelay,
+                   bool aIsGranted,
+                   TimePoint aNow) const;
+  bool IsKnownExhausted(const Account& aAccount,
+                        const Claim& aClaim,
+                        TimePoint aNow) const;
   Refusal RefusalAtDeadline(const Account& aAccount) const;
   void ReserveForSmallerClaims(Account& aAccount,
                                std::vector<Decision>& aDecisions);
   void UpdateRate(Account& aAccount, TimePoint aNow) const;
+  static void UpdateSpentPart(Account& aAccount,
+                              Tokens aSpent,
+                              Tokens aReserved);
+  static bool IsMainUser(const Account& aAccount);
   void ReturnSurplus(Account& aAccount, TimePoint aNow) const;
   const Account* Find(const WorkspaceId& aWorkspace) const;
   static void Return(Account& aAccount, Tokens aTokens);
@@ -375,8 +404,9 @@
 
   // Decides a request of another router's session, or queues it and returns
   // nothing; Decide then returns the reply. Repeated requests get their first
-  // reply again. A reply says that the session holds the majority if most of
-  // the workspace's tokens are here and most of them are lent to it.
+  // reply again. A reply says that the session holds the majority if nearly all
+  // recent loans of the workspace's tokens went to it; its demand is expected
+  // at control from then on.
   std::optional<LoanReply> Request(SessionId aBorrower,
                                    const GrantRequest& aRequest,
                                    TimePoint aNow);
@@ -399,8 +429,9 @@
   struct Loan
   {
     Tokens outstanding;
-    // Moving sum of the tokens lent.
+    // Moving sums of the tokens lent and of the loans.
     double recentTokens = 0;
+    double recentLoans = 0;
     std::uint64_t lastRequest = 0;
     // Empty while the last request is queued.
     std::optional<GrantReply> lastReply;
@@ -420,7 +451,8 @@
   };
 
   LoanReply Finish(const QueuedRequest& aQueued, const Decision& aDecision);
-  bool IsMainBorrower(const QueuedRequest& aQueued, Tokens aLent);
+  // Counts a loan and returns the borrower's part of the recent loans.
+  double CountLoan(const QueuedRequest& aQueued, Tokens aLent);
   static bool IsCovered(const Session& aSession, const UsageBatch& aBatch);
 
   LocalBudget& budget;
@@ -478,6 +510,13 @@
   std::function<Ticket()> nextTicket;
 };
 
+// Returns the settings of routers that serve by a route table, and of others,
+// without nextTicket.
+RouterBudgetOptions
+MakeRoutedOptions();
+RouterBudgetOptions
+MakeUnroutedOptions();
+
 // All budgets of a router: the tokens that control grants to it and those that
 // allocators lend to it, and its loans to other routers.
 class RouterBudget
@@ -496,7 +535,7 @@
   std::vector<Decision> Poll(TimePoint aNow);
 
   // Sets whether control is reachable.
-  void SetOnline(bool aIsOnline);
+  void SetOnline(bool aIsOnline, TimePoint aNow);
 
   // A link to an allocator's process is up or down. What was borrowed from an
   // earlier process of the allocator is forgotten.
@@ -580,12 +619,15 @@
   };
 
   bool IsMainUser(const WorkspaceId& aWorkspace,
-                  const LendingPlan& aPlan) const;
-  std::deque<TokenSource> SourcesFor(const WorkspaceId& aWorkspace);
+                  const LendingPlan& aPlan,
+                  TimePoint aNow);
+  std::deque<TokenSource> SourcesFor(const WorkspaceId& aWorkspace,
+                                     TimePoint aNow);
   std::optional<Decision> TryNext(PendingClaim& aPending,
                                   Refusal aRefusal,
                                   TimePoint aNow);
   std::optional<Decision> Continue(const Decision& aDecision, TimePoint aNow);
+  Duration RetryAfterOffline(TimePoint aNow) const;
   LocalBudget* Find(const TokenSource& aSource);
   bool IsConnected(const TokenSource& aSource) const;
   void Forget(const InstanceId& aAllocator);
@@ -600,11 +642,18 @@
   std::map<Ticket, PendingClaim> pending;
   // Source of each reservation.
   std::map<Ticket, TokenSource> reserved;
+  // When the last claim was made on each budget of which this router is the
+  // main user in its zone.
+  std::map<WorkspaceId, TimePoint> mainUses;
   std::vector<LoanReply> loanReplies;
   std::vector<InstanceId> silent;
   // Claims that waited for a process of an allocator that has ended.
   std::vector<Decision> dropped;
   bool isOnline = true;
+  // When contact with control was lost, and when an allocator last replied that
+  // it has none either.
+  TimePoint offlineSince{};
+  std::optional<TimePoint> lenderOfflineAt;
 };
 
 } // namespace lycheestand::budget
--- a/packages/budget/src/router_budget.cc
+++ b/packages/budget/src/router_budget.cc
@@ -1,8 +1,21 @@
+#include <algorithm>
 #include <lycheestand/budget.h>
 #include <utility>
 
 namespace lycheestand::budget {
 
+namespace {
+
+// Time without a claim after which a router is no longer the main user of a
+// budget in its zone.
+constexpr Duration kMainUserIdleTime = std::chrono::seconds(10);
+
+// Disconnections from control last 7 to 9 s.
+constexpr Duration kUsualOutage = std::chrono::seconds(9);
+constexpr Duration kMinOfflineRetry = std::chrono::seconds(1);
+
+} // namespace
+
 RouterBudget::RouterBudget(RouterBudgetOptions aOptions)
   : options(std::move(aOptions))
   , granted(this->options.granted)
@@ -16,32 +29,57 @@
   this->lending = std::move(aLending);
 }
 
-// A router that holds most of a budget, since callers use no other, gets its
-// tokens from control.
+// A router that callers of its zone use alone gets its tokens from control. It
+// remains the main user while it has demand: once it no longer borrows, the
+// allocator can't tell.
 bool
 RouterBudget::IsMainUser(const WorkspaceId& aWorkspace,
-                         const LendingPlan& aPlan) const
+                         const LendingPlan& aPlan,
+                         TimePoint aNow)
 {
-  if (this->granted.HoldsMajority(aWorkspace) || aPlan.allocators.empty()) {
-    return true;
+  if (aPlan.allocators.empty()) {
+    return false;
   }
   auto found = this->borrowings.find(aPlan.allocators.front());
-  return found != this->borrowings.end() &&
-         found->second.budget.HoldsMajority(aWorkspace);
+  LocalBudget* borrowed =
+    found == this->borrowings.end() ? nullptr : &found->second.budget;
+  auto last = this->mainUses.find(aWorkspace);
+  if (last != this->mainUses.end()) {
+    if (aNow - last->second < kMainUserIdleTime) {
+      last->second = aNow;
+      return true;
+    }
+    this->mainUses.erase(last);
+    if (borrowed != nullptr) {
+      borrowed->ForgetMajority(aWorkspace);
+    }
+  }
+  if (borrowed == nullptr || !borrowed->HoldsMajority(aWorkspace)) {
+    return false;
+  }
+  this->mainUses[aWorkspace] = aNow;
+  return true;
 }
 
 std::deque<TokenSource>
-RouterBudget::SourcesFor(const WorkspaceId& aWorkspace)
+RouterBudget::SourcesFor(const WorkspaceId& aWorkspace, TimePoint aNow)
 {
   LendingPlan plan;
   if (this->lending.plan) {
     plan = this->lending.plan(aWorkspace);
   }
-  bool isDirect = plan.isOwnAllocator || plan.prefersControl ||
-                  this->IsMainUser(aWorkspace, plan);
+  bool isMainUser =
+    !plan.isOwnAllocator && this->IsMainUser(aWorkspace, plan, aNow);
+  bool isDirect = plan.isOwnAllocator || plan.prefersControl || isMainUser ||
+                  plan.allocators.empty() ||
+                  this->granted.HoldsMajority(aWorkspace);
   Purpose purpose = isDirect ? Purpose::Callers : Purpose::None;
-  this->granted.SetPurpose(aWorkspace,
-                           plan.isOwnAllocator ? Purpose::Zone : purpose);
+  if (plan.isOwnAllocator) {
+    purpose = Purpose::Zone;
+  } else if (isMainUser) {
+    purpose = Purpose::MainUser;
+  }
+  this->granted.SetPurpose(aWorkspace, purpose);
   std::deque<TokenSource> sources{ TokenSource{} };
   for (std::size_t i = 0; i < plan.allocators.size(); ++i) {
     TokenSource source{ plan.allocators[i] };
@@ -76,7 +114,7 @@
 std::optional<Decision>
 RouterBudget::Reserve(const Claim& aClaim, TimePoint aNow)
 {
-  PendingClaim pendingClaim{ aClaim, this->SourcesFor(aClaim.workspace) };
+  PendingClaim pendingClaim{ aClaim, this->SourcesFor(aClaim.workspace, aNow) };
   auto decision = this->TryNext(pendingClaim, Refusal::Offline, aNow);
   if (!decision) {
     this->pending.emplace(aClaim.ticket, std::move(pendingClaim));
@@ -103,7 +141,23 @@
     }
     aRefusal = *decision->refusal;
   }
-  return Decision{ aPending.claim.ticket, Tokens(0), aRefusal };
+  return Decision{
+    aPending.claim.ticket, Tokens(0), aRefusal, this->RetryAfterOffline(aNow)
+  };
+}
+
+// If an allocator has no contact with control either, the other routers of the
+// zone have none, and no tokens move before the outage ends. Otherwise callers
+// find a router that has contact at the next entry addresses.
+Duration
+RouterBudget::RetryAfterOffline(TimePoint aNow) const
+{
+  bool areOthersOffline =
+    this->lenderOfflineAt && *this->lenderOfflineAt >= this->offlineSince;
+  if (this->isOnline || !areOthersOffline) {
+    return kMinOfflineRetry;
+  }
+  return std::max(kMinOfflineRetry, kUsualOutage - (aNow - this->offlineSince));
 }
 
 // A source that says that the budget is exhausted, or that other routers hold
@@ -175,8 +229,11 @@
 }
 
 void
-RouterBudget::SetOnline(bool aIsOnline)
+RouterBudget::SetOnline(bool aIsOnline, TimePoint aNow)
 {
+  if (this->isOnline && !aIsOnline) {
+    this->offlineSince = aNow;
+  }
   this->isOnline = aIsOnline;
   this->granted.SetOnline(aIsOnline);
 }
@@ -307,6 +364,9 @@
                        const GrantReply& aReply,
                        TimePoint aNow)
 {
+  if (aReply.isLenderOffline) {
+    this->lenderOfflineAt = aNow;
+  }
   if (LocalBudget* budget = this->Find(aSource)) {
     budget->AddGrant(aReply, aNow);
   }
--- a/packages/budget/test/zone_simulation.cc
+++ b/packages/budget/test/zone_simulation.cc
@@ -10,45 +10,32 @@
 
 constexpr Duration kStep = 1ms;
 constexpr Duration kUsageInterval = 200ms;
+constexpr Duration kPollInterval = 10ms;
 constexpr Duration kDelayToControl = 4ms;
 constexpr Duration kDelayToPeer = 1ms;
 constexpr Duration kReconnectTime = 300ms;
-constexpr std::int64_t kRecallFactor = 3;
 
-LocalBudgetOptions
-GrantedOptions()
-{
-  LocalBudgetOptions options;
-  options.claimTimeout = 100ms;
-  options.grantHorizon = 1s;
-  options.prefetchThreshold = 700ms;
-  options.surplusFactor = 1.2;
-  options.majorityDemandFactor = 12;
-  options.zoneDemandFactor = 10;
-  options.idleReturnDelay = 20s;
-  options.retryDelay = 15ms;
-  options.maxRetryDelay = 1s;
-  options.rateWeight = 0.1;
-  return options;
-}
+} // namespace
 
-LocalBudgetOptions
-BorrowedOptions()
+ClaimCounts&
+ClaimCounts::operator+=(const ClaimCounts& aOther)
 {
-  LocalBudgetOptions options;
-  options.claimTimeout = 250ms;
-  options.retryDelay = Duration(0);
-  options.maxRetryDelay = Duration(0);
-  options.isOnDemand = true;
-  return options;
+  this->covered += aOther.covered;
+  this->exhausted += aOther.exhausted;
+  this->unavailable += aOther.unavailable;
+  this->noFreeTokens += aOther.noFreeTokens;
+  this->offline += aOther.offline;
+  this->refusedFalsely += aOther.refusedFalsely;
+  this->refusalWait += aOther.refusalWait;
+  this->retried += aOther.retried;
+  this->retriesCovered += aOther.retriesCovered;
+  return *this;
 }
 
-} // namespace
-
 ZoneSimulation::ZoneSimulation(ZoneFleet aFleet)
   : fleet(aFleet)
   , random(aFleet.seed)
-  , routers(aFleet.zones * aFleet.routersPerZone)
+  , routers(aFleet.zones * aFleet.routersPerZone - aFleet.missingRouters)
 {
   this->machine.Apply(
     state::CreateWorkspace{ ChangeId("create"), this->workspace });
@@ -67,10 +54,9 @@
   router = {};
   router.isCut = isCut;
   router.session = SessionId(this->nextSession++);
-  router.budget = std::make_unique<RouterBudget>(
-    RouterBudgetOptions{ GrantedOptions(), BorrowedOptions(), [this] {
-                          return Ticket(this->nextTicket++);
-                        } });
+  auto options = MakeRoutedOptions();
+  options.nextTicket = [this] { return Ticket(this->nextTicket++); };
+  router.budget = std::make_unique<RouterBudget>(std::move(options));
   router.budget->SetLending(this->LendingFor(aRouter));
   this->machine.Apply(state::RegisterSession{
     InstanceId(std::to_string(aRouter)), router.session });
@@ -144,13 +130,23 @@
                         Tokens aReserved,
                         Tokens aSpent,
                         Duration aTime)
+{
+  this->MakeClaim({ aRouter, {}, aReserved, aSpent, aTime, this->now });
+}
+
+void
+ZoneSimulation::MakeClaim(const Running& aRequest)
 {
   Ticket ticket(this->nextTicket++);
-  this->running[ticket] = { aRouter, ticket, aSpent, aTime };
-  auto decision = this->routers[aRouter].budget->Reserve(
-    { ticket, this->workspace, aReserved, aReserved }, this->now);
+  Running& request = this->running[ticket];
+  request = aRequest;
+  request.ticket = ticket;
+  this->routers[aRequest.router].isDirty = true;
+  auto decision = this->routers[aRequest.router].budget->Reserve(
+    { ticket, this->workspace, aRequest.reserved, aRequest.reserved },
+    this->now);
   if (decision) {
-    this->Decide(aRouter, *decision);
+    this->Decide(aRequest.router, *decision);
   }
 }
 
@@ -159,20 +155,72 @@
 {
   Running request = this->running.at(aDecision.ticket);
   if (aDecision.refusal) {
-    bool isExhausted = *aDecision.refusal == Refusal::Exhausted;
-    ++(isExhausted ? this->counts.exhausted : this->counts.unavailable);
     this->running.erase(aDecision.ticket);
+    if (request.isRetry) {
+      return;
+    }
+    this->CountRefusal(request, *aDecision.refusal);
+    if (this->fleet.isRetried && aDecision.refusal != Refusal::Exhausted) {
+      ++this->counts.retried;
+      request.isRetry = true;
+      this->At(aRouter, aDecision.retryAfter, [this, request] {
+        this->MakeClaim(request);
+      });
+    }
     return;
   }
-  ++this->counts.covered;
+  ++(request.isRetry ? this->counts.retriesCovered : this->counts.covered);
+  this->inUse += request.reserved;
+  this->running.at(aDecision.ticket).isReserved = true;
   this->At(aRouter, request.time, [this, request] {
     this->spent += request.spent;
+    this->inUse -= request.reserved;
     this->running.erase(request.ticket);
     this->routers[request.router].budget->Settle(
       request.ticket, request.spent, this->now);
   });
 }
 
+void
+ZoneSimulation::CountRefusal(const Running& aRequest, Refusal aRefusal)
+{
+  bool isExhausted = aRefusal == Refusal::Exhausted;
+  ++(isExhausted ? this->counts.exhausted : this->counts.unavailable);
+  this->counts.noFreeTokens += aRefusal == Refusal::NoFreeTokens ? 1 : 0;
+  this->counts.offline += aRefusal == Refusal::Offline ? 1 : 0;
+  this->counts.refusalWait += this->now - aRequest.since;
+  Tokens left = this->Ledger().paid - this->spent - this->inUse;
+  this->counts.refusedFalsely += left >= aRequest.reserved ? 1 : 0;
+}
+
+Tokens
+ZoneSimulation::HeldUnspent() const
+{
+  return this->Ledger().spent + this->Ledger().Outstanding() - this->spent;
+}
+
+Tokens
+ZoneSimulation::AvailableAt(std::size_t aRouter) const
+{
+  Tokens sum;
+  const RouterBudget& budget = *this->routers[aRouter].budget;
+  for (const auto& holdings :
+       { budget.Holdings(), budget.BorrowedHoldings() }) {
+    auto found = holdings.find(this->workspace);
+    sum += found != holdings.end() ? found->second.available : Tokens(0);
+  }
+  return sum;
+}
+
+void
+ZoneSimulation::CutControl(bool aIsCut)
+{
+  this->isControlCut = aIsCut;
+  for (auto& router : this->routers) {
+    router.isDirty = true;
+  }
+}
+
 void
 ZoneSimulation::CutRouter(std::size_t aRouter, bool aIsCut)
 {
@@ -185,7 +233,9 @@
   // What the requests have used so far counts as spent.
   std::erase_if(this->running, [&](const auto& aEntry) {
     bool isHere = aEntry.second.router == aRouter;
-    this->spent += isHere ? aEntry.second.spent : Tokens(0);
+    bool isRunning = isHere && aEntry.second.isReserved;
+    this->spent += isRunning ? aEntry.second.spent : Tokens(0);
+    this->inUse -= isRunning ? aEntry.second.reserved : Tokens(0);
     return isHere;
   });
   InstanceId instance(std::to_string(aRouter));
@@ -211,10 +261,14 @@
     auto event = this->events.extract(this->events.begin()).mapped();
     if (this->routers[event.router].session == event.session) {
       event.run();
+      this->routers[event.router].isDirty = true;
     }
   }
   for (std::size_t router = 0; router < this->routers.size(); ++router) {
-    this->Pump(router);
+    const Router& entry = this->routers[router];
+    if (entry.isDirty || this->now >= entry.pollAt) {
+      this->Pump(router);
+    }
   }
 }
 
@@ -222,7 +276,9 @@
 ZoneSimulation::Pump(std::size_t aRouter)
 {
   Router& router = this->routers[aRouter];
-  router.budget->SetOnline(!this->isControlCut);
+  router.isDirty = false;
+  router.pollAt = this->now + kPollInterval;
+  router.budget->SetOnline(!this->isControlCut, this->now);
   this->Connect(aRouter);
   for (const auto& decision : router.budget->Poll(this->now)) {
     this->Decide(aRouter, decision);
@@ -310,7 +366,8 @@
                                               request->workspace,
                                               request->minimum,
                                               request->wanted,
-                                              request->isPrefetch });
+                                              request->isPrefetch,
+                                              request->isMainUser });
     GrantReply reply{ request->request, request->workspace, Tokens(0), true };
     if (const auto* granted = std::get_if<state::TokensGranted>(&outcome)) {
       reply.tokens = granted->tokens;
@@ -323,7 +380,7 @@
       });
     }
     if (reply.tokens == Tokens(0) && !reply.exhausted && !request->isPrefetch) {
-      this->Recall(aRouter, Tokens(request->minimum.Get() * kRecallFactor));
+      this->Recall(aRouter, request->minimum);
     }
     return;
   }
@@ -341,32 +398,41 @@
   }
 }
 
-// Recalls from the largest holders first, as control does.
 void
-ZoneSimulation::Recall(std::size_t aRequester, Tokens aTokens)
+ZoneSimulation::Recall(std::size_t aRequester, Tokens aMinimum)
 {
-  std::vector<std::pair<Tokens, std::size_t>> holders;
-  for (std::size_t other = 0; other < this->routers.size(); ++other) {
-    auto found = this->Ledger().outstanding.find(this->routers[other].session);
-    if (other != aRequester && found != this->Ledger().outstanding.end()) {
-      holders.emplace_back(found->second, other);
+  std::vector<state::TokenHolder> holders;
+  for (const auto& [session, tokens] : this->Ledger().outstanding) {
+    if (session != this->routers[aRequester].session) {
+      holders.push_back({ session, tokens });
     }
   }
-  std::sort(holders.rbegin(), holders.rend());
-  for (const auto& holder : holders) {
-    if (aTokens <= Tokens(0)) {
-      return;
-    }
-    Tokens amount = std::min(holder.first, aTokens);
-    aTokens -= amount;
-    this->At(holder.second, kDelayToControl, [this, holder, amount] {
-      Router& router = this->routers[holder.second];
+  std::erase_if(holders, [this](const state::TokenHolder& aHolder) {
+    return !this->IndexOf(aHolder.session);
+  });
+  for (const auto& recall : state::PlanRecall(std::move(holders), aMinimum)) {
+    std::size_t holder = *this->IndexOf(recall.session);
+    this->At(holder, kDelayToControl, [this, holder, amount = recall.tokens] {
+      Router& router = this->routers[holder];
       router.budget->Recall(this->workspace, amount);
       router.reportAt = this->now;
     });
   }
 }
 
+std::optional<std::size_t>
+ZoneSimulation::IndexOf(SessionId aSession) const
+{
+  auto found = std::find_if(
+    this->routers.begin(), this->routers.end(), [&](const Router& aRouter) {
+      return aRouter.session == aSession;
+    });
+  if (found == this->routers.end()) {
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(found - this->routers.begin());
+}
+
 void
 ZoneSimulation::SendToAllocator(std::size_t aRouter,
                                 const SourceMessage& aMessage)
--- a/packages/state/include/lycheestand/state.h
+++ b/packages/state/include/lycheestand/state.h
@@ -125,6 +125,10 @@
   // True if the router prefetches the tokens and no request waits for them.
   // Such a grant is smaller and leaves a reserve for waiting requests.
   bool isPrefetch = false;
+  // True if the session serves nearly all requests of the workspace, or those
+  // of its zone. Such a session may prefetch more. Commands in logs of older
+  // builds have false, so their grants keep their sizes.
+  bool isMainUser = false;
 
   friend bool operator==(const GrantTokens&, const GrantTokens&) = default;
 };
@@ -753,6 +757,22 @@
   EvacuationRegister evacuations;
 };
 
+// ------------------------------------------------------------ recalls
+
+// A session that holds tokens of a budget, or the tokens to recall from it.
+struct TokenHolder
+{
+  SessionId session;
+  Tokens tokens;
+
+  friend bool operator==(const TokenHolder&, const TokenHolder&) = default;
+};
+
+// Returns what to recall from the holders that can be reached, for a grant of
+// at least aMinimum tokens.
+std::vector<TokenHolder>
+PlanRecall(std::vector<TokenHolder> aHolders, Tokens aMinimum);
+
 } // namespace lycheestand::state
 
 #endif
