Take an overloaded router out of readiness and of entry responses

Cause: callers of a workspace keep to the first ready router of a fixed order and ignore entry responses.

Change: a pure ReadinessGate turns the accepted fraction into two signals. Overloaded routers tell control at once and are left out of entry responses; not ready ones fail the platform's readiness checks for 30 s or longer, so that such callers move on to a router that can serve them. In a general overload routers stay ready.

--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -203,6 +203,7 @@
     router.entry.callerAddress = aState.hello.callerAddress;
     router.entry.peerAddress = aState.hello.peerAddress;
     router.entry.leaving = false;
+    router.entry.overloaded = false;
     router.link = aLink;
     this->detector.Join(aState.hello.instance, net::Now(this->GetRuntime()));
     aState.pushedGroup = this->groupVersion;
@@ -246,6 +247,7 @@
                              net::Now(this->GetRuntime()));
     router.inFlight = aHeartbeat.inFlight;
     router.entry.leaving = aHeartbeat.leaving;
+    router.entry.overloaded = aHeartbeat.overloaded;
     this->request(this->replica, caf::infinite, ConfirmLeadership{})
       .then([this, aLink, sentAt = aHeartbeat.sentAt](
               const LeadershipConfirmation& aConfirmation) {
@@ -665,6 +667,7 @@
                       { "address", ToString(entry.callerAddress) },
                       { "in_flight", router.inFlight },
                       { "alive", entry.alive },
+                      { "overloaded", entry.overloaded },
                       { "leaving", entry.leaving } });
     }
     return boost::json::serialize(out);
--- a/packages/control/src/view_push.cc
+++ b/packages/control/src/view_push.cc
@@ -18,7 +18,8 @@
                                entry.inFlight,
                                entry.leaving,
                                entry.alive,
-                               entry.peerAddress });
+                               entry.peerAddress,
+                               entry.overloaded });
   }
   for (const auto& entry : delta.endpoints) {
     push.endpoints.push_back({ entry.endpoint,
--- a/packages/membership/include/lycheestand/membership.h
+++ b/packages/membership/include/lycheestand/membership.h
@@ -102,6 +102,8 @@
   // Address at which it lends tokens to other routers; without a host if it
   // does not.
   Address peerAddress;
+  // It is not ready for more callers.
+  bool overloaded = false;
 
   friend bool operator==(const Instance&, const Instance&) = default;
 };
@@ -249,11 +251,17 @@
 
 // Returns the addresses for callers in a zone. Instances of that zone get twice
 // the weight of others, and busy instances get less weight than idle ones.
-// Instances that are leaving or not alive are left out.
+// Instances that are leaving or not alive are left out, overloaded ones unless
+// all are.
 std::vector<EntryAddress>
 ComputeEntryWeights(const std::vector<Instance>& aInstances,
                     const ZoneId& aZone);
 
+// Returns whether the other instances of an instance's zone can take its
+// callers: most of those that are alive are not overloaded.
+bool
+CanRest(const std::vector<Instance>& aInstances, const InstanceId& aInstance);
+
 // Options of SelectEntryInstances.
 struct EntryOptions
 {
@@ -269,7 +277,8 @@
 };
 
 // Returns the instances for callers in a zone: those of the zone if there are
-// enough, otherwise all; only instances that are alive and not leaving. An
+// enough, otherwise all; only instances that are alive and not leaving, and
+// overloaded ones only if there is no other. An
 // instance that is not connected to control assumes that other instances are
 // not either, and sends callers to instances on control hosts, unless these are
 // too few to take the load.
--- a/packages/membership/src/entry_weights.cc
+++ b/packages/membership/src/entry_weights.cc
@@ -32,17 +32,33 @@
   return isWithinMargin ? aPublished : aInFlight;
 }
 
+namespace {
+
+// Returns the instances that take callers. If all are overloaded, callers get
+// all: a request that may be refused is better than no address.
+std::vector<Instance>
+FindAvailable(const std::vector<Instance>& aInstances)
+{
+  std::vector<Instance> available;
+  std::vector<Instance> overloaded;
+  for (const auto& entry : aInstances) {
+    if (entry.alive && !entry.leaving) {
+      (entry.overloaded ? overloaded : available).push_back(entry);
+    }
+  }
+  return available.empty() ? overloaded : available;
+}
+
+} // namespace
+
 // A busy instance gets fewer new callers, but none is excluded because of its
-// load alone.
+// number of requests alone.
 std::vector<EntryAddress>
 ComputeEntryWeights(const std::vector<Instance>& aInstances,
                     const ZoneId& aZone)
 {
   std::vector<EntryAddress> out;
-  for (const auto& entry : aInstances) {
-    if (!entry.alive || entry.leaving) {
-      continue;
-    }
+  for (const auto& entry : FindAvailable(aInstances)) {
     double weight = kFullWeight * kHalfWeightInFlight /
                     (kHalfWeightInFlight + entry.inFlight);
     weight *= entry.zone == aZone ? 1 : kOtherZoneFactor;
@@ -54,6 +70,30 @@
   return out;
 }
 
+// In a general overload, each instance that turns callers away adds to the load
+// of the others.
+bool
+CanRest(const std::vector<Instance>& aInstances, const InstanceId& aInstance)
+{
+  auto self =
+    std::find_if(aInstances.begin(), aInstances.end(), [&](const auto& aEntry) {
+      return aEntry.instance == aInstance;
+    });
+  if (self == aInstances.end()) {
+    return false;
+  }
+  std::size_t others = 0;
+  std::size_t overloaded = 0;
+  for (const auto& entry : aInstances) {
+    if (entry.instance != aInstance && entry.zone == self->zone &&
+        entry.alive && !entry.leaving) {
+      ++others;
+      overloaded += entry.overloaded ? 1 : 0;
+    }
+  }
+  return others > 0 && overloaded * 2 < others;
+}
+
 namespace {
 
 // Returns the instances on control hosts, or all instances if those are too
@@ -82,12 +122,7 @@
                      const ZoneId& aZone,
                      const EntryOptions& aOptions)
 {
-  std::vector<Instance> available;
-  for (const auto& entry : aInstances) {
-    if (entry.alive && !entry.leaving) {
-      available.push_back(entry);
-    }
-  }
+  std::vector<Instance> available = FindAvailable(aInstances);
   if (!aOptions.isControlConnected) {
     available = PreferControlHosts(std::move(available), aOptions);
   }
--- a/packages/membership/test/membership_test.cc
+++ b/packages/membership/test/membership_test.cc
@@ -137,3 +137,61 @@
   REQUIRE(entries[1].weight == 50);
   REQUIRE(entries[2].weight == 50);
 }
+
+namespace {
+
+// Five routers in each of two zones.
+std::vector<Instance>
+MakeTwoZones()
+{
+  std::vector<Instance> out;
+  for (const char* zone : { "a", "b" }) {
+    for (int i = 1; i <= 5; ++i) {
+      Instance entry;
+      entry.instance = InstanceId(std::string(zone) + std::to_string(i));
+      entry.zone = ZoneId(zone);
+      entry.callerAddress = { entry.instance.Get(), 80 };
+      entry.alive = true;
+      out.push_back(entry);
+    }
+  }
+  return out;
+}
+
+} // namespace
+
+// Guards against callers that are sent to a router which already gets more than
+// it can serve.
+TEST_CASE("entry addresses leave overloaded routers out while there are others")
+{
+  auto routers = MakeTwoZones();
+  routers[0].overloaded = true;
+  auto selected = SelectEntryInstances(routers, ZoneId("a"), {});
+  CHECK(selected.size() == 4);
+  CHECK(ComputeEntryWeights(routers, ZoneId("a")).size() == 9);
+  for (std::size_t i = 1; i < 4; ++i) {
+    routers[i].overloaded = true;
+  }
+  // One router is too few; callers get those of all zones.
+  CHECK(SelectEntryInstances(routers, ZoneId("a"), {}).size() == 6);
+  for (auto& router : routers) {
+    router.overloaded = true;
+  }
+  CHECK(SelectEntryInstances(routers, ZoneId("a"), {}).size() == 5);
+}
+
+// Guards against routers that turn callers away together, which adds to the
+// load of the rest.
+TEST_CASE("a router may rest while most others of its zone are not overloaded")
+{
+  auto routers = MakeTwoZones();
+  CHECK(CanRest(routers, InstanceId("a1")));
+  routers[1].overloaded = true;
+  CHECK(CanRest(routers, InstanceId("a1")));
+  routers[2].overloaded = true;
+  CHECK_FALSE(CanRest(routers, InstanceId("a1")));
+  CHECK(CanRest(routers, InstanceId("b1")));
+  CHECK_FALSE(CanRest(routers, InstanceId("unknown")));
+  routers.resize(1);
+  CHECK_FALSE(CanRest(routers, InstanceId("a1")));
+}
--- a/packages/router/src/control_link.cc
+++ b/packages/router/src/control_link.cc
@@ -68,6 +68,10 @@
         this->isLeaving = true;
         this->SendHeartbeat();
       },
+      [this](SetOverloaded aSet) {
+        this->isOverloaded = aSet.isOverloaded;
+        this->SendHeartbeat();
+      },
       [this](RequestFullConfiguration) {
         this->revision = Revision(0);
         if (this->accepted) {
@@ -357,6 +361,7 @@
     }
     this->send(this->controllers.endpoint, ViewChanged{ view });
     this->send(this->controllers.membership, ViewChanged{ view });
+    this->send(this->controllers.overload, ViewChanged{ view });
     this->send(this->controllers.budget, ViewChanged{ view });
   }
 
@@ -385,6 +390,7 @@
     heartbeat.inFlight = static_cast<std::uint32_t>(
       net::Metrics().GetGauge("lycheestand_requests_in_flight").Value());
     heartbeat.leaving = this->isLeaving;
+    heartbeat.overloaded = this->isOverloaded;
     this->SendToControl(heartbeat);
   }
 
@@ -428,6 +434,7 @@
   // When the last link to the leader was lost, or the process started.
   TimePoint lostAt{};
   bool isLeaving = false;
+  bool isOverloaded = false;
   Revision revision;
   ViewReceiver viewReceiver;
   net::Gauge connected =
--- a/packages/router/src/controllers.h
+++ b/packages/router/src/controllers.h
@@ -82,16 +82,18 @@
 struct Acceptance
 {
   // A part of the new connections is refused.
-  bool isOverloaded = false;
+  bool refusesConnections = false;
+  routing::Readiness readiness;
   // Whether connections are accepted until the next decision.
   bool acceptsConnections = true;
 };
 
 // Starts the task that owns the decision what this router accepts. It gets
-// ConnectTime and TaskDelay, and calls aPublish inside the task after each
-// TaskDelay.
+// ConnectTime, TaskDelay and ViewChanged, and calls aPublish inside the task
+// after each TaskDelay.
 caf::actor
 SpawnOverloadController(const net::Runtime& aRuntime,
+                        const InstanceId& aInstance,
                         std::function<void(const Acceptance&)> aPublish);
 
 // Starts the task that reports crashes of endpoints, and successes of suspected
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -75,6 +75,12 @@
 struct SetLeaving
 {};
 
+// To the control link: reports to control whether this router is overloaded.
+struct SetOverloaded
+{
+  bool isOverloaded = false;
+};
+
 // ------------------------------------------------------------ configuration
 
 // Requests the configuration; the answer is ActiveConfiguration.
@@ -403,6 +409,7 @@
   caf::actor endpoint;
   caf::actor admission;
   caf::actor membership;
+  caf::actor overload;
   caf::actor quarantine;
   caf::actor link;
 };
@@ -417,6 +424,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ConnectTime)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::TaskDelay)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::SetLeaving)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::SetOverloaded)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::GetConfiguration)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ActiveConfiguration)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::RequestFullConfiguration)
--- a/packages/router/src/overload_controller.cc
+++ b/packages/router/src/overload_controller.cc
@@ -1,17 +1,22 @@
 #include "controllers.h"
 
+#include <lycheestand/membership.h>
+
 namespace lycheestand::router {
 
 namespace {
 
-// Owns the decision which fraction of new connections this router accepts.
+// Owns the decisions which fraction of new connections this router accepts, and
+// whether it is ready for more callers.
 class OverloadController : public net::IoTask
 {
 public:
   OverloadController(caf::actor_config& aConfig,
                      net::Runtime aRuntime,
+                     InstanceId aInstance,
                      std::function<void(const Acceptance&)> aPublish)
     : net::IoTask(aConfig, aRuntime)
+    , instance(std::move(aInstance))
     , publish(std::move(aPublish))
   {
   }
@@ -26,6 +31,10 @@
           std::min(this->sample.shortestConnect, aConnect.time);
       },
       [this](TaskDelay aDelay) { this->Update(aDelay.delay); },
+      [this](ViewChanged& aChanged) {
+        this->canRest =
+          membership::CanRest(aChanged.view->Instances(), this->instance);
+      },
     };
   }
 
@@ -39,7 +48,24 @@
     }
     this->sample = {};
     this->fraction = fraction;
-    this->publish({ fraction < 1, this->shedder.AcceptsConnections() });
+    auto readiness =
+      this->gate.Update(fraction, this->canRest, net::Now(this->GetRuntime()));
+    if (readiness.isReady != this->readiness.isReady) {
+      this->LogReadiness(readiness.isReady);
+    }
+    this->readiness = readiness;
+    this->publish(
+      { fraction < 1, readiness, this->shedder.AcceptsConnections() });
+  }
+
+  void LogReadiness(bool aIsReady)
+  {
+    this->readyGauge.Set(aIsReady ? 1 : 0);
+    net::Log(net::LogLevel::Warning,
+             aIsReady ? "ready for more callers"
+                      : "overloaded: not ready for more callers",
+             { { "event", aIsReady ? "ready" : "not_ready" },
+               { "accepted_fraction", std::to_string(this->fraction) } });
   }
 
   void LogChange(bool aIsOverloaded) const
@@ -57,20 +83,27 @@
             : net::FormatMilliseconds(this->sample.shortestConnect) } });
   }
 
+  InstanceId instance;
   std::function<void(const Acceptance&)> publish;
   routing::LoadShedder shedder;
   routing::LoadSample sample;
   double fraction = 1;
+  routing::ReadinessGate gate;
+  routing::Readiness readiness;
+  // Whether other routers of the zone can take this one's callers.
+  bool canRest = false;
+  net::Gauge readyGauge = net::Metrics().GetGauge("lycheestand_takes_callers");
 };
 
 } // namespace
 
 caf::actor
 SpawnOverloadController(const net::Runtime& aRuntime,
+                        const InstanceId& aInstance,
                         std::function<void(const Acceptance&)> aPublish)
 {
-  return aRuntime.system->spawn<OverloadController>(aRuntime,
-                                                    std::move(aPublish));
+  return aRuntime.system->spawn<OverloadController>(
+    aRuntime, aInstance, std::move(aPublish));
 }
 
 } // namespace lycheestand::router
--- a/packages/router/src/router.cc
+++ b/packages/router/src/router.cc
@@ -214,8 +214,8 @@
 
   Result<void, std::string> Start(const net::FleetKey& aKey)
   {
-    auto overload =
-      SpawnOverloadController(this->runtime, [this](const Acceptance& aNow) {
+    auto overload = SpawnOverloadController(
+      this->runtime, this->settings.instance, [this](const Acceptance& aNow) {
         this->SetAcceptance(aNow);
       });
     auto pool =
@@ -234,6 +234,7 @@
       this->runtime, pool, MakeEndpointOptions(this->settings), all.admission);
     all.membership = SpawnMembershipController(this->runtime, this->settings);
     all.quarantine = SpawnQuarantineController(this->runtime);
+    all.overload = overload;
     all.link =
       SpawnControlLink(this->runtime, this->settings, aKey, all, [this] {
         this->Drain(this->onDrained);
@@ -302,7 +303,7 @@
         [this, aDone](const ActiveConfiguration& aReply) {
           bool isSet = this->protocol ? aReply.table != nullptr
                                       : aReply.snapshot != nullptr;
-          aDone(isSet && !this->IsStopping());
+          aDone(isSet && !this->IsStopping() && this->isReady);
         },
         [aDone](const caf::error&) { aDone(false); });
   }
@@ -357,7 +358,7 @@
     options.maxConnections = this->settings.maxConnections;
     options.requestTimeout = this->settings.requestTimeout;
     options.servesNewConnection = [this] { return this->AcceptsRequest(); };
-    options.keepsConnections = [this] { return !this->isOverloaded; };
+    options.keepsConnections = [this] { return !this->refusesConnections; };
     return options;
   }
 
@@ -384,7 +385,13 @@
   // Runs in the task of the overload controller.
   void SetAcceptance(const Acceptance& aAcceptance)
   {
-    this->isOverloaded = aAcceptance.isOverloaded;
+    this->refusesConnections = aAcceptance.refusesConnections;
+    this->isReady = aAcceptance.readiness.isReady;
+    if (aAcceptance.readiness.isOverloaded != this->isOverloaded) {
+      this->isOverloaded = aAcceptance.readiness.isOverloaded;
+      caf::anon_send(this->controllers.link,
+                     SetOverloaded{ this->isOverloaded });
+    }
     if (aAcceptance.acceptsConnections != this->isListening) {
       this->isListening = aAcceptance.acceptsConnections;
       caf::anon_send(this->server, net::SetListening{ this->isListening });
@@ -422,9 +429,11 @@
   std::atomic<bool> isProbing{ false };
   // Used by the overload controller's task only.
   bool isListening = true;
+  bool isOverloaded = false;
   // Written by the overload controller's task, read by those of the
   // connections.
-  std::atomic<bool> isOverloaded{ false };
+  std::atomic<bool> refusesConnections{ false };
+  std::atomic<bool> isReady{ true };
   // Time at which the stop was requested, or 0; read by the connections' tasks.
   std::atomic<Duration::rep> stopRequestedAt{ 0 };
   std::function<void()> onDrained = [] {};
--- a/packages/router/src/view_receiver.cc
+++ b/packages/router/src/view_receiver.cc
@@ -19,7 +19,8 @@
                                 entry.inFlight,
                                 entry.leaving,
                                 entry.alive,
-                                entry.peerAddress });
+                                entry.peerAddress,
+                                entry.overloaded });
   }
   for (const auto& entry : aPush.endpoints) {
     delta.endpoints.push_back({ entry.endpoint,
--- a/packages/routing/include/lycheestand/routing.h
+++ b/packages/routing/include/lycheestand/routing.h
@@ -564,6 +564,59 @@
   double acceptCredit = 0;
 };
 
+// Settings of a ReadinessGate.
+struct ReadinessOptions
+{
+  // Accepted fraction below which a process is overloaded.
+  double minFraction = 0.75;
+  // How long it counts as overloaded after it was last below that.
+  Duration recoveryTime = std::chrono::seconds(4);
+  // How long it stays not ready after it was last overloaded. It is longer than
+  // the recovery time, since the callers that caused the overload come back all
+  // at once. It doubles, up to maxRestTime, if they cause one again within
+  // resetTime.
+  Duration firstRestTime = std::chrono::seconds(30);
+  Duration maxRestTime = std::chrono::minutes(4);
+  Duration resetTime = std::chrono::minutes(2);
+};
+
+// What a process tells others about its load.
+struct Readiness
+{
+  // It takes no new callers from the entry addresses.
+  bool isOverloaded = false;
+  // It takes callers that keep to the first ready process of a fixed order.
+  bool isReady = true;
+
+  friend bool operator==(const Readiness&, const Readiness&) = default;
+};
+
+// Determines whether a process takes more callers. Callers that choose anew for
+// each connection spread over all processes, so an overloaded one gets them
+// again soon. Callers of a workspace that all keep to the first ready process
+// move on together when it is not ready, until they reach one that can serve
+// them all.
+class ReadinessGate
+{
+public:
+  explicit ReadinessGate(ReadinessOptions aOptions = {})
+    : options(aOptions)
+  {
+  }
+
+  // Adds the fraction of connections that is accepted now. aCanRest tells
+  // whether other processes can take this one's callers; if not, it stays
+  // ready.
+  Readiness Update(double aFraction, bool aCanRest, TimePoint aNow);
+
+private:
+  ReadinessOptions options;
+  bool isReady = true;
+  std::optional<TimePoint> lastOverload;
+  std::optional<TimePoint> readyAgainAt;
+  Duration restTime{};
+};
+
 // ------------------------------------------------------------ admission
 
 enum class Priority : std::uint8_t
--- a/packages/routing/test/load_shedder_test.cc
+++ b/packages/routing/test/load_shedder_test.cc
@@ -110,3 +110,46 @@
   }
   CHECK(accepted == Approx(490).margin(2));
 }
+
+namespace {
+
+constexpr TimePoint kStart{ 1h };
+
+} // namespace
+
+// Guards against callers of one workspace that all keep to a router which can't
+// serve them: they move on only when it is not ready.
+TEST_CASE(
+  "an overloaded process is not ready while others can take its callers")
+{
+  ReadinessGate gate;
+  CHECK(gate.Update(0.9, true, kStart) == Readiness{ false, true });
+  CHECK(gate.Update(0.5, true, kStart + 1s) == Readiness{ true, false });
+  // New callers of the entry addresses come back earlier than those that keep
+  // to it.
+  CHECK(gate.Update(1, true, kStart + 6s) == Readiness{ false, false });
+  CHECK(gate.Update(1, true, kStart + 32s) == Readiness{ false, true });
+}
+
+// Guards against a general overload in which each router turns callers away.
+TEST_CASE("an overloaded process stays ready if no other can take its callers")
+{
+  ReadinessGate gate;
+  CHECK(gate.Update(0.5, false, kStart) == Readiness{ true, true });
+  REQUIRE(gate.Update(0.5, true, kStart + 1s) == Readiness{ true, false });
+  CHECK(gate.Update(0.5, false, kStart + 2s) == Readiness{ true, true });
+}
+
+// Guards against callers that swing between two routers, each of which they
+// overload.
+TEST_CASE("the rest time doubles when the overload comes back")
+{
+  ReadinessGate gate;
+  gate.Update(0.5, true, kStart);
+  REQUIRE(gate.Update(1, true, kStart + 30s).isReady);
+  gate.Update(0.5, true, kStart + 40s);
+  CHECK_FALSE(gate.Update(1, true, kStart + 95s).isReady);
+  CHECK(gate.Update(1, true, kStart + 100s).isReady);
+  gate.Update(0.5, true, kStart + 300s);
+  CHECK(gate.Update(1, true, kStart + 330s).isReady);
+}
--- a/packages/wire/include/lycheestand/wire.h
+++ b/packages/wire/include/lycheestand/wire.h
@@ -81,6 +81,8 @@
   // Number of requests in flight.
   std::uint32_t inFlight = 0;
   bool leaving = false;
+  // The router is not ready for more callers.
+  bool overloaded = false;
 };
 
 // Reply to a heartbeat, sent after a quorum has confirmed that the sender is
@@ -122,6 +124,8 @@
   bool alive = false;
   // Address at which the router lends tokens; without a host if it does not.
   Address peerAddress;
+  // The router is not ready for more callers.
+  bool overloaded = false;
 
   friend bool operator==(const InstanceEntry&, const InstanceEntry&) = default;
 };
--- a/packages/wire/src/codec.cc
+++ b/packages/wire/src/codec.cc
@@ -139,6 +139,7 @@
   out.view_version = aIn.viewVersion.Get();
   out.in_flight = aIn.inFlight;
   out.leaving = aIn.leaving;
+  out.overloaded = aIn.overloaded;
   return out;
 }
 
@@ -149,7 +150,8 @@
            Revision(aIn.revision),
            ViewVersion(aIn.view_version),
            aIn.in_flight,
-           aIn.leaving };
+           aIn.leaving,
+           aIn.overloaded };
 }
 
 fb::ConfigPushT
@@ -182,6 +184,7 @@
   out.leaving = aIn.leaving;
   out.alive = aIn.alive;
   out.peer_address = PackAddress(aIn.peerAddress);
+  out.overloaded = aIn.overloaded;
   return out;
 }
 
@@ -194,7 +197,8 @@
            aIn.in_flight,
            aIn.leaving,
            aIn.alive,
-           UnpackAddress(aIn.peer_address) };
+           UnpackAddress(aIn.peer_address),
+           aIn.overloaded };
 }
 
 fb::EndpointEntryT
