--- a/packages/wire/src/codec.cc
+++ b/packages/wire/src/codec.cc
@@ -141,6 +141,7 @@
   out.view_version = aIn.viewVersion.Get();
   out.in_flight = aIn.inFlight;
   out.leaving = aIn.leaving;
+  out.overloaded = aIn.overloaded;
   return out;
 }
 
@@ -151,7 +152,8 @@
            Revision(aIn.revision),
            ViewVersion(aIn.view_version),
            aIn.in_flight,
-           aIn.leaving };
+           aIn.leaving,
+           aIn.overloaded };
 }
 
 fb::ConfigPushT
@@ -184,6 +186,7 @@
   out.leaving = aIn.leaving;
   out.alive = aIn.alive;
   out.peer_address = PackAddress(aIn.peerAddress);
+  out.overloaded = aIn.overloaded;
   return out;
 }
 
@@ -196,7 +199,8 @@
            aIn.in_flight,
            aIn.leaving,
            aIn.alive,
-           UnpackAddress(aIn.peer_address) };
+           UnpackAddress(aIn.peer_address),
+           aIn.overloaded };
 }
 
 fb::EndpointEntryT
