Read the zone of an order before the command is moved

Cause: the linter takes the order of evaluation in ProposeZoneOrder for a use after a move. Change: the message is made first.

--- a/packages/control/src/zone_orders.cc
+++ b/packages/control/src/zone_orders.cc
@@ -99,7 +99,8 @@
                  state::SetZoneEvacuation aCommand,
                  std::function<void(const ZoneOrderResult&)> aDone)
 {
-  aTask.request(aFleet, kZonesTimeout, GetZones{ aCommand.zone })
+  GetZones getZones{ aCommand.zone };
+  aTask.request(aFleet, kZonesTimeout, std::move(getZones))
     .then(
       [&task = aTask, aReplica, command = std::move(aCommand), aDone](
         const KnownZones& aZones) mutable {
