--- a/test/faults/rate_limit_test.cc
+++ b/test/faults/rate_limit_test.cc
@@ -1,5 +1,5 @@
 // Replicas of the users' platform that name the requests a second that they
-// take from all routers together.
+// take from all routers together, or that are cold.
 
 #include "platform_fleet.h"
 #include "replica_pool.h"
@@ -29,13 +29,19 @@
 // ("contactWindowMs").
 constexpr Duration kNoticeTime = 3s;
 
+// Bound for a cold replica in any one second, and the time from the first list
+// that shows it until the bound holds.
+constexpr std::size_t kMaxColdPerSecond = kRate * 3 / 2 + 5;
+constexpr Duration kListTime = 3s;
+
 // One control instance, three routers, and two replicas of which the first ones
 // name a limit.
 class RateLimitFixture
 {
 public:
-  RateLimitFixture()
-    : pool(this->ReplicaIps(),
+  explicit RateLimitFixture(int aColdReplicas = 0)
+    : coldReplicas(aColdReplicas)
+    , pool(this->ReplicaIps(),
            this->fleet.MachineIp(120),
            "llm",
            2s,
@@ -43,6 +49,11 @@
              return this->Answer(aReplica, aRequest);
            })
   {
+    this->pool.SetEntryMembers([this](int aReplica) {
+      return aReplica < this->coldReplicas
+               ? json::object{ { "coldRemainingMs", 6000 } }
+               : json::object{};
+    });
     MachineOptions options = this->Options();
     options.bootstrap = true;
     this->fleet.StartControl(kLimitControl, options);
@@ -50,11 +61,7 @@
       this->fleet.StartRouter(router, options);
     }
     REQUIRE(WaitFor(kFirstAnswerTime, [this] {
-      return this->fleet.PutDocument(
-               kLimitControl,
-               MakeEngineDocument(
-                 json::array{ MakeEngineRoute("safe", "safe", false) },
-                 100'000'000)) == 200;
+      return this->fleet.PutDocument(kLimitControl, MakeDocument()) == 200;
     }));
     for (int router : kLimitRouters) {
       REQUIRE(WaitFor(kFirstAnswerTime, [this, router] {
@@ -131,7 +138,24 @@
     return most;
   }
 
+  // Returns the most requests that a replica got in any one second since.
+  std::size_t MostInSecond(int aReplica, Clock::time_point aFrom = {})
+  {
+    std::lock_guard lock(this->mutex);
+    std::size_t most = 0;
+    const auto& times = this->requestTimes[aReplica];
+    for (auto first = std::lower_bound(times.begin(), times.end(), aFrom);
+         first != times.end();
+         ++first) {
+      auto end = std::upper_bound(first, times.end(), *first + 1s);
+      most = std::max(most, static_cast<std::size_t>(end - first));
+    }
+    return most;
+  }
+
   PlatformFleet fleet{ "rate-limit" };
+  // Replicas with a lower number than this are cold.
+  std::atomic<int> coldReplicas;
   // Replicas with a lower number than this name a limit.
   std::atomic<int> limitedReplicas{ 0 };
   std::mutex mutex;
@@ -139,6 +163,17 @@
   Duration longestRefusal{};
 
 private:
+  static std::string MakeDocument()
+  {
+    auto document =
+      json::parse(
+        MakeEngineDocument(
+          json::array{ MakeEngineRoute("safe", "safe", false) }, 100'000'000))
+        .as_object();
+    document["services"].as_array()[0].as_object()["coldPerS"] = kRate;
+    return json::serialize(document);
+  }
+
   std::vector<std::string> ReplicaIps() const
   {
     std::vector<std::string> ips;
@@ -152,6 +187,7 @@
   {
     std::lock_guard lock(this->mutex);
     auto now = Clock::now();
+    this->requestTimes[aReplica].push_back(now);
     if (aReplica >= this->limitedReplicas) {
       return { { MakeAnswer(200, aRequest, "sound") } };
     }
@@ -166,10 +202,31 @@
 
   std::map<int, Clock::time_point> limitedSince;
   std::map<int, std::vector<Clock::time_point>> arrivals;
+  std::map<int, std::vector<Clock::time_point>> requestTimes;
   std::atomic<int> requests{ 0 };
   ReplicaPool pool;
 };
 
+// The replicas are cold from the start.
+class ColdStartFixture : public RateLimitFixture
+{
+public:
+  ColdStartFixture()
+    : RateLimitFixture(kLimitReplicas)
+  {
+  }
+
+  void RestartFleet()
+  {
+    std::this_thread::sleep_for(4s);
+    this->fleet.Machine(kLimitRouters[0]).Kill();
+    this->fleet.StartRouter(kLimitRouters[0], this->Options());
+    std::this_thread::sleep_for(1s);
+    this->fleet.Machine(kLimitControl).Kill();
+    this->fleet.StartControl(kLimitControl, this->Options());
+  }
+};
+
 } // namespace
 
 // Guards against routers that each take a replica's limit for their own: it
@@ -226,4 +283,44 @@
   CHECK(this->answers[200] >= 10 * 40);
 }
 
+// Guards against a replica that has become cold and gets as much as before, and
+// against one that stays bounded when it is warm again.
+TEST_CASE_METHOD(RateLimitFixture,
+                 "the fleet keeps to the bound of a cold replica",
+                 "[cold]")
+{
+  this->coldReplicas = 1;
+  auto cold = Clock::now();
+  this->SendLoad(4s);
+  // The other replica takes the rest.
+  CHECK(this->answers[503] == 0);
+  this->coldReplicas = kLimitReplicas;
+  this->SendLoad(6s);
+  CHECK(this->MostInSecond(0, cold + kListTime) <= kMaxColdPerSecond);
+  CHECK(this->MostInSecond(1, cold + 4s + kListTime) <= kMaxColdPerSecond);
+  this->coldReplicas = 0;
+  CHECK(WaitFor(5s, [this] {
+    return this->fleet.ReadMetric(
+             kLimitControl, true, "lycheestand_cold_endpoints") == 0;
+  }));
+  auto warm = Clock::now();
+  this->SendLoad(4s);
+  CHECK(this->MostInSecond(0, warm) > kMaxColdPerSecond);
+}
+
+// Guards against routers that get to know a cold replica, or the route to it,
+// before its limit: when a configuration, a router or a leader is new.
+TEST_CASE_METHOD(ColdStartFixture,
+                 "replicas that start cold are never above their bound",
+                 "[cold-start]")
+{
+  std::thread restarts([this] { this->RestartFleet(); });
+  this->SendLoad(9s);
+  restarts.join();
+  for (int replica = 0; replica < kLimitReplicas; ++replica) {
+    CHECK(this->MostInSecond(replica) <= kMaxColdPerSecond);
+    CHECK(this->MostInSecond(replica) >= kRate / 2);
+  }
+}
+
 } // namespace lycheestand::faults
