Give out no permits for cold endpoints in the first second of a leader

A leader that is cut off from the quorum steps down at most two election timeouts after its last contact, and the next one is elected after one. Both gave out the whole rate for up to a second.

--- a/packages/control/src/limit_controller.cc
+++ b/packages/control/src/limit_controller.cc
@@ -15,6 +15,11 @@
 // Until then they keep to these, and it sends none.
 constexpr Duration kReportTime = std::chrono::seconds(1);
 
+// Time for which a new leader gives out no permits for cold endpoints. An
+// earlier one that is cut off steps down at most two election timeouts after
+// its last contact with a quorum, and a new one is elected after one of 1 s.
+constexpr Duration kColdPause = std::chrono::seconds(1);
+
 // Time for which an endpoint is taken to be cold after a router has told a new
 // leader that it was, if the list can't be read.
 constexpr Duration kKnownColdTime = std::chrono::seconds(10);
@@ -61,7 +66,7 @@
       [this](LeadershipChanged& aChanged) {
         this->isLeader = aChanged.isLeader;
         this->coldEndpoints.Set(0);
-        this->ledger = limits::PermitLedger();
+        this->ledger = limits::PermitLedger(this->Time() + kColdPause);
         this->cold.Clear();
         this->endpoints.clear();
         this->hasEndpoints = false;
@@ -150,8 +155,7 @@
   void ApplyCold(const limits::ColdChanges& aChanges)
   {
     for (const auto& endpoint : aChanges.restarted) {
-      this->MarkChanged(
-        this->ledger.Set(endpoint, std::nullopt, this->Time()));
+      this->MarkChanged(this->ledger.Set(endpoint, std::nullopt, this->Time()));
       this->LogEndpoint("endpoint_restarted", endpoint);
     }
     for (const auto& endpoint : aChanges.cold) {
--- a/packages/limits/include/lycheestand/limits.h
+++ b/packages/limits/include/lycheestand/limits.h
@@ -122,6 +122,13 @@
 class PermitLedger
 {
 public:
+  // Permits for cold endpoints accumulate from aColdFrom. Until then an earlier
+  // leader may still give out some.
+  explicit PermitLedger(TimePoint aColdFrom = {})
+    : coldFrom(aColdFrom)
+  {
+  }
+
   // Sets the limit that an endpoint names, or removes it. Returns whether it
   // changed.
   bool Set(const EndpointId& aEndpoint,
@@ -164,12 +171,13 @@
 
     double Rate() const;
     double Burst() const;
-    void Accumulate(TimePoint aNow);
+    void Accumulate(TimePoint aNow, TimePoint aColdFrom);
     Duration Queue(Duration aWait, TimePoint aNow);
   };
 
   Account& FindOrAdd(const EndpointId& aEndpoint, TimePoint aNow);
 
+  TimePoint coldFrom;
   std::map<EndpointId, Account> accounts;
 };
 
--- a/packages/limits/src/permit_ledger.cc
+++ b/packages/limits/src/permit_ledger.cc
@@ -54,12 +54,13 @@
 
 // Also drops the permits above the burst of a limit that has become lower.
 void
-PermitLedger::Account::Accumulate(TimePoint aNow)
+PermitLedger::Account::Accumulate(TimePoint aNow, TimePoint aColdFrom)
 {
+  TimePoint from =
+    this->cold ? std::max(this->updatedAt, aColdFrom) : this->updatedAt;
   if (this->named || this->cold) {
-    this->permits = std::min(
-      this->Burst(),
-      this->permits + this->Rate() * ToSeconds(aNow - this->updatedAt));
+    double added = this->Rate() * ToSeconds(std::max(Duration(0), aNow - from));
+    this->permits = std::min(this->Burst(), this->permits + added);
   }
   this->updatedAt = aNow;
 }
@@ -72,7 +73,7 @@
   added.usedAt = aNow;
   Account& account = this->accounts.try_emplace(aEndpoint, added).first->second;
   // Permits up to now accumulate at the old rate.
-  account.Accumulate(aNow);
+  account.Accumulate(aNow, this->coldFrom);
   return account;
 }
 
@@ -105,7 +106,7 @@
   }
   for (auto& [endpoint, account] : this->accounts) {
     if (account.cold && !aCold.contains(endpoint)) {
-      account.Accumulate(aNow);
+      account.Accumulate(aNow, this->coldFrom);
       account.cold.reset();
       account.usedAt = aNow;
       isChanged = true;
@@ -138,7 +139,7 @@
   }
   Account& account = found->second;
   double rate = account.Rate();
-  account.Accumulate(aNow);
+  account.Accumulate(aNow, this->coldFrom);
   account.usedAt = aNow;
   PermitGrant grant;
   grant.granted = std::min(aWanted, static_cast<unsigned>(account.permits));
@@ -149,6 +150,7 @@
       std::chrono::duration<double>(seconds));
     grant.wait = rate > 0 ? std::max(kMinWait, wait) : kMaxWait;
     if (account.cold && rate > 0) {
+      grant.wait += std::max(Duration(0), this->coldFrom - aNow);
       grant.wait = account.Queue(grant.wait, aNow);
     }
   }
--- a/packages/limits/test/cold_endpoints_test.cc
+++ b/packages/limits/test/cold_endpoints_test.cc
@@ -27,6 +27,7 @@
   // Requests a second that it wants to send.
   double demand = 40;
   bool isConnected = true;
+  PermitLedger* leader = nullptr;
   std::map<EndpointId, TimePoint> blockedUntil;
 };
 
@@ -45,7 +46,8 @@
       auto random = [this](std::uint64_t aBound) {
         return this->random() % aBound;
       };
-      this->routers.push_back({ PermitQueue(random), 40, true, {} });
+      this->routers.push_back(
+        { PermitQueue(random), 40, true, &this->ledger, {} });
       this->routers.back().queue.SetSource(PermitSource::Control, this->now);
       this->routers.back().queue.SetColdLimits(this->cold);
     }
@@ -87,19 +89,25 @@
     aRouter.queue.SetSource(PermitSource::Control, this->now);
   }
 
-  // The next leader knows the limits from the routers. All but the first ones
-  // find it within a second.
+  // The next leader knows the limits from the routers. A third of them stays at
+  // the last one for a second, until that steps down. All but the first ones
+  // find the new one within a second.
   void ChangeLeader(std::size_t aStayWithout)
   {
-    this->ledger = PermitLedger();
+    this->lastLedger =
+      std::exchange(this->ledger, PermitLedger(this->now + 1s));
     this->ledger.SetCold(this->routers.back().queue.KnownColdLimits(this->now),
                          this->now);
-    for (std::size_t i = 0; i < kRouters; ++i) {
-      this->Disconnect(this->routers[i]);
-      if (i >= aStayWithout) {
-        this->After(std::chrono::milliseconds(200 + this->random() % 800),
-                    [this, i] { this->Connect(this->routers[i]); });
-      }
+    for (std::size_t i = aStayWithout; i < kRouters; ++i) {
+      SimulatedRouter& router = this->routers[i];
+      Duration delay = i % 3 == 0 ? 1s : 0s;
+      router.leader = &this->lastLedger;
+      this->After(delay, [this, &router] { this->Disconnect(router); });
+      delay += std::chrono::milliseconds(50 + this->random() % 900);
+      this->After(delay, [this, &router] {
+        router.leader = &this->ledger;
+        this->Connect(router);
+      });
     }
   }
 
@@ -135,6 +143,7 @@
   TimePoint now{ 1h };
   Limits cold;
   PermitLedger ledger;
+  PermitLedger lastLedger;
   std::vector<SimulatedRouter> routers;
   // Requests for permits.
   std::size_t messages = 0;
@@ -182,7 +191,7 @@
     }
     ++this->messages;
     this->After(this->Latency(), [this, &aRouter, aEndpoint, aCount] {
-      auto grant = this->ledger.Take(aEndpoint, aCount, this->now);
+      auto grant = aRouter.leader->Take(aEndpoint, aCount, this->now);
       this->After(this->Latency(), [this, &aRouter, aEndpoint, grant] {
         this->HandleGrant(aRouter, aEndpoint, grant);
       });
@@ -259,6 +268,7 @@
   this->SetDemand(200);
   this->Run(4s);
   this->TakeMeanRate(6s);
+  this->SetDemand(200);
   this->ChangeLeader(2);
   this->Run(6s);
   CHECK(this->TakeMeanRate(6s) > kRate * 0.5);
