Ignore outdated reports of cold endpoints

A router that was out of contact for a while reported endpoints as cold that have been warm for seconds. Once a leader has read the list, such reports of what an earlier leader told no longer count.

Measured: limits, routing, wire, platform, membership and control tests, and faults_test [cold] and [cold-start] pass.

--- a/packages/control/src/limit_controller.cc
+++ b/packages/control/src/limit_controller.cc
@@ -132,9 +132,12 @@
     this->SendEndpoints();
   }
 
+  // Once the list has been read, it knows more than a router that was out of
+  // contact.
   void HandleCold(const wire::LimitReport& aReport)
   {
-    if (!aReport.limit) {
+    bool isOutdated = !aReport.isObserved && this->hasEndpoints;
+    if (!aReport.limit || isOutdated) {
       return;
     }
     Duration remaining =
