--- a/test/fuzz/text_fuzz_test.cc
+++ b/test/fuzz/text_fuzz_test.cc
@@ -62,12 +62,16 @@
 // pieces, and against bytes that the reader keeps without a limit.
 TEST_CASE("Changed requests are read alike in any pieces")
 {
-  const std::vector<std::string> requests{
-    "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello",
+  const std::string chunked =
     "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
-    "5;a=b;c=\"d\"\r\nhello\r\n3\r\nyou\r\n0;e\r\nX-T: t\r\nX-U: u\r\n\r\n",
+    "5;a=b;c=\"d\"\r\nhello\r\n3\r\nyou\r\n0;e\r\nX-T: t\r\nX-U: u\r\n\r\n";
+  const std::string pipelined =
     "GET /b?zone=z HTTP/1.1\r\nHost: h\r\nConnection: keep-alive\r\n\r\n"
-    "GET /c HTTP/1.0\r\n\r\n",
+    "GET /c HTTP/1.0\r\n\r\n";
+  const std::vector<std::string> requests{
+    "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello",
+    chunked,
+    pipelined
   };
   Mutator mutator(39,
                   { "\r\n",
@@ -137,24 +141,31 @@
 // file or a configuration that another program has written.
 TEST_CASE("Changed documents give an error or a value")
 {
-  const std::vector<std::string> documents{
+  const std::string listText =
     R"({"instances":[{"id":"i1","service":"s","address":"10.0.0.1:80",)"
     R"("zone":"z","state":"running","slots":16,"models":["m"],)"
-    R"("coldRemainingMs":5}],"next":"2"})",
-    R"([{"id":"e","address":"10.0.0.1:80","zone":"z","models":["m"]}])",
+    R"("coldRemainingMs":5}],"next":"2"})";
+  const std::string plainListText =
+    R"([{"id":"e","address":"10.0.0.1:80","zone":"z","models":["m"]}])";
+  const std::string nodeText =
     R"({"nodeName":"n","role":"router","serves":["front"],"ip":"10.0.0.1",)"
     R"("zone":"z","region":"r","listen":{"front":"10.0.0.1:8227"},)"
     R"("internalPorts":[7340,7355],"seeds":["10.0.0.2:8229"],)"
-    R"("limits":{"cores":1,"memoryMb":88},"bounds":{"retrySlack":5}})",
+    R"("limits":{"cores":1,"memoryMb":88},"bounds":{"retrySlack":5}})";
+  const std::string routesText =
     R"({"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/a/",)"
     R"("kind":"safe","timeoutMs":1000,"service":"s","maxAttempts":1}],)"
-    R"("services":[{"name":"s","healthPath":"/h","maxConns":10}],"limits":{}})",
+    R"("services":[{"name":"s","healthPath":"/h","maxConns":10}],"limits":{}})";
+  const std::string processText =
     R"({"instance":"r1","zone":"z","role":"router",)"
     R"("caller_address":"10.0.0.1:1","admin_address":"10.0.0.1:2",)"
     R"("control":[{"instance":"c","peer":"10.0.0.1:3","admin":"10.0.0.1:4"}],)"
-    R"("fleet_key_file":"k","max_body_bytes":1024})",
+    R"("fleet_key_file":"k","max_body_bytes":1024})";
+  const std::string fleetText =
     R"({"models":{"a":{"max_output_tokens":5}},"workspaces":{"w":{}},)"
-    R"("sites":{"d":{"models":["a"]}}})",
+    R"("sites":{"d":{"models":["a"]}}})";
+  const std::vector<std::string> documents{
+    listText, plainListText, nodeText, routesText, processText, fleetText
   };
   Mutator mutator(41,
                   { "null",
