--- a/packages/net/src/http_connection.cc
+++ b/packages/net/src/http_connection.cc
@@ -1,11 +1,11 @@
 #include "http_connection.h"
 
 #include "buffer_controller.h"
+#include "buffer_hold.h"
+#include "connection_progress.h"
 #include "request_reader.h"
 
-#include <algorithm>
 #include <array>
-#include <bit>
 #include <boost/asio/bind_executor.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http.hpp>
@@ -30,29 +30,9 @@
 constexpr Duration kMaxDiscardTime = std::chrono::seconds(1);
 constexpr std::size_t kDiscardBytes = 16 * 1024;
 
-// Bytes of its request and response that a connection holds without asking.
-// Most requests are smaller and cost no message to the buffers' task.
-constexpr std::size_t kUnheldBytes = 16 * 1024;
-
-// A message asks for more memory at most this many times while its size
-// doubles.
-constexpr std::size_t kHoldSteps = 8;
-
 // A larger body is written by itself, so that it is not copied.
 constexpr std::size_t kCopiedBodyBytes = 16 * 1024;
 
-// While others lack memory, a connection must move kProgressBytes in
-// kNoProgressTime or lose its memory: 2 kB a second, less than the slowest
-// sound callers.
-constexpr std::size_t kProgressBytes = 4 * 1024;
-constexpr Duration kNoProgressTime = std::chrono::seconds(2);
-
-// A whole request may take this many times HttpServerOptions::requestTimeout
-// and a second for each kBytesPerSecond. Slower requests would hold their
-// connections for hours.
-constexpr int kWholeRequestTimeouts = 3;
-constexpr std::size_t kBytesPerSecond = 16 * 1024;
-
 // While the server has no room for another connection, one without a request is
 // kept for this time. The users' platform reuses connections that were idle for
 // up to 12 s.
@@ -101,6 +81,7 @@
     , options(aOptions)
     , handler(std::move(aHandler))
     , reader({ this->options.maxHeaderBytes, this->options.maxBodyBytes })
+    , hold(*this, this->options.buffers)
   {
     // A request to another task, which the response depends on, has failed or
     // timed out. Without closing the connection, the caller would never get a
@@ -116,9 +97,7 @@
     if (this->exchange) {
       this->exchange->Detach(this->disconnect);
     }
-    if (this->hasAskedForBytes) {
-      this->send(this->options.buffers, ReleaseBuffer{});
-    }
+    this->hold.Release();
     this->send(this->server, ConnectionEnded{});
   }
 
@@ -130,7 +109,7 @@
     this->socket.non_blocking(true, ignored);
     auto remote = this->socket.remote_endpoint(ignored);
     this->peer = remote.address().to_string();
-    this->RecordProgress();
+    this->progress.Restart(this->CurrentTime());
     this->ScheduleTimeoutCheck();
     this->ReadRequest();
   }
@@ -242,27 +221,14 @@
     std::size_t writtenBytes = 0;
   };
 
-  void RecordProgress()
-  {
-    this->lastProgress = Now(this->GetRuntime());
-    this->progressBytes = 0;
-  }
-
-  // A caller that moves single bytes makes no progress.
-  void RecordBytes(std::size_t aBytes)
-  {
-    this->progressBytes += aBytes;
-    if (this->progressBytes >= kProgressBytes) {
-      this->RecordProgress();
-    }
-  }
-
   // Returns whether a request can arrive now: none is in progress or refused.
   bool IsReading() const { return !this->exchange && !this->hasUnreadRequest; }
 
+  TimePoint CurrentTime() const { return Now(this->GetRuntime()); }
+
   Duration TimeSinceProgress() const
   {
-    return Now(this->GetRuntime()) - this->lastProgress;
+    return this->progress.SinceProgress(this->CurrentTime());
   }
 
   // Checks the timeouts every 2 seconds and closes the connection when one has
@@ -299,16 +265,10 @@
     if (!this->IsReading() || !this->reader.HasBegun()) {
       return false;
     }
-    auto now = Now(this->GetRuntime());
-    auto elapsed = now - this->requestStartedAt;
-    if (!this->reader.IsHeaderComplete()) {
-      return elapsed >= this->options.headerTimeout;
-    }
-    auto limit = this->options.requestTimeout;
-    auto whole =
-      limit * kWholeRequestTimeouts +
-      std::chrono::seconds(this->reader.ReceivedBytes() / kBytesPerSecond);
-    return now - this->lastReceivedAt >= limit || elapsed >= whole;
+    return this->progress.IsRequestLate(this->reader.IsHeaderComplete(),
+                                        this->reader.ReceivedBytes(),
+                                        this->options,
+                                        this->CurrentTime());
   }
 
   void CloseIfUnused()
@@ -329,7 +289,7 @@
   {
     bool waitsForCaller = !this->writes.empty() || this->IsReading();
     auto promise = this->make_response_promise();
-    if (!waitsForCaller || this->TimeSinceProgress() < kNoProgressTime) {
+    if (!waitsForCaller || !this->progress.IsStalled(this->CurrentTime())) {
       promise.deliver(false);
       return promise;
     }
@@ -337,9 +297,9 @@
         "closed a connection that held memory without progress",
         { { "event", "buffer_holder_closed" },
           { "peer", this->peer },
-          { "bytes", std::to_string(this->heldBytes) } });
+          { "bytes", std::to_string(this->hold.HeldBytes()) } });
     GetConnectionCounters().stalledHolders.Add();
-    this->ReleaseBytes();
+    this->hold.Release();
     promise.deliver(true);
     if (this->IsReading()) {
       this->RejectForMemory();
@@ -352,9 +312,8 @@
   void ReadRequest()
   {
     this->requestBytes = 0;
-    this->requestStartedAt = Now(this->GetRuntime());
-    this->lastReceivedAt = this->requestStartedAt;
     if (this->reader.HasBegun()) {
+      this->progress.RecordReceived(true, this->CurrentTime());
       this->HoldReceived();
     } else {
       this->ReadMore();
@@ -387,13 +346,10 @@
       this->quit();
       return;
     }
-    this->lastReceivedAt = Now(this->GetRuntime());
-    if (!this->reader.HasBegun()) {
-      this->requestStartedAt = this->lastReceivedAt;
-      this->RecordProgress();
-    }
+    auto now = this->CurrentTime();
+    this->progress.RecordReceived(!this->reader.HasBegun(), now);
+    this->progress.RecordBytes(bytes, now);
     this->reader.Commit(bytes);
-    this->RecordBytes(bytes);
     this->HoldReceived();
   }
 
@@ -435,43 +391,13 @@
   // Asks to hold the request and this many bytes of a response.
   void HoldBytes(std::size_t aResponseBytes, std::function<void(bool)> aDone)
   {
-    std::size_t bytes = this->requestBytes + aResponseBytes;
-    if (bytes <= std::max(kUnheldBytes, this->heldBytes)) {
-      aDone(true);
-      return;
-    }
-    // Steps keep the number of questions low while a message grows.
-    auto step = std::bit_ceil(bytes) / kHoldSteps;
-    bytes = (bytes + step - 1) / step * step;
-    this->hasAskedForBytes = true;
-    ++this->pendingHolds;
-    this->request(this->options.buffers, caf::infinite, HoldBuffer{ bytes })
-      .then([this, bytes, round = this->holdRound, done = std::move(aDone)](
-              bool aMayHold) {
-        --this->pendingHolds;
-        // The response was completed meanwhile, and the bytes were released.
-        bool isValid = aMayHold && round == this->holdRound;
-        if (isValid) {
-          this->heldBytes = std::max(this->heldBytes, bytes);
-        }
-        done(isValid);
-      });
-  }
-
-  // The message follows all HoldBuffer messages, so nothing stays held.
-  void ReleaseBytes()
-  {
-    if (this->heldBytes > 0 || this->pendingHolds > 0) {
-      this->heldBytes = 0;
-      ++this->holdRound;
-      this->send(this->options.buffers, ReleaseBuffer{});
-    }
+    this->hold.Hold(this->requestBytes + aResponseBytes, std::move(aDone));
   }
 
   void HandleRequest()
   {
     this->isFirstRequest = false;
-    this->RecordProgress();
+    this->progress.Restart(this->CurrentTime());
     this->keepAlive = this->keepAlive && this->reader.KeepsAlive();
     this->isHeadRequest = this->reader.IsHead();
     ++this->exchangeNumber;
@@ -667,7 +593,7 @@
     this->queuedBytes += aWrite.bytes.size();
     this->writes.push_back(std::move(aWrite));
     if (this->writes.size() == 1) {
-      this->RecordProgress();
+      this->progress.Restart(this->CurrentTime());
       this->WriteNext();
     }
   }
@@ -689,7 +615,7 @@
 
   void HandleWritten(std::size_t aBytes)
   {
-    this->RecordBytes(aBytes);
+    this->progress.RecordBytes(aBytes, this->CurrentTime());
     auto& write = this->writes.front();
     write.writtenBytes += aBytes;
     if (write.writtenBytes < write.bytes.size()) {
@@ -697,7 +623,7 @@
       this->WriteNext();
       return;
     }
-    this->RecordProgress();
+    this->progress.Restart(this->CurrentTime());
     QueuedWrite done = std::move(write);
     this->writes.pop_front();
     this->queuedBytes -= done.bytes.size();
@@ -720,8 +646,8 @@
   void HoldQueued()
   {
     this->HoldBytes(
-      this->queuedBytes, [this, round = this->holdRound](bool aMayHold) {
-        if (!aMayHold && round == this->holdRound) {
+      this->queuedBytes, [this, round = this->hold.Round()](bool aMayHold) {
+        if (!aMayHold && round == this->hold.Round()) {
           Log(LogLevel::Warning,
               "closed a connection: no memory for a response that is not read",
               { { "event", "response_dropped" }, { "peer", this->peer } });
@@ -747,7 +673,7 @@
   {
     this->exchange->Complete();
     this->exchange.reset();
-    this->ReleaseBytes();
+    this->hold.Release();
     if (!this->keepAlive) {
       beast::error_code ignored;
       this->socket.shutdown(tcp::socket::shutdown_send, ignored);
@@ -798,22 +724,15 @@
   HttpHandler handler;
   std::string peer;
   RequestReader reader;
-  // Bytes that the request in progress takes, bytes that wait to be written,
-  // and bytes that the buffers' task lets this connection hold.
+  // Bytes that the request in progress takes, and bytes that wait to be
+  // written.
   std::size_t requestBytes = 0;
   std::size_t queuedBytes = 0;
-  std::size_t heldBytes = 0;
-  // Counts the releases, to tell replies to questions before the last one.
-  std::uint64_t holdRound = 0;
-  int pendingHolds = 0;
-  bool hasAskedForBytes = false;
+  BufferHold hold;
+  ConnectionProgress progress;
   std::shared_ptr<ServerExchange> exchange;
   std::uint64_t exchangeNumber = 0;
   std::deque<QueuedWrite> writes;
-  TimePoint requestStartedAt;
-  TimePoint lastReceivedAt;
-  TimePoint lastProgress;
-  std::size_t progressBytes = 0;
   bool isFirstRequest = true;
   bool keepAlive = true;
   bool closesAfterWrites = false;
--- a/packages/net/src/request_reader.h
+++ b/packages/net/src/request_reader.h
@@ -53,7 +53,8 @@
   // Bytes of the current request that have arrived.
   std::size_t ReceivedBytes() const { return this->receivedBytes; }
   // Memory that the request takes, also when it is forwarded. Until the headers
-  // are complete it is an upper estimate, which is known before they are parsed.
+  // are complete it is an upper estimate, which is known before they are
+  // parsed.
   std::size_t HeldBytes() const;
 
   // Why the request is malformed.
--- a/packages/net/test/http_server_test.cc
+++ b/packages/net/test/http_server_test.cc
@@ -210,6 +210,30 @@
     [&] { return stalled.Received().starts_with("HTTP/1.1 503"); });
 }
 
+// Guards against responses that nobody reads and that fill the memory.
+TEST_CASE_METHOD(NetFixture, "An unread response needs memory")
+{
+  // More than the system's buffers of a connection.
+  constexpr std::size_t kResponseBytes = 32 * 1024 * 1024;
+  HttpServerOptions options;
+  options.maxBufferedBytes = 2 * 1024 * 1024;
+  auto address = this->Serve(
+    [](const ExchangePtr& aExchange) {
+      bool isLarge = aExchange->Request().target == "/large";
+      aExchange->Respond(
+        { 200, {}, std::string(isLarge ? kResponseBytes : 2, 'x') });
+    },
+    options);
+  RawCaller unread(address);
+  unread.Send("GET /large HTTP/1.1\r\nHost: x\r\n\r\n");
+  this->RunUntil([rounds = 0]() mutable { return ++rounds > 200; });
+  RawCaller sound(address);
+  sound.Send(kGetRequest);
+  this->RunUntil([&] { return sound.Received().ends_with("xx"); });
+  this->RunUntil([&] { return unread.IsClosed(); });
+  CHECK(unread.Received().size() < kResponseBytes);
+}
+
 // Guards against memory limits that refuse a request which is within its own
 // limits.
 TEST_CASE_METHOD(NetFixture, "The largest request and answer are served")
