--- a/packages/budget/test/allocator_test.cc
+++ b/packages/budget/test/allocator_test.cc
@@ -295,3 +295,32 @@
   REQUIRE(decisions.size() == 1);
   CHECK(decisions[0].retryAfter == 8s);
 }
+
+// Guards against a main user of a budget that is named after a single loan, and
+// against none when other zones use the budget as much.
+TEST_CASE("The borrower of nearly all loans is named the main user")
+{
+  LocalBudget tokens{ LocalBudgetOptions{} };
+  TimePoint now(1000s);
+  WorkspaceId workspace("kalkki");
+  std::uint64_t next = 1;
+  Lender lender(tokens, [&] { return Ticket(next++); });
+  lender.Request(
+    SessionId(4), { 1, workspace, Tokens(100), Tokens(100), false }, now);
+  auto asked = tokens.TakeGrantRequests(now);
+  REQUIRE(asked.size() == 1);
+  tokens.AddGrant({ asked[0].request, workspace, Tokens(10000) }, now);
+  for (const auto& decision : tokens.Poll(now)) {
+    auto first = lender.Decide(decision);
+    REQUIRE(first);
+    CHECK_FALSE(first->reply.holdsTokenMajority);
+  }
+  std::optional<LoanReply> loan;
+  for (std::uint64_t request = 1; request <= 6; ++request) {
+    loan = lender.Request(
+      SessionId(5), { request, workspace, Tokens(100), Tokens(100) }, now);
+    REQUIRE(loan);
+    CHECK((request > 3 || !loan->reply.holdsTokenMajority));
+  }
+  CHECK(loan->reply.holdsTokenMajority);
+}
