--- a/test/faults/platform_fleet.cc
+++ b/test/faults/platform_fleet.cc
@@ -174,8 +174,11 @@
     settings["limits"].as_object()["memoryMb"] = *aOptions.memoryMb;
   }
   if (!aOptions.zones.empty()) {
-    settings["zones"] =
-      json::array(aOptions.zones.begin(), aOptions.zones.end());
+    json::object regions;
+    for (const auto& zone : aOptions.zones) {
+      regions[zone] = "r1";
+    }
+    settings["zones"] = std::move(regions);
   }
   auto folder = this->environment.Folder() / machine;
   if (aOptions.listAddress) {
