Report a call whose endpoint is silent to its owner

Cause: a call could only end at a pause (responseTimeout, idleTimeout), so its owner had to give an endpoint up to learn that it is silent. Change: CallOptions::silenceTime and CallObserver::onSilent; the call goes on. Timeouts are checked when they are due instead of at halves of their length, which noticed a silence of 1.2 s after up to 1.8 s.

--- a/packages/net/include/lycheestand/net.h
+++ b/packages/net/include/lycheestand/net.h
@@ -168,7 +168,7 @@
 
 // Callbacks of a call, which run inside the task that started it. Exactly one
 // of onEnd and onFailure runs, as the last callback, unless the call is
-// cancelled. All must be set.
+// cancelled. All but onSilent must be set.
 struct CallObserver
 {
   std::function<void(const CallHead&)> onHead;
@@ -177,6 +177,9 @@
   std::function<void(std::string)> onBody;
   std::function<void()> onEnd;
   std::function<void(CallFailure, const std::string&)> onFailure;
+  // Runs when nothing has arrived for CallOptions::silenceTime, once for each
+  // such silence. The call goes on.
+  std::function<void()> onSilent;
 };
 
 // Timeouts and connection use of a call.
@@ -192,6 +195,9 @@
   // Maximum time for the whole call, also while data arrives; zero for no
   // limit.
   Duration totalTimeout{};
+  // Time without receiving data, after the request is sent, that is reported to
+  // the observer; zero to report none. It must be shorter than the timeouts.
+  Duration silenceTime{};
   // Largest body of the response; none for a stream, whose owner limits it.
   std::optional<std::size_t> maxBodyBytes = 4 * 1024 * 1024;
   // Whether an idle connection may be used. Set it to false for a call that
--- a/packages/net/src/calls.h
+++ b/packages/net/src/calls.h
@@ -28,6 +28,9 @@
 {
   std::string body;
 };
+// Nothing has arrived for CallOptions::silenceTime.
+struct CallSilent
+{};
 struct CallEnded
 {};
 struct CallFailed
@@ -40,7 +43,12 @@
 struct CallEvent
 {
   std::uint64_t id = 0;
-  std::variant<CallAccepted, CallHead, CallBodyChunk, CallEnded, CallFailed>
+  std::variant<CallAccepted,
+               CallHead,
+               CallBodyChunk,
+               CallSilent,
+               CallEnded,
+               CallFailed>
     event;
 };
 
--- a/packages/net/src/client_connection.cc
+++ b/packages/net/src/client_connection.cc
@@ -30,6 +30,7 @@
 constexpr int kMaxInterimResponses = 8;
 
 constexpr Duration kMinTimeoutCheckInterval = std::chrono::milliseconds(50);
+constexpr Duration kMaxTimeoutCheckInterval = std::chrono::seconds(1);
 
 // Used if the endpoint's responses have no Keep-Alive timeout.
 constexpr Duration kDefaultIdleTimeout = std::chrono::seconds(15);
@@ -168,21 +169,47 @@
     return limit > Duration(0) && aNow - this->startedAt >= limit;
   }
 
+  // Time without progress that does not count, since the owner holds back
+  // acknowledgements.
+  bool IsAwaitingOwner() const
+  {
+    return this->unacknowledged >= kMaxUnacknowledgedChunks;
+  }
+
+  // Returns whether the silence that began with the last progress is still to
+  // be reported to the owner.
+  bool IsSilenceUnreported() const
+  {
+    return this->call.options.silenceTime > Duration(0) && this->isConnected &&
+           this->reportedSilence != this->lastProgress;
+  }
+
+  // Returns the time until a timeout or a silence may be due, at most a second.
+  Duration TimeUntilCheck(TimePoint aNow) const
+  {
+    if (this->IsAwaitingOwner()) {
+      return kMaxTimeoutCheckInterval;
+    }
+    Duration limit = this->CurrentTimeout();
+    if (this->IsSilenceUnreported()) {
+      limit = std::min(limit, this->call.options.silenceTime);
+    }
+    return std::clamp<Duration>(this->lastProgress + limit - aNow,
+                                kMinTimeoutCheckInterval,
+                                kMaxTimeoutCheckInterval);
+  }
+
   // Checks at least once a second whether the call has timed out.
   void ScheduleTimeoutCheck(std::uint64_t aCall)
   {
-    auto checkInterval = std::clamp<Duration>(this->CurrentTimeout() / 2,
-                                              kMinTimeoutCheckInterval,
-                                              std::chrono::seconds(1));
-    this->After(checkInterval, [this, aCall] {
+    auto delay = this->TimeUntilCheck(Now(this->GetRuntime()));
+    this->After(delay, [this, aCall] {
       if (!this->isBusy || aCall != this->callNumber) {
         return;
       }
-      auto limit = this->CurrentTimeout();
-      // Time during which the owner holds back acknowledgements does not count.
-      bool isAwaitingOwner = this->unacknowledged >= kMaxUnacknowledgedChunks;
       auto now = Now(this->GetRuntime());
-      bool isSilent = !isAwaitingOwner && now - this->lastProgress >= limit;
+      bool isSilent = !this->IsAwaitingOwner() &&
+                      now - this->lastProgress >= this->CurrentTimeout();
       if (isSilent || this->IsOverdue(now)) {
         if (!this->isConnected) {
           this->ReportConnectTime();
@@ -190,10 +217,20 @@
         this->Fail("timeout");
         return;
       }
+      this->ReportSilence(now);
       this->ScheduleTimeoutCheck(aCall);
     });
   }
 
+  void ReportSilence(TimePoint aNow)
+  {
+    if (this->IsSilenceUnreported() && !this->IsAwaitingOwner() &&
+        aNow - this->lastProgress >= this->call.options.silenceTime) {
+      this->reportedSilence = this->lastProgress;
+      this->Report(CallSilent{});
+    }
+  }
+
   void Connect()
   {
     beast::error_code error;
@@ -340,7 +377,7 @@
       this->Finish();
       return;
     }
-    if (this->unacknowledged >= kMaxUnacknowledgedChunks) {
+    if (this->IsAwaitingOwner()) {
       this->isPaused = true;
       return;
     }
@@ -496,6 +533,8 @@
   DurationHistogram connectTimes =
     Metrics().GetHistogram("lycheestand_connect_seconds");
   TimePoint lastProgress;
+  // The last progress before the last silence that was reported.
+  TimePoint reportedSilence{};
 };
 
 } // namespace
--- a/packages/net/src/io_task.cc
+++ b/packages/net/src/io_task.cc
@@ -143,6 +143,10 @@
     call->observer.onHead(*head);
   } else if (auto* chunk = std::get_if<CallBodyChunk>(&aEvent.event)) {
     call->observer.onBody(std::move(chunk->body));
+  } else if (std::holds_alternative<CallSilent>(aEvent.event)) {
+    if (call->observer.onSilent) {
+      call->observer.onSilent();
+    }
   } else if (std::holds_alternative<CallEnded>(aEvent.event)) {
     this->calls.erase(found);
     call->observer.onEnd();
--- a/packages/net/test/calls_test.cc
+++ b/packages/net/test/calls_test.cc
@@ -368,6 +368,46 @@
   CHECK(this->results[0].error() == CallFailure::Interrupted);
 }
 
+// Guards against a call that ends because its endpoint pauses, and against a
+// pause that its owner does not learn of.
+TEST_CASE_METHOD(CallFixture, "A silence is reported and does not end the call")
+{
+  RawEndpoint endpoint;
+  CallOptions options;
+  options.idleTimeout = 10s;
+  options.silenceTime = 1s;
+  int silences = 0;
+  std::string body;
+  bool isDone = false;
+  this->RunInTask([&](IoTask& aTask) {
+    auto handle = std::make_shared<CallHandle>();
+    CallObserver observer;
+    observer.onHead = [](const CallHead&) {};
+    observer.onBody = [&, handle](const std::string& aChunk) {
+      body += aChunk;
+      handle->Continue();
+    };
+    observer.onEnd = [&] { isDone = true; };
+    observer.onFailure = [](CallFailure, const std::string&) {};
+    observer.onSilent = [&] { ++silences; };
+    *handle = aTask.StartCall(endpoint.GetAddress(),
+                              { "GET", "/", {}, "" },
+                              options,
+                              std::move(observer));
+  });
+  this->RunUntil([&] { return endpoint.Accept(); });
+  this->Advance(3s);
+  this->RunUntil([&] { return silences == 1; });
+  endpoint.Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\na");
+  this->RunUntil([&] { return body == "a"; });
+  this->Advance(1s);
+  this->RunUntil([&] { return silences == 2; });
+  endpoint.Send("b");
+  this->RunUntil([&] { return isDone; });
+  CHECK(body == "ab");
+  CHECK(silences == 2);
+}
+
 // The pool may assign a call to a connection that is closing because its
 // previous call was cancelled. The new call must still be completed.
 TEST_CASE_METHOD(CallFixture, "Cancelling a call does not affect the next call")
