Keep what belongs to one attempt of a request together

Cause: a request had one ticket at the endpoint controller and one set of fields for its attempt, so a second attempt could not begin before the first had ended. Change: EndpointAttempt holds an attempt's endpoint, call and ticket; each attempt has a ticket of its own. A reply for an attempt that is no longer the current one is ignored.

--- a/packages/router/src/check_quarantine.cc
+++ b/packages/router/src/check_quarantine.cc
@@ -52,8 +52,8 @@
   auto parts = PartsOf(aRequest);
   if (!parts.empty()) {
     aRequest.exchange->Task().send(aRequest.controllers.quarantine,
-                                   CrashSuspected{ aRequest.endpoint,
-                                                   aRequest.endpointAddress,
+                                   CrashSuspected{ aRequest.attempt.endpoint,
+                                                   aRequest.attempt.address,
                                                    std::move(parts) });
   }
 }
--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -72,6 +72,23 @@
   Tokens Total() const { return this->promptTokens + this->outputTokens; }
 };
 
+// One attempt of a request at an endpoint.
+struct EndpointAttempt
+{
+  // Identifies the attempt in messages to the endpoint controller.
+  Ticket ticket;
+  EndpointId endpoint;
+  Address address;
+  // The endpoint has named a limit.
+  bool isLimited = false;
+  // True while an endpoint is being chosen or is called.
+  bool isAssigned = false;
+  net::CallHandle upstream;
+  TimePoint startedAt{};
+  // Basis of the choice, for the log.
+  routing::ChoiceBasis basis;
+};
+
 // State of one caller's request while it passes the chain. Owned by the
 // connection's task.
 struct Request
@@ -100,30 +117,22 @@
   bool hasClaim = false;
   // Set by the Forward filter.
   Usage usage;
-  net::CallHandle upstream;
+  // The current attempt, or the last one if none is in progress.
+  EndpointAttempt attempt;
   // Whether the request ran at any endpoint that was tried.
   ExecutionState ran = ExecutionState::NotRun;
   std::set<EndpointId> triedEndpoints;
   // Attempts that reached an endpoint.
   unsigned attempts = 0;
-  EndpointId endpoint;
-  Address endpointAddress;
   // ChooseEndpointReply::freeAfter of the last choice.
   Duration endpointFreeAfter{};
-  // ChooseEndpointReply::isLimited of the last choice.
-  bool isEndpointLimited = false;
-  // True while an endpoint is being chosen or is called.
-  bool isAssigned = false;
   // Number of the recorded operation, for a call that must run at most once.
   std::uint64_t operation = 0;
   // FinishRequest must abort the operation.
   bool isOperationOpen = false;
   bool isFinished = false;
-  // For the log: the basis of the endpoint choice, when the current attempt and
-  // the answer began, the status of the answer or 0, and the outcome if the
-  // request did not end with an answer.
-  routing::ChoiceBasis basis;
-  TimePoint attemptStartedAt{};
+  // For the log: when the answer began, the status of the answer or 0, and the
+  // outcome if the request did not end with an answer.
   std::optional<TimePoint> answerStartedAt;
   unsigned status = 0;
   const char* outcome = "";
--- a/packages/router/src/finish.cc
+++ b/packages/router/src/finish.cc
@@ -44,13 +44,13 @@
     { "routes_version", std::to_string(aCall.table->Version().Get()) },
     { "workspace", aRequest.workspace.Get() },
     { "service", aCall.service.Get() },
-    { "endpoint", aRequest.endpoint.Get() },
+    { "endpoint", aRequest.attempt.endpoint.Get() },
     { "attempts", std::to_string(aRequest.attempts) },
     { "reserved", std::to_string(aRequest.reserved.Get()) },
     { "spent", std::to_string(SpentTokens(aRequest).Get()) },
     { "ms", net::FormatMilliseconds(aNow - aRequest.startedAt) }
   };
-  const auto& basis = aRequest.basis;
+  const auto& basis = aRequest.attempt.basis;
   if (basis.candidates > 0) {
     auto round = [](double aValue) {
       return std::to_string(std::llround(aValue));
@@ -155,6 +155,21 @@
   FinishRequest(aRequest);
 }
 
+namespace {
+
+void
+CancelAttempt(const RequestPtr& aRequest, const EndpointAttempt& aAttempt)
+{
+  aAttempt.upstream.Cancel();
+  if (aAttempt.isAssigned) {
+    aRequest->exchange->Task().send(
+      aRequest->controllers.endpoint,
+      CallFinished{ aAttempt.ticket, routing::Outcome::Abandoned });
+  }
+}
+
+} // namespace
+
 // Called on every way in which a request ends. A call that must run at most
 // once and whose operation is still open here was recorded but not sent, so the
 // operation is aborted and a retry may run.
@@ -166,11 +181,7 @@
   }
   aRequest->isFinished = true;
   auto& task = aRequest->exchange->Task();
-  aRequest->upstream.Cancel();
-  if (aRequest->isAssigned) {
-    task.send(aRequest->controllers.endpoint,
-              CallFinished{ aRequest->ticket, routing::Outcome::Abandoned });
-  }
+  CancelAttempt(aRequest, aRequest->attempt);
   if (aRequest->holdsAdmission) {
     task.send(aRequest->controllers.admission,
               ReleaseAdmission{ aRequest->ticket });
--- a/packages/router/src/forward.cc
+++ b/packages/router/src/forward.cc
@@ -4,42 +4,44 @@
 
 namespace {
 
+// isAssigned is set before the reply, so that FinishRequest cancels the choice
+// if the request ends meanwhile. A reply for an attempt that is no longer the
+// current one is ignored: whoever replaced it has cancelled the choice.
 void
 Choose(const RequestPtr& aRequest,
        routing::Query aQuery,
        std::function<void(const Address&)> aCall,
        std::function<void()> aOnNoEndpoint)
 {
+  aRequest->attempt.isAssigned = true;
   ChooseEndpoint choose;
-  choose.ticket = aRequest->ticket;
+  choose.ticket = aRequest->attempt.ticket;
   choose.query = std::move(aQuery);
   choose.query.excluded = aRequest->triedEndpoints;
   choose.attempts = aRequest->attempts;
   choose.maxInFlight = aRequest->snapshot->settings.maxInFlightPerEndpoint;
-  // Set before the reply, so that FinishRequest cancels the choice if the
-  // request ends meanwhile.
-  aRequest->isAssigned = true;
   aRequest->exchange->Task()
     .request(aRequest->controllers.endpoint, caf::infinite, std::move(choose))
     .then(
       [aRequest,
+       ticket = aRequest->attempt.ticket,
        call = std::move(aCall),
        onNoEndpoint = std::move(aOnNoEndpoint)](ChooseEndpointReply& aChosen) {
-        if (aRequest->isFinished) {
+        EndpointAttempt& attempt = aRequest->attempt;
+        if (aRequest->isFinished || attempt.ticket != ticket) {
           return;
         }
         aRequest->endpointFreeAfter = aChosen.freeAfter;
         if (!aChosen.endpoint) {
-          aRequest->isAssigned = false;
+          attempt.isAssigned = false;
           onNoEndpoint();
           return;
         }
-        aRequest->endpoint = *aChosen.endpoint;
-        aRequest->endpointAddress = aChosen.address;
-        aRequest->basis = aChosen.basis;
-        aRequest->isEndpointLimited = aChosen.isLimited;
-        aRequest->attemptStartedAt =
-          net::Now(aRequest->exchange->Task().GetRuntime());
+        attempt.endpoint = *aChosen.endpoint;
+        attempt.address = aChosen.address;
+        attempt.basis = aChosen.basis;
+        attempt.isLimited = aChosen.isLimited;
+        attempt.startedAt = net::Now(aRequest->exchange->Task().GetRuntime());
         aRequest->triedEndpoints.insert(*aChosen.endpoint);
         ++aRequest->attempts;
         call(aChosen.address);
@@ -54,6 +56,7 @@
               std::function<void(const Address&)> aCall,
               std::function<void()> aOnNoEndpoint)
 {
+  aRequest->attempt.ticket = NextTicket();
   if (aRequest->triedEndpoints.empty()) {
     Choose(
       aRequest, std::move(aQuery), std::move(aCall), std::move(aOnNoEndpoint));
@@ -63,9 +66,13 @@
   CheckQuarantine(
     aRequest,
     [aRequest,
+     ticket = aRequest->attempt.ticket,
      query = std::move(aQuery),
      call = std::move(aCall),
      onNoEndpoint = std::move(aOnNoEndpoint)](bool aIsQuarantined) mutable {
+      if (aRequest->attempt.ticket != ticket) {
+        return;
+      }
       if (aIsQuarantined) {
         onNoEndpoint();
       } else {
@@ -98,16 +105,18 @@
 void
 ReleaseEndpoint(const RequestPtr& aRequest, routing::Outcome aOutcome)
 {
-  aRequest->isAssigned = false;
-  aRequest->exchange->Task().send(aRequest->controllers.endpoint,
-                                  CallFinished{ aRequest->ticket, aOutcome });
+  aRequest->attempt.isAssigned = false;
+  aRequest->exchange->Task().send(
+    aRequest->controllers.endpoint,
+    CallFinished{ aRequest->attempt.ticket, aOutcome });
 }
 
 void
 ReportTime(const RequestPtr& aRequest, routing::TimedPart aPart, Duration aTime)
 {
-  aRequest->exchange->Task().send(aRequest->controllers.endpoint,
-                                  CallTimed{ aRequest->ticket, aPart, aTime });
+  aRequest->exchange->Task().send(
+    aRequest->controllers.endpoint,
+    CallTimed{ aRequest->attempt.ticket, aPart, aTime });
 }
 
 void
@@ -115,21 +124,23 @@
 {
   auto now = net::Now(aRequest->exchange->Task().GetRuntime());
   ReportTime(
-    aRequest, routing::TimedPart::Answer, now - aRequest->attemptStartedAt);
+    aRequest, routing::TimedPart::Answer, now - aRequest->attempt.startedAt);
 }
 
 void
 SetEndpointLeaving(const RequestPtr& aRequest)
 {
-  aRequest->exchange->Task().send(aRequest->controllers.endpoint,
-                                  EndpointLeaving{ aRequest->endpoint });
+  aRequest->exchange->Task().send(
+    aRequest->controllers.endpoint,
+    EndpointLeaving{ aRequest->attempt.endpoint });
 }
 
 void
 BlockEndpoint(const RequestPtr& aRequest, Duration aTime)
 {
-  aRequest->exchange->Task().send(aRequest->controllers.endpoint,
-                                  EndpointBlocked{ aRequest->endpoint, aTime });
+  aRequest->exchange->Task().send(
+    aRequest->controllers.endpoint,
+    EndpointBlocked{ aRequest->attempt.endpoint, aTime });
 }
 
 double
@@ -165,7 +176,7 @@
         return;
       }
       bool mayHaveRun =
-        request->ran != ExecutionState::NotRun || request->isAssigned;
+        request->ran != ExecutionState::NotRun || request->attempt.isAssigned;
       Refuse(request,
              { 504,
                "deadline",
@@ -210,11 +221,12 @@
 {
   aRequest->exchange->HoldBytes(
     aBytes,
-    [aRequest, call = aRequest->upstream, refused = std::move(aOnRefused)](
-      bool aMayHold) {
+    [aRequest,
+     call = aRequest->attempt.upstream,
+     refused = std::move(aOnRefused)](bool aMayHold) {
       if (aMayHold) {
         call.Continue();
-      } else if (!aRequest->isFinished && aRequest->upstream == call) {
+      } else if (!aRequest->isFinished && aRequest->attempt.upstream == call) {
         refused();
       }
     });
--- a/packages/router/src/forward_buffered.cc
+++ b/packages/router/src/forward_buffered.cc
@@ -47,7 +47,7 @@
       this->call.protocol->selectEndToEndHeaders(aHead.headers);
     this->answer = ReadAnswerHead(this->request, aHead);
     if (!this->answer) {
-      this->request->upstream.Cancel();
+      this->request->attempt.upstream.Cancel();
       this->HandleFailure(net::CallFailure::Interrupted,
                           "the answer does not belong to this request");
     } else if (aHead.status >= 200 && aHead.status < 300) {
@@ -63,7 +63,7 @@
     ContinueHolding(this->request,
                     this->response.body.size() + kept,
                     [self = this->shared_from_this()] {
-                      self->request->upstream.Cancel();
+                      self->request->attempt.upstream.Cancel();
                       self->HandleFailure(net::CallFailure::Interrupted,
                                           kNoMemoryReason);
                     });
--- a/packages/router/src/forward_chat.cc
+++ b/packages/router/src/forward_chat.cc
@@ -105,7 +105,7 @@
     net::CallOptions options;
     options.idleTimeout = this->eventTimeout;
     options.maxBodyBytes.reset();
-    this->request->upstream = this->request->exchange->Task().StartCall(
+    this->request->attempt.upstream = this->request->exchange->Task().StartCall(
       aAddress, std::move(http), options, this->MakeObserver());
     this->lastEventAt = this->Time();
     this->ScheduleEventCheck(this->endedCalls + 1);
@@ -140,7 +140,7 @@
 
   void Cancel(const std::string& aReason)
   {
-    this->request->upstream.Cancel();
+    this->request->attempt.upstream.Cancel();
     RecordFailure(this->request, net::CallFailure::Interrupted);
     this->HandleInterruption(aReason);
   }
@@ -174,10 +174,10 @@
     if (this->status != 200) {
       this->errorBody += aChunk;
       if (this->errorBody.size() > kMaxErrorBodyBytes) {
-        this->request->upstream.Cancel();
+        this->request->attempt.upstream.Cancel();
         this->HandleRefusal();
       } else {
-        this->request->upstream.Continue();
+        this->request->attempt.upstream.Continue();
       }
       return;
     }
@@ -205,7 +205,8 @@
       ++this->unwrittenChunks;
       this->request->exchange->WriteStream(
         std::move(out),
-        [self = this->shared_from_this(), upstream = this->request->upstream] {
+        [self = this->shared_from_this(),
+         upstream = this->request->attempt.upstream] {
           --self->unwrittenChunks;
           upstream.Continue();
         });
@@ -258,7 +259,7 @@
       return;
     }
     this->finishReason = "length";
-    this->request->upstream.Cancel();
+    this->request->attempt.upstream.Cancel();
     this->Complete();
   }
 
@@ -377,7 +378,7 @@
              "call to engine broke",
              { { "request", this->request->id.Get() },
                { "workspace", this->request->workspace.Get() },
-               { "endpoint", this->request->endpoint.Get() },
+               { "endpoint", this->request->attempt.endpoint.Get() },
                { "reason", aReason } });
     ReleaseEndpoint(this->request, routing::Outcome::Failed);
     // The engine failed after the end of the text. If resumed, it would
--- a/packages/router/src/forward_events.cc
+++ b/packages/router/src/forward_events.cc
@@ -107,7 +107,7 @@
       if (this->errorAnswer.body.size() > kMaxErrorBodyBytes) {
         this->Cancel("the error answer is too large");
       } else {
-        this->request->upstream.Continue();
+        this->request->attempt.upstream.Continue();
       }
       return;
     }
@@ -166,7 +166,7 @@
 
   void Cancel(const std::string& aReason)
   {
-    this->request->upstream.Cancel();
+    this->request->attempt.upstream.Cancel();
     this->HandleFailure(net::CallFailure::Interrupted, aReason);
   }
 
@@ -198,18 +198,18 @@
       return;
     }
     this->StartAnswer();
-    this->request->exchange->WriteStream(std::move(aBytes),
-                                         [self = this->shared_from_this(),
-                                          handle = this->request->upstream,
-                                          startedAt = this->Time()] {
-                                           if (!self->request->isFinished) {
-                                             if (self->Time() - startedAt >
-                                                 kSlowWrite) {
-                                               self->gaps.Discard();
-                                             }
-                                             handle.Continue();
-                                           }
-                                         });
+    this->request->exchange->WriteStream(
+      std::move(aBytes),
+      [self = this->shared_from_this(),
+       handle = this->request->attempt.upstream,
+       startedAt = this->Time()] {
+        if (!self->request->isFinished) {
+          if (self->Time() - startedAt > kSlowWrite) {
+            self->gaps.Discard();
+          }
+          handle.Continue();
+        }
+      });
   }
 
   void HandleEnd()
--- a/packages/router/src/forward_service.cc
+++ b/packages/router/src/forward_service.cc
@@ -123,7 +123,7 @@
       net::CallOptions options;
       options.idleTimeout = call.timeout;
       options.totalTimeout = call.timeout;
-      aRequest->upstream = aRequest->exchange->Task().Fetch(
+      aRequest->attempt.upstream = aRequest->exchange->Task().Fetch(
         aAddress,
         MakeHttpRequest(*aRequest, call),
         options,
--- a/packages/router/src/match_route.cc
+++ b/packages/router/src/match_route.cc
@@ -72,8 +72,8 @@
       request->exchange->Abort();
       return;
     }
-    bool hasRun =
-      request->ran != ExecutionState::NotRun || request->upstream.IsValid();
+    bool hasRun = request->ran != ExecutionState::NotRun ||
+                  request->attempt.upstream.IsValid();
     Refuse(request,
            { hasRun ? 504u : 503u,
              "timeout",
--- a/packages/router/src/route_attempt.cc
+++ b/packages/router/src/route_attempt.cc
@@ -67,7 +67,7 @@
             TimePoint aNow)
 {
   AttemptDescription attempt;
-  attempt.endpoint = aRequest.endpoint;
+  attempt.endpoint = aRequest.attempt.endpoint;
   attempt.workspace = aRequest.workspace;
   attempt.lastEvent = aLastEvent;
   attempt.priority = PriorityOf(aCall);
@@ -109,7 +109,7 @@
       const Address& aAddress) {
       auto& task = aRequest->exchange->Task();
       auto now = net::Now(task.GetRuntime());
-      aRequest->upstream =
+      aRequest->attempt.upstream =
         task.StartCall(aAddress,
                        MakeRequest(*aRequest, call, aLastEvent, now),
                        aOptions,
@@ -159,9 +159,10 @@
   const auto* service = call.table->Find(call.service);
   if (aRemaining > Duration(0) && service != nullptr &&
       service->coldRate > RequestRate(0)) {
-    aRequest->exchange->Task().send(
-      aRequest->controllers.endpoint,
-      EndpointCold{ aRequest->endpoint, service->coldRate, aRemaining });
+    aRequest->exchange->Task().send(aRequest->controllers.endpoint,
+                                    EndpointCold{ aRequest->attempt.endpoint,
+                                                  service->coldRate,
+                                                  aRemaining });
   }
 }
 
@@ -181,12 +182,13 @@
   if (answer.blockTime && !answer.isFromOtherEndpoint) {
     BlockEndpoint(aRequest, *answer.blockTime);
   }
-  bool endsLimit = aRequest->isEndpointLimited && aHead.status < 300;
+  bool endsLimit = aRequest->attempt.isLimited && aHead.status < 300;
   if ((answer.limit || endsLimit) && !answer.isFromOtherEndpoint) {
     aRequest->exchange->Task().send(
       aRequest->controllers.endpoint,
-      EndpointAnswered{
-        aRequest->endpoint, answer.limit, aRequest->attemptStartedAt });
+      EndpointAnswered{ aRequest->attempt.endpoint,
+                        answer.limit,
+                        aRequest->attempt.startedAt });
   }
   if (!answer.isFromOtherEndpoint) {
     ReportCold(aRequest, answer.coldRemaining);
@@ -198,7 +200,7 @@
   if (answer.load && !answer.isFromOtherEndpoint) {
     aRequest->exchange->Task().send(
       aRequest->controllers.endpoint,
-      LoadReported{ aRequest->endpoint, *answer.load });
+      LoadReported{ aRequest->attempt.endpoint, *answer.load });
   }
   return answer;
 }
@@ -216,13 +218,13 @@
       "attempt ended",
       { { "event", "attempt" },
         { "request", aRequest->id.Get() },
-        { "endpoint", aRequest->endpoint.Get() },
+        { "endpoint", aRequest->attempt.endpoint.Get() },
         { "attempt", std::to_string(aRequest->attempts) },
-        { "ms", net::FormatMilliseconds(now - aRequest->attemptStartedAt) },
+        { "ms", net::FormatMilliseconds(now - aRequest->attempt.startedAt) },
         { "parts", FormatParts(call.description.parts) },
         { "reason", aReason } });
   }
-  aRequest->upstream = {};
+  aRequest->attempt.upstream = {};
   ReleaseEndpoint(aRequest, aOutcome);
 }
 
