--- a/test/faults/platform_fleet.cc
+++ b/test/faults/platform_fleet.cc
@@ -11,10 +11,6 @@
 
 namespace {
 
-// Retries that the fleet may make beyond its share of the requests: enough for
-// the cases that need one for each request.
-constexpr int kRetrySlack = 1200;
-
 constexpr std::uint16_t kFrontPort = 8227;
 constexpr std::uint16_t kReadyPort = 8220;
 constexpr std::uint16_t kOperatorPort = 8229;
@@ -168,7 +164,7 @@
         { "regions", 0 } } },
     { "bounds",
       json::object{ { "retryBudgetRatio", 0.2 },
-                    { "retrySlack", kRetrySlack } } }
+                    { "retrySlack", aOptions.retrySlack } } }
   };
   if (aOptions.memoryMb) {
     settings["limits"].as_object()["memoryMb"] = *aOptions.memoryMb;
--- a/test/faults/platform_fleet.h
+++ b/test/faults/platform_fleet.h
@@ -33,6 +33,9 @@
   std::optional<Address> listAddress;
   // Names of the deployment's availability zones; left out if empty.
   std::vector<std::string> zones;
+  // Retries that the fleet may make beyond its share of the requests. The
+  // default is enough for cases that need one for each request.
+  int retrySlack = 1200;
 };
 
 // Returns a route of a configuration: the host is "h.example", the prefix the
--- a/test/faults/replica_pool.cc
+++ b/test/faults/replica_pool.cc
@@ -8,6 +8,7 @@
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 #include <fcntl.h>
+#include <optional>
 #include <set>
 
 namespace lycheestand::faults {
@@ -51,14 +52,6 @@
          "\r\nX-Response-Seal: s\r\n";
 }
 
-std::string
-MakeChunk(const std::string& aText)
-{
-  std::ostringstream out;
-  out << std::hex << aText.size() << "\r\n" << aText << "\r\n";
-  return out.str();
-}
-
 } // namespace
 
 std::string
@@ -84,6 +77,21 @@
   return MakeHead(200, aRequest) + "Content-Type: text/event-stream\r\n\r\n";
 }
 
+std::string
+MakeChunkedHead(const ReplicaRequest& aRequest)
+{
+  return MakeHead(200, aRequest) + "Content-Type: text/event-stream\r\n"
+                                   "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string
+MakeChunk(const std::string& aText)
+{
+  std::ostringstream out;
+  out << std::hex << aText.size() << "\r\n" << aText << "\r\n";
+  return out.str();
+}
+
 std::string
 MakeEvent(int aId)
 {
@@ -94,11 +102,9 @@
 ReplicaAnswer
 MakeStream(const ReplicaRequest& aRequest)
 {
-  return { { MakeHead(200, aRequest) +
-             "Content-Type: text/event-stream\r\nTransfer-Encoding: "
-             "chunked\r\n\r\n" +
-             MakeChunk(MakeEvent(1)) + MakeChunk(MakeEvent(2)) +
-             MakeChunk(MakeEvent(3)) + "0\r\n\r\n" } };
+  return { { MakeChunkedHead(aRequest) + MakeChunk(MakeEvent(1)) +
+             MakeChunk(MakeEvent(2)) + MakeChunk(MakeEvent(3)) +
+             MakeChunk("") } };
 }
 
 std::map<std::string, ReplicaAnswer>
@@ -144,6 +150,12 @@
 
   void Start();
   void Crash();
+  void Stop();
+  void Silence(Duration aTime)
+  {
+    this->silentUntil = std::max(this->silentUntil, Clock::now() + aTime);
+  }
+  Clock::time_point SilentUntil() const { return this->silentUntil; }
 
   // Returns the entry for the platform's list. Each start has an id of its own.
   json::object Entry(const std::string& aService) const
@@ -183,6 +195,7 @@
   asio::steady_timer timer;
   std::set<std::shared_ptr<Connection>> connections;
   int starts = 0;
+  Clock::time_point silentUntil{};
 };
 
 // A connection to a replica, which serves one request at a time.
@@ -200,18 +213,9 @@
 
   void Read()
   {
-    auto self = this->shared_from_this();
-    this->request = {};
-    http::async_read(this->socket,
-                     this->buffer,
-                     this->request,
-                     [self](beast::error_code aError, std::size_t) {
-                       if (aError) {
-                         self->Close();
-                       } else {
-                         self->Handle();
-                       }
-                     });
+    this->parser.emplace();
+    this->parser->body_limit(boost::none);
+    this->ReadMore();
   }
 
   void Close()
@@ -223,16 +227,62 @@
   }
 
 private:
+  // Reads in parts, so that the system's buffer fills while the replica is
+  // silent.
+  void ReadMore()
+  {
+    auto self = this->shared_from_this();
+    this->WhenAwake([self] {
+      http::async_read_some(self->socket,
+                            self->buffer,
+                            *self->parser,
+                            [self](beast::error_code aError, std::size_t) {
+                              self->WhenAwake(
+                                [self, aError] { self->HandleRead(aError); });
+                            });
+    });
+  }
+
+  void HandleRead(beast::error_code aError)
+  {
+    if (aError) {
+      this->Close();
+    } else if (this->parser->is_done()) {
+      this->Handle();
+    } else {
+      this->ReadMore();
+    }
+  }
+
+  // Runs the next step at once, or when the replica is no longer silent.
+  void WhenAwake(std::function<void()> aStep)
+  {
+    auto until = this->replica->SilentUntil();
+    if (Clock::now() >= until) {
+      aStep();
+      return;
+    }
+    auto self = this->shared_from_this();
+    this->timer.expires_at(until);
+    this->timer.async_wait(
+      [self, step = std::move(aStep)](beast::error_code aError) {
+        if (!aError) {
+          self->WhenAwake(step);
+        }
+      });
+  }
+
   void Handle()
   {
+    auto message = this->parser->release();
     ReplicaRequest read;
-    read.method = std::string(this->request.method_string());
-    read.target = std::string(this->request.target());
-    for (const auto& field : this->request) {
+    read.method = std::string(message.method_string());
+    read.target = std::string(message.target());
+    for (const auto& field : message) {
       read.headers[ToLower(std::string(field.name_string()))] =
         std::string(field.value());
     }
-    read.body = this->request.body();
+    read.body = std::move(message.body());
     std::string unasked = std::move(this->answer.nextHead);
     this->answer = this->replica->Choose(read);
     if (!unasked.empty()) {
@@ -252,25 +302,35 @@
     }
     this->timer.expires_after(this->answer.pause);
     this->timer.async_wait([self](beast::error_code aError) {
-      if (aError) {
-        return;
+      if (!aError) {
+        self->WhenAwake([self] { self->WritePiece(); });
       }
-      const auto& pieces = self->answer.pieces;
-      asio::async_write(self->socket,
-                        asio::buffer(self->nextPiece < pieces.size()
-                                       ? pieces[self->nextPiece]
-                                       : self->answer.endless),
-                        [self](beast::error_code aWriteError, std::size_t) {
-                          if (aWriteError) {
-                            self->Close();
-                          } else {
-                            ++self->nextPiece;
-                            self->WriteNext();
-                          }
-                        });
     });
   }
 
+  void WritePiece()
+  {
+    auto self = this->shared_from_this();
+    const auto& pieces = this->answer.pieces;
+    asio::async_write(
+      this->socket,
+      asio::buffer(this->nextPiece < pieces.size() ? pieces[this->nextPiece]
+                                                   : this->answer.endless),
+      [self](beast::error_code aError, std::size_t) {
+        self->WhenAwake([self, aError] { self->HandleWritten(aError); });
+      });
+  }
+
+  void HandleWritten(beast::error_code aError)
+  {
+    if (aError) {
+      this->Close();
+    } else {
+      ++this->nextPiece;
+      this->WriteNext();
+    }
+  }
+
   void End()
   {
     beast::error_code ignored;
@@ -295,7 +355,7 @@
   tcp::socket socket;
   asio::steady_timer timer;
   beast::flat_buffer buffer;
-  http::request<http::string_body> request;
+  std::optional<http::request_parser<http::string_body>> parser;
   ReplicaAnswer answer;
   std::size_t nextPiece = 0;
 };
@@ -325,7 +385,7 @@
 }
 
 void
-ReplicaPool::Replica::Crash()
+ReplicaPool::Replica::Stop()
 {
   beast::error_code ignored;
   this->acceptor.close(ignored);
@@ -334,6 +394,12 @@
   for (const auto& connection : open) {
     connection->Close();
   }
+}
+
+void
+ReplicaPool::Replica::Crash()
+{
+  this->Stop();
   auto self = this->shared_from_this();
   this->timer.expires_after(this->downTime);
   this->timer.async_wait([self](beast::error_code aError) {
@@ -438,6 +504,17 @@
 {
   this->io.stop();
   this->thread.join();
+  for (const auto& replica : this->replicas) {
+    replica->Stop();
+  }
+}
+
+void
+ReplicaPool::Silence(int aReplica, Duration aTime)
+{
+  asio::post(this->io, [this, aReplica, aTime] {
+    this->replicas.at(static_cast<std::size_t>(aReplica))->Silence(aTime);
+  });
 }
 
 void
--- a/test/faults/replica_pool.h
+++ b/test/faults/replica_pool.h
@@ -76,6 +76,12 @@
 std::string
 MakeStreamHead(const ReplicaRequest& aRequest);
 
+// Returns the head of a stream in chunks; the last chunk is empty.
+std::string
+MakeChunkedHead(const ReplicaRequest& aRequest);
+std::string
+MakeChunk(const std::string& aText);
+
 // Returns an event of a stream.
 std::string
 MakeEvent(int aId);
@@ -105,6 +111,11 @@
   // Address of the platform's list.
   Address ListAddress() const;
 
+  // Stops a replica for this time, as SIGSTOP does with its process: its system
+  // still accepts connections and bytes, and all that has arrived is handled
+  // afterwards. A later call while it is stopped can only extend the time.
+  void Silence(int aReplica, Duration aTime);
+
   // Sets a hook that returns the further members of a replica's entry in the
   // list. It is called in the pool's thread.
   void SetEntryMembers(std::function<boost::json::object(int aReplica)> aHook);
