Send a stream of the silence cases again if it was refused before it ran

Cause: one of 3 runs at a load of 16 ended with 503 budget_unavailable: control had not replied within 0.1 s. The case never began, so it showed nothing. Change: a request that no replica has seen and that is refused with 503 is sent again; the checks of a stream that has begun are the same.

--- a/test/faults/silent_replicas_test.cc
+++ b/test/faults/silent_replicas_test.cc
@@ -18,6 +18,7 @@
 constexpr Duration kSilence = 1900ms;
 constexpr Duration kLongSilence = 4s;
 
+constexpr unsigned kUnavailable = 503;
 constexpr int kEvents = 4;
 constexpr Duration kEventPause = 200ms;
 constexpr int kRouteTimeoutMs = 4500;
@@ -111,14 +112,19 @@
   }
 
   // Checks that a stream whose replica falls silent ends with all its events.
-  // The other replicas then fall silent for aOthersSilence.
+  // The other replicas then fall silent for aOthersSilence. A request that was
+  // refused before any replica ran it is sent again.
   void CheckStream(Duration aOthersSilence = 0s)
   {
-    auto reply = this->Send("silent", [this, aOthersSilence] {
-      for (int i = 0; i < kReplicas; ++i) {
-        this->pool.Silence(i, i == this->first ? kSilence : aOthersSilence);
-      }
-    });
+    Reply reply;
+    REQUIRE(WaitFor(kServeTime, [this, aOthersSilence, &reply] {
+      reply = this->Send("silent", [this, aOthersSilence] {
+        for (int i = 0; i < kReplicas; ++i) {
+          this->pool.Silence(i, i == this->first ? kSilence : aOthersSilence);
+        }
+      });
+      return reply.status != kUnavailable || this->first != kNone;
+    }));
     INFO(this->RouterLogOf("silent"));
     CHECK(reply.status == 200);
     CHECK(reply.isComplete);
