Keep a silent endpoint's stream until another endpoint has taken it over

What callers saw: the answer to a whole request ended with a closed connection, without an error, while its endpoint was sound.

Cause: an attempt of a resumable stream was ended after max(4 x target, 1.2 s) without data, and only then another endpoint was looked for. If none took the stream (no retry left, all busy, a refusal, another silent one), the answer that had begun was aborted, though its endpoint went on a moment later. The class: a resource is given up before its replacement is certain.

Change: a silence ends nothing. The attempt is set aside while another endpoint is asked, and ends when that one has answered with success; otherwise the stream stays. Another endpoint is asked after 70% of the callers' patience instead of 1.2 s.

--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -119,6 +119,9 @@
   Usage usage;
   // The current attempt, or the last one if none is in progress.
   EndpointAttempt attempt;
+  // An earlier attempt whose endpoint has fallen silent. It is kept while
+  // another endpoint is tried.
+  std::optional<EndpointAttempt> silentAttempt;
   // Whether the request ran at any endpoint that was tried.
   ExecutionState ran = ExecutionState::NotRun;
   std::set<EndpointId> triedEndpoints;
--- a/packages/router/src/finish.cc
+++ b/packages/router/src/finish.cc
@@ -182,6 +182,9 @@
   aRequest->isFinished = true;
   auto& task = aRequest->exchange->Task();
   CancelAttempt(aRequest, aRequest->attempt);
+  if (aRequest->silentAttempt) {
+    CancelAttempt(aRequest, *aRequest->silentAttempt);
+  }
   if (aRequest->holdsAdmission) {
     task.send(aRequest->controllers.admission,
               ReleaseAdmission{ aRequest->ticket });
--- a/packages/router/src/forward_events.cc
+++ b/packages/router/src/forward_events.cc
@@ -5,17 +5,16 @@
 
 namespace {
 
-// A resumable stream is resumed at another endpoint when its endpoint sends no
-// data for this multiple of the route's target time, and for at least
-// kMinSilence.
-constexpr int kSilenceFactor = 4;
-constexpr Duration kMinSilence = std::chrono::milliseconds(1200);
-
-Duration
-SilenceLimit(Milliseconds aExpected)
-{
-  return std::max<Duration>(aExpected * kSilenceFactor, kMinSilence);
-}
+// A caller's patience in percent that passes without data before another
+// endpoint is tried. The rest is left to that endpoint for its first event.
+constexpr int kSilencePercent = 70;
+
+// Time for which an endpoint that was asked to take over may still answer after
+// the silent one has gone on. Both may not run the request for longer.
+constexpr Duration kTakeoverTime = std::chrono::milliseconds(200);
+
+// Pause before another endpoint is looked for again.
+constexpr Duration kTakeoverRetryInterval = std::chrono::milliseconds(500);
 
 // Events that are written to the caller later than this may have delayed the
 // next ones, which are read only then.
@@ -24,6 +23,10 @@
 // Passes the events of a stream on as they become complete. If the stream is
 // interrupted and resumable, another endpoint resumes it after the last event
 // that was passed on, within the same answer.
+//
+// An endpoint that is silent may go on at any moment. Its attempt is set aside
+// while another endpoint is tried, and ends only when that one has answered. If
+// none takes over, the stream stays at the silent endpoint.
 class EventsForward : public std::enable_shared_from_this<EventsForward>
 {
 public:
@@ -36,75 +39,225 @@
 
   void Start()
   {
-    auto self = this->shared_from_this();
-    this->answer.reset();
-    this->events = {};
-    this->errorAnswer = {};
-    this->isTimed = false;
-    this->gaps.Discard();
-    net::CallObserver observer;
-    observer.onHead = [self](const net::CallHead& aHead) {
-      self->HandleHead(aHead);
-    };
-    observer.onBody = [self](const std::string& aChunk) {
-      self->HandleBody(aChunk);
-    };
-    observer.onEnd = [self] { self->HandleEnd(); };
-    observer.onFailure = [self](net::CallFailure aFailure,
-                                const std::string& aReason) {
-      self->HandleFailure(aFailure, aReason);
-    };
+    this->current = {};
+    this->current.number = ++this->startedAttempts;
     StartAttempt(this->request,
                  this->lastEvent,
                  this->MakeOptions(),
-                 std::move(observer),
-                 [self] { self->EndIncomplete(self->lastReason); });
+                 this->MakeObserver(this->current.number),
+                 [self = this->shared_from_this()] {
+                   self->EndIncomplete(self->lastReason);
+                 });
   }
 
 private:
-  // A silent endpoint ends an attempt only if another attempt may follow.
+  // What an attempt has received.
+  struct Received
+  {
+    unsigned number = 0;
+    EventSplitter events;
+    // The time until its first event is reported, and then the gaps.
+    bool isTimed = false;
+    GapMeter gaps;
+    // The answer has a length or chunks.
+    bool isFramed = false;
+    std::optional<AnswerDescription> answer;
+    unsigned status = 0;
+    net::HttpResponse errorAnswer;
+  };
+
+  // An attempt that is set aside. Its steps since then are kept.
+  struct SilentStream
+  {
+    Received received;
+    std::vector<std::function<void()>> steps;
+  };
+
   net::CallOptions MakeOptions() const
   {
     const auto& route = *this->call.route;
     net::CallOptions options = MakeCallOptions(route);
-    if (route.isResumable && this->request->attempts + 1 < route.maxAttempts) {
-      options.responseTimeout = SilenceLimit(route.latencyTarget);
-      options.idleTimeout = SilenceLimit(route.gapTarget);
+    if (route.isResumable && route.maxAttempts > 1) {
+      options.silenceTime = route.callerPatience * kSilencePercent / 100;
     }
     return options;
   }
 
-  bool IsSuccess() const { return this->status >= 200 && this->status < 300; }
+  net::CallObserver MakeObserver(unsigned aNumber)
+  {
+    auto self = this->shared_from_this();
+    net::CallObserver observer;
+    observer.onHead = [self, aNumber](const net::CallHead& aHead) {
+      self->Run(aNumber, [self, aHead] { self->HandleHead(aHead); });
+    };
+    observer.onBody = [self, aNumber](const std::string& aChunk) {
+      if (!self->IsSetAside(aNumber)) {
+        self->HandleBody(aChunk);
+      } else {
+        self->Run(aNumber, [self, aChunk] { self->HandleBody(aChunk); });
+      }
+    };
+    observer.onEnd = [self, aNumber] {
+      self->Run(aNumber, [self] { self->HandleEnd(); });
+    };
+    observer.onFailure = [self, aNumber](net::CallFailure aFailure,
+                                         const std::string& aReason) {
+      if (self->IsSetAside(aNumber)) {
+        self->EndSilent(aFailure, aReason);
+      } else {
+        self->HandleFailure(aFailure, aReason);
+      }
+    };
+    observer.onSilent = [self, aNumber] { self->HandleSilence(aNumber); };
+    return observer;
+  }
+
+  bool IsSetAside(unsigned aNumber) const
+  {
+    return this->silent && this->silent->received.number == aNumber;
+  }
+
+  // Runs a step of an attempt, or keeps it while the attempt is set aside.
+  void Run(unsigned aNumber, std::function<void()> aStep)
+  {
+    if (!this->IsSetAside(aNumber)) {
+      aStep();
+      return;
+    }
+    this->silent->steps.push_back(std::move(aStep));
+    if (this->silent->steps.size() > 1) {
+      return;
+    }
+    if (!this->request->attempt.upstream.IsValid()) {
+      this->AbandonTakeover();
+      return;
+    }
+    this->After(kTakeoverTime, [this, aNumber] {
+      if (this->IsSetAside(aNumber)) {
+        this->AbandonTakeover();
+      }
+    });
+  }
+
+  // Runs a function after a delay unless the request has ended.
+  void After(Duration aDelay, std::function<void()> aRun)
+  {
+    this->request->exchange->Task().After(
+      aDelay, [weak = this->weak_from_this(), run = std::move(aRun)] {
+        auto self = weak.lock();
+        if (self && !self->request->isFinished) {
+          run();
+        }
+      });
+  }
+
+  void HandleSilence(unsigned aNumber)
+  {
+    if (aNumber != this->current.number || this->silent ||
+        !CanRetry(*this->request)) {
+      return;
+    }
+    net::Log(net::LogLevel::Info,
+             "an endpoint is silent; trying another one",
+             { { "event", "endpoint_silent" },
+               { "request", this->request->id.Get() },
+               { "endpoint", this->request->attempt.endpoint.Get() } });
+    net::Metrics().GetCounter("lycheestand_silent_endpoints_total").Add();
+    this->request->silentAttempt = std::exchange(this->request->attempt, {});
+    this->silent = SilentStream{ std::move(this->current), {} };
+    this->Start();
+  }
+
+  // The silent endpoint has gone on before another one has taken over.
+  void AbandonTakeover()
+  {
+    if (this->request->attempt.upstream.IsValid()) {
+      this->request->attempt.upstream.Cancel();
+      EndAttempt(this->request,
+                 routing::Outcome::Abandoned,
+                 "the silent endpoint has gone on");
+    } else {
+      ReleaseEndpoint(this->request, routing::Outcome::Abandoned);
+    }
+    this->ReturnToSilent();
+  }
+
+  // Goes on with the attempt that was set aside; the other one has ended.
+  void ReturnToSilent()
+  {
+    SilentStream stream = std::move(*this->silent);
+    this->silent.reset();
+    this->current = std::move(stream.received);
+    this->request->attempt = std::move(*this->request->silentAttempt);
+    this->request->silentAttempt.reset();
+    const unsigned number = this->current.number;
+    for (const auto& step : stream.steps) {
+      if (!this->request->isFinished && this->current.number == number) {
+        step();
+      }
+    }
+    if (stream.steps.empty()) {
+      this->After(kTakeoverRetryInterval,
+                  [this, number, seen = this->arrivals] {
+                    if (this->arrivals == seen) {
+                      this->HandleSilence(number);
+                    }
+                  });
+    }
+  }
+
+  // Ends the attempt that was set aside.
+  void EndSilent(net::CallFailure aFailure, const std::string& aReason)
+  {
+    this->silent.reset();
+    auto other = std::exchange(this->request->attempt,
+                               std::move(*this->request->silentAttempt));
+    this->request->silentAttempt.reset();
+    this->request->attempt.upstream.Cancel();
+    EndFailedAttempt(this->request, aFailure, aReason);
+    this->request->attempt = std::move(other);
+  }
+
+  bool IsSuccess() const
+  {
+    return this->current.status >= 200 && this->current.status < 300;
+  }
 
   void HandleHead(const net::CallHead& aHead)
   {
-    this->status = aHead.status;
-    this->answer = ReadAnswerHead(this->request, aHead);
-    if (!this->answer) {
+    ++this->arrivals;
+    this->current.status = aHead.status;
+    this->current.answer = ReadAnswerHead(this->request, aHead);
+    if (!this->current.answer) {
       this->Cancel("the answer does not belong to this request");
       return;
     }
-    this->isFramed = !EndsWithConnection(aHead.status, aHead.headers);
+    this->current.isFramed = !EndsWithConnection(aHead.status, aHead.headers);
     auto headers = this->call.protocol->selectEndToEndHeaders(aHead.headers);
     if (!this->IsSuccess()) {
-      this->errorAnswer.status = aHead.status;
-      this->errorAnswer.headers = std::move(headers);
+      this->current.errorAnswer.status = aHead.status;
+      this->current.errorAnswer.headers = std::move(headers);
       return;
     }
+    if (this->silent) {
+      this->EndSilent(net::CallFailure::Interrupted,
+                      "silent; another endpoint has taken over");
+    }
     this->request->ran = ExecutionState::Unknown;
     this->request->usage.promptTokens = this->call.description.promptTokens;
     // The caller's answer has the head of the first endpoint that answered.
     if (this->headers.empty()) {
-      this->firstStatus = this->status;
+      this->firstStatus = this->current.status;
       this->headers = std::move(headers);
     }
   }
 
   void HandleBody(const std::string& aChunk)
   {
+    ++this->arrivals;
     if (!this->IsSuccess()) {
-      this->errorAnswer.body += aChunk;
-      if (this->errorAnswer.body.size() > kMaxErrorBodyBytes) {
+      this->current.errorAnswer.body += aChunk;
+      if (this->current.errorAnswer.body.size() > kMaxErrorBodyBytes) {
         this->Cancel("the error answer is too large");
       } else {
         this->request->attempt.upstream.Continue();
@@ -113,7 +266,7 @@
     }
     std::string ready;
     std::size_t delivered = 0;
-    for (auto& event : this->events.Feed(aChunk)) {
+    for (auto& event : this->current.events.Feed(aChunk)) {
       switch (CheckOrder(this->lastEvent, event)) {
         case EventAction::Deliver:
           this->Count(event);
@@ -129,7 +282,7 @@
       }
     }
     this->ReportTimes(delivered);
-    if (this->events.Remainder().size() > kMaxEventBytes) {
+    if (this->current.events.Remainder().size() > kMaxEventBytes) {
       this->Write(std::move(ready));
       this->Cancel("an event is too large");
       return;
@@ -137,7 +290,7 @@
     if (ready.empty()) {
       ContinueHolding(
         this->request,
-        this->events.Remainder().size(),
+        this->current.events.Remainder().size(),
         [self = this->shared_from_this()] { self->Cancel(kNoMemoryReason); });
     } else {
       this->Write(std::move(ready));
@@ -155,11 +308,11 @@
     if (aEvents == 0) {
       return;
     }
-    if (!this->isTimed) {
-      this->isTimed = true;
+    if (!this->current.isTimed) {
+      this->current.isTimed = true;
       ReportAnswerTime(this->request);
     }
-    if (auto gap = this->gaps.Add(aEvents, this->Time())) {
+    if (auto gap = this->current.gaps.Add(aEvents, this->Time())) {
       ReportTime(this->request, routing::TimedPart::Gap, *gap);
     }
   }
@@ -205,7 +358,7 @@
        startedAt = this->Time()] {
         if (!self->request->isFinished) {
           if (self->Time() - startedAt > kSlowWrite) {
-            self->gaps.Discard();
+            self->current.gaps.Discard();
           }
           handle.Continue();
         }
@@ -225,7 +378,7 @@
     }
     EndAttempt(this->request, routing::Outcome::Succeeded, "");
     this->request->ran = ExecutionState::Ran;
-    this->Write(this->events.Remainder());
+    this->Write(this->current.events.Remainder());
     this->StartAnswer();
     this->request->exchange->EndStream();
     FinishRequest(this->request);
@@ -235,23 +388,24 @@
   // its endpoint has crashed. Only the events tell whether it is complete.
   bool IsBrokenOff() const
   {
-    bool hasNoEvent = !this->isFramed && !this->lastEvent && !this->hasEvents;
-    return hasNoEvent || this->events.IsInsideEvent();
+    bool hasNoEvent =
+      !this->current.isFramed && !this->lastEvent && !this->hasEvents;
+    return hasNoEvent || this->current.events.IsInsideEvent();
   }
 
   // Handles a complete answer whose status is not a success.
   void HandleErrorAnswer()
   {
     EndAttempt(this->request,
-               OutcomeOf(*this->answer, this->status),
-               "status " + std::to_string(this->status));
-    if (this->answer->isNotRun) {
+               OutcomeOf(*this->current.answer, this->current.status),
+               "status " + std::to_string(this->current.status));
+    if (this->current.answer->isNotRun) {
       this->TryAgain("the endpoint did not run the request");
       return;
     }
     this->request->ran = ExecutionState::Unknown;
-    this->keptErrorAnswer = std::move(this->errorAnswer);
-    if (this->status >= 500 && this->call.route->isResumable) {
+    this->keptErrorAnswer = std::move(this->current.errorAnswer);
+    if (this->current.status >= 500 && this->call.route->isResumable) {
       this->TryAgain("the endpoint failed");
     } else {
       this->EndIncomplete("the endpoint failed");
@@ -282,10 +436,15 @@
     }
   }
 
-  // Ends the request although its answer is incomplete. A stream that has begun
-  // is aborted, so that the caller notices that it is incomplete.
+  // Ends the request although its answer is incomplete, unless a silent
+  // endpoint may still complete it. A stream that has begun is aborted, so that
+  // the caller notices that it is incomplete.
   void EndIncomplete(const std::string& aReason)
   {
+    if (this->silent) {
+      this->ReturnToSilent();
+      return;
+    }
     auto& exchange = *this->request->exchange;
     if (exchange.IsAnswered()) {
       this->request->outcome = "broken_stream";
@@ -305,23 +464,17 @@
   const RoutedCall& call;
   // Id of the last event that was passed on, or that the caller already has.
   std::optional<std::uint64_t> lastEvent;
-  EventSplitter events;
   // An event has been passed on.
   bool hasEvents = false;
-  // Of the current attempt: the time until its first event is reported, and the
-  // gaps since.
-  bool isTimed = false;
-  GapMeter gaps;
-  // The current attempt's answer has a length or chunks.
-  bool isFramed = false;
-  std::optional<AnswerDescription> answer;
-  // Status of the current attempt, and of the first success, which the caller
-  // gets.
-  unsigned status = 0;
+  Received current;
+  std::optional<SilentStream> silent;
+  unsigned startedAttempts = 0;
+  // Heads and chunks that were handled.
+  std::uint64_t arrivals = 0;
+  // Head of the first success, which the caller gets.
   unsigned firstStatus = 200;
   net::Headers headers;
-  // Error answer of the current attempt, and that of an earlier one.
-  net::HttpResponse errorAnswer;
+  // Error answer of an earlier attempt.
   std::optional<net::HttpResponse> keptErrorAnswer;
   std::string lastReason = "no endpoint is available for this request";
 };
--- a/packages/router/src/match_route.cc
+++ b/packages/router/src/match_route.cc
@@ -73,7 +73,8 @@
       return;
     }
     bool hasRun = request->ran != ExecutionState::NotRun ||
-                  request->attempt.upstream.IsValid();
+                  request->attempt.upstream.IsValid() ||
+                  request->silentAttempt.has_value();
     Refuse(request,
            { hasRun ? 504u : 503u,
              "timeout",
--- a/test/faults/silent_replicas_test.cc
+++ b/test/faults/silent_replicas_test.cc
@@ -17,6 +17,7 @@
 // the time until it notices.
 constexpr Duration kSilence = 1900ms;
 constexpr Duration kLongSilence = 4s;
+constexpr Duration kEndlessSilence = 30s;
 
 constexpr unsigned kUnavailable = 503;
 constexpr int kEvents = 4;
@@ -85,6 +86,7 @@
       return this->Send("start", nullptr).status == 200;
     }));
     this->first = kNone;
+    this->wasAskedElsewhere = false;
   }
 
   // Sends a request for a stream. Its replica falls silent when the caller has
@@ -114,13 +116,13 @@
   // Checks that a stream whose replica falls silent ends with all its events.
   // The other replicas then fall silent for aOthersSilence. A request that was
   // refused before any replica ran it is sent again.
-  void CheckStream(Duration aOthersSilence = 0s)
+  void CheckStream(Duration aOthersSilence = 0s, Duration aSilence = kSilence)
   {
     Reply reply;
-    REQUIRE(WaitFor(kServeTime, [this, aOthersSilence, &reply] {
-      reply = this->Send("silent", [this, aOthersSilence] {
+    REQUIRE(WaitFor(kServeTime, [&] {
+      reply = this->Send("silent", [this, aOthersSilence, aSilence] {
         for (int i = 0; i < kReplicas; ++i) {
-          this->pool.Silence(i, i == this->first ? kSilence : aOthersSilence);
+          this->pool.Silence(i, i == this->first ? aSilence : aOthersSilence);
         }
       });
       return reply.status != kUnavailable || this->first != kNone;
@@ -132,6 +134,9 @@
     CHECK_FALSE(reply.headers.contains("Connection"));
   }
 
+  // Returns whether another replica was asked for the rest of the stream.
+  bool WasAskedElsewhere() const { return this->wasAskedElsewhere; }
+
   // The replicas that do not run the stream say from now on that they are full.
   void FillOthers() { this->areOthersFull = true; }
 
@@ -149,6 +154,8 @@
   {
     int none = kNone;
     this->first.compare_exchange_strong(none, aReplica);
+    this->wasAskedElsewhere =
+      this->wasAskedElsewhere || aReplica != this->first;
     return this->areOthersFull && aReplica != this->first
              ? MakeFull(aRequest)
              : MakeSlowStream(aRequest);
@@ -179,6 +186,7 @@
   // The replica that has answered first.
   std::atomic<int> first{ kNone };
   std::atomic<bool> areOthersFull{ false };
+  std::atomic<bool> wasAskedElsewhere{ false };
   ReplicaPool pool;
 };
 
@@ -203,6 +211,15 @@
   this->CheckStream();
 }
 
+// Guards against a stream that waits for a replica which does not come back.
+TEST_CASE_METHOD(SilentStreamFixture,
+                 "a stream is taken over from a replica that stays silent",
+                 "[silent-stream]")
+{
+  this->CheckStream(0s, kEndlessSilence);
+  CHECK(this->WasAskedElsewhere());
+}
+
 // Guards against a stream that is broken off because the replica that should
 // continue it is silent for longer than the one that it was taken from.
 TEST_CASE_METHOD(SilentStreamFixture,
