Keep a request whose bytes are reported late as readable

Cause: the reactor collects readiness reports in batches and handles them in turn. A connection that has read the last bytes of a request meanwhile begins to watch for a disconnect; the report of the bytes that it has read already then completes this wait. The socket has no bytes, its peek would block, and FindDisconnect took that for a broken connection: the request was dropped without an answer or a refusal and logged as caller_left, with the caller still waiting. A byte that arrives between the check of the available bytes and the peek had the same effect. The window is longest while the I/O thread has many reports to handle or does not run.

Change: neither an end of input nor an error means that the connection is open, and the connection watches on.

--- a/packages/net/src/http_connection.cc
+++ b/packages/net/src/http_connection.cc
@@ -10,6 +10,7 @@
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http.hpp>
 #include <caf/send.hpp>
+#include <cerrno>
 #include <deque>
 #include <sstream>
 #include <sys/socket.h>
@@ -502,25 +503,35 @@
       this->WatchDisconnect();
       return;
     }
-    // Readable without available bytes means that the caller has closed the
-    // connection. Available bytes are a pipelined request, which is read after
-    // the response to the current one.
+    // Available bytes are a pipelined request, which is read after the response
+    // to the current one.
     beast::error_code error;
-    if (this->socket.available(error) == 0 || error) {
-      this->disconnect = this->FindDisconnect();
+    if (this->socket.available(error) > 0 && !error) {
+      return;
+    }
+    if (auto how = this->FindDisconnect()) {
+      this->disconnect = *how;
       this->quit();
+    } else {
+      this->WatchDisconnect();
     }
   }
 
   // Tells a close by the caller from a reset, after the socket has become
-  // readable without bytes. Asio's receive would block the thread if neither
-  // has happened.
-  Disconnect FindDisconnect()
+  // readable without bytes. Returns nothing if neither has happened: the
+  // reactor may report bytes after they have been read. Asio's receive would
+  // block the thread then.
+  std::optional<Disconnect> FindDisconnect()
   {
     char byte = 0;
     auto received =
       ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return received == 0 ? Disconnect::Closed : Disconnect::Broken;
+    if (received == 0) {
+      return Disconnect::Closed;
+    }
+    bool isOpen =
+      received > 0 || errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+    return isOpen ? std::nullopt : std::optional(Disconnect::Broken);
   }
 
   // Decides whether the connection is kept after this response. This happens
--- a/packages/net/test/http_server_test.cc
+++ b/packages/net/test/http_server_test.cc
@@ -89,6 +89,36 @@
   REQUIRE(how == Disconnect::Broken);
 }
 
+// Guards against a request that loses its answer since bytes of it are reported
+// as readable after they have been read.
+TEST_CASE_METHOD(NetFixture, "A late report of read bytes is no disconnect")
+{
+  ExchangePtr exchange;
+  bool hasLeft = false;
+  auto address = this->Serve([&](const ExchangePtr& aExchange) {
+    exchange = aExchange;
+    aExchange->OnDisconnect([&hasLeft](Disconnect) { hasLeft = true; });
+  });
+  RawCaller caller(address);
+  this->RunUntil([rounds = 0]() mutable { return ++rounds > 20; });
+  const std::string request(kGetRequest);
+  const auto half = request.size() / 2;
+  caller.Send(request.substr(0, half));
+  this->io.poll();
+  this->io.restart();
+  // The reactor collects the report of the second half but handles the posted
+  // function first. Meanwhile the connection reads both halves.
+  caller.Send(request.substr(half));
+  boost::asio::post(this->io, [] {});
+  REQUIRE(this->io.poll_one() == 1);
+  this->Coordinator().run();
+  REQUIRE(exchange != nullptr);
+  this->RunUntil([rounds = 0]() mutable { return ++rounds > 20; });
+  CHECK_FALSE(hasLeft);
+  exchange->Respond({ 200, {}, "whole" });
+  this->RunUntil([&] { return caller.Received().ends_with("whole"); });
+}
+
 // Guards against callers that occupy connections by sending requests slowly.
 TEST_CASE_METHOD(
   NetFixture,
--- a/packages/net/test/net_fixture.h
+++ b/packages/net/test/net_fixture.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <caf/actor_system_config.hpp>
