Tell why the process closes a connection without a complete answer

Cause: a close by the process itself (an unread response, no memory, a failed task, the end of a stop, an aborted stream) was logged as caller_left or not at all, so that a lost answer could not be told from a caller that left.

Change: Disconnect names the reason of each close. The process writes one line request_cut for each request that it cuts, with its state, its endpoint and the reason, and counts it in lycheestand_requests_cut_total{reason}. An aborted stream has its outcome as the reason. Requests that never reached a handler are logged with their peer and bytes. At the end of the process the open connections are closed first, so that these requests are logged too; this takes 50 ms. lycheestand explain shows the line and what led to it.

--- a/packages/client/src/request_timeline.cc
+++ b/packages/client/src/request_timeline.cc
@@ -62,6 +62,8 @@
   std::string begin;
   std::string end;
   double milliseconds = 0;
+  // The router closed the connection before the answer was complete.
+  bool isCut = false;
 };
 
 RequestSummary
@@ -83,10 +85,13 @@
     if (!workspace.empty()) {
       summary.workspace = workspace;
     }
+    std::string event = GetField(line.fields, "event");
     std::string time = GetField(line.fields, "ms");
-    if (GetField(line.fields, "event") == "request" && !time.empty()) {
+    bool isCut = event == "request_cut";
+    if ((event == "request" || isCut) && !time.empty()) {
       summary.milliseconds = std::atof(time.c_str());
     }
+    summary.isCut |= isCut;
   }
   return summary;
 }
@@ -104,6 +109,12 @@
        message == "started")) {
     return "[router] ";
   }
+  if (aLine.instance == aSummary.router && aSummary.isCut &&
+      (event == "buffers_full" || event == "buffer_holder_closed" ||
+       event == "response_dropped" || event == "stalled" ||
+       event == "finishing")) {
+    return "[router] ";
+  }
   if (event == "budget" &&
       GetField(aLine.fields, "workspace") == aSummary.workspace) {
     return "[budget] ";
@@ -169,7 +180,9 @@
   for (std::size_t i = aLines.size(); i-- > 0;) {
     const LogLine& line = aLines[i];
     if (GetField(line.fields, "request") == aRequest) {
-      timeline.emplace_back(i, FormatLine(line, "[request] "));
+      bool isCut = GetField(line.fields, "event") == "request_cut";
+      timeline.emplace_back(i,
+                            FormatLine(line, isCut ? "[cut] " : "[request] "));
       continue;
     }
     const char* label = ContextLabel(line, summary);
--- a/packages/client/src/request_timeline.h
+++ b/packages/client/src/request_timeline.h
@@ -26,7 +26,8 @@
 // Returns the timeline of a request as lines of text in chronological order:
 // its own log lines, its router's lines about control and the routes, the
 // budget lines of its workspace, and other requests at its endpoints at that
-// time. Returns an empty list if no line names the request.
+// time. If its router closed the connection before the answer was complete,
+// also what tells why. Returns an empty list if no line names the request.
 std::vector<std::string>
 BuildRequestTimeline(std::vector<LogLine> aLines, const std::string& aRequest);
 
--- a/packages/client/test/request_timeline_test.cc
+++ b/packages/client/test/request_timeline_test.cc
@@ -58,3 +58,30 @@
   CHECK(timeline[0].find("[endpoint] m event=endpoint_capacity endpoint=e") !=
         std::string::npos);
 }
+
+// Guards against a lost answer that is shown as the caller's decision, or
+// without what made the router close the connection.
+TEST_CASE("A request's timeline tells why its router closed the connection")
+{
+  std::istringstream input(
+    R"({"time":"2026-12-06T15:40:40.000Z","instance":"r","message":"m",)"
+    R"("event":"response_dropped","peer":"192.0.2.1"})"
+    "\n"
+    R"({"time":"2026-12-06T15:40:40.000Z","instance":"q","message":"m",)"
+    R"("event":"response_dropped","peer":"192.0.2.2"})"
+    "\n"
+    R"({"time":"2026-12-06T15:40:40.001Z","instance":"r","message":"m",)"
+    R"("event":"request_cut","request":"id1","reason":"no_memory",)"
+    R"("state":"answering","endpoint":"e","ms":"900"})"
+    "\n"
+    R"({"time":"2026-12-06T15:40:40.002Z","instance":"r","message":"m",)"
+    R"("event":"request","request":"id1","outcome":"cut","endpoint":"e"})"
+    "\n");
+  auto timeline = BuildRequestTimeline(ReadLogLines(input), "id1");
+  REQUIRE(timeline.size() == 3);
+  CHECK(timeline[0].find(" r [router] m event=response_dropped") !=
+        std::string::npos);
+  CHECK(timeline[1].find("[cut] m event=request_cut") != std::string::npos);
+  CHECK(timeline[1].find("reason=no_memory state=answering") !=
+        std::string::npos);
+}
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <caf/actor_system_config.hpp>
+#include <caf/send.hpp>
 #include <csignal>
 #include <filesystem>
 #include <iostream>
@@ -27,6 +28,9 @@
 // Time limit for operators' requests in flight at a stop.
 constexpr Duration kAdminStopTimeout = std::chrono::seconds(5);
 
+// Time in which the tasks of connections end before the process does.
+constexpr Duration kCloseTime = std::chrono::milliseconds(50);
+
 net::LogLevel
 ParseLevel(const std::string& aText)
 {
@@ -52,6 +56,7 @@
     , signals(this->io, SIGTERM, SIGINT)
     , reloadSignal(this->io, SIGHUP)
     , fileTimer(this->io)
+    , stopTimer(this->io)
   {
   }
 
@@ -270,9 +275,19 @@
       this->runtime, this->admin, kAdminStopTimeout, [this] { this->Stop(); });
   }
 
+  // Connections that are still open are closed, so that the log tells which
+  // requests are cut.
   void Stop()
   {
-    boost::asio::post(this->io, [this] { this->io.stop(); });
+    caf::anon_send(this->admin, net::CloseConnections{});
+    for (const auto& server : this->platformServers) {
+      caf::anon_send(server, net::CloseConnections{});
+    }
+    boost::asio::post(this->io, [this] {
+      this->stopTimer.expires_after(kCloseTime);
+      this->stopTimer.async_wait(
+        [this](boost::system::error_code) { this->io.stop(); });
+    });
   }
 
   settings::ProcessSettings settings;
@@ -284,6 +299,7 @@
   boost::asio::signal_set signals;
   boost::asio::signal_set reloadSignal;
   boost::asio::steady_timer fileTimer;
+  boost::asio::steady_timer stopTimer;
   std::filesystem::file_time_type fileChangeTime{};
   caf::actor admin;
   std::vector<caf::actor> platformServers;
--- a/packages/net/include/lycheestand/net.h
+++ b/packages/net/include/lycheestand/net.h
@@ -317,10 +317,31 @@
 {
   // The caller closed it.
   Closed,
-  // It was reset, the caller did not read in time, or this process closed it.
-  Broken
+  // It was reset, or the network failed.
+  Broken,
+  // Exchange::Abort was called. Here and below, this process closed it.
+  Aborted,
+  // The caller did not read the response within the write timeout.
+  WriteTimeout,
+  // The caller did not read the response, and the server had no room for
+  // another connection.
+  ServerFull,
+  // The caller did not read the response fast enough for the memory left.
+  NoMemory,
+  // The server's stop ended first.
+  Stopped,
+  // The connection's task failed, or a task that the response depends on.
+  TaskFailed
 };
 
+// Returns whether this process closed the connection.
+bool
+IsClosedByServer(Disconnect aHow);
+
+// Returns a short name for logs and metrics.
+const char*
+ToString(Disconnect aHow);
+
 // An HTTP request and its response. It must be used only inside the task of the
 // connection (see Task). After the connection has closed, the functions that
 // send have no effect, and Peer and Task must not be called.
@@ -364,7 +385,8 @@
   virtual bool IsAnswered() const = 0;
 
   // Sets the function that runs when the connection closes before the response
-  // is complete; replaces the previous one.
+  // is complete; replaces the previous one. It calls ReportRequestCut if this
+  // process has closed the connection; without a function, the server does.
   virtual void OnDisconnect(std::function<void(Disconnect)> aRun) = 0;
 
   // Returns the connection's task, which can send messages and make calls.
@@ -423,6 +445,10 @@
   bool isListening = true;
 };
 
+// Message to a server: close all connections now, since the process ends.
+struct CloseConnections
+{};
+
 // Message to a server: close each connection after its next response, with
 // "Connection: close" in its headers. New connections are still accepted.
 struct CloseAfterResponses
@@ -677,6 +703,11 @@
 MetricsRegistry&
 Metrics();
 
+// Logs that this process has closed the connection of a request without a
+// complete answer, and counts it.
+void
+ReportRequestCut(const std::string& aReason, LogFields aFields);
+
 // Logs the availability zones whose evacuation this process has learned to be
 // ordered or revoked, and publishes the number of evacuated zones.
 void
@@ -689,6 +720,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::StopListening)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::SetListening)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::CloseAfterResponses)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::CloseConnections)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::CountOpenConnections)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::LinkUp)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::net::LinkFrame)
--- a/packages/net/src/connection_progress.h
+++ b/packages/net/src/connection_progress.h
@@ -23,6 +23,12 @@
     return aNow - this->lastProgress;
   }
 
+  // Time since the first byte of the latest request.
+  Duration SinceRequest(TimePoint aNow) const
+  {
+    return aNow - this->requestStartedAt;
+  }
+
   // Returns whether a request that has begun arrives too slowly. aReceived is
   // the number of its bytes so far.
   bool IsRequestLate(bool aHasHeader,
--- a/packages/net/src/http_connection.cc
+++ b/packages/net/src/http_connection.cc
@@ -87,16 +87,21 @@
     // A request to another task, which the response depends on, has failed or
     // timed out. Without closing the connection, the caller would never get a
     // response.
-    this->set_error_handler(
-      [this](caf::scheduled_actor*, caf::error&) { this->quit(); });
+    this->set_error_handler([this](caf::scheduled_actor*, caf::error&) {
+      this->Close(Disconnect::TaskFailed);
+    });
   }
 
   void on_exit() override
   {
     beast::error_code ignored;
     this->socket.close(ignored);
-    if (this->exchange) {
-      this->exchange->Detach(this->disconnect);
+    auto how = this->disconnect.value_or(Disconnect::TaskFailed);
+    bool isUnderWay =
+      this->exchange || (this->IsReading() && this->reader.HasBegun());
+    bool isReported = this->exchange && this->exchange->Detach(how);
+    if (isUnderWay && !isReported && IsClosedByServer(how)) {
+      this->ReportCut(how);
     }
     this->hold.Release();
     this->send(this->server, ConnectionEnded{});
@@ -120,6 +125,7 @@
     return { [this](StopListening) { this->StopAfterRequest(); },
              [this](CloseAfterResponses) { this->closeAfterResponse = true; },
              [this](CloseUnused) { this->CloseIfUnused(); },
+             [this](CloseConnections) { this->Close(Disconnect::Stopped); },
              [this](YieldBuffer) { return this->Yield(); } };
   }
 
@@ -193,8 +199,8 @@
     }
 
     // Called when the connection closes: runs the disconnect callback and drops
-    // the pointer to the connection.
-    void Detach(Disconnect aHow)
+    // the pointer to the connection. Returns whether there was a callback.
+    bool Detach(Disconnect aHow)
     {
       auto run = std::move(this->onDisconnect);
       this->onDisconnect = nullptr;
@@ -202,6 +208,7 @@
         run(aHow);
       }
       this->connection = nullptr;
+      return run != nullptr;
     }
 
     // Called when the response is fully written.
@@ -225,6 +232,38 @@
   // Returns whether a request can arrive now: none is in progress or refused.
   bool IsReading() const { return !this->exchange && !this->hasUnreadRequest; }
 
+  // Ends the task. The first reason counts.
+  void Close(Disconnect aHow)
+  {
+    this->SetDisconnect(aHow);
+    this->quit();
+  }
+
+  void SetDisconnect(Disconnect aHow)
+  {
+    if (!this->disconnect) {
+      this->disconnect = aHow;
+    }
+  }
+
+  // Reports a request that has no owner who does.
+  void ReportCut(Disconnect aHow) const
+  {
+    const char* state = "reading";
+    if (this->exchange) {
+      state = this->exchange->IsAnswered() ? "answering" : "waiting";
+    }
+    auto bytes = this->exchange ? this->exchange->Request().body.size()
+                                : this->reader.ReceivedBytes();
+    ReportRequestCut(ToString(aHow),
+                     { { "state", state },
+                       { "peer", this->peer },
+                       { "bytes", std::to_string(bytes) },
+                       { "ms",
+                         FormatMilliseconds(this->progress.SinceRequest(
+                           this->CurrentTime())) } });
+  }
+
   TimePoint CurrentTime() const { return Now(this->GetRuntime()); }
 
   Duration TimeSinceProgress() const
@@ -238,7 +277,7 @@
   {
     this->After(std::chrono::seconds(2), [this] {
       if (this->HasTimedOut()) {
-        this->quit();
+        this->Close(Disconnect::WriteTimeout);
         return;
       }
       if (this->IsRequestLate()) {
@@ -280,7 +319,7 @@
       !this->writes.empty() && this->TimeSinceProgress() >= kUnreadTime;
     if (isUnused || isUnread) {
       GetConnectionCounters().unused.Add();
-      this->quit();
+      this->Close(Disconnect::ServerFull);
     }
   }
 
@@ -305,7 +344,7 @@
     if (this->IsReading()) {
       this->RejectForMemory();
     } else {
-      this->quit();
+      this->Close(Disconnect::NoMemory);
     }
     return promise;
   }
@@ -328,7 +367,7 @@
       tcp::socket::wait_read,
       asio::bind_executor(this->Executor(), [this](beast::error_code aError) {
         if (aError) {
-          this->quit();
+          this->Close(Disconnect::Broken);
         } else if (this->IsReading()) {
           this->ReadAvailable();
         }
@@ -344,7 +383,8 @@
       return;
     }
     if (error) {
-      this->quit();
+      this->Close(error == asio::error::eof ? Disconnect::Closed
+                                            : Disconnect::Broken);
       return;
     }
     auto now = this->CurrentTime();
@@ -490,7 +530,7 @@
   void HandleReadable(beast::error_code aError, std::uint64_t aWatchedExchange)
   {
     if (aError) {
-      this->quit();
+      this->Close(Disconnect::Broken);
       return;
     }
     if (!this->exchange) {
@@ -510,8 +550,7 @@
       return;
     }
     if (auto how = this->FindDisconnect()) {
-      this->disconnect = *how;
-      this->quit();
+      this->Close(*how);
     } else {
       this->WatchDisconnect();
     }
@@ -617,7 +656,7 @@
       asio::bind_executor(this->Executor(),
                           [this](beast::error_code aError, std::size_t aBytes) {
                             if (aError) {
-                              this->quit();
+                              this->Close(Disconnect::Broken);
                             } else {
                               this->HandleWritten(aBytes);
                             }
@@ -663,7 +702,7 @@
               "closed a connection: no memory for a response that is not read",
               { { "event", "response_dropped" }, { "peer", this->peer } });
           GetConnectionCounters().droppedResponses.Add();
-          this->quit();
+          this->Close(Disconnect::NoMemory);
         }
       });
   }
@@ -673,6 +712,7 @@
   void CloseAfterWrites()
   {
     this->closesAfterWrites = true;
+    this->SetDisconnect(Disconnect::Aborted);
     if (this->writes.empty()) {
       this->quit();
     } else {
@@ -692,6 +732,8 @@
         this->After(kMaxDiscardTime, [this] { this->quit(); });
         this->DiscardInput();
       } else {
+        // Bytes after a response that announced the close are no request.
+        this->reader.Clear();
         this->quit();
       }
       return;
@@ -725,7 +767,7 @@
   {
     this->keepAlive = false;
     if (!this->exchange) {
-      this->quit();
+      this->Close(Disconnect::Stopped);
     }
   }
 
@@ -753,8 +795,8 @@
   // The request in progress was rejected before all of it had arrived.
   bool hasUnreadRequest = false;
   bool isWatchingDisconnect = false;
-  // Reported to the exchange when the connection ends before its response.
-  Disconnect disconnect = Disconnect::Broken;
+  // Why the connection ends; none if the task fails.
+  std::optional<Disconnect> disconnect;
 };
 
 } // namespace
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -59,6 +59,13 @@
       },
       [this](StopListening) { this->Stop(); },
       [this](CloseAfterResponses) { this->AnnounceClose(); },
+      [this](CloseConnections) {
+        this->acceptLoop.Close();
+        for (const auto& connection : this->connections) {
+          caf::anon_send(caf::actor_cast<caf::actor>(connection),
+                         CloseConnections{});
+        }
+      },
       [this](CountOpenConnections) { return this->connections.size(); },
     };
   }
--- a/packages/net/test/http_server_test.cc
+++ b/packages/net/test/http_server_test.cc
@@ -1,6 +1,7 @@
 #include "net_fixture.h"
 
 #include <caf/scoped_actor.hpp>
+#include <map>
 
 using namespace lycheestand;
 using namespace lycheestand::net;
@@ -8,6 +9,9 @@
 
 namespace {
 
+// More than the system's buffers of a connection.
+constexpr std::size_t kMoreThanSocketBuffers = 32 * 1024 * 1024;
+
 constexpr const char* kGetRequest = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
 
 // Returns how often the pattern occurs in the text.
@@ -243,8 +247,7 @@
 // Guards against responses that nobody reads and that fill the memory.
 TEST_CASE_METHOD(NetFixture, "An unread response needs memory")
 {
-  // More than the system's buffers of a connection.
-  constexpr std::size_t kResponseBytes = 32 * 1024 * 1024;
+  constexpr std::size_t kResponseBytes = kMoreThanSocketBuffers;
   HttpServerOptions options;
   options.maxBufferedBytes = 2 * 1024 * 1024;
   auto address = this->Serve(
@@ -433,6 +436,78 @@
   REQUIRE(caller.Received().find("\r\n0\r\n") == std::string::npos);
 }
 
+// Guards against an answer that this process gives up and that looks like the
+// caller's decision.
+TEST_CASE_METHOD(NetFixture, "The reason of a cut request is known")
+{
+  HttpServerOptions options;
+  options.maxBufferedBytes = 4 * kMoreThanSocketBuffers;
+  std::map<std::string, Disconnect> ends;
+  auto address = this->Serve(
+    [&ends](const ExchangePtr& aExchange) {
+      const auto& target = aExchange->Request().target;
+      aExchange->OnDisconnect(
+        [&ends, target](Disconnect aHow) { ends[target] = aHow; });
+      if (target == "/aborted") {
+        aExchange->StartStream(200, {});
+        aExchange->WriteStream("part", nullptr);
+        aExchange->Abort();
+      } else if (target == "/unread") {
+        aExchange->Respond(
+          { 200, {}, std::string(kMoreThanSocketBuffers, 'x') });
+      }
+    },
+    options);
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (const char* target : { "/aborted", "/unread", "/stopped" }) {
+    callers.push_back(std::make_unique<RawCaller>(address));
+    callers.back()->Send("GET " + std::string(target) +
+                         " HTTP/1.1\r\nHost: x\r\n\r\n");
+  }
+  this->RunUntil([&] { return ends.contains("/aborted"); });
+  this->Advance(40s);
+  this->RunUntil([&] { return ends.contains("/unread"); });
+  caf::anon_send(this->started.front(), CloseConnections{});
+  this->RunUntil([&] { return ends.contains("/stopped"); });
+  CHECK(ends["/aborted"] == Disconnect::Aborted);
+  CHECK(ends["/unread"] == Disconnect::WriteTimeout);
+  CHECK(ends["/stopped"] == Disconnect::Stopped);
+  for (const auto& [target, how] : ends) {
+    CHECK(IsClosedByServer(how));
+  }
+  CHECK_FALSE(IsClosedByServer(Disconnect::Closed));
+  CHECK_FALSE(IsClosedByServer(Disconnect::Broken));
+}
+
+// Guards against a request that ends without an answer and without a trace,
+// since no handler knows it; and against a count of connections that are idle.
+TEST_CASE_METHOD(NetFixture, "A cut request without an owner is counted")
+{
+  auto stopped = Metrics().GetCounter("lycheestand_requests_cut_total",
+                                      R"(reason="stopped")");
+  auto address = this->Serve([](const ExchangePtr& aExchange) {
+    if (aExchange->Request().target == "/a") {
+      aExchange->Respond({ 200, {}, "ok" });
+    }
+  });
+  RawCaller idle(address);
+  RawCaller unused(address);
+  RawCaller reading(address);
+  RawCaller waiting(address);
+  idle.Send(kGetRequest);
+  reading.Send("GET /a HT");
+  waiting.Send("GET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+  this->RunUntil([&] { return idle.Received().ends_with("ok"); });
+  this->RunUntil([rounds = 0]() mutable { return ++rounds > 20; });
+  auto before = stopped.Value();
+  caf::anon_send(this->started.front(), CloseConnections{});
+  this->RunUntil([&] {
+    return idle.IsClosed() && unused.IsClosed() && reading.IsClosed() &&
+           waiting.IsClosed();
+  });
+  CHECK(stopped.Value() == before + 2);
+}
+
 // Guards against a planned stop that drops connections with a request in
 // progress.
 TEST_CASE_METHOD(NetFixture,
--- a/packages/router/src/finish.cc
+++ b/packages/router/src/finish.cc
@@ -96,6 +96,38 @@
   }
 }
 
+// Returns how far the request had got.
+const char*
+StateOf(const Request& aRequest)
+{
+  if (aRequest.exchange->IsAnswered()) {
+    return "answering";
+  }
+  bool isRecordedCallSent =
+    aRequest.operation != 0 && !aRequest.isOperationOpen;
+  bool isSent = aRequest.upstream.IsValid() || isRecordedCallSent ||
+                aRequest.ran != ExecutionState::NotRun;
+  return isSent ? "sent" : "waiting";
+}
+
+// The outcome tells why a response was aborted.
+void
+ReportCut(const Request& aRequest, net::Disconnect aHow)
+{
+  bool hasOutcome =
+    aHow == net::Disconnect::Aborted && *aRequest.outcome != '\0';
+  auto now = net::Now(aRequest.exchange->Task().GetRuntime());
+  net::ReportRequestCut(
+    hasOutcome ? aRequest.outcome : net::ToString(aHow),
+    { { "request", aRequest.id.Get() },
+      { "state", StateOf(aRequest) },
+      { "peer", aRequest.exchange->Peer() },
+      { "workspace", aRequest.workspace.Get() },
+      { "endpoint", aRequest.endpoint.Get() },
+      { "ran", ToString(aRequest.ran) },
+      { "ms", net::FormatMilliseconds(now - aRequest.startedAt) } });
+}
+
 } // namespace
 
 void
@@ -131,17 +163,21 @@
   FinishRequest(aRequest);
 }
 
-// The router has closed the connection itself if the outcome is set. A
+// The request may have ended already, with an answer that is not yet written. A
 // suspension, which the task's clock does not count, counts as time that the
 // caller has waited.
 void
 EndDisconnected(const RequestPtr& aRequest, net::Disconnect aHow)
 {
-  bool hasCallerLeft = !aRequest->isFinished && *aRequest->outcome == '\0';
-  if (hasCallerLeft) {
-    aRequest->outcome = "caller_left";
+  bool isCut = net::IsClosedByServer(aHow);
+  if (isCut) {
+    ReportCut(*aRequest, aHow);
+  }
+  bool isOpen = !aRequest->isFinished && *aRequest->outcome == '\0';
+  if (isOpen) {
+    aRequest->outcome = isCut ? "cut" : "caller_left";
   }
-  if (hasCallerLeft && aHow == net::Disconnect::Closed) {
+  if (isOpen && aHow == net::Disconnect::Closed) {
     auto now = net::Now(aRequest->exchange->Task().GetRuntime());
     auto suspended = net::SuspendedTime() - aRequest->suspendedAtStart;
     const auto* routed = std::get_if<RoutedCall>(&aRequest->call);
--- a/packages/router/src/router.cc
+++ b/packages/router/src/router.cc
@@ -153,6 +153,7 @@
         if (aEmpty || this->IsOverdue()) {
           this->LogStopped(aEmpty);
           this->After(kDrainPollInterval, [this] {
+            this->send(this->server, net::CloseConnections{});
             this->stopped();
             this->quit();
           });
