Let a stopping server answer requests that have begun to arrive

Cause: a connection of a stopping server closed at once if no handler had its request. So it dropped requests that were being read or waited for memory, requests that were in the socket, also after a response that had announced that the connection is kept, and it reset a connection that was still reading the rest of a refused request.

Change: such a connection closes when no byte of a request has arrived. Until then it reads on, and the response to the next request announces the close. The timeouts of a request and the end of the stop bound it.

--- a/packages/net/src/http_connection.cc
+++ b/packages/net/src/http_connection.cc
@@ -232,6 +232,14 @@
   // Returns whether a request can arrive now: none is in progress or refused.
   bool IsReading() const { return !this->exchange && !this->hasUnreadRequest; }
 
+  // Returns whether no byte of a request has arrived.
+  bool IsIdle() const
+  {
+    beast::error_code ignored;
+    return this->IsReading() && !this->reader.HasBegun() &&
+           this->socket.available(ignored) == 0;
+  }
+
   // Ends the task. The first reason counts.
   void Close(Disconnect aHow)
   {
@@ -739,6 +747,7 @@
       return;
     }
     this->ReadRequest();
+    this->CloseIfStopped();
   }
 
   // Drops what the caller still sends. Closing a socket with unread data resets
@@ -761,12 +770,19 @@
       }));
   }
 
-  // Closes the connection after the request in progress, or immediately if
-  // there is none.
+  // Closes the connection after the request in progress or, if the last
+  // response has announced that it is kept, after the next one that has begun
+  // to arrive.
   void StopAfterRequest()
   {
-    this->keepAlive = false;
-    if (!this->exchange) {
+    this->isStopping = true;
+    this->closeAfterResponse = true;
+    this->CloseIfStopped();
+  }
+
+  void CloseIfStopped()
+  {
+    if (this->isStopping && this->IsIdle()) {
       this->Close(Disconnect::Stopped);
     }
   }
@@ -791,6 +807,8 @@
   bool closesAfterWrites = false;
   // The next response announces that the connection will be closed.
   bool closeAfterResponse = false;
+  // The connection is closed as soon as no request has begun.
+  bool isStopping = false;
   bool isHeadRequest = false;
   // The request in progress was rejected before all of it had arrived.
   bool hasUnreadRequest = false;
--- a/packages/net/test/http_server_test.cc
+++ b/packages/net/test/http_server_test.cc
@@ -527,6 +527,72 @@
   REQUIRE(caller.Received().find("whole") != std::string::npos);
 }
 
+// Guards against a stop that drops requests which have begun to arrive.
+TEST_CASE_METHOD(NetFixture, "A stopping server answers requests that arrive")
+{
+  ExchangePtr stream;
+  auto address = this->Serve([&stream](const ExchangePtr& aExchange) {
+    if (aExchange->Request().target == "/stream") {
+      stream = aExchange;
+      aExchange->StartStream(200, {});
+    } else {
+      aExchange->Respond({ 200, {}, "whole" });
+    }
+  });
+  RawCaller idle(address);
+  RawCaller reading(address);
+  RawCaller unread(address);
+  RawCaller kept(address);
+  const std::string request(kGetRequest);
+  const auto half = request.size() / 2;
+  idle.Send(request);
+  reading.Send(request.substr(0, half));
+  unread.Send(request);
+  kept.Send("GET /stream HTTP/1.1\r\nHost: x\r\n\r\n");
+  this->RunUntil([&] {
+    return stream && idle.Received().ends_with("whole") &&
+           unread.Received().ends_with("whole");
+  });
+  this->RunUntil([rounds = 0]() mutable { return ++rounds > 20; });
+
+  // The request is in the socket when the stop begins.
+  unread.Send(request);
+  caf::anon_send(this->started.front(), StopListening{});
+  this->Coordinator().run();
+  this->RunUntil([&] { return idle.IsClosed() && unread.IsClosed(); });
+  CHECK(CountOccurrences(unread.Received(), "whole") == 2);
+  CHECK(CountOccurrences(unread.Received(), "Connection: close") == 1);
+  CHECK_FALSE(reading.IsClosed());
+  reading.Send(request.substr(half));
+  this->RunUntil([&] { return reading.IsClosed(); });
+  CHECK(reading.Received().ends_with("whole"));
+  CHECK(CountOccurrences(reading.Received(), "Connection: close") == 1);
+
+  // The head of the stream has announced that the connection is kept.
+  kept.Send(request);
+  stream->EndStream();
+  this->RunUntil([&] { return kept.IsClosed(); });
+  CHECK(kept.Received().ends_with("whole"));
+}
+
+// Guards against a stop that resets a connection on which a refusal is being
+// sent: the caller may lose the refusal.
+TEST_CASE_METHOD(NetFixture, "A stopping server reads on after a refusal")
+{
+  HttpServerOptions options;
+  options.maxBodyBytes = 1024;
+  auto address = this->Serve([](const ExchangePtr&) {}, options);
+  RawCaller caller(address);
+  caller.Send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\n");
+  this->RunUntil([&] { return caller.Received().starts_with("HTTP/1.1 413"); });
+  this->RunUntil([rounds = 0]() mutable { return ++rounds > 20; });
+  caller.Send(std::string(2000, 'x'));
+  caf::anon_send(this->started.front(), StopListening{});
+  this->Coordinator().run();
+  this->RunUntil([rounds = 0]() mutable { return ++rounds > 20; });
+  CHECK_NOTHROW(caller.Send("x"));
+}
+
 // Guards against a stop that is reported as complete before the last response
 // is sent.
 TEST_CASE_METHOD(NetFixture,
