Keep an idle connection whose next request is in the socket

Cause: the keep-alive timeout and the close of unused connections of a full server looked only at what had been read. A request that had arrived in the socket, but whose report waited for its turn, was dropped with the connection.

Change: both ask the socket whether bytes have arrived.

--- a/packages/net/src/http_connection.cc
+++ b/packages/net/src/http_connection.cc
@@ -300,12 +300,9 @@
     if (!this->writes.empty()) {
       return this->TimeSinceProgress() >= this->options.writeTimeout;
     }
-    if (!this->IsReading() || this->reader.HasBegun()) {
-      return false;
-    }
-    return this->TimeSinceProgress() >= (this->isFirstRequest
-                                           ? this->options.requestTimeout
-                                           : this->options.keepAliveTimeout);
+    auto timeout = this->isFirstRequest ? this->options.requestTimeout
+                                        : this->options.keepAliveTimeout;
+    return this->TimeSinceProgress() >= timeout && this->IsIdle();
   }
 
   bool IsRequestLate() const
@@ -321,8 +318,7 @@
 
   void CloseIfUnused()
   {
-    bool isUnused = this->IsReading() && !this->reader.HasBegun() &&
-                    this->TimeSinceProgress() >= kUnusedTime;
+    bool isUnused = this->IsIdle() && this->TimeSinceProgress() >= kUnusedTime;
     bool isUnread =
       !this->writes.empty() && this->TimeSinceProgress() >= kUnreadTime;
     if (isUnused || isUnread) {
--- a/packages/net/test/http_server_test.cc
+++ b/packages/net/test/http_server_test.cc
@@ -508,6 +508,58 @@
   CHECK(stopped.Value() == before + 2);
 }
 
+// Guards against a request that arrives when its connection is about to be
+// closed as idle, and is dropped unread.
+TEST_CASE_METHOD(NetFixture,
+                 "A timeout does not drop a request that has arrived")
+{
+  HttpServerOptions options;
+  auto address = this->Serve(
+    [](const ExchangePtr& aExchange) {
+      aExchange->Respond({ 200, {}, "whole" });
+    },
+    options);
+  RawCaller late(address);
+  RawCaller idle(address);
+  for (RawCaller* caller : { &late, &idle }) {
+    caller->Send(kGetRequest);
+    this->RunUntil([&] { return caller->Received().ends_with("whole"); });
+  }
+  this->Advance(options.keepAliveTimeout - 500ms);
+  REQUIRE_FALSE(idle.IsClosed());
+  late.Send(kGetRequest);
+  this->Coordinator().advance_time(2s);
+  this->Coordinator().run();
+  this->RunUntil([&] { return idle.IsClosed(); });
+  this->RunUntil(
+    [&] { return CountOccurrences(late.Received(), "whole") == 2; });
+}
+
+// Guards against a full server that takes a connection for unused although its
+// next request has arrived.
+TEST_CASE_METHOD(NetFixture, "A full server keeps a connection with a request")
+{
+  HttpServerOptions options;
+  options.maxConnections = 2;
+  auto address = this->Serve(
+    [](const ExchangePtr& aExchange) {
+      aExchange->Respond({ 200, {}, "whole" });
+    },
+    options);
+  RawCaller first(address);
+  first.Send(kGetRequest);
+  this->RunUntil([&] { return first.Received().ends_with("whole"); });
+  this->Advance(20s);
+  // The report of the second connection is handled before the request is read.
+  RawCaller second(address);
+  this->io.poll();
+  this->io.restart();
+  first.Send(kGetRequest);
+  this->Coordinator().run();
+  this->RunUntil(
+    [&] { return CountOccurrences(first.Received(), "whole") == 2; });
+}
+
 // Guards against a planned stop that drops connections with a request in
 // progress.
 TEST_CASE_METHOD(NetFixture,
