--- a/packages/net/src/http_connection.cc
+++ b/packages/net/src/http_connection.cc
@@ -10,6 +10,7 @@
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http.hpp>
 #include <caf/send.hpp>
+#include <cerrno>
 #include <deque>
 #include <sstream>
 #include <sys/socket.h>
@@ -86,16 +87,21 @@
     // A request to another task, which the response depends on, has failed or
     // timed out. Without closing the connection, the caller would never get a
     // response.
-    this->set_error_handler(
-      [this](caf::scheduled_actor*, caf::error&) { this->quit(); });
+    this->set_error_handler([this](caf::scheduled_actor*, caf::error&) {
+      this->Close(Disconnect::TaskFailed);
+    });
   }
 
   void on_exit() override
   {
     beast::error_code ignored;
     this->socket.close(ignored);
-    if (this->exchange) {
-      this->exchange->Detach(this->disconnect);
+    auto how = this->disconnect.value_or(Disconnect::TaskFailed);
+    bool isUnderWay =
+      this->exchange || (this->IsReading() && this->reader.HasBegun());
+    bool isReported = this->exchange && this->exchange->Detach(how);
+    if (isUnderWay && !isReported && IsClosedByServer(how)) {
+      this->ReportCut(how);
     }
     this->hold.Release();
     this->send(this->server, ConnectionEnded{});
@@ -119,6 +125,7 @@
     return { [this](StopListening) { this->StopAfterRequest(); },
              [this](CloseAfterResponses) { this->closeAfterResponse = true; },
              [this](CloseUnused) { this->CloseIfUnused(); },
+             [this](CloseConnections) { this->Close(Disconnect::Stopped); },
              [this](YieldBuffer) { return this->Yield(); } };
   }
 
@@ -192,8 +199,8 @@
     }
 
     // Called when the connection closes: runs the disconnect callback and drops
-    // the pointer to the connection.
-    void Detach(Disconnect aHow)
+    // the pointer to the connection. Returns whether there was a callback.
+    bool Detach(Disconnect aHow)
     {
       auto run = std::move(this->onDisconnect);
       this->onDisconnect = nullptr;
@@ -201,6 +208,7 @@
         run(aHow);
       }
       this->connection = nullptr;
+      return run != nullptr;
     }
 
     // Called when the response is fully written.
@@ -224,6 +232,46 @@
   // Returns whether a request can arrive now: none is in progress or refused.
   bool IsReading() const { return !this->exchange && !this->hasUnreadRequest; }
 
+  // Returns whether no byte of a request has arrived.
+  bool IsIdle() const
+  {
+    beast::error_code ignored;
+    return this->IsReading() && !this->reader.HasBegun() &&
+           this->socket.available(ignored) == 0;
+  }
+
+  // Ends the task. The first reason counts.
+  void Close(Disconnect aHow)
+  {
+    this->SetDisconnect(aHow);
+    this->quit();
+  }
+
+  void SetDisconnect(Disconnect aHow)
+  {
+    if (!this->disconnect) {
+      this->disconnect = aHow;
+    }
+  }
+
+  // Reports a request that has no owner who does.
+  void ReportCut(Disconnect aHow) const
+  {
+    const char* state = "reading";
+    if (this->exchange) {
+      state = this->exchange->IsAnswered() ? "answering" : "waiting";
+    }
+    auto bytes = this->exchange ? this->exchange->Request().body.size()
+                                : this->reader.ReceivedBytes();
+    ReportRequestCut(ToString(aHow),
+                     { { "state", state },
+                       { "peer", this->peer },
+                       { "bytes", std::to_string(bytes) },
+                       { "ms",
+                         FormatMilliseconds(this->progress.SinceRequest(
+                           this->CurrentTime())) } });
+  }
+
   TimePoint CurrentTime() const { return Now(this->GetRuntime()); }
 
   Duration TimeSinceProgress() const
@@ -237,7 +285,7 @@
   {
     this->After(std::chrono::seconds(2), [this] {
       if (this->HasTimedOut()) {
-        this->quit();
+        this->Close(Disconnect::WriteTimeout);
         return;
       }
       if (this->IsRequestLate()) {
@@ -252,12 +300,9 @@
     if (!this->writes.empty()) {
       return this->TimeSinceProgress() >= this->options.writeTimeout;
     }
-    if (!this->IsReading() || this->reader.HasBegun()) {
-      return false;
-    }
-    return this->TimeSinceProgress() >= (this->isFirstRequest
-                                           ? this->options.requestTimeout
-                                           : this->options.keepAliveTimeout);
+    auto timeout = this->isFirstRequest ? this->options.requestTimeout
+                                        : this->options.keepAliveTimeout;
+    return this->TimeSinceProgress() >= timeout && this->IsIdle();
   }
 
   bool IsRequestLate() const
@@ -273,13 +318,12 @@
 
   void CloseIfUnused()
   {
-    bool isUnused = this->IsReading() && !this->reader.HasBegun() &&
-                    this->TimeSinceProgress() >= kUnusedTime;
+    bool isUnused = this->IsIdle() && this->TimeSinceProgress() >= kUnusedTime;
     bool isUnread =
       !this->writes.empty() && this->TimeSinceProgress() >= kUnreadTime;
     if (isUnused || isUnread) {
       GetConnectionCounters().unused.Add();
-      this->quit();
+      this->Close(Disconnect::ServerFull);
     }
   }
 
@@ -304,7 +348,7 @@
     if (this->IsReading()) {
       this->RejectForMemory();
     } else {
-      this->quit();
+      this->Close(Disconnect::NoMemory);
     }
     return promise;
   }
@@ -327,7 +371,7 @@
       tcp::socket::wait_read,
       asio::bind_executor(this->Executor(), [this](beast::error_code aError) {
         if (aError) {
-          this->quit();
+          this->Close(Disconnect::Broken);
         } else if (this->IsReading()) {
           this->ReadAvailable();
         }
@@ -343,7 +387,8 @@
       return;
     }
     if (error) {
-      this->quit();
+      this->Close(error == asio::error::eof ? Disconnect::Closed
+                                            : Disconnect::Broken);
       return;
     }
     auto now = this->CurrentTime();
@@ -489,7 +534,7 @@
   void HandleReadable(beast::error_code aError, std::uint64_t aWatchedExchange)
   {
     if (aError) {
-      this->quit();
+      this->Close(Disconnect::Broken);
       return;
     }
     if (!this->exchange) {
@@ -502,25 +547,34 @@
       this->WatchDisconnect();
       return;
     }
-    // Readable without available bytes means that the caller has closed the
-    // connection. Available bytes are a pipelined request, which is read after
-    // the response to the current one.
+    // Available bytes are a pipelined request, which is read after the response
+    // to the current one.
     beast::error_code error;
-    if (this->socket.available(error) == 0 || error) {
-      this->disconnect = this->FindDisconnect();
-      this->quit();
+    if (this->socket.available(error) > 0 && !error) {
+      return;
+    }
+    if (auto how = this->FindDisconnect()) {
+      this->Close(*how);
+    } else {
+      this->WatchDisconnect();
     }
   }
 
   // Tells a close by the caller from a reset, after the socket has become
-  // readable without bytes. Asio's receive would block the thread if neither
-  // has happened.
-  Disconnect FindDisconnect()
+  // readable without bytes. Returns nothing if neither has happened: the
+  // reactor may report bytes after they have been read. Asio's receive would
+  // block the thread then.
+  std::optional<Disconnect> FindDisconnect()
   {
     char byte = 0;
     auto received =
       ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return received == 0 ? Disconnect::Closed : Disconnect::Broken;
+    if (received == 0) {
+      return Disconnect::Closed;
+    }
+    bool isOpen =
+      received > 0 || errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+    return isOpen ? std::nullopt : std::optional(Disconnect::Broken);
   }
 
   // Decides whether the connection is kept after this response. This happens
@@ -606,7 +660,7 @@
       asio::bind_executor(this->Executor(),
                           [this](beast::error_code aError, std::size_t aBytes) {
                             if (aError) {
-                              this->quit();
+                              this->Close(Disconnect::Broken);
                             } else {
                               this->HandleWritten(aBytes);
                             }
@@ -652,7 +706,7 @@
               "closed a connection: no memory for a response that is not read",
               { { "event", "response_dropped" }, { "peer", this->peer } });
           GetConnectionCounters().droppedResponses.Add();
-          this->quit();
+          this->Close(Disconnect::NoMemory);
         }
       });
   }
@@ -662,6 +716,7 @@
   void CloseAfterWrites()
   {
     this->closesAfterWrites = true;
+    this->SetDisconnect(Disconnect::Aborted);
     if (this->writes.empty()) {
       this->quit();
     } else {
@@ -681,11 +736,14 @@
         this->After(kMaxDiscardTime, [this] { this->quit(); });
         this->DiscardInput();
       } else {
+        // Bytes after a response that announced the close are no request.
+        this->reader.Clear();
         this->quit();
       }
       return;
     }
     this->ReadRequest();
+    this->CloseIfStopped();
   }
 
   // Drops what the caller still sends. Closing a socket with unread data resets
@@ -708,13 +766,20 @@
       }));
   }
 
-  // Closes the connection after the request in progress, or immediately if
-  // there is none.
+  // Closes the connection after the request in progress or, if the last
+  // response has announced that it is kept, after the next one that has begun
+  // to arrive.
   void StopAfterRequest()
   {
-    this->keepAlive = false;
-    if (!this->exchange) {
-      this->quit();
+    this->isStopping = true;
+    this->closeAfterResponse = true;
+    this->CloseIfStopped();
+  }
+
+  void CloseIfStopped()
+  {
+    if (this->isStopping && this->IsIdle()) {
+      this->Close(Disconnect::Stopped);
     }
   }
 
@@ -738,12 +803,14 @@
   bool closesAfterWrites = false;
   // The next response announces that the connection will be closed.
   bool closeAfterResponse = false;
+  // The connection is closed as soon as no request has begun.
+  bool isStopping = false;
   bool isHeadRequest = false;
   // The request in progress was rejected before all of it had arrived.
   bool hasUnreadRequest = false;
   bool isWatchingDisconnect = false;
-  // Reported to the exchange when the connection ends before its response.
-  Disconnect disconnect = Disconnect::Broken;
+  // Why the connection ends; none if the task fails.
+  std::optional<Disconnect> disconnect;
 };
 
 } // namespace
--- a/packages/net/test/http_server_test.cc
+++ b/packages/net/test/http_server_test.cc
@@ -1,6 +1,7 @@
 #include "net_fixture.h"
 
 #include <caf/scoped_actor.hpp>
+#include <map>
 
 using namespace lycheestand;
 using namespace lycheestand::net;
@@ -8,6 +9,9 @@
 
 namespace {
 
+// More than the system's buffers of a connection.
+constexpr std::size_t kMoreThanSocketBuffers = 32 * 1024 * 1024;
+
 constexpr const char* kGetRequest = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
 
 // Returns how often the pattern occurs in the text.
@@ -89,6 +93,36 @@
   REQUIRE(how == Disconnect::Broken);
 }
 
+// Guards against a request that loses its answer since bytes of it are reported
+// as readable after they have been read.
+TEST_CASE_METHOD(NetFixture, "A late report of read bytes is no disconnect")
+{
+  ExchangePtr exchange;
+  bool hasLeft = false;
+  auto address = this->Serve([&](const ExchangePtr& aExchange) {
+    exchange = aExchange;
+    aExchange->OnDisconnect([&hasLeft](Disconnect) { hasLeft = true; });
+  });
+  RawCaller caller(address);
+  this->RunUntil([rounds = 0]() mutable { return ++rounds > 20; });
+  const std::string request(kGetRequest);
+  const auto half = request.size() / 2;
+  caller.Send(request.substr(0, half));
+  this->io.poll();
+  this->io.restart();
+  // The reactor collects the report of the second half but handles the posted
+  // function first. Meanwhile the connection reads both halves.
+  caller.Send(request.substr(half));
+  boost::asio::post(this->io, [] {});
+  REQUIRE(this->io.poll_one() == 1);
+  this->Coordinator().run();
+  REQUIRE(exchange != nullptr);
+  this->RunUntil([rounds = 0]() mutable { return ++rounds > 20; });
+  CHECK_FALSE(hasLeft);
+  exchange->Respond({ 200, {}, "whole" });
+  this->RunUntil([&] { return caller.Received().ends_with("whole"); });
+}
+
 // Guards against callers that occupy connections by sending requests slowly.
 TEST_CASE_METHOD(
   NetFixture,
@@ -213,8 +247,7 @@
 // Guards against responses that nobody reads and that fill the memory.
 TEST_CASE_METHOD(NetFixture, "An unread response needs memory")
 {
-  // More than the system's buffers of a connection.
-  constexpr std::size_t kResponseBytes = 32 * 1024 * 1024;
+  constexpr std::size_t kResponseBytes = kMoreThanSocketBuffers;
   HttpServerOptions options;
   options.maxBufferedBytes = 2 * 1024 * 1024;
   auto address = this->Serve(
@@ -403,6 +436,130 @@
   REQUIRE(caller.Received().find("\r\n0\r\n") == std::string::npos);
 }
 
+// Guards against an answer that this process gives up and that looks like the
+// caller's decision.
+TEST_CASE_METHOD(NetFixture, "The reason of a cut request is known")
+{
+  HttpServerOptions options;
+  options.maxBufferedBytes = 4 * kMoreThanSocketBuffers;
+  std::map<std::string, Disconnect> ends;
+  auto address = this->Serve(
+    [&ends](const ExchangePtr& aExchange) {
+      const auto& target = aExchange->Request().target;
+      aExchange->OnDisconnect(
+        [&ends, target](Disconnect aHow) { ends[target] = aHow; });
+      if (target == "/aborted") {
+        aExchange->StartStream(200, {});
+        aExchange->WriteStream("part", nullptr);
+        aExchange->Abort();
+      } else if (target == "/unread") {
+        aExchange->Respond(
+          { 200, {}, std::string(kMoreThanSocketBuffers, 'x') });
+      }
+    },
+    options);
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (const char* target : { "/aborted", "/unread", "/stopped" }) {
+    callers.push_back(std::make_unique<RawCaller>(address));
+    callers.back()->Send("GET " + std::string(target) +
+                         " HTTP/1.1\r\nHost: x\r\n\r\n");
+  }
+  this->RunUntil([&] { return ends.contains("/aborted"); });
+  this->Advance(40s);
+  this->RunUntil([&] { return ends.contains("/unread"); });
+  caf::anon_send(this->started.front(), CloseConnections{});
+  this->RunUntil([&] { return ends.contains("/stopped"); });
+  CHECK(ends["/aborted"] == Disconnect::Aborted);
+  CHECK(ends["/unread"] == Disconnect::WriteTimeout);
+  CHECK(ends["/stopped"] == Disconnect::Stopped);
+  for (const auto& [target, how] : ends) {
+    CHECK(IsClosedByServer(how));
+  }
+  CHECK_FALSE(IsClosedByServer(Disconnect::Closed));
+  CHECK_FALSE(IsClosedByServer(Disconnect::Broken));
+}
+
+// Guards against a request that ends without an answer and without a trace,
+// since no handler knows it; and against a count of connections that are idle.
+TEST_CASE_METHOD(NetFixture, "A cut request without an owner is counted")
+{
+  auto stopped = Metrics().GetCounter("lycheestand_requests_cut_total",
+                                      R"(reason="stopped")");
+  auto address = this->Serve([](const ExchangePtr& aExchange) {
+    if (aExchange->Request().target == "/a") {
+      aExchange->Respond({ 200, {}, "ok" });
+    }
+  });
+  RawCaller idle(address);
+  RawCaller unused(address);
+  RawCaller reading(address);
+  RawCaller waiting(address);
+  idle.Send(kGetRequest);
+  reading.Send("GET /a HT");
+  waiting.Send("GET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+  this->RunUntil([&] { return idle.Received().ends_with("ok"); });
+  this->RunUntil([rounds = 0]() mutable { return ++rounds > 20; });
+  auto before = stopped.Value();
+  caf::anon_send(this->started.front(), CloseConnections{});
+  this->RunUntil([&] {
+    return idle.IsClosed() && unused.IsClosed() && reading.IsClosed() &&
+           waiting.IsClosed();
+  });
+  CHECK(stopped.Value() == before + 2);
+}
+
+// Guards against a request that arrives when its connection is about to be
+// closed as idle, and is dropped unread.
+TEST_CASE_METHOD(NetFixture,
+                 "A timeout does not drop a request that has arrived")
+{
+  HttpServerOptions options;
+  auto address = this->Serve(
+    [](const ExchangePtr& aExchange) {
+      aExchange->Respond({ 200, {}, "whole" });
+    },
+    options);
+  RawCaller late(address);
+  RawCaller idle(address);
+  for (RawCaller* caller : { &late, &idle }) {
+    caller->Send(kGetRequest);
+    this->RunUntil([&] { return caller->Received().ends_with("whole"); });
+  }
+  this->Advance(options.keepAliveTimeout - 500ms);
+  REQUIRE_FALSE(idle.IsClosed());
+  late.Send(kGetRequest);
+  this->Coordinator().advance_time(2s);
+  this->Coordinator().run();
+  this->RunUntil([&] { return idle.IsClosed(); });
+  this->RunUntil(
+    [&] { return CountOccurrences(late.Received(), "whole") == 2; });
+}
+
+// Guards against a full server that takes a connection for unused although its
+// next request has arrived.
+TEST_CASE_METHOD(NetFixture, "A full server keeps a connection with a request")
+{
+  HttpServerOptions options;
+  options.maxConnections = 2;
+  auto address = this->Serve(
+    [](const ExchangePtr& aExchange) {
+      aExchange->Respond({ 200, {}, "whole" });
+    },
+    options);
+  RawCaller first(address);
+  first.Send(kGetRequest);
+  this->RunUntil([&] { return first.Received().ends_with("whole"); });
+  this->Advance(20s);
+  // The report of the second connection is handled before the request is read.
+  RawCaller second(address);
+  this->io.poll();
+  this->io.restart();
+  first.Send(kGetRequest);
+  this->Coordinator().run();
+  this->RunUntil(
+    [&] { return CountOccurrences(first.Received(), "whole") == 2; });
+}
+
 // Guards against a planned stop that drops connections with a request in
 // progress.
 TEST_CASE_METHOD(NetFixture,
@@ -422,6 +579,72 @@
   REQUIRE(caller.Received().find("whole") != std::string::npos);
 }
 
+// Guards against a stop that drops requests which have begun to arrive.
+TEST_CASE_METHOD(NetFixture, "A stopping server answers requests that arrive")
+{
+  ExchangePtr stream;
+  auto address = this->Serve([&stream](const ExchangePtr& aExchange) {
+    if (aExchange->Request().target == "/stream") {
+      stream = aExchange;
+      aExchange->StartStream(200, {});
+    } else {
+      aExchange->Respond({ 200, {}, "whole" });
+    }
+  });
+  RawCaller idle(address);
+  RawCaller reading(address);
+  RawCaller unread(address);
+  RawCaller kept(address);
+  const std::string request(kGetRequest);
+  const auto half = request.size() / 2;
+  idle.Send(request);
+  reading.Send(request.substr(0, half));
+  unread.Send(request);
+  kept.Send("GET /stream HTTP/1.1\r\nHost: x\r\n\r\n");
+  this->RunUntil([&] {
+    return stream && idle.Received().ends_with("whole") &&
+           unread.Received().ends_with("whole");
+  });
+  this->RunUntil([rounds = 0]() mutable { return ++rounds > 20; });
+
+  // The request is in the socket when the stop begins.
+  unread.Send(request);
+  caf::anon_send(this->started.front(), StopListening{});
+  this->Coordinator().run();
+  this->RunUntil([&] { return idle.IsClosed() && unread.IsClosed(); });
+  CHECK(CountOccurrences(unread.Received(), "whole") == 2);
+  CHECK(CountOccurrences(unread.Received(), "Connection: close") == 1);
+  CHECK_FALSE(reading.IsClosed());
+  reading.Send(request.substr(half));
+  this->RunUntil([&] { return reading.IsClosed(); });
+  CHECK(reading.Received().ends_with("whole"));
+  CHECK(CountOccurrences(reading.Received(), "Connection: close") == 1);
+
+  // The head of the stream has announced that the connection is kept.
+  kept.Send(request);
+  stream->EndStream();
+  this->RunUntil([&] { return kept.IsClosed(); });
+  CHECK(kept.Received().ends_with("whole"));
+}
+
+// Guards against a stop that resets a connection on which a refusal is being
+// sent: the caller may lose the refusal.
+TEST_CASE_METHOD(NetFixture, "A stopping server reads on after a refusal")
+{
+  HttpServerOptions options;
+  options.maxBodyBytes = 1024;
+  auto address = this->Serve([](const ExchangePtr&) {}, options);
+  RawCaller caller(address);
+  caller.Send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\n");
+  this->RunUntil([&] { return caller.Received().starts_with("HTTP/1.1 413"); });
+  this->RunUntil([rounds = 0]() mutable { return ++rounds > 20; });
+  caller.Send(std::string(2000, 'x'));
+  caf::anon_send(this->started.front(), StopListening{});
+  this->Coordinator().run();
+  this->RunUntil([rounds = 0]() mutable { return ++rounds > 20; });
+  CHECK_NOTHROW(caller.Send("x"));
+}
+
 // Guards against a stop that is reported as complete before the last response
 // is sent.
 TEST_CASE_METHOD(NetFixture,
