Show the same for unsafe requests and for streams without shared parts

The cases deadly-request-once and deadly-request-stream repeat a deadly request on an unsafe route, and a resumable stream whose prompt has only its own part, with the bounds of deadly-request.

--- a/test/faults/deadly_request_test.cc
+++ b/test/faults/deadly_request_test.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <set>
 
 namespace lycheestand::faults::deadly_request {
 
@@ -21,6 +22,10 @@
 // ("contactWindowMs").
 constexpr Duration kContactWindow = 3s;
 
+// Time after the last crash within which sound requests are served that were at
+// replicas when these crashed.
+constexpr Duration kClearTime = 15s;
+
 // Crashes after which a request must be recognized, and arrivals at replicas
 // that are allowed after that.
 constexpr std::size_t kCrashesToRecognize = 3;
@@ -30,6 +35,8 @@
 constexpr Duration kDownTime = 2s;
 constexpr Duration kSoundAnswerTime = 50ms;
 constexpr Duration kCallerPause = 100ms;
+// Longer than any caller waits.
+constexpr Duration kSilence = 20s;
 
 constexpr int kReplicaCount = 3;
 constexpr int kRouterCount = 3;
@@ -48,34 +55,75 @@
   return std::chrono::steady_clock::now();
 }
 
+// Returns whether the status promises that the request has not run.
+bool
+IsRefusal(unsigned aStatus)
+{
+  return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
+}
+
+// A sound request that its caller has sent. Those with the same path are the
+// same request.
+struct SoundRequest
+{
+  std::string path;
+  Time time;
+  bool isServed = false;
+  bool isQuarantined = false;
+};
+
 // Collects what the replicas and the callers see, from several threads.
 class Records
 {
 public:
   // A deadly request has arrived at a replica, which crashes soon.
-  void AddArrival(int aReplica)
+  void AddArrival(int aReplica, const std::string& aId)
   {
     std::lock_guard lock(this->mutex);
     auto now = Now();
     this->arrivals.push_back(now);
+    this->arrivedIds.push_back(aId);
     auto& crash = this->lastCrashes[aReplica];
     if (now > crash) {
       crash = now + kCrashDelay;
-      this->crashes.push_back(crash);
+      this->crashes.emplace_back(aReplica, crash);
     }
   }
 
-  void AddSound(bool aIsServed)
+  // A replica works on a sound request from now on.
+  void AddRun(int aReplica, const std::string& aPath)
   {
     std::lock_guard lock(this->mutex);
-    this->sound.emplace_back(Now(), aIsServed);
+    this->runs.emplace_back(aReplica, aPath, Now());
+  }
+
+  void AddSound(const std::string& aPath, const Reply& aReply)
+  {
+    std::lock_guard lock(this->mutex);
+    this->sound.push_back(
+      { aPath,
+        Now(),
+        aReply.status == 200,
+        aReply.body.find(kQuarantineCode) != std::string::npos });
+  }
+
+  // A deadly request was answered with a status that promises that it has not
+  // run.
+  void AddRefused(const std::string& aId)
+  {
+    std::lock_guard lock(this->mutex);
+    this->refusedIds.insert(aId);
   }
 
   // Returns the times of all crashes.
   std::vector<Time> Crashes() const
   {
     std::lock_guard lock(this->mutex);
-    return this->crashes;
+    std::vector<Time> times;
+    for (const auto& [replica, time] : this->crashes) {
+      times.push_back(time);
+    }
+    return times;
   }
 
   std::ptrdiff_t CountArrivals(Time aFrom) const
@@ -86,6 +134,52 @@
                          [aFrom](Time aTime) { return aTime > aFrom; });
   }
 
+  // Returns how many deadly requests arrived more than once.
+  std::size_t CountRepeatedIds() const
+  {
+    std::lock_guard lock(this->mutex);
+    return this->arrivedIds.size() -
+           std::set(this->arrivedIds.begin(), this->arrivedIds.end()).size();
+  }
+
+  // Returns how many deadly requests arrived and were refused.
+  std::ptrdiff_t CountRefusedArrivals() const
+  {
+    std::lock_guard lock(this->mutex);
+    return std::count_if(
+      this->arrivedIds.begin(),
+      this->arrivedIds.end(),
+      [this](const auto& aId) { return this->refusedIds.contains(aId); });
+  }
+
+  std::size_t CountRuns() const
+  {
+    std::lock_guard lock(this->mutex);
+    return this->runs.size();
+  }
+
+  // Returns the largest number of crashes that one sound request was broken off
+  // by.
+  int MaxSharedCrashes() const
+  {
+    std::lock_guard lock(this->mutex);
+    std::map<std::string, int> shared;
+    int most = 0;
+    for (const auto& [replica, crash] : this->crashes) {
+      std::set<std::string> paths;
+      for (const auto& [runner, path, start] : this->runs) {
+        if (runner == replica && start < crash &&
+            crash < start + kSoundAnswerTime) {
+          paths.insert(path);
+        }
+      }
+      for (const auto& path : paths) {
+        most = std::max(most, ++shared[path]);
+      }
+    }
+    return most;
+  }
+
   // Returns the part of the sound requests that were served from one time to
   // another.
   double ServedFraction(Time aFrom, Time aTo) const
@@ -93,21 +187,51 @@
     std::lock_guard lock(this->mutex);
     double all = 0;
     double served = 0;
-    for (const auto& [time, isServed] : this->sound) {
-      if (time >= aFrom && time < aTo) {
+    for (const auto& request : this->sound) {
+      if (request.time >= aFrom && request.time < aTo) {
         ++all;
-        served += isServed ? 1 : 0;
+        served += request.isServed ? 1 : 0;
       }
     }
     return all > 0 ? served / all : 0;
   }
 
+  // Returns the paths of the sound requests that were served since a time.
+  std::set<std::string> ServedPaths(Time aFrom) const
+  {
+    std::lock_guard lock(this->mutex);
+    std::set<std::string> paths;
+    for (const auto& request : this->sound) {
+      if (request.time >= aFrom && request.isServed) {
+        paths.insert(request.path);
+      }
+    }
+    return paths;
+  }
+
+  // Returns how many sound requests were refused as quarantined since a time.
+  std::ptrdiff_t CountQuarantined(Time aFrom) const
+  {
+    std::lock_guard lock(this->mutex);
+    return std::count_if(this->sound.begin(),
+                         this->sound.end(),
+                         [aFrom](const SoundRequest& aRequest) {
+                           return aRequest.time >= aFrom &&
+                                  aRequest.isQuarantined;
+                         });
+  }
+
 private:
   mutable std::mutex mutex;
   std::vector<Time> arrivals;
-  std::vector<Time> crashes;
+  std::vector<std::string> arrivedIds;
+  std::set<std::string> refusedIds;
+  // Each with the replica.
+  std::vector<std::pair<int, Time>> crashes;
   std::map<int, Time> lastCrashes;
-  std::vector<std::pair<Time, bool>> sound;
+  // Replica, path and start of each run of a sound request.
+  std::vector<std::tuple<int, std::string, Time>> runs;
+  std::vector<SoundRequest> sound;
 };
 
 // Control, three routers, and replicas that crash on each request whose path
@@ -115,58 +239,110 @@
 class DeadlyRequestFixture
 {
 public:
-  DeadlyRequestFixture()
-    : pool(this->ReplicaIps(),
+  using Answer = std::function<ReplicaAnswer(const ReplicaRequest& aRequest)>;
+
+  explicit DeadlyRequestFixture(int aControls = 1)
+    : controls(aControls)
+    , pool(this->ReplicaIps(),
            this->fleet.MachineIp(kListMachine),
            "llm",
            kDownTime,
            [this](int aReplica, const ReplicaRequest& aRequest) {
-             return this->Answer(aReplica, aRequest);
+             return this->Choose(aReplica, aRequest);
            })
   {
-    this->options.seeds = { kControl };
     this->options.bootstrap = true;
     this->options.listAddress = this->pool.ListAddress();
-    this->fleet.StartControl(kControl, this->options);
-    for (int router = 0; router < kRouterCount; ++router) {
-      this->fleet.StartRouter(kFirstRouter + router, this->options);
+    for (int machine = 1; machine <= this->controls; ++machine) {
+      this->options.seeds.push_back(machine);
+    }
+    for (int machine = 1; machine <= this->controls; ++machine) {
+      this->fleet.StartControl(machine, this->options);
+    }
+    while (this->routers < kRouterCount) {
+      this->AddRouter();
     }
     REQUIRE(WaitFor(kReadyTime, [this] {
       return this->fleet.PutDocument(
-               kControl,
-               MakeEngineDocument({ MakeEngineRoute("safe", "safe", false) },
-                                  kPrepaid)) == 200;
+               1,
+               MakeEngineDocument(
+                 { MakeEngineRoute("safe", "safe", false),
+                   MakeEngineRoute("once", "unsafe", false),
+                   MakeEngineRoute("stream", "streaming", true) },
+                 kPrepaid)) == 200;
     }));
     for (int router = 0; router < kRouterCount; ++router) {
-      REQUIRE(WaitFor(kReadyTime,
-                      [this, router] { return this->SendSound(router); }));
+      REQUIRE(WaitFor(kReadyTime, [this, router] {
+        return this->Send(router, "/safe/start", "s").status == 200;
+      }));
     }
+    REQUIRE(WaitFor(kReadyTime, [this] {
+      return this->fleet.CountVoters(1) == this->controls;
+    }));
   }
 
   ~DeadlyRequestFixture() { this->StopCallers(); }
 
-  // Starts callers that send sound requests one after the other.
+  // Starts a router, to which the callers send from now on.
+  void AddRouter()
+  {
+    this->fleet.StartRouter(kFirstRouter + this->routers, this->options);
+    ++this->routers;
+  }
+
+  // Kills the control instance that leads, and starts it again.
+  void RestartLeader()
+  {
+    int leader = 0;
+    REQUIRE(WaitFor(kReadyTime, [this, &leader] {
+      leader = this->FindLeader();
+      return leader > 0;
+    }));
+    this->fleet.Machine(leader).Kill();
+    this->fleet.StartControl(leader, this->options);
+  }
+
+  // Sets how replicas answer sound requests from now on.
+  void SetSoundAnswer(Answer aAnswer)
+  {
+    std::lock_guard lock(this->mutex);
+    this->soundAnswer = std::move(aAnswer);
+  }
+
+  // Starts callers that send sound requests one after the other, each of which
+  // differs from all others.
   void StartSoundCallers()
   {
     for (int caller = 0; caller < kSoundCallers; ++caller) {
-      this->threads.emplace_back([this, caller] {
-        while (!this->isStopping) {
-          this->records.AddSound(this->SendSound(caller % kRouterCount));
-          std::this_thread::sleep_for(kCallerPause);
-        }
-      });
+      this->StartSoundCaller(
+        caller, [this] { return "/safe/" + std::to_string(++this->requests); });
     }
   }
 
-  // Starts callers that send the deadly request again and again, each time to
-  // the next router, and at once after an answer that does not tell them to
-  // wait.
+  // Starts callers that each repeat one sound request.
+  void StartRepeatingCallers()
+  {
+    for (int caller = 0; caller < kSoundCallers; ++caller) {
+      auto path = RepeatedPath(caller);
+      this->StartSoundCaller(caller, [path] { return path; });
+    }
+  }
+
+  static std::string RepeatedPath(int aCaller)
+  {
+    return (aCaller % 2 == 0 ? "/safe/r" : "/once/r") + std::to_string(aCaller);
+  }
+
+  // Starts callers that send the deadly request of a route again and again,
+  // each time to the next router, and at once after an answer that does not
+  // tell them to wait.
   void StartDeadlyCallers(const std::string& aRoute)
   {
     for (int caller = 0; caller < kDeadlyCallers; ++caller) {
-      this->threads.emplace_back([this, aRoute, caller] {
-        for (int router = caller; !this->isStopping; ++router) {
-          if (this->SendDeadly(aRoute, router % kRouterCount).status != 502) {
+      this->deadlyThreads.emplace_back([this, aRoute, caller] {
+        for (int router = caller; !this->isDeadlyStopping; ++router) {
+          auto status = this->SendDeadly(aRoute, router % this->routers).status;
+          if (status != 502) {
             std::this_thread::sleep_for(kCallerPause);
           }
         }
@@ -174,33 +350,28 @@
     }
   }
 
-  void StopCallers()
+  void StopDeadlyCallers()
   {
-    this->isStopping = true;
-    for (auto& thread : this->threads) {
-      thread.join();
-    }
-    this->threads.clear();
+    this->isDeadlyStopping = true;
+    Join(this->deadlyThreads);
   }
 
-  // Sends a sound request, which differs from all others; returns whether it
-  // was answered.
-  bool SendSound(int aRouter)
+  void StopCallers()
   {
-    int number = ++this->requests;
-    return this
-             ->Send(aRouter,
-                    "/safe/" + std::to_string(number),
-                    "q" + std::to_string(number))
-             .status == 200;
+    this->isStopping = true;
+    this->StopDeadlyCallers();
+    Join(this->soundThreads);
   }
 
   // Sends the deadly request of a route. Only its id differs each time.
   Reply SendDeadly(const std::string& aRoute, int aRouter)
   {
-    return this->Send(aRouter,
-                      "/" + aRoute + kDeadlyPath,
-                      "d" + std::to_string(++this->requests));
+    auto id = "d" + std::to_string(++this->requests);
+    auto reply = this->Send(aRouter, "/" + aRoute + kDeadlyPath, id);
+    if (IsRefusal(reply.status)) {
+      this->records.AddRefused(id);
+    }
+    return reply;
   }
 
   Reply Send(int aRouter, const std::string& aTarget, const std::string& aId)
@@ -211,16 +382,21 @@
     call.headers = { { "Host", "h.example" },
                      { "X-Request-Id", aId },
                      { "X-Key", "k" },
-                     { "X-Deadline-Ms", "3000" } };
+                     { "X-Deadline-Ms", "1500" } };
+    if (aTarget.starts_with("/stream/")) {
+      call.headers["X-Model"] = "m";
+      call.headers["X-Token-Counts"] = "200,30";
+      call.headers["X-Prompt-Prefix"] = "f1:200";
+    }
     call.body = R"({"size":1})";
     call.timeout = 4s;
     return faults::Send(this->fleet.CallerAddress(kFirstRouter + aRouter),
                         call);
   }
 
-  // Lets callers send the deadly requests of a route beside sound ones, and
-  // checks that they are kept from the replicas and the sound ones are served.
-  void CheckBound(const std::string& aRoute)
+  // Lets callers send the deadly request of a route beside sound ones, and
+  // checks that it is kept from the replicas and the sound ones are served.
+  void CheckRoute(const std::string& aRoute)
   {
     auto start = Now();
     this->StartSoundCallers();
@@ -230,21 +406,13 @@
     std::this_thread::sleep_for(12s);
     this->CheckQuarantined(aRoute);
     this->StopCallers();
-    auto end = Now();
-    auto crashes = this->records.Crashes();
-    CAPTURE(crashes.size());
-    REQUIRE(crashes.size() >= 2);
-    auto bound = crashes[std::min(crashes.size(), kCrashesToRecognize) - 1] +
-                 kContactWindow;
-    CHECK(this->records.CountArrivals(bound) <= kLateArrivals);
-    CHECK(this->records.ServedFraction(bound + kDownTime, end) >=
-          0.5 * this->records.ServedFraction(start, deadlyStart));
+    this->CheckBound(start, deadlyStart);
   }
 
   // Checks that each router refuses the deadly request of a route.
   void CheckQuarantined(const std::string& aRoute)
   {
-    for (int router = 0; router < kRouterCount; ++router) {
+    for (int router = 0; router < this->routers; ++router) {
       auto reply = this->SendDeadly(aRoute, router);
       CAPTURE(router, reply.body);
       CHECK(reply.status == 503);
@@ -253,13 +421,35 @@
     }
   }
 
-  static constexpr int kControl = 1;
+  // Checks the arrivals, and how many sound requests were served as compared
+  // with the time before the deadly ones.
+  void CheckBound(Time aStart, Time aDeadlyStart)
+  {
+    auto end = Now();
+    auto crashes = this->records.Crashes();
+    CAPTURE(crashes.size());
+    REQUIRE(crashes.size() >= 2);
+    auto bound = crashes[std::min(crashes.size(), kCrashesToRecognize) - 1] +
+                 kContactWindow;
+    CHECK(this->records.CountArrivals(bound) <= kLateArrivals);
+    CHECK(this->records.ServedFraction(bound + kDownTime, end) >=
+          0.5 * this->records.ServedFraction(aStart, aDeadlyStart));
+  }
+
   static constexpr std::int64_t kPrepaid = 100'000'000;
 
   PlatformFleet fleet{ "deadly-request" };
   Records records;
 
 private:
+  static void Join(std::vector<std::thread>& aThreads)
+  {
+    for (auto& thread : aThreads) {
+      thread.join();
+    }
+    aThreads.clear();
+  }
+
   std::vector<std::string> ReplicaIps() const
   {
     std::vector<std::string> ips;
@@ -269,23 +459,66 @@
     return ips;
   }
 
-  ReplicaAnswer Answer(int aReplica, const ReplicaRequest& aRequest)
+  int FindLeader() const
   {
-    if (!aRequest.target.ends_with(kDeadlyPath)) {
-      ReplicaAnswer answer{ { MakeAnswer(200, aRequest, "sound") } };
-      answer.pause = kSoundAnswerTime;
-      return answer;
+    for (int machine = 1; machine <= this->controls; ++machine) {
+      if (this->fleet.IsLeader(machine)) {
+        return machine;
+      }
     }
-    this->records.AddArrival(aReplica);
-    // The pause is before a piece, so there is an empty one.
-    return { { "" }, kCrashDelay, ReplicaAnswer::End::Crash };
+    return 0;
+  }
+
+  void StartSoundCaller(int aCaller, std::function<std::string()> aNextPath)
+  {
+    this->soundThreads.emplace_back(
+      [this, aCaller, nextPath = std::move(aNextPath)] {
+        for (int router = aCaller; !this->isStopping; ++router) {
+          auto path = nextPath();
+          auto id = "q" + std::to_string(++this->requests);
+          this->records.AddSound(path,
+                                 this->Send(router % kRouterCount, path, id));
+          std::this_thread::sleep_for(kCallerPause);
+        }
+      });
+  }
+
+  ReplicaAnswer Choose(int aReplica, const ReplicaRequest& aRequest)
+  {
+    if (aRequest.target.ends_with(kDeadlyPath)) {
+      this->records.AddArrival(aReplica, aRequest.Header("x-request-id"));
+      // The pause is before a piece, so there is an empty one.
+      return { { "" }, kCrashDelay, ReplicaAnswer::End::Crash };
+    }
+    this->records.AddRun(aReplica, aRequest.target);
+    std::lock_guard lock(this->mutex);
+    return this->soundAnswer(aRequest);
   }
 
+  const int controls;
+  std::atomic<int> routers{ 0 };
   MachineOptions options;
+  std::mutex mutex;
+  Answer soundAnswer = [](const ReplicaRequest& aRequest) {
+    return ReplicaAnswer{ { MakeAnswer(200, aRequest, "sound") },
+                          kSoundAnswerTime };
+  };
+  std::atomic<int> requests{ 0 };
   ReplicaPool pool;
   std::atomic<bool> isStopping{ false };
-  std::atomic<int> requests{ 0 };
-  std::vector<std::thread> threads;
+  std::atomic<bool> isDeadlyStopping{ false };
+  std::vector<std::thread> soundThreads;
+  std::vector<std::thread> deadlyThreads;
+};
+
+// The same with a group of three control instances.
+class DeadlyRequestGroupFixture : public DeadlyRequestFixture
+{
+public:
+  DeadlyRequestGroupFixture()
+    : DeadlyRequestFixture(3)
+  {
+  }
 };
 
 } // namespace
@@ -297,7 +530,29 @@
                  "a repeated request that crashes replicas is kept from them",
                  "[deadly-request]")
 {
-  this->CheckBound("safe");
+  this->CheckRoute("safe");
+}
+
+// Guards against the same on a route whose requests run once at most, and
+// against a refusal, which promises that the request has not run, for one that
+// has crashed a replica.
+TEST_CASE_METHOD(DeadlyRequestFixture,
+                 "a repeated unsafe request that crashes replicas is kept from "
+                 "them",
+                 "[deadly-request-once]")
+{
+  this->CheckRoute("once");
+  CHECK(this->records.CountRepeatedIds() == 0);
+  CHECK(this->records.CountRefusedArrivals() == 0);
+}
+
+// Guards against the same for a stream whose prompt shares no part with others.
+TEST_CASE_METHOD(DeadlyRequestFixture,
+                 "a repeated stream without shared parts that crashes replicas "
+                 "is kept from them",
+                 "[deadly-request-stream]")
+{
+  this->CheckRoute("stream");
 }
 
 } // namespace lycheestand::faults::deadly_request
