Show the same when the leaders of control are killed

The case deadly-request-leader has three control members. The leader is killed after the second crash and started again, and so is its successor after the third, when a further router starts, too. The bound is the same, also for the new router.

--- a/test/faults/deadly_request_test.cc
+++ b/test/faults/deadly_request_test.cc
@@ -555,4 +555,30 @@
   this->CheckRoute("stream");
 }
 
+// Guards against crashes that are forgotten with the leader that counted them,
+// and against a router that does not know of them since it was not there.
+TEST_CASE_METHOD(DeadlyRequestGroupFixture,
+                 "a repeated request that crashes replicas is kept from them "
+                 "when leaders are killed",
+                 "[deadly-request-leader]")
+{
+  auto hasCrashes = [this](std::size_t aCount) {
+    return this->records.Crashes().size() >= aCount;
+  };
+  auto start = Now();
+  this->StartSoundCallers();
+  std::this_thread::sleep_for(2s);
+  auto deadlyStart = Now();
+  this->StartDeadlyCallers("safe");
+  REQUIRE(WaitFor(3s, [&] { return hasCrashes(kCrashesToRecognize - 1); }));
+  this->RestartLeader();
+  WaitFor(5s, [&] { return hasCrashes(kCrashesToRecognize); });
+  this->AddRouter();
+  this->RestartLeader();
+  std::this_thread::sleep_for(8s);
+  this->CheckQuarantined("safe");
+  this->StopCallers();
+  this->CheckBound(start, deadlyStart);
+}
+
 } // namespace lycheestand::faults::deadly_request
