--- a/test/faults/deadly_request_test.cc
+++ b/test/faults/deadly_request_test.cc
@@ -581,4 +581,27 @@
   this->CheckBound(start, deadlyStart);
 }
 
+// Guards against sound requests that stay refused since they were at replicas
+// that a deadly request crashed.
+TEST_CASE_METHOD(DeadlyRequestFixture,
+                 "repeated sound requests are served after crashes of others",
+                 "[deadly-request-sound]")
+{
+  this->StartRepeatingCallers();
+  std::this_thread::sleep_for(1s);
+  this->StartDeadlyCallers("safe");
+  std::this_thread::sleep_for(4s);
+  this->StopDeadlyCallers();
+  CAPTURE(this->records.MaxSharedCrashes());
+  REQUIRE(this->records.MaxSharedCrashes() > 0);
+  auto lastCrash = this->records.Crashes().back();
+  CHECK(WaitFor(lastCrash + kClearTime - Now(), [this, lastCrash] {
+    return this->records.ServedPaths(lastCrash).size() == kSoundCallers;
+  }));
+  auto cleared = Now();
+  std::this_thread::sleep_for(2s);
+  this->StopCallers();
+  CHECK(this->records.CountQuarantined(cleared) == 0);
+}
+
 } // namespace lycheestand::faults::deadly_request
