Guard requests at replicas that fall silent or close connections

The case silent-replica-blame lets six callers repeat one request each while the replicas send nothing until the caller's deadline, then close, then reset each connection without an answer, for 5 s each. None may be refused as quarantined.

--- a/test/faults/deadly_request_test.cc
+++ b/test/faults/deadly_request_test.cc
@@ -604,4 +604,30 @@
   CHECK(this->records.CountQuarantined(cleared) == 0);
 }
 
+// Guards against sound requests that are blamed for replicas that fall silent
+// or close connections but have not crashed.
+TEST_CASE_METHOD(DeadlyRequestFixture,
+                 "silent replicas and closed connections blame no request",
+                 "[silent-replica-blame]")
+{
+  const ReplicaAnswer silent{ { "" }, kSilence, ReplicaAnswer::End::Close };
+  const ReplicaAnswer closed{ { "" },
+                              kSoundAnswerTime,
+                              ReplicaAnswer::End::Close };
+  const ReplicaAnswer reset{ { "" },
+                             kSoundAnswerTime,
+                             ReplicaAnswer::End::Reset };
+  this->StartRepeatingCallers();
+  for (const auto& answer : { silent, closed, reset }) {
+    CAPTURE(answer.pause / 1ms, static_cast<int>(answer.end));
+    auto runs = this->records.CountRuns();
+    this->SetSoundAnswer([answer](const ReplicaRequest&) { return answer; });
+    std::this_thread::sleep_for(5s);
+    // Enough for two runs of each request.
+    CHECK(this->records.CountRuns() - runs >= 2 * kSoundCallers);
+  }
+  this->StopCallers();
+  CHECK(this->records.CountQuarantined({}) == 0);
+}
+
 } // namespace lycheestand::faults::deadly_request
