Show the same when twelve callers repeat the request at once

Copies of the request then run at all replicas at the same moment, so that their crashes are less than 100 ms apart.

--- a/test/faults/deadly_request_test.cc
+++ b/test/faults/deadly_request_test.cc
@@ -336,9 +336,10 @@
   // Starts callers that send the deadly request of a route again and again,
   // each time to the next router, and at once after an answer that does not
   // tell them to wait.
-  void StartDeadlyCallers(const std::string& aRoute)
+  void StartDeadlyCallers(const std::string& aRoute,
+                          int aCallers = kDeadlyCallers)
   {
-    for (int caller = 0; caller < kDeadlyCallers; ++caller) {
+    for (int caller = 0; caller < aCallers; ++caller) {
       this->deadlyThreads.emplace_back([this, aRoute, caller] {
         for (int router = caller; !this->isDeadlyStopping; ++router) {
           auto status = this->SendDeadly(aRoute, router % this->routers).status;
@@ -396,13 +397,13 @@
 
   // Lets callers send the deadly request of a route beside sound ones, and
   // checks that it is kept from the replicas and the sound ones are served.
-  void CheckRoute(const std::string& aRoute)
+  void CheckRoute(const std::string& aRoute, int aCallers = kDeadlyCallers)
   {
     auto start = Now();
     this->StartSoundCallers();
     std::this_thread::sleep_for(2s);
     auto deadlyStart = Now();
-    this->StartDeadlyCallers(aRoute);
+    this->StartDeadlyCallers(aRoute, aCallers);
     std::this_thread::sleep_for(12s);
     this->CheckQuarantined(aRoute);
     this->StopCallers();
@@ -536,6 +537,16 @@
   this->CheckRoute("safe");
 }
 
+// Guards against crashes at the same moment that count as one, when copies of
+// the request run at several replicas.
+TEST_CASE_METHOD(DeadlyRequestFixture,
+                 "a request that many callers repeat at once is kept from "
+                 "replicas",
+                 "[deadly-request-burst]")
+{
+  this->CheckRoute("safe", 4 * kRouterCount);
+}
+
 // Guards against the same on a route whose requests run once at most, and
 // against a refusal, which promises that the request has not run, for one that
 // has crashed a replica.
