Name requests by a digest in the attempt and refused lines

Two requests of one caller with the same path, prompt and body have different ids, so a request that is sent again and again could not be recognized in the logs.

The lines have the digest only, none of the caller's data. The prefixes belong to it because a protocol may name the prompt beside the body. The host is left out for the project's own interface, where it may name the router.

--- a/packages/core/include/lycheestand/core.h
+++ b/packages/core/include/lycheestand/core.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <limits>
+#include <optional>
 #include <ostream>
 #include <string>
 #include <utility>
@@ -142,6 +143,17 @@
 // Identifies a part of a prompt that several requests may share.
 using PromptPartId = StrongType<struct PromptPartIdTag, std::uint64_t>;
 
+// Identifies requests of one caller with the same path, prompt and body.
+using RequestDigest = StrongType<struct RequestDigestTag, std::uint64_t>;
+
+// Returns the 16 hexadecimal digits that logs and operators use.
+std::string
+ToString(RequestDigest aDigest);
+
+// Parses what ToString returns; nothing if the text has another form.
+std::optional<RequestDigest>
+ParseRequestDigest(const std::string& aText);
+
 // A number of prompt or output tokens, the unit of budgets.
 using Tokens = Quantity<struct TokensTag>;
 
--- a/packages/router/src/check_quarantine.cc
+++ b/packages/router/src/check_quarantine.cc
@@ -1,4 +1,5 @@
 #include "filter_chain.h"
+#include "request_digest.h"
 
 namespace lycheestand::router {
 
@@ -8,6 +9,24 @@
 // minutes after the last crash.
 constexpr double kQuarantineRetrySeconds = 60;
 
+// Callers of the project's own interface may name a router as the host, and
+// send the same request to another one.
+RequestDigest
+DigestOf(const Request& aRequest)
+{
+  const auto& http = aRequest.exchange->Request();
+  RequestIdentity identity;
+  identity.workspace = aRequest.workspace;
+  identity.target = http.target;
+  identity.method = http.method;
+  identity.body = http.body;
+  if (const auto* routed = std::get_if<RoutedCall>(&aRequest.call)) {
+    identity.host = routed->description.host;
+    identity.prefix = routed->description.prefix;
+  }
+  return ComputeDigest(identity);
+}
+
 } // namespace
 
 // The parts of a chat are the beginnings of its conversation.
@@ -74,6 +93,7 @@
 MakeCheckQuarantine()
 {
   return [](const RequestPtr& aRequest, Next aNext) {
+    aRequest->digest = DigestOf(*aRequest);
     CheckQuarantine(
       aRequest, [aRequest, next = std::move(aNext)](bool aIsQuarantined) {
         if (!aIsQuarantined) {
--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -90,6 +90,8 @@
   SiteId site;
   std::variant<std::monostate, ChatCall, ServiceCall, ListModels, RoutedCall>
     call;
+  // Set by the CheckQuarantine filter.
+  std::optional<RequestDigest> digest;
   // Time by which the answer must begin, if there is a limit.
   std::optional<TimePoint> deadline;
   // Set by the Admit filter; true while the request is queued or admitted.
--- a/packages/router/src/finish.cc
+++ b/packages/router/src/finish.cc
@@ -105,15 +105,17 @@
   aRequest->outcome = "refused";
   // The caller gets nothing of an answer, so nothing is charged.
   aRequest->usage = {};
-  net::Log(net::LogLevel::Info,
-           "refused",
-           { { "event", "refused" },
-             { "request", aRequest->id.Get() },
-             { "workspace", aRequest->workspace.Get() },
-             { "status", std::to_string(aRefusal.status) },
-             { "code", aRefusal.code },
-             { "reason", aRefusal.message },
-             { "ran", ToString(aRefusal.ran) } });
+  net::LogFields fields{ { "event", "refused" },
+                         { "request", aRequest->id.Get() },
+                         { "workspace", aRequest->workspace.Get() },
+                         { "status", std::to_string(aRefusal.status) },
+                         { "code", aRefusal.code },
+                         { "reason", aRefusal.message },
+                         { "ran", ToString(aRefusal.ran) } };
+  if (aRequest->digest) {
+    fields.emplace_back("digest", ToString(*aRequest->digest));
+  }
+  net::Log(net::LogLevel::Info, "refused", fields);
   net::Metrics()
     .GetCounter("lycheestand_refusals_total",
                 "code=\"" + std::string(aRefusal.code) + "\"")
--- a/packages/router/src/forward_chat.cc
+++ b/packages/router/src/forward_chat.cc
@@ -378,6 +378,7 @@
              { { "request", this->request->id.Get() },
                { "workspace", this->request->workspace.Get() },
                { "endpoint", this->request->endpoint.Get() },
+               { "digest", ToString(*this->request->digest) },
                { "reason", aReason } });
     ReleaseEndpoint(this->request, routing::Outcome::Failed);
     // The engine failed after the end of the text. If resumed, it would
--- /dev/null
+++ b/packages/router/src/request_digest.h
@@ -0,0 +1,32 @@
+#ifndef LYCHEESTAND_ROUTER_SRC_REQUEST_DIGEST_H
+#define LYCHEESTAND_ROUTER_SRC_REQUEST_DIGEST_H
+
+// Tells whether two requests ask the same thing of an endpoint.
+
+#include <lycheestand/core.h>
+#include <lycheestand/routing.h>
+#include <string_view>
+#include <vector>
+
+namespace lycheestand::router {
+
+// What requests with the same digest have in common.
+struct RequestIdentity
+{
+  // Empty if the request needs no key.
+  WorkspaceId workspace;
+  std::string_view host;
+  // Path with the query.
+  std::string_view target;
+  std::string_view method;
+  std::string_view body;
+  // Prefixes of the prompt, for protocols that name them beside the body.
+  std::vector<routing::PromptPrefix> prefix;
+};
+
+RequestDigest
+ComputeDigest(const RequestIdentity& aIdentity);
+
+} // namespace lycheestand::router
+
+#endif
--- a/packages/router/src/route_attempt.cc
+++ b/packages/router/src/route_attempt.cc
@@ -220,6 +220,7 @@
         { "attempt", std::to_string(aRequest->attempts) },
         { "ms", net::FormatMilliseconds(now - aRequest->attemptStartedAt) },
         { "parts", FormatParts(call.description.parts) },
+        { "digest", ToString(*aRequest->digest) },
         { "reason", aReason } });
   }
   aRequest->upstream = {};
