Add a tracker that relates crashes of endpoints to requests

A digest is far more specific: RequestTracker holds a request after two crashes without a success and quarantines it after the third. Crashes of different endpoints count separately however close they are. One held request at a time is on trial; the others are cleared if a quarantined one explains all their crashes. The records are bounded; those of quarantined requests are dropped last.

--- a/packages/quarantine/include/lycheestand/quarantine.h
+++ b/packages/quarantine/include/lycheestand/quarantine.h
@@ -1,11 +1,12 @@
 #ifndef LYCHEESTAND_QUARANTINE_H
 #define LYCHEESTAND_QUARANTINE_H
 
-// Finds parts of prompts that crash endpoints, so that no more requests with
-// such a part are forwarded. Nothing here does I/O or reads a clock: callers
+// Finds requests, and parts of prompts, that crash endpoints, so that they are
+// no longer forwarded. Nothing here does I/O or reads a clock: callers
 // pass the current time, and exchange the lists between processes.
 
 #include <cstddef>
+#include <cstdint>
 #include <lycheestand/core.h>
 #include <map>
 #include <optional>
@@ -156,6 +157,228 @@
   std::vector<Report> reports;
 };
 
+// What is known of a request that was at endpoints when they crashed. Later
+// ones go before earlier ones if there is no room for all.
+enum class RequestState : std::uint8_t
+{
+  // It has not succeeded since a crash.
+  Suspected,
+  // It is refused until its trial.
+  Held,
+  // Of the held requests it is the one that may run now.
+  OnTrial,
+  // Its quarantine has ended, and one more crash renews it.
+  OnProbation,
+  Quarantined
+};
+
+const char*
+ToString(RequestState aState);
+
+// What a router does with a request.
+enum class RequestVerdict
+{
+  Accepted,
+  // Forwards it, but not to a second endpoint if it may have run at one.
+  OneAttempt,
+  Held,
+  Quarantined
+};
+
+RequestVerdict
+Judge(std::optional<RequestState> aState);
+
+// A request that is not only suspected.
+struct RequestEntry
+{
+  RequestDigest digest;
+  RequestState state = RequestState::Held;
+  unsigned crashes = 0;
+  // When the state ends.
+  TimePoint end{};
+  // Time of the latest quarantine.
+  Duration length{};
+
+  friend bool operator==(const RequestEntry&, const RequestEntry&) = default;
+};
+
+// Returns the state at a time at which the end may have passed.
+std::optional<RequestState>
+StateAt(const RequestEntry& aEntry, TimePoint aNow);
+
+// What routers must know.
+struct RequestLists
+{
+  // A router that sees one of them succeed reports it.
+  std::set<RequestDigest> suspects;
+  std::vector<RequestEntry> entries;
+
+  friend bool operator==(const RequestLists&, const RequestLists&) = default;
+};
+
+// Numbers of requests that are held, on trial included, and quarantined.
+struct RequestCounts
+{
+  std::size_t held = 0;
+  std::size_t quarantined = 0;
+
+  friend bool operator==(const RequestCounts&, const RequestCounts&) = default;
+};
+
+RequestCounts
+Count(const RequestLists& aLists);
+
+// An endpoint that crashed while it worked on these requests.
+struct RequestCrash
+{
+  EndpointId endpoint;
+  TimePoint time{};
+  std::vector<RequestDigest> digests;
+};
+
+// Why a request is no longer held or quarantined.
+enum class ReleaseReason
+{
+  Succeeded,
+  // All its crashes are also those of a request that is quarantined now.
+  Explained,
+  Expired,
+  Lifted
+};
+
+const char*
+ToString(ReleaseReason aReason);
+
+struct RequestDecision
+{
+  RequestDigest digest;
+  // Held or Quarantined; empty if the request is released.
+  std::optional<RequestState> state;
+  ReleaseReason reason = ReleaseReason::Succeeded;
+  unsigned crashes = 0;
+};
+
+// Thresholds of a RequestTracker.
+struct RequestTrackerOptions
+{
+  // A request that is tried again at a second endpoint may be there by chance
+  // when that one crashes, too.
+  std::size_t crashesToHold = 2;
+  std::size_t crashesToQuarantine = 3;
+  // Reports of one endpoint within this time are of the same crash.
+  Duration reportTime = std::chrono::seconds(1);
+  // Time without a crash after which a request is forgotten that is not
+  // quarantined.
+  Duration crashLifetime = std::chrono::minutes(1);
+  // Time without an outcome after which another held request is tried.
+  Duration trialTime = std::chrono::seconds(2);
+  // The first quarantine ends this long after the last crash; each further one
+  // takes twice as long as the one before.
+  Duration quarantineTime = std::chrono::minutes(10);
+  Duration maxQuarantineTime = std::chrono::hours(24);
+  // Time after a quarantine for which the request is remembered.
+  Duration probationTime = std::chrono::hours(24);
+  std::size_t maxRecords = 4096;
+  std::size_t maxCrashesPerDigest = 8;
+  // Suspects in the lists; the ones of the latest crashes are kept.
+  std::size_t maxSuspects = 256;
+};
+
+// Relates crashes of endpoints to requests. The same request is held after two
+// crashes and quarantined after the third, unless it has succeeded since.
+// Crashes of different endpoints count separately however close they are: the
+// copies of one request may run at several endpoints.
+class RequestTracker
+{
+public:
+  explicit RequestTracker(RequestTrackerOptions aOptions = {})
+    : options(aOptions)
+  {
+  }
+
+  // An endpoint crashed while it worked on these requests. Several routers may
+  // report the same crash.
+  void AddCrash(const EndpointId& aEndpoint,
+                const std::vector<RequestDigest>& aDigests,
+                TimePoint aTime);
+
+  void AddSuccess(RequestDigest aDigest, TimePoint aTime);
+
+  // Another tracker has quarantined a request, now or earlier.
+  void AddKnown(const RequestEntry& aEntry);
+
+  // Forgets a request that is not only suspected; returns whether there is one.
+  bool Lift(RequestDigest aDigest);
+
+  // Drops what another tracker does not know although it had this time to learn
+  // of it.
+  void Retain(const std::set<RequestDigest>& aKnown,
+              TimePoint aNow,
+              Duration aLearnTime);
+
+  // Ends what has expired, and the trial if it takes too long.
+  void Update(TimePoint aNow);
+
+  // Nothing if no crash of the request counts.
+  std::optional<RequestState> StateOf(RequestDigest aDigest) const;
+
+  RequestLists Lists() const;
+
+  // The crashes that count.
+  std::vector<RequestCrash> Crashes() const;
+
+  // Returns whether a request has got another state since TakeChange.
+  bool HasUrgentChange() const { return this->isUrgent; }
+
+  // Returns whether the lists may have changed since the last call.
+  bool TakeChange();
+
+  // Returns the decisions since the last call.
+  std::vector<RequestDecision> TakeDecisions();
+
+private:
+  struct Crash
+  {
+    EndpointId endpoint;
+    TimePoint time{};
+  };
+
+  struct Record
+  {
+    RequestState state = RequestState::Suspected;
+    // The latest crashes that count, and the number of all of them.
+    std::vector<Crash> crashes;
+    unsigned count = 0;
+    TimePoint lastCrash{};
+    TimePoint succeededAt{};
+    // When the latest trial began.
+    TimePoint triedAt{};
+    // Of a quarantine, or of the probation after it.
+    TimePoint end{};
+    Duration length{};
+  };
+
+  bool IsSame(const Crash& aLeft, const Crash& aRight) const;
+  bool AddTo(Record& aRecord, const Crash& aCrash);
+  void HandleCrash(RequestDigest aDigest, Record& aRecord);
+  void Hold(RequestDigest aDigest, Record& aRecord);
+  void Quarantine(RequestDigest aDigest, Record& aRecord, Duration aLength);
+  bool Explains(const Record& aCulprit, const Record& aOther) const;
+  void Clear(RequestDigest aDigest, Record& aRecord, ReleaseReason aReason);
+  bool IsForgotten(RequestDigest aDigest, Record& aRecord, TimePoint aNow);
+  void ChooseTrial(TimePoint aNow);
+  Record& FindOrAddRecord(RequestDigest aDigest);
+  void DropLeastImportant();
+  RequestEntry MakeEntry(RequestDigest aDigest, const Record& aRecord) const;
+  void Decide(RequestDecision aDecision);
+
+  RequestTrackerOptions options;
+  std::map<RequestDigest, Record> records;
+  std::vector<RequestDecision> decisions;
+  bool isChanged = false;
+  bool isUrgent = false;
+};
+
 } // namespace lycheestand::quarantine
 
 #endif
