Carry digests of requests in the messages about crashes

CrashReport, PartSuccess and QuarantineState get fields at their end, which an older build ignores, so no new message type and no capability flag is needed.

--- a/packages/wire/include/lycheestand/wire.h
+++ b/packages/wire/include/lycheestand/wire.h
@@ -252,19 +252,37 @@
 {};
 
 // An endpoint crashed while it worked on a request with these parts in its
-// prompt.
+// prompt, or on these requests.
 struct CrashReport
 {
   EndpointId endpoint;
   std::vector<PromptPartId> parts;
   // Time since the crash.
   Milliseconds age{};
+  std::vector<RequestDigest> digests;
 };
 
-// Requests with these parts, which control suspects, have succeeded.
+// Requests with these parts, which control suspects, have succeeded, or these
+// requests.
 struct PartSuccess
 {
   std::vector<PromptPartId> parts;
+  std::vector<RequestDigest> digests;
+};
+
+// A request that crashes endpoints, or may do so.
+struct RequestRecord
+{
+  RequestDigest digest;
+  // A quarantine::RequestState.
+  std::uint8_t state = 0;
+  std::uint32_t crashes = 0;
+  // Time until the state ends.
+  Milliseconds remaining{};
+  // Time of the latest quarantine.
+  Milliseconds length{};
+
+  friend bool operator==(const RequestRecord&, const RequestRecord&) = default;
 };
 
 // From control: parts that are suspected to crash endpoints, and those with
@@ -274,6 +292,9 @@
 {
   std::vector<PromptPartId> suspects;
   std::vector<PromptPartId> quarantined;
+  // Requests that have not succeeded since a crash.
+  std::vector<RequestDigest> suspectRequests;
+  std::vector<RequestRecord> requests;
 };
 
 // From a router: an endpoint names the rate of requests that it takes from the
--- a/packages/wire/src/codec.cc
+++ b/packages/wire/src/codec.cc
@@ -132,6 +132,40 @@
   return { EndpointId(aIn.endpoint), UnpackRate(aIn.per_second) };
 }
 
+fb::RequestRecordT
+Pack(const RequestRecord& aIn)
+{
+  fb::RequestRecordT out;
+  out.digest = aIn.digest.Get();
+  out.state = aIn.state;
+  out.crashes = aIn.crashes;
+  out.remaining_ms = static_cast<std::uint64_t>(aIn.remaining.count());
+  out.length_ms = static_cast<std::uint64_t>(aIn.length.count());
+  return out;
+}
+
+// Longer times would overflow when they are added to the current time.
+Milliseconds
+UnpackQuarantineTime(std::uint64_t aMilliseconds)
+{
+  constexpr std::uint64_t kMax =
+    Milliseconds(std::chrono::hours(24 * 365)).count();
+  if (aMilliseconds > kMax) {
+    throw InvalidField{};
+  }
+  return Milliseconds(aMilliseconds);
+}
+
+RequestRecord
+Unpack(const fb::RequestRecordT& aIn)
+{
+  return { RequestDigest(aIn.digest),
+           aIn.state,
+           aIn.crashes,
+           UnpackQuarantineTime(aIn.remaining_ms),
+           UnpackQuarantineTime(aIn.length_ms) };
+}
+
 fb::HeartbeatT
 Pack(const Heartbeat& aIn)
 {
@@ -533,21 +567,23 @@
   return {};
 }
 
+template<class Id>
 std::vector<std::uint64_t>
-PackParts(const std::vector<PromptPartId>& aParts)
+PackNumbers(const std::vector<Id>& aIds)
 {
   std::vector<std::uint64_t> out;
-  out.reserve(aParts.size());
-  for (auto part : aParts) {
-    out.push_back(part.Get());
+  out.reserve(aIds.size());
+  for (auto id : aIds) {
+    out.push_back(id.Get());
   }
   return out;
 }
 
-std::vector<PromptPartId>
-UnpackParts(const std::vector<std::uint64_t>& aParts)
+template<class Id>
+std::vector<Id>
+UnpackNumbers(const std::vector<std::uint64_t>& aIds)
 {
-  return { aParts.begin(), aParts.end() };
+  return { aIds.begin(), aIds.end() };
 }
 
 fb::CrashReportT
@@ -555,8 +591,9 @@
 {
   fb::CrashReportT out;
   out.endpoint = aIn.endpoint.Get();
-  out.parts = PackParts(aIn.parts);
+  out.parts = PackNumbers(aIn.parts);
   out.age_ms = static_cast<std::uint32_t>(aIn.age.count());
+  out.digests = PackNumbers(aIn.digests);
   return out;
 }
 
@@ -564,37 +601,45 @@
 Unpack(const fb::CrashReportT& aIn)
 {
   return { EndpointId(aIn.endpoint),
-           UnpackParts(aIn.parts),
-           Milliseconds(aIn.age_ms) };
+           UnpackNumbers<PromptPartId>(aIn.parts),
+           Milliseconds(aIn.age_ms),
+           UnpackNumbers<RequestDigest>(aIn.digests) };
 }
 
 fb::PartSuccessT
 Pack(const PartSuccess& aIn)
 {
   fb::PartSuccessT out;
-  out.parts = PackParts(aIn.parts);
+  out.parts = PackNumbers(aIn.parts);
+  out.digests = PackNumbers(aIn.digests);
   return out;
 }
 
 PartSuccess
 Unpack(const fb::PartSuccessT& aIn)
 {
-  return { UnpackParts(aIn.parts) };
+  return { UnpackNumbers<PromptPartId>(aIn.parts),
+           UnpackNumbers<RequestDigest>(aIn.digests) };
 }
 
 fb::QuarantineStateT
 Pack(const QuarantineState& aIn)
 {
   fb::QuarantineStateT out;
-  out.suspects = PackParts(aIn.suspects);
-  out.quarantined = PackParts(aIn.quarantined);
+  out.suspects = PackNumbers(aIn.suspects);
+  out.quarantined = PackNumbers(aIn.quarantined);
+  out.suspect_requests = PackNumbers(aIn.suspectRequests);
+  out.requests = PackList<fb::RequestRecordT>(aIn.requests);
   return out;
 }
 
 QuarantineState
 Unpack(const fb::QuarantineStateT& aIn)
 {
-  return { UnpackParts(aIn.suspects), UnpackParts(aIn.quarantined) };
+  return { UnpackNumbers<PromptPartId>(aIn.suspects),
+           UnpackNumbers<PromptPartId>(aIn.quarantined),
+           UnpackNumbers<RequestDigest>(aIn.suspect_requests),
+           UnpackList<RequestRecord>(aIn.requests) };
 }
 
 fb::LimitReportT
--- a/packages/wire/test/codec_test.cc
+++ b/packages/wire/test/codec_test.cc
@@ -57,6 +57,30 @@
   CHECK(std::get<Welcome>(welcome.value()).tracksCrashes);
 }
 
+// Fails if routers and control don't tell each other which requests crash
+// endpoints.
+TEST_CASE("Crashes and records of requests are equal after decoding")
+{
+  const std::vector<RequestDigest> digests{ RequestDigest(4),
+                                            RequestDigest(~0ULL) };
+  auto crash =
+    Decode(Encode(CrashReport{ EndpointId("e"), {}, 70ms, digests }));
+  CHECK(std::get<CrashReport>(crash.value()).digests == digests);
+  auto success = Decode(Encode(PartSuccess{ {}, digests }));
+  CHECK(std::get<PartSuccess>(success.value()).digests == digests);
+  const std::vector<RequestRecord> records{
+    { digests[0], 3, 7, Milliseconds(24h), 10min },
+    { digests[1], 4, 3, 1ms, 20min }
+  };
+  auto state = Decode(Encode(QuarantineState{ {}, {}, digests, records }));
+  const auto& lists = std::get<QuarantineState>(state.value());
+  CHECK(lists.suspectRequests == digests);
+  CHECK(lists.requests == records);
+  auto endless = Decode(Encode(QuarantineState{
+    {}, {}, {}, { { digests[0], 4, 3, Milliseconds::max(), 0ms } } }));
+  CHECK(endless.error() == WireError::InvalidValue);
+}
+
 // Fails if a limit or a permit is lost on the way between routers and control.
 TEST_CASE("Limits and permits are equal after a round trip")
 {
