Keep requests that crash endpoints from further ones

A request without prompt parts that crashes each endpoint which begins to run it was never recognized: its caller sent it again, and each time all three replicas of its service were down for 3 s.

Routers now report the digests of the requests at an endpoint that crashed, and successes of those that are suspected. The leader relates them with a RequestTracker at once, not at its next tick, and pushes the lists at once, since the next copy may arrive at another router some milliseconds later. A held or quarantined request is refused with request_quarantined; one on trial or on probation gets one attempt. Routers also judge by what they have seen themselves, which decides alone without contact with control, and tell a new leader what they know. Requests that waited are checked again before their first attempt. Calls that run at most once report broken attempts, and services and chats of the project's own interface report successes, which they did not.

--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 #include <caf/send.hpp>
 #include <lycheestand/membership.h>
+#include <lycheestand/quarantine_codec.h>
 
 namespace lycheestand::control {
 
@@ -228,9 +229,7 @@
                                 .grantsPermits = true });
     this->SendLimits(aState);
     this->PushUpdates(aState);
-    if (this->quarantineState && aState.hello.acceptsQuarantine) {
-      this->SendTo(aState, *this->quarantineState);
-    }
+    this->SendQuarantine(aState);
     net::Log(net::LogLevel::Info,
              "router connected",
              { { "event", "router_connected" },
@@ -435,10 +434,19 @@
   void PushQuarantine(wire::QuarantineState aState)
   {
     this->quarantineState = std::move(aState);
+    this->quarantineChangedAt = net::Now(this->GetRuntime());
     for (auto& [id, link] : this->links) {
-      if (link.isAccepted && link.hello.acceptsQuarantine) {
-        this->SendTo(link, *this->quarantineState);
-      }
+      this->SendQuarantine(link);
+    }
+  }
+
+  void SendQuarantine(LinkState& aState)
+  {
+    if (aState.isAccepted && aState.hello.acceptsQuarantine &&
+        this->quarantineState) {
+      auto age = net::Now(this->GetRuntime()) - this->quarantineChangedAt;
+      this->SendTo(aState,
+                   quarantine_codec::WithAge(*this->quarantineState, age));
     }
   }
 
@@ -781,6 +789,7 @@
   // Empty until the quarantine controller has determined it. A new leader must
   // not send an empty state to routers that still have that of the last one.
   std::optional<wire::QuarantineState> quarantineState;
+  TimePoint quarantineChangedAt{};
   caf::actor limits;
   // The same of the limit controller.
   std::optional<wire::LimitState> limitState;
--- a/packages/control/src/messages.h
+++ b/packages/control/src/messages.h
@@ -151,14 +151,26 @@
   std::map<EndpointId, state::OrderRegister::Orders> byEndpoint;
 };
 
-// Sent to the fleet controller when routers must know other suspected or
-// quarantined parts.
+// Sent to the fleet controller when routers must know other requests or parts
+// that may crash endpoints.
 struct QuarantineChanged
 {
   wire::QuarantineState state;
 };
 
-// Tells the fleet controller which task finds the parts that crash endpoints.
+// Requests what the quarantine controller knows of requests that crash
+// endpoints; the response is JSON text. It is complete only at the leader.
+struct ListQuarantine
+{};
+
+// Asks the quarantine controller to release a request; the response is a bool,
+// false if it is neither held nor quarantined nor on probation.
+struct LiftQuarantine
+{
+  RequestDigest digest;
+};
+
+// Tells the fleet controller which task finds what crashes endpoints.
 struct SetQuarantineController
 {
   caf::actor controller;
@@ -277,6 +289,8 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::GetOrders)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::OrdersResult)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::QuarantineChanged)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::ListQuarantine)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::LiftQuarantine)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::SetQuarantineController)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::LimitsChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::EndpointsChecked)
--- a/packages/control/src/quarantine_controller.cc
+++ b/packages/control/src/quarantine_controller.cc
@@ -1,6 +1,7 @@
 #include "tasks.h"
 
-#include <lycheestand/quarantine.h>
+#include <boost/json.hpp>
+#include <lycheestand/quarantine_codec.h>
 #include <sstream>
 
 namespace lycheestand::control {
@@ -25,9 +26,30 @@
   return { aParts.begin(), aParts.end() };
 }
 
-// Owns what is known of prompt parts that crash endpoints, while this instance
-// is the leader. It is not replicated: routers send their observations to each
-// new leader.
+void
+LogDecision(const quarantine::RequestDecision& aDecision)
+{
+  bool isQuarantined = aDecision.state == quarantine::RequestState::Quarantined;
+  net::LogFields fields{ { "digest", ToString(aDecision.digest) },
+                         { "crashes", std::to_string(aDecision.crashes) } };
+  if (!aDecision.state) {
+    fields.emplace_back("event", "request_released");
+    fields.emplace_back("reason", quarantine::ToString(aDecision.reason));
+    net::Log(net::LogLevel::Info, "a request is no longer refused", fields);
+    return;
+  }
+  fields.emplace_back("event",
+                      isQuarantined ? "request_quarantined" : "request_held");
+  net::Log(net::LogLevel::Warning,
+           isQuarantined
+             ? "a request crashes endpoints; it is refused"
+             : "a request may crash endpoints; it is tried by itself",
+           fields);
+}
+
+// Owns what is known of requests and prompt parts that crash endpoints, while
+// this instance is the leader. It is not replicated: routers send their
+// observations to each new leader.
 class QuarantineController : public net::IoTask
 {
 public:
@@ -46,21 +68,16 @@
   {
     return {
       [this](LeadershipChanged& aChanged) {
-        this->isLeader = aChanged.isLeader;
-        this->tracker = quarantine::CrashTracker();
-        this->published = {};
-      },
-      [this](wire::CrashReport& aReport) {
-        this->tracker.AddCrash(
-          aReport.endpoint, aReport.parts, this->Time() - aReport.age);
-      },
-      [this](wire::PartSuccess& aSuccess) {
-        this->tracker.AddSuccess(aSuccess.parts, this->Time());
+        this->HandleLeadershipChanged(aChanged);
       },
-      [this](wire::QuarantineState& aKnown) {
-        for (auto part : aKnown.quarantined) {
-          this->tracker.AddQuarantined(part, this->Time());
-        }
+      [this](wire::CrashReport& aReport) { this->HandleCrash(aReport); },
+      [this](wire::PartSuccess& aSuccess) { this->HandleSuccess(aSuccess); },
+      [this](wire::QuarantineState& aKnown) { this->HandleKnown(aKnown); },
+      [this](ListQuarantine) { return this->FormatRequests(); },
+      [this](LiftQuarantine& aLift) {
+        bool isLifted = this->requests.Lift(aLift.digest);
+        this->PublishIfUrgent();
+        return isLifted;
       },
     };
   }
@@ -68,6 +85,55 @@
 private:
   TimePoint Time() const { return net::Now(this->GetRuntime()); }
 
+  void HandleLeadershipChanged(const LeadershipChanged& aChanged)
+  {
+    this->isLeader = aChanged.isLeader;
+    this->parts = quarantine::CrashTracker();
+    this->publishedParts = {};
+    this->requests = quarantine::RequestTracker();
+    this->publishedRequests = {};
+  }
+
+  void HandleCrash(const wire::CrashReport& aReport)
+  {
+    TimePoint time = this->Time() - aReport.age;
+    if (!aReport.parts.empty()) {
+      this->parts.AddCrash(aReport.endpoint, aReport.parts, time);
+    }
+    this->requests.AddCrash(aReport.endpoint, aReport.digests, time);
+    this->PublishIfUrgent();
+  }
+
+  void HandleSuccess(const wire::PartSuccess& aSuccess)
+  {
+    this->parts.AddSuccess(aSuccess.parts, this->Time());
+    for (auto digest : aSuccess.digests) {
+      this->requests.AddSuccess(digest, this->Time());
+    }
+    this->PublishIfUrgent();
+  }
+
+  void HandleKnown(const wire::QuarantineState& aKnown)
+  {
+    for (auto part : aKnown.quarantined) {
+      this->parts.AddQuarantined(part, this->Time());
+    }
+    auto known = quarantine_codec::ReadLists(aKnown, this->Time());
+    for (const auto& entry : known.entries) {
+      this->requests.AddKnown(entry);
+    }
+    this->PublishIfUrgent();
+  }
+
+  // The next copy of a request may arrive at another router some milliseconds
+  // after a crash.
+  void PublishIfUrgent()
+  {
+    if (this->isLeader && this->requests.HasUrgentChange()) {
+      this->Update();
+    }
+  }
+
   void UpdatePeriodically()
   {
     if (this->isLeader) {
@@ -78,19 +144,33 @@
 
   void Update()
   {
-    for (auto part : this->tracker.Update(this->Time())) {
+    bool haveChanged = this->UpdateParts();
+    haveChanged |= this->UpdateRequests();
+    if (!haveChanged) {
+      return;
+    }
+    wire::QuarantineState state{ ToVector(this->publishedParts.suspects),
+                                 ToVector(this->publishedParts.quarantined) };
+    quarantine_codec::WriteLists(this->publishedRequests, this->Time(), state);
+    this->send(this->fleet, QuarantineChanged{ std::move(state) });
+  }
+
+  // Returns whether routers must know other parts.
+  bool UpdateParts()
+  {
+    for (auto part : this->parts.Update(this->Time())) {
       net::Log(
         net::LogLevel::Warning,
         "a prompt part crashes endpoints; requests with it are refused",
         { { "event", "part_quarantined" },
           { "part", FormatPart(part) },
-          { "crashes", std::to_string(this->tracker.CountCrashes(part)) } });
+          { "crashes", std::to_string(this->parts.CountCrashes(part)) } });
     }
-    const auto& lists = this->tracker.Lists();
-    if (lists == this->published) {
-      return;
+    const auto& lists = this->parts.Lists();
+    if (lists == this->publishedParts) {
+      return false;
     }
-    for (auto part : this->published.quarantined) {
+    for (auto part : this->publishedParts.quarantined) {
       if (!lists.quarantined.contains(part)) {
         net::Log(
           net::LogLevel::Info,
@@ -98,19 +178,56 @@
           { { "event", "part_released" }, { "part", FormatPart(part) } });
       }
     }
-    this->published = lists;
+    this->publishedParts = lists;
     net::Metrics()
       .GetGauge("lycheestand_quarantined_parts")
       .Set(static_cast<std::int64_t>(lists.quarantined.size()));
-    this->send(this->fleet,
-               QuarantineChanged{
-                 { ToVector(lists.suspects), ToVector(lists.quarantined) } });
+    return true;
+  }
+
+  // Returns whether routers must know other requests.
+  bool UpdateRequests()
+  {
+    this->requests.Update(this->Time());
+    for (const auto& decision : this->requests.TakeDecisions()) {
+      LogDecision(decision);
+    }
+    if (!this->requests.TakeChange()) {
+      return false;
+    }
+    auto lists = this->requests.Lists();
+    bool haveChanged = lists != this->publishedRequests;
+    this->publishedRequests = std::move(lists);
+    auto count = quarantine::Count(this->publishedRequests);
+    net::Metrics()
+      .GetGauge("lycheestand_held_requests")
+      .Set(static_cast<std::int64_t>(count.held));
+    net::Metrics()
+      .GetGauge("lycheestand_quarantined_requests")
+      .Set(static_cast<std::int64_t>(count.quarantined));
+    return haveChanged;
+  }
+
+  std::string FormatRequests() const
+  {
+    boost::json::array out;
+    for (const auto& entry : this->requests.Lists().entries) {
+      auto remaining =
+        std::chrono::ceil<std::chrono::seconds>(entry.end - this->Time());
+      out.push_back({ { "digest", ToString(entry.digest) },
+                      { "state", quarantine::ToString(entry.state) },
+                      { "crashes", entry.crashes },
+                      { "remaining_s", remaining.count() } });
+    }
+    return boost::json::serialize(out);
   }
 
   caf::actor fleet;
   bool isLeader = false;
-  quarantine::CrashTracker tracker;
-  quarantine::PartLists published;
+  quarantine::CrashTracker parts;
+  quarantine::PartLists publishedParts;
+  quarantine::RequestTracker requests;
+  quarantine::RequestLists publishedRequests;
 };
 
 } // namespace
--- a/packages/router/src/check_quarantine.cc
+++ b/packages/router/src/check_quarantine.cc
@@ -5,10 +5,13 @@
 
 namespace {
 
-// Retry-After of a request that may crash endpoints. A quarantine lasts for
+// Retry-After of a request that crashes endpoints. A quarantine lasts for
 // minutes after the last crash.
 constexpr double kQuarantineRetrySeconds = 60;
 
+// Retry-After of a request that waits for its trial.
+constexpr double kHeldRetrySeconds = 1;
+
 // Callers of the project's own interface may name a router as the host, and
 // send the same request to another one.
 RequestDigest
@@ -47,65 +50,90 @@
 
 void
 CheckQuarantine(const RequestPtr& aRequest,
-                std::function<void(bool aIsQuarantined)> aDone)
+                std::function<void(const CheckRequestReply&)> aDone)
 {
-  auto parts = PartsOf(*aRequest);
-  if (parts.empty()) {
-    aDone(false);
-    return;
-  }
   aRequest->exchange->Task()
     .request(aRequest->controllers.quarantine,
              caf::infinite,
-             CheckParts{ std::move(parts) })
-    .then([aRequest, done = std::move(aDone)](const CheckPartsReply& aReply) {
+             CheckRequest{ PartsOf(*aRequest), *aRequest->digest })
+    .then([aRequest, done = std::move(aDone)](const CheckRequestReply& aReply) {
       if (!aRequest->isFinished) {
-        done(aReply.isQuarantined);
+        done(aReply);
       }
     });
 }
 
+bool
+MayForward(const Request& aRequest, const CheckRequestReply& aReply)
+{
+  bool isAccepted = aReply.verdict == quarantine::RequestVerdict::Accepted ||
+                    (aReply.verdict == quarantine::RequestVerdict::OneAttempt &&
+                     aRequest.ran == ExecutionState::NotRun);
+  return isAccepted && !aReply.hasQuarantinedPart;
+}
+
+// Callers are told to come back later rather than that the request is wrong:
+// the cause may be a fault of the endpoint that is repaired.
 void
-ReportBrokenAttempt(const Request& aRequest)
+RefuseQuarantined(const RequestPtr& aRequest, const CheckRequestReply& aReply)
 {
-  auto parts = PartsOf(aRequest);
-  if (!parts.empty()) {
-    aRequest.exchange->Task().send(aRequest.controllers.quarantine,
-                                   CrashSuspected{ aRequest.endpoint,
-                                                   aRequest.endpointAddress,
-                                                   std::move(parts) });
+  if (aReply.hasQuarantinedPart) {
+    Refuse(aRequest,
+           { 503,
+             "prompt_quarantined",
+             "a part of the prompt has crashed several endpoints",
+             ExecutionState::NotRun,
+             kQuarantineRetrySeconds });
+    return;
   }
+  bool isHeld = aReply.verdict == quarantine::RequestVerdict::Held;
+  Refuse(aRequest,
+         { 503,
+           "request_quarantined",
+           isHeld ? "endpoints have crashed while they ran this request; it "
+                    "waits until it is tried by itself"
+                  : "this request has crashed several endpoints",
+           ExecutionState::NotRun,
+           isHeld ? kHeldRetrySeconds : kQuarantineRetrySeconds });
+}
+
+CrashSuspected
+MakeSuspicion(const Request& aRequest)
+{
+  return { aRequest.endpoint,
+           aRequest.endpointAddress,
+           PartsOf(aRequest),
+           *aRequest.digest };
+}
+
+void
+ReportBrokenAttempt(const Request& aRequest)
+{
+  aRequest.exchange->Task().send(aRequest.controllers.quarantine,
+                                 MakeSuspicion(aRequest));
 }
 
 void
 ReportSuccess(const Request& aRequest)
 {
-  auto parts = PartsOf(aRequest);
-  if (!parts.empty()) {
-    aRequest.exchange->Task().send(aRequest.controllers.quarantine,
-                                   PartsSucceeded{ std::move(parts) });
-  }
+  aRequest.exchange->Task().send(
+    aRequest.controllers.quarantine,
+    RequestSucceeded{ PartsOf(aRequest), *aRequest.digest });
 }
 
-// Callers are told to come back later rather than that the request is wrong:
-// the cause may be a fault of the engine that is repaired.
 Filter
 MakeCheckQuarantine()
 {
   return [](const RequestPtr& aRequest, Next aNext) {
     aRequest->digest = DigestOf(*aRequest);
     CheckQuarantine(
-      aRequest, [aRequest, next = std::move(aNext)](bool aIsQuarantined) {
-        if (!aIsQuarantined) {
+      aRequest,
+      [aRequest, next = std::move(aNext)](const CheckRequestReply& aReply) {
+        if (MayForward(*aRequest, aReply)) {
           next();
-          return;
+        } else {
+          RefuseQuarantined(aRequest, aReply);
         }
-        Refuse(aRequest,
-               { 503,
-                 "prompt_quarantined",
-                 "a part of the prompt has crashed several endpoints",
-                 ExecutionState::NotRun,
-                 kQuarantineRetrySeconds });
       });
   };
 }
--- a/packages/router/src/control_link.cc
+++ b/packages/router/src/control_link.cc
@@ -216,6 +216,7 @@
     this->connected.Set(0);
     this->send(this->controllers.budget, ControlDown{});
     this->send(this->controllers.membership, ControlDown{});
+    this->send(this->controllers.quarantine, ControlDown{});
     this->send(this->controllers.endpoint,
                PermitSourceChanged{ limits::PermitSource::Local });
   }
--- a/packages/router/src/controllers.h
+++ b/packages/router/src/controllers.h
@@ -98,8 +98,8 @@
                         const InstanceId& aInstance,
                         std::function<void(const Acceptance&)> aPublish);
 
-// Starts the task that reports crashes of endpoints, and successes of suspected
-// parts, to control, and knows the parts that control has quarantined.
+// Starts the task that reports crashes of endpoints, and successes of what is
+// suspected, to control, and knows the requests and parts that are quarantined.
 caf::actor
 SpawnQuarantineController(const net::Runtime& aRuntime);
 
--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -207,19 +207,31 @@
 std::vector<PromptPartId>
 PartsOf(const Request& aRequest);
 
-// Calls aDone with whether no endpoint may get the request, since a part of its
-// prompt has crashed several. It does not run if the request ends meanwhile.
+// Calls aDone with what is known of the request as a cause of crashes. It does
+// not run if the request ends meanwhile.
 void
 CheckQuarantine(const RequestPtr& aRequest,
-                std::function<void(bool aIsQuarantined)> aDone);
+                std::function<void(const CheckRequestReply&)> aDone);
 
-// Reports that the endpoint of the current attempt broke off and may have
-// crashed.
+// Returns whether the request may be sent to one more endpoint.
+bool
+MayForward(const Request& aRequest, const CheckRequestReply& aReply);
+
+// Refuses a request that did not run, because of MayForward.
+void
+RefuseQuarantined(const RequestPtr& aRequest, const CheckRequestReply& aReply);
+
+// Returns the report that the endpoint of the current attempt broke off and may
+// have crashed.
+CrashSuspected
+MakeSuspicion(const Request& aRequest);
+
+// Sends the report of MakeSuspicion.
 void
 ReportBrokenAttempt(const Request& aRequest);
 
-// Reports that the request has succeeded, so that its parts are not blamed for
-// crashes.
+// Reports that the request has succeeded, so that it and its parts are not
+// blamed for crashes.
 void
 ReportSuccess(const Request& aRequest);
 
--- a/packages/router/src/forward.cc
+++ b/packages/router/src/forward.cc
@@ -46,6 +46,19 @@
       });
 }
 
+// A request that has waited for less need not be checked again before its first
+// attempt.
+constexpr Duration kMinRecheckWait = std::chrono::milliseconds(100);
+
+// Returns whether the request may have been quarantined since it was checked.
+bool
+NeedsCheck(const Request& aRequest)
+{
+  auto waited =
+    net::Now(aRequest.exchange->Task().GetRuntime()) - aRequest.startedAt;
+  return !aRequest.triedEndpoints.empty() || waited >= kMinRecheckWait;
+}
+
 } // namespace
 
 void
@@ -54,23 +67,25 @@
               std::function<void(const Address&)> aCall,
               std::function<void()> aOnNoEndpoint)
 {
-  if (aRequest->triedEndpoints.empty()) {
+  if (!NeedsCheck(*aRequest)) {
     Choose(
       aRequest, std::move(aQuery), std::move(aCall), std::move(aOnNoEndpoint));
     return;
   }
-  // A part may have been quarantined since the first attempt.
   CheckQuarantine(
     aRequest,
     [aRequest,
      query = std::move(aQuery),
      call = std::move(aCall),
-     onNoEndpoint = std::move(aOnNoEndpoint)](bool aIsQuarantined) mutable {
-      if (aIsQuarantined) {
-        onNoEndpoint();
-      } else {
+     onNoEndpoint =
+       std::move(aOnNoEndpoint)](const CheckRequestReply& aReply) mutable {
+      if (MayForward(*aRequest, aReply)) {
         Choose(
           aRequest, std::move(query), std::move(call), std::move(onNoEndpoint));
+      } else if (aRequest->ran == ExecutionState::NotRun) {
+        RefuseQuarantined(aRequest, aReply);
+      } else {
+        onNoEndpoint();
       }
     });
 }
--- a/packages/router/src/forward_chat.cc
+++ b/packages/router/src/forward_chat.cc
@@ -281,6 +281,8 @@
       RecordFailure(this->request, net::CallFailure::Interrupted);
       this->HandleInterruption("the stream ended early");
     } else {
+      this->request->ran = ExecutionState::Ran;
+      this->request->status = 200;
       this->Complete();
     }
   }
--- a/packages/router/src/forward_service.cc
+++ b/packages/router/src/forward_service.cc
@@ -43,6 +43,8 @@
 void
 Answer(const RequestPtr& aRequest, const StoredAnswer& aAnswer)
 {
+  aRequest->ran = ExecutionState::Ran;
+  aRequest->status = aAnswer.status;
   aRequest->exchange->Respond({ aAnswer.status,
                                 { { "Content-Type", aAnswer.contentType },
                                   { "X-Request-Id", aRequest->id.Get() } },
@@ -180,6 +182,8 @@
       run.address = aAddress;
       run.request = MakeHttpRequest(*aRequest, call);
       run.timeout = call.timeout;
+      run.quarantine = aRequest->controllers.quarantine;
+      run.suspicion = MakeSuspicion(*aRequest);
       // From here on the operation controller is responsible for ending the
       // operation.
       aRequest->isOperationOpen = false;
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -203,6 +203,37 @@
   caf::actor links;
 };
 
+// ------------------------------------------------------------ quarantine
+
+// To the quarantine controller: an endpoint broke off while it worked on a
+// request. It may have crashed.
+struct CrashSuspected
+{
+  EndpointId endpoint;
+  Address address;
+  std::vector<PromptPartId> parts;
+  RequestDigest digest;
+};
+
+// To the quarantine controller: a request has succeeded.
+struct RequestSucceeded
+{
+  std::vector<PromptPartId> parts;
+  RequestDigest digest;
+};
+
+// Asks whether a request may be forwarded; the answer is CheckRequestReply.
+struct CheckRequest
+{
+  std::vector<PromptPartId> parts;
+  RequestDigest digest;
+};
+struct CheckRequestReply
+{
+  bool hasQuarantinedPart = false;
+  quarantine::RequestVerdict verdict = quarantine::RequestVerdict::Accepted;
+};
+
 // ------------------------------------------------------------ operations
 
 // Records one step of a call that must run at most once; the answer is
@@ -227,6 +258,9 @@
   Address address;
   net::HttpRequest request;
   Duration timeout{};
+  // Sent to this task if the endpoint breaks off.
+  caf::actor quarantine;
+  CrashSuspected suspicion;
 };
 struct RunOperationReply
 {
@@ -339,34 +373,6 @@
   routing::Outcome outcome = routing::Outcome::Abandoned;
 };
 
-// ------------------------------------------------------------ quarantine
-
-// To the quarantine controller: an endpoint broke off while it worked on a
-// request with these parts in its prompt. It may have crashed.
-struct CrashSuspected
-{
-  EndpointId endpoint;
-  Address address;
-  std::vector<PromptPartId> parts;
-};
-
-// To the quarantine controller: a request with these parts has succeeded.
-struct PartsSucceeded
-{
-  std::vector<PromptPartId> parts;
-};
-
-// Asks whether a request with these parts may be forwarded; the answer is
-// CheckPartsReply.
-struct CheckParts
-{
-  std::vector<PromptPartId> parts;
-};
-struct CheckPartsReply
-{
-  bool isQuarantined = false;
-};
-
 // ------------------------------------------------------------ admission
 
 // Requests admission; the answer is AdmitReply.
@@ -484,9 +490,9 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointCold)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::PermitSourceChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CrashSuspected)
-CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::PartsSucceeded)
-CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CheckParts)
-CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CheckPartsReply)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::RequestSucceeded)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CheckRequest)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CheckRequestReply)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::Admit)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::AdmitReply)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ReleaseAdmission)
--- a/packages/router/src/operation_controller.cc
+++ b/packages/router/src/operation_controller.cc
@@ -80,11 +80,18 @@
       aRun.address,
       std::move(aRun.request),
       options,
-      [this, step, promise](
+      [this,
+       step,
+       promise,
+       quarantine = std::move(aRun.quarantine),
+       suspicion = std::move(aRun.suspicion)](
         const Result<net::HttpResponse, net::CallFailure>& aResult) mutable {
         --this->runningCalls;
         RunOperationReply run =
           this->EvaluateResult(RejectBrokenStream(aResult), step);
+        if (step.phase == OperationPhase::Unknown) {
+          this->send(quarantine, std::move(suspicion));
+        }
         this->Send(step);
         this->steps.insert_or_assign(step.request, Step{ step, {} });
         promise.deliver(std::move(run));
--- a/packages/router/src/quarantine_controller.cc
+++ b/packages/router/src/quarantine_controller.cc
@@ -1,5 +1,7 @@
 #include "controllers.h"
 
+#include <lycheestand/quarantine_codec.h>
+
 namespace lycheestand::router {
 
 namespace {
@@ -14,8 +16,15 @@
   return { aParts.begin(), aParts.end() };
 }
 
+constexpr Duration kUpdateInterval = std::chrono::milliseconds(250);
+
+// Time in which control learns of a crash, or from a new link of all that this
+// router knows.
+constexpr Duration kLearnTime = std::chrono::seconds(2);
+
 // Tells crashes of endpoints from single broken connections, and exchanges
-// observations and lists with control.
+// observations and lists with control. Without contact with control, what this
+// router observes decides alone.
 class QuarantineController : public net::IoTask
 {
 public:
@@ -25,20 +34,22 @@
   }
 
 protected:
+  void Start() override { this->UpdatePeriodically(); }
+
   caf::message_handler Handlers() override
   {
     return {
       [this](CrashSuspected& aSuspected) {
         this->CheckEndpoint(std::move(aSuspected));
       },
-      [this](PartsSucceeded& aSucceeded) { this->ReportSuccess(aSucceeded); },
-      [this](CheckParts& aCheck) {
-        return CheckPartsReply{
-          !quarantine::FindParts(aCheck.parts, this->lists.quarantined).empty()
-        };
-      },
+      [this](RequestSucceeded& aSucceeded) { this->ReportSuccess(aSucceeded); },
+      [this](CheckRequest& aCheck) { return this->Check(aCheck); },
       [this](FromControl& aMessage) { this->Handle(aMessage.message); },
-      [this](ControlUp) { this->Resend(); },
+      [this](ControlUp) {
+        this->contactSince = this->Time();
+        this->Resend();
+      },
+      [this](ControlDown) { this->contactSince.reset(); },
       [this](caf::actor& aLink) { this->link = aLink; },
       [this](DumpState) { return this->Dump(); },
     };
@@ -47,21 +58,47 @@
 private:
   TimePoint Time() const { return net::Now(this->GetRuntime()); }
 
+  CheckRequestReply Check(const CheckRequest& aCheck) const
+  {
+    return {
+      !quarantine::FindParts(aCheck.parts, this->parts.quarantined).empty(),
+      this->JudgeRequest(aCheck.digest)
+    };
+  }
+
+  // Control knows the crashes that all routers have seen, and which request is
+  // on trial. What this router has seen counts beside it if control has not
+  // learnt of it, or can't tell what it has decided since.
+  quarantine::RequestVerdict JudgeRequest(RequestDigest aDigest) const
+  {
+    auto own = quarantine::Judge(this->observed.StateOf(aDigest));
+    auto found = this->told.find(aDigest);
+    if (found == this->told.end()) {
+      return own;
+    }
+    auto told =
+      quarantine::Judge(quarantine::StateAt(found->second, this->Time()));
+    bool mayBeOld =
+      !this->contactSince || own == quarantine::RequestVerdict::Quarantined;
+    return mayBeOld ? std::max(own, told) : told;
+  }
+
   // All requests at an endpoint end at the moment of its crash, and one
   // connection tells for all of them.
   void CheckEndpoint(CrashSuspected aSuspected)
   {
     auto [found, isNew] = this->checked.try_emplace(aSuspected.endpoint);
-    found->second.push_back(std::move(aSuspected.parts));
+    EndpointId endpoint = aSuspected.endpoint;
+    Address address = aSuspected.address;
+    found->second.push_back(std::move(aSuspected));
     if (!isNew) {
       return;
     }
-    this->TryConnect(
-      aSuspected.address,
-      kCrashCheckTimeout,
-      [this, endpoint = aSuspected.endpoint](net::ConnectResult aResult) {
-        this->FinishCheck(endpoint, aResult);
-      });
+    this->TryConnect(address,
+                     kCrashCheckTimeout,
+                     [this, endpoint](net::ConnectResult aResult) {
+                       this->FinishCheck(endpoint, aResult);
+                     });
   }
 
   void FinishCheck(const EndpointId& aEndpoint, net::ConnectResult aResult)
@@ -76,23 +113,39 @@
                { "endpoint", aEndpoint.Get() },
                { "requests", std::to_string(requests.size()) } });
     net::Metrics().GetCounter("lycheestand_endpoint_crashes_total").Add();
-    for (auto& parts : requests) {
-      quarantine::CrashReports::Report report{ aEndpoint,
-                                               std::move(parts),
-                                               this->Time() };
-      this->Send(report);
-      this->reports.Add(std::move(report));
+    quarantine::RequestCrash crash{ aEndpoint, this->Time(), {} };
+    for (const auto& request : requests) {
+      crash.digests.push_back(request.digest);
+    }
+    this->Send(crash);
+    this->observed.AddCrash(aEndpoint, crash.digests, crash.time);
+    for (auto& request : requests) {
+      if (!request.parts.empty()) {
+        quarantine::CrashReports::Report report{ aEndpoint,
+                                                 std::move(request.parts),
+                                                 crash.time };
+        this->Send(report);
+        this->reports.Add(std::move(report));
+      }
     }
+    this->ReportCounts();
   }
 
   // The lists change when control has counted the success; until then each
-  // request reports the part once more.
-  void ReportSuccess(const PartsSucceeded& aSucceeded)
+  // request reports it once more.
+  void ReportSuccess(const RequestSucceeded& aSucceeded)
   {
-    auto parts = quarantine::FindParts(aSucceeded.parts, this->lists.suspects);
-    if (!parts.empty()) {
-      this->send(this->link,
-                 ToControl{ wire::PartSuccess{ std::move(parts) } });
+    wire::PartSuccess success;
+    success.parts =
+      quarantine::FindParts(aSucceeded.parts, this->parts.suspects);
+    const auto digest = aSucceeded.digest;
+    if (this->suspects.contains(digest) || this->told.contains(digest) ||
+        this->observed.StateOf(digest)) {
+      success.digests.push_back(digest);
+      this->observed.AddSuccess(digest, this->Time());
+    }
+    if (!success.parts.empty() || !success.digests.empty()) {
+      this->send(this->link, ToControl{ std::move(success) });
     }
   }
 
@@ -102,60 +155,163 @@
     if (state == nullptr) {
       return;
     }
-    quarantine::PartLists lists;
-    lists.suspects.insert(state->suspects.begin(), state->suspects.end());
-    lists.quarantined.insert(state->quarantined.begin(),
-                             state->quarantined.end());
-    this->reports.Update(lists, this->Time());
-    if (lists.quarantined != this->lists.quarantined) {
-      net::Log(net::LogLevel::Info,
-               "the quarantined prompt parts have changed",
-               { { "event", "quarantine_changed" },
-                 { "parts", std::to_string(lists.quarantined.size()) } });
+    this->parts.suspects = { state->suspects.begin(), state->suspects.end() };
+    this->parts.quarantined = { state->quarantined.begin(),
+                                state->quarantined.end() };
+    this->reports.Update(this->parts, this->Time());
+    auto lists = quarantine_codec::ReadLists(*state, this->Time());
+    this->suspects = std::move(lists.suspects);
+    this->told.clear();
+    for (const auto& entry : lists.entries) {
+      this->told.emplace(entry.digest, entry);
+    }
+    this->ReportCounts();
+  }
+
+  void UpdatePeriodically()
+  {
+    this->observed.Update(this->Time());
+    this->observed.TakeDecisions();
+    this->DropCleared();
+    this->ReportCounts();
+    this->After(kUpdateInterval, [this] { this->UpdatePeriodically(); });
+  }
+
+  // Control has cleared what it does not list although it had time to learn of
+  // it.
+  void DropCleared()
+  {
+    if (!this->contactSince ||
+        this->Time() - *this->contactSince < kLearnTime) {
+      return;
+    }
+    auto known = this->suspects;
+    for (const auto& [digest, entry] : this->told) {
+      known.insert(digest);
+    }
+    this->observed.Retain(known, this->Time(), kLearnTime);
+  }
+
+  struct Counts
+  {
+    std::size_t parts = 0;
+    quarantine::RequestCounts told;
+    quarantine::RequestCounts observed;
+
+    friend bool operator==(const Counts&, const Counts&) = default;
+  };
+
+  quarantine::RequestLists ToldLists() const
+  {
+    quarantine::RequestLists lists;
+    for (const auto& [digest, entry] : this->told) {
+      lists.entries.push_back(entry);
+    }
+    return lists;
+  }
+
+  void ReportCounts()
+  {
+    Counts counts{ this->parts.quarantined.size(),
+                   quarantine::Count(this->ToldLists()),
+                   quarantine::Count(this->observed.Lists()) };
+    if (counts == this->reported) {
+      return;
     }
-    net::Metrics()
-      .GetGauge("lycheestand_quarantined_parts")
-      .Set(static_cast<std::int64_t>(lists.quarantined.size()));
-    this->lists = std::move(lists);
+    this->reported = counts;
+    auto text = [](std::size_t aNumber) { return std::to_string(aNumber); };
+    net::Log(net::LogLevel::Info,
+             "what is quarantined has changed",
+             { { "event", "quarantine_changed" },
+               { "parts", text(counts.parts) },
+               { "held", text(counts.told.held) },
+               { "requests", text(counts.told.quarantined) },
+               { "own_held", text(counts.observed.held) },
+               { "own_requests", text(counts.observed.quarantined) } });
+    auto set = [](const char* aName, std::size_t aNumber) {
+      net::Metrics().GetGauge(aName).Set(static_cast<std::int64_t>(aNumber));
+    };
+    set("lycheestand_quarantined_parts", counts.parts);
+    set("lycheestand_held_requests",
+        std::max(counts.told.held, counts.observed.held));
+    set("lycheestand_quarantined_requests",
+        std::max(counts.told.quarantined, counts.observed.quarantined));
   }
 
   // A new leader knows neither the crashes nor the quarantine.
   void Resend()
   {
-    if (!this->lists.quarantined.empty()) {
-      this->send(this->link,
-                 ToControl{ wire::QuarantineState{
-                   {}, ToVector(this->lists.quarantined) } });
+    wire::QuarantineState state;
+    state.quarantined = ToVector(this->parts.quarantined);
+    auto known = this->ToldLists();
+    auto own = this->observed.Lists().entries;
+    known.entries.insert(known.entries.end(), own.begin(), own.end());
+    std::erase_if(known.entries, [now = this->Time()](const auto& aEntry) {
+      return aEntry.end <= now;
+    });
+    quarantine_codec::WriteLists(known, this->Time(), state);
+    if (!state.quarantined.empty() || !state.requests.empty()) {
+      this->send(this->link, ToControl{ std::move(state) });
     }
     for (const auto& report : this->reports.Reports()) {
       this->Send(report);
     }
+    for (const auto& crash : this->observed.Crashes()) {
+      this->Send(crash);
+    }
+  }
+
+  Milliseconds AgeOf(TimePoint aTime) const
+  {
+    return std::chrono::duration_cast<Milliseconds>(this->Time() - aTime);
   }
 
   void Send(const quarantine::CrashReports::Report& aReport)
   {
-    auto age = this->Time() - aReport.time;
-    this->send(this->link,
-               ToControl{ wire::CrashReport{
-                 aReport.endpoint,
-                 aReport.parts,
-                 std::chrono::duration_cast<Milliseconds>(age) } });
+    this->send(
+      this->link,
+      ToControl{ wire::CrashReport{
+        aReport.endpoint, aReport.parts, this->AgeOf(aReport.time), {} } });
+  }
+
+  void Send(const quarantine::RequestCrash& aCrash)
+  {
+    this->send(
+      this->link,
+      ToControl{ wire::CrashReport{
+        aCrash.endpoint, {}, this->AgeOf(aCrash.time), aCrash.digests } });
   }
 
   std::string Dump() const
   {
-    return "{\"suspects\":" + std::to_string(this->lists.suspects.size()) +
-           ",\"quarantined\":" +
-           std::to_string(this->lists.quarantined.size()) + "}";
+    auto field = [](const char* aName, std::size_t aNumber) {
+      return ",\"" + std::string(aName) + "\":" + std::to_string(aNumber);
+    };
+    return "{\"suspects\":" + std::to_string(this->parts.suspects.size()) +
+           field("quarantined", this->parts.quarantined.size()) +
+           field("suspect_requests", this->suspects.size()) +
+           field("held_requests", this->reported.told.held) +
+           field("quarantined_requests", this->reported.told.quarantined) +
+           field("own_held_requests", this->reported.observed.held) +
+           field("own_quarantined_requests",
+                 this->reported.observed.quarantined) +
+           "}";
   }
 
   caf::actor link;
+  // When the link to control was opened; empty without one.
+  std::optional<TimePoint> contactSince;
   // The newest lists from control; kept while it is out of contact.
-  quarantine::PartLists lists;
-  // Parts of the requests that broke off, by the endpoint to which a connection
-  // is being opened.
-  std::map<EndpointId, std::vector<std::vector<PromptPartId>>> checked;
+  quarantine::PartLists parts;
+  std::set<RequestDigest> suspects;
+  std::map<RequestDigest, quarantine::RequestEntry> told;
+  // The requests that broke off, by the endpoint to which a connection is being
+  // opened.
+  std::map<EndpointId, std::vector<CrashSuspected>> checked;
+  // What this router has seen itself.
   quarantine::CrashReports reports;
+  quarantine::RequestTracker observed;
+  Counts reported;
 };
 
 } // namespace
