Let operators list and lift quarantined requests

`lycheestand quarantine list` and `quarantine lift DIGEST` use two new paths of the operators' interface, GET /admin/quarantine and POST /admin/quarantine/lift, which the leader answers. `lycheestand explain` adds the decisions on a refused request, and the attempts of requests with the same content.

client_test passes.

--- a/packages/client/src/fleet_commands.cc
+++ b/packages/client/src/fleet_commands.cc
@@ -202,6 +202,20 @@
   };
 }
 
+ExitCode
+LiftQuarantine(CommandLine& aLine, const Arguments& aArguments)
+{
+  TCLAP::UnlabeledValueArg<std::string> digest(
+    "digest", "digest of the request", true, "", "digest", aLine.Line());
+  aLine.AddFleetOptions();
+  aLine.Parse(aArguments);
+  FleetClient client = aLine.Connect();
+  ValueOrThrow(client.SendToLeader(
+    "POST", "/admin/quarantine/lift", { { "digest", digest.getValue() } }));
+  aLine.Out() << "request " << digest.getValue() << " is no longer refused\n";
+  return ExitCode::Done;
+}
+
 ExitCode
 Dump(CommandLine& aLine, const Arguments& aArguments)
 {
@@ -295,6 +309,13 @@
       "List the evacuated availability zones",
       MakeListCommand("/admin/zones/evacuated",
                       { "zone", "revision", "change_id" }) },
+    { "quarantine list",
+      "List the requests that crash endpoints, or may do so",
+      MakeListCommand("/admin/quarantine",
+                      { "digest", "state", "crashes", "remaining_s" }) },
+    { "quarantine lift",
+      "Serve a request again that was refused",
+      LiftQuarantine },
     { "dump", "Print the state of an instance", Dump },
     { "status", "Show the control instances and the fleet", ShowStatus },
   };
--- a/packages/client/src/request_timeline.cc
+++ b/packages/client/src/request_timeline.cc
@@ -59,6 +59,7 @@
   std::string router;
   std::string workspace;
   std::set<std::string> endpoints;
+  std::string digest;
   std::string begin;
   std::string end;
   double milliseconds = 0;
@@ -83,6 +84,10 @@
     if (!workspace.empty()) {
       summary.workspace = workspace;
     }
+    std::string digest = GetField(line.fields, "digest");
+    if (!digest.empty()) {
+      summary.digest = digest;
+    }
     std::string time = GetField(line.fields, "ms");
     if (GetField(line.fields, "event") == "request" && !time.empty()) {
       summary.milliseconds = std::atof(time.c_str());
@@ -108,6 +113,16 @@
       GetField(aLine.fields, "workspace") == aSummary.workspace) {
     return "[budget] ";
   }
+  const std::string digest = GetField(aLine.fields, "digest");
+  if ((event == "request_held" || event == "request_quarantined" ||
+       event == "request_released") &&
+      digest == aSummary.digest) {
+    return "[quarantine] ";
+  }
+  // Another request with the same content ended with its endpoint.
+  if (event == "attempt" && !digest.empty() && digest == aSummary.digest) {
+    return "[same content] ";
+  }
   if (event == "endpoint_capacity" && aLine.instance == aSummary.router &&
       aSummary.endpoints.contains(GetField(aLine.fields, "endpoint"))) {
     return "[endpoint] ";
--- a/packages/client/test/client_test.cc
+++ b/packages/client/test/client_test.cc
@@ -145,6 +145,30 @@
         std::string::npos);
 }
 
+// Guards against a digest that is sent to the wrong path or in another form,
+// and against a list without it.
+TEST_CASE_METHOD(ClientFixture, "Quarantined requests are listed and lifted")
+{
+  this->replies = { AdminResponse{
+    200,
+    R"([{"digest":"00ab","state":"held","crashes":2,"remaining_s":59}])" } };
+  REQUIRE(this->RunFleet({ "quarantine", "list" }) == 0);
+  CHECK(this->requests.back().target == "/admin/quarantine");
+  CHECK(this->out.str().find("00ab    held   2        59") !=
+        std::string::npos);
+  this->replies = { AdminResponse{ 200, R"({"ok":true})" } };
+  REQUIRE(this->RunFleet({ "quarantine", "lift", "00ab" }) == 0);
+  CHECK(this->requests.back().method == "POST");
+  CHECK(this->requests.back().target == "/admin/quarantine/lift");
+  CHECK(this->LastBodyMember("digest") == "00ab");
+  CHECK(this->out.str().find("request 00ab is no longer refused") !=
+        std::string::npos);
+  this->replies = { AdminResponse{
+    404, R"({"error":{"code":"unknown_digest","message":"m"}})" } };
+  CHECK(this->RunFleet({ "quarantine", "lift", "00ab" }) ==
+        static_cast<int>(ExitCode::Refused));
+}
+
 // Guards against endless redirects between two instances that name each other
 // as the leader.
 TEST_CASE_METHOD(ClientFixture, "Redirects between two instances are limited")
@@ -243,6 +267,7 @@
                              "key",
                              "instance",
                              "endpoint",
+                             "quarantine",
                              "secret" }) {
     REQUIRE(Run(this->environment, { group, "--help" }) == 0);
   }
--- a/packages/client/test/request_timeline_test.cc
+++ b/packages/client/test/request_timeline_test.cc
@@ -58,3 +58,29 @@
   CHECK(timeline[0].find("[endpoint] m event=endpoint_capacity endpoint=e") !=
         std::string::npos);
 }
+
+// Guards against a refusal whose cause, the crashes of earlier requests with
+// the same content, is not shown.
+TEST_CASE("A refused request's timeline names its quarantine")
+{
+  std::istringstream input(
+    R"({"time":"2026-12-06T15:45:08.639Z","instance":"r2","message":"m",)"
+    R"("event":"attempt","request":"id0","endpoint":"e","digest":"00ab"})"
+    "\n"
+    R"({"time":"2026-12-06T15:45:08.700Z","instance":"c1","message":"m",)"
+    R"("event":"request_quarantined","digest":"00ab","crashes":"3"})"
+    "\n"
+    R"({"time":"2026-12-06T15:45:08.800Z","instance":"c1","message":"m",)"
+    R"("event":"request_held","digest":"00cd","crashes":"2"})"
+    "\n"
+    R"({"time":"2026-12-06T15:45:09.000Z","instance":"r1","message":"m",)"
+    R"("event":"refused","request":"id1","code":"request_quarantined",)"
+    R"("digest":"00ab"})"
+    "\n");
+  auto timeline = BuildRequestTimeline(ReadLogLines(input), "id1");
+  REQUIRE(timeline.size() == 3);
+  CHECK(timeline[0].find("[same content] m") != std::string::npos);
+  CHECK(timeline[0].find("request=id0") != std::string::npos);
+  CHECK(timeline[1].find("[quarantine] m") != std::string::npos);
+  CHECK(timeline[1].find("crashes=3") != std::string::npos);
+}
--- a/packages/control/src/control.cc
+++ b/packages/control/src/control.cc
@@ -61,15 +61,18 @@
 class ControlInstance : public Control
 {
 public:
-  ControlInstance(caf::actor aReplica, caf::actor aFleet)
+  ControlInstance(caf::actor aReplica,
+                  caf::actor aFleet,
+                  caf::actor aQuarantine)
     : replica(std::move(aReplica))
     , fleet(std::move(aFleet))
+    , quarantine(std::move(aQuarantine))
   {
   }
 
   net::HttpHandler OperatorHandler() override
   {
-    return MakeOperatorHandler(this->replica, this->fleet);
+    return MakeOperatorHandler(this->replica, this->fleet, this->quarantine);
   }
 
   void SetControl(std::vector<settings::ControlMember> aMembers) override
@@ -154,6 +157,7 @@
 private:
   caf::actor replica;
   caf::actor fleet;
+  caf::actor quarantine;
 };
 
 } // namespace
@@ -182,10 +186,9 @@
   }
   auto replica = spawned.value();
   auto fleet = SpawnFleetController(aRuntime, aSettings, replica);
+  auto quarantine = SpawnQuarantineController(aRuntime, fleet);
   // Sent first, so that it arrives before the replica's LeadershipChanged.
-  caf::anon_send(
-    fleet,
-    SetQuarantineController{ SpawnQuarantineController(aRuntime, fleet) });
+  caf::anon_send(fleet, SetQuarantineController{ quarantine });
   caf::anon_send(fleet,
                  SetLimitController{ SpawnLimitController(
                    aRuntime, fleet, std::move(aFormat.readColdRules)) });
@@ -211,7 +214,7 @@
                                              fleet);
     caf::anon_send(fleet, SetListReader{ reader });
   }
-  return R(std::make_unique<ControlInstance>(replica, fleet));
+  return R(std::make_unique<ControlInstance>(replica, fleet, quarantine));
 }
 
 } // namespace lycheestand::control
--- a/packages/control/src/operator_handler.cc
+++ b/packages/control/src/operator_handler.cc
@@ -21,6 +21,7 @@
 {
   caf::actor replica;
   caf::actor fleet;
+  caf::actor quarantine;
 };
 
 void
@@ -378,36 +379,83 @@
     });
 }
 
-// Requests JSON text from the fleet controller, which has it only while this
-// instance is the leader.
-template<class Message>
+// Calls aRun if a quorum confirms that this instance is the leader; otherwise
+// sends an error.
 void
-QueryFleet(const OperatorTasks& aTasks,
-           const net::ExchangePtr& aExchange,
-           Message aMessage)
+RunAtLeader(const OperatorTasks& aTasks,
+            const net::ExchangePtr& aExchange,
+            std::function<void()> aRun)
 {
   aExchange->Task()
     .request(aTasks.replica, caf::infinite, ConfirmLeadership{})
-    .then([aTasks, aExchange, aMessage](
-            const LeadershipConfirmation& aConfirmation) {
-      if (!aConfirmation.isLeader) {
-        SendError(
-          aExchange,
-          503,
-          "not_leader",
-          "this instance is not the leader; send the request to the leader",
-          ExecutionState::NotRun,
-          aConfirmation.leader);
+    .then([aExchange,
+           run = std::move(aRun)](const LeadershipConfirmation& aConfirmation) {
+      if (aConfirmation.isLeader) {
+        run();
         return;
       }
-      aExchange->Task()
-        .request(aTasks.fleet, caf::infinite, aMessage)
-        .then([aExchange](std::string& aBody) {
-          SendResponse(aExchange, 200, std::move(aBody));
-        });
+      SendError(
+        aExchange,
+        503,
+        "not_leader",
+        "this instance is not the leader; send the request to the leader",
+        ExecutionState::NotRun,
+        aConfirmation.leader);
     });
 }
 
+// Requests JSON text from a task that has it only while this instance is the
+// leader.
+template<class Message>
+void
+QueryLeader(const OperatorTasks& aTasks,
+            const net::ExchangePtr& aExchange,
+            const caf::actor& aTask,
+            Message aMessage)
+{
+  RunAtLeader(aTasks, aExchange, [aExchange, aTask, aMessage] {
+    aExchange->Task()
+      .request(aTask, caf::infinite, aMessage)
+      .then([aExchange](std::string& aBody) {
+        SendResponse(aExchange, 200, std::move(aBody));
+      });
+  });
+}
+
+// It needs no change id: a lifted entry can only be lifted again if the request
+// has crashed further endpoints.
+void
+LiftEntry(const OperatorTasks& aTasks, const net::ExchangePtr& aExchange)
+{
+  BodyReader reader(aExchange->Request().body);
+  std::string text = reader.Text("digest");
+  auto digest = ParseRequestDigest(text);
+  if (!reader.Problem().empty() || !digest) {
+    SendError(aExchange,
+              400,
+              "invalid_request",
+              reader.Problem().empty()
+                ? "/digest must be 16 hexadecimal digits in lower case"
+                : reader.Problem());
+    return;
+  }
+  RunAtLeader(aTasks, aExchange, [aTasks, aExchange, digest = *digest] {
+    aExchange->Task()
+      .request(aTasks.quarantine, caf::infinite, LiftQuarantine{ digest })
+      .then([aExchange, digest](bool aIsLifted) {
+        if (aIsLifted) {
+          SendResponse(aExchange, 200, R"({"ok":true})");
+        } else {
+          SendError(aExchange,
+                    404,
+                    "unknown_digest",
+                    "request " + ToString(digest) +
+                      " is neither held nor quarantined nor on probation");
+        }
+      });
+  });
+}
+
 struct HttpRoute
 {
   const char* method;
@@ -445,22 +493,32 @@
     { "GET",
       "/admin/instances",
       [](const OperatorTasks& aTasks, const net::ExchangePtr& aExchange) {
-        QueryFleet(aTasks, aExchange, ListInstances{});
+        QueryLeader(aTasks, aExchange, aTasks.fleet, ListInstances{});
       } },
     { "GET",
       "/admin/endpoints",
       [](const OperatorTasks& aTasks, const net::ExchangePtr& aExchange) {
-        QueryFleet(aTasks, aExchange, ListEndpoints{});
+        QueryLeader(aTasks, aExchange, aTasks.fleet, ListEndpoints{});
+      } },
+    { "GET",
+      "/admin/quarantine",
+      [](const OperatorTasks& aTasks, const net::ExchangePtr& aExchange) {
+        QueryLeader(aTasks, aExchange, aTasks.quarantine, ListQuarantine{});
       } },
+    { "POST", "/admin/quarantine/lift", LiftEntry },
   };
 }
 
 } // namespace
 
 net::HttpHandler
-MakeOperatorHandler(caf::actor aReplica, caf::actor aFleet)
+MakeOperatorHandler(caf::actor aReplica,
+                    caf::actor aFleet,
+                    caf::actor aQuarantine)
 {
-  OperatorTasks tasks{ std::move(aReplica), std::move(aFleet) };
+  OperatorTasks tasks{ std::move(aReplica),
+                       std::move(aFleet),
+                       std::move(aQuarantine) };
   return [tasks, routes = MakeHttpRoutes()](const net::ExchangePtr& aExchange) {
     const auto& request = aExchange->Request();
     for (const auto& route : routes) {
--- a/packages/control/src/tasks.h
+++ b/packages/control/src/tasks.h
@@ -36,9 +36,10 @@
                      const settings::ProcessSettings& aSettings,
                      caf::actor aReplica);
 
-// Starts the task that finds the prompt parts that crash endpoints, from what
-// routers observe. It gets LeadershipChanged and the routers' messages from the
-// fleet controller, and sends QuarantineChanged to it.
+// Starts the task that finds the requests and prompt parts that crash
+// endpoints, from what routers observe. It gets LeadershipChanged and the
+// routers' messages from the fleet controller, and sends QuarantineChanged to
+// it.
 caf::actor
 SpawnQuarantineController(const net::Runtime& aRuntime, caf::actor aFleet);
 
@@ -62,7 +63,9 @@
 
 // Returns the HTTP handler of the operators' interface.
 net::HttpHandler
-MakeOperatorHandler(caf::actor aReplica, caf::actor aFleet);
+MakeOperatorHandler(caf::actor aReplica,
+                    caf::actor aFleet,
+                    caf::actor aQuarantine);
 
 } // namespace lycheestand::control
 
