--- a/packages/router/src/quarantine_controller.cc
+++ b/packages/router/src/quarantine_controller.cc
@@ -16,6 +16,11 @@
   return { aParts.begin(), aParts.end() };
 }
 
+// A process that ends may close its connections before its listener, so a
+// connection that opens is tried again after this time, up to kMaxChecks.
+constexpr Duration kCheckInterval = std::chrono::milliseconds(50);
+constexpr int kMaxChecks = 3;
+
 constexpr Duration kUpdateInterval = std::chrono::milliseconds(250);
 
 // Time in which control learns of a crash, or from a new link of all that this
@@ -91,14 +96,27 @@
     EndpointId endpoint = aSuspected.endpoint;
     Address address = aSuspected.address;
     found->second.push_back(std::move(aSuspected));
-    if (!isNew) {
-      return;
+    if (isNew) {
+      this->TryEndpoint(endpoint, address, kMaxChecks);
     }
-    this->TryConnect(address,
-                     kCrashCheckTimeout,
-                     [this, endpoint](net::ConnectResult aResult) {
-                       this->FinishCheck(endpoint, aResult);
-                     });
+  }
+
+  void TryEndpoint(const EndpointId& aEndpoint,
+                   const Address& aAddress,
+                   int aChecks)
+  {
+    this->TryConnect(
+      aAddress,
+      kCrashCheckTimeout,
+      [this, aEndpoint, aAddress, aChecks](net::ConnectResult aResult) {
+        if (aResult != net::ConnectResult::Connected || aChecks <= 1) {
+          this->FinishCheck(aEndpoint, aResult);
+          return;
+        }
+        this->After(kCheckInterval, [this, aEndpoint, aAddress, aChecks] {
+          this->TryEndpoint(aEndpoint, aAddress, aChecks - 1);
+        });
+      });
   }
 
   void FinishCheck(const EndpointId& aEndpoint, net::ConnectResult aResult)
