Test that operators see and lift the quarantine of a call

The fault test ends a service three times while it works on calls with the same body, each under its own Idempotency-Key.

--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -67,7 +67,7 @@
 endfunction()
 lycheestand_fault_cases(short group-two-disks group-no-disk leader-search budget-partition answers-killed not-run once-killed once-retry
                         once-no-answer once-left leaving planned-stop config-cut overload-config
-                        unconfirmed-denial deadly-part undelivered-charge broken-event
+                        unconfirmed-denial deadly-part quarantine-lift undelivered-charge broken-event
                         error-after-stream cut-head endless-answer endless-chat
                         repeated-refusal server-leaving retry-after rate-limit rate-limit-refusal
                         rate-limit-restart cold cold-start late-stop broken-service-stream
