--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -228,8 +228,8 @@
                                 .tracksCrashes = true,
                                 .grantsPermits = true });
     this->SendLimits(aState);
-    this->PushUpdates(aState);
     this->SendQuarantine(aState);
+    this->PushUpdates(aState);
     net::Log(net::LogLevel::Info,
              "router connected",
              { { "event", "router_connected" },
