Merge the quarantine of requests that crash endpoints

What callers saw: one lookup that is repeated took all endpoints of its service down for 3 s, again and again, and sound calls were refused meanwhile.

Cause: the quarantine knew only parts of prompts, so nothing related crashes to a request without any. The class: a failure that its input causes is treated as one of the server.

--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -18,11 +18,12 @@
 lycheestand_package(routing DEPS lycheestand_core)
 lycheestand_package(membership DEPS lycheestand_core)
 lycheestand_package(quarantine DEPS lycheestand_core)
+lycheestand_package(quarantine_codec DEPS lycheestand_quarantine lycheestand_wire)
 lycheestand_package(limits DEPS lycheestand_core)
 lycheestand_package(routes DEPS lycheestand_core)
 lycheestand_package(discovery DEPS lycheestand_net lycheestand_membership TEST_INCLUDE packages/net/test)
-lycheestand_package(router DEPS lycheestand_routes lycheestand_discovery lycheestand_net lycheestand_settings lycheestand_budget lycheestand_routing lycheestand_membership lycheestand_quarantine lycheestand_limits lycheestand_wire TEST_INCLUDE packages/net/test)
-lycheestand_package(control DEPS lycheestand_discovery lycheestand_net lycheestand_settings lycheestand_state lycheestand_membership lycheestand_quarantine lycheestand_limits lycheestand_wire lycheestand_journal lycheestand_consensus lycheestand_storage)
+lycheestand_package(router DEPS lycheestand_routes lycheestand_discovery lycheestand_net lycheestand_settings lycheestand_budget lycheestand_routing lycheestand_membership lycheestand_quarantine_codec lycheestand_limits lycheestand_wire TEST_INCLUDE packages/net/test)
+lycheestand_package(control DEPS lycheestand_discovery lycheestand_net lycheestand_settings lycheestand_state lycheestand_membership lycheestand_quarantine_codec lycheestand_limits lycheestand_wire lycheestand_journal lycheestand_consensus lycheestand_storage)
 lycheestand_package(client DEPS lycheestand_net lycheestand_settings)
 lycheestand_package(platform FOLDER platform DEPS lycheestand_router lycheestand_control)
 
@@ -66,7 +67,7 @@
 endfunction()
 lycheestand_fault_cases(short group-two-disks group-no-disk leader-search budget-partition answers-killed not-run once-killed once-retry
                         once-no-answer once-left leaving planned-stop config-cut overload-config
-                        unconfirmed-denial deadly-part deadly-request deadly-request-burst deadly-request-once
+                        unconfirmed-denial deadly-part quarantine-lift deadly-request deadly-request-burst deadly-request-once
                         deadly-request-stream deadly-request-leader deadly-request-sound silent-replica-blame undelivered-charge broken-event
                         error-after-stream cut-head endless-answer endless-chat
                         repeated-refusal server-leaving retry-after rate-limit rate-limit-refusal
--- a/packages/router/src/forward_chat.cc
+++ b/packages/router/src/forward_chat.cc
@@ -282,6 +282,8 @@
       RecordFailure(this->request, net::CallFailure::Interrupted);
       this->HandleInterruption("the stream ended early");
     } else {
+      this->request->ran = ExecutionState::Ran;
+      this->request->status = 200;
       this->Complete();
     }
   }
@@ -379,6 +381,7 @@
              { { "request", this->request->id.Get() },
                { "workspace", this->request->workspace.Get() },
                { "endpoint", this->request->attempt.endpoint.Get() },
+               { "digest", ToString(*this->request->digest) },
                { "reason", aReason } });
     ReleaseEndpoint(this->request, routing::Outcome::Failed);
     // The engine failed after the end of the text. If resumed, it would
--- a/packages/router/src/route_attempt.cc
+++ b/packages/router/src/route_attempt.cc
@@ -222,6 +222,7 @@
         { "attempt", std::to_string(aRequest->attempts) },
         { "ms", net::FormatMilliseconds(now - aRequest->attempt.startedAt) },
         { "parts", FormatParts(call.description.parts) },
+        { "digest", ToString(*aRequest->digest) },
         { "reason", aReason } });
   }
   aRequest->attempt.upstream = {};
