Give back a retry that led to no attempt

Cause: the endpoint controller took a retry before it chose, and kept it when no endpoint could be chosen. A silent stream looks for another endpoint each 500 ms, so two or three of them used up the retries of failed requests. Change: RetryBudget::ReturnRetry, called when a choice ends without an attempt. Result: "A choice without an endpoint uses up no retry" fails before (30 fruitless choices, then none for a failed request) and passes now.

--- a/packages/router/src/endpoint_controller.cc
+++ b/packages/router/src/endpoint_controller.cc
@@ -243,6 +243,14 @@
     return promise;
   }
 
+  // Gives back the retry of a choice that led to no attempt.
+  void ReturnRetry(const ChooseEndpoint& aChoose)
+  {
+    if (aChoose.attempts > 0) {
+      this->RetryBudgetOf(aChoose.query.serves).ReturnRetry();
+    }
+  }
+
   // A retry burst that all routers share is divided by the number of routers
   // that may have run during the window, so that together they stay below it.
   routing::RetryBudget& RetryBudgetOf(const std::string& aServes)
@@ -271,6 +279,7 @@
       auto choice = this->table.Choose(
         ToRequestNumber(aChoose.ticket), aChoose.query, this->Time());
       if (!choice) {
+        this->ReturnRetry(aChoose);
         aPromise.deliver(ChooseEndpointReply{
           std::nullopt,
           this->table.RemainingBlock(aChoose.query, this->Time()) });
@@ -493,10 +502,12 @@
   {
     auto retry = this->retries.find(aFinished.ticket);
     if (retry != this->retries.end()) {
+      this->ReturnRetry(retry->second.choose);
       retry->second.promise.deliver(ChooseEndpointReply{});
       this->retries.erase(retry);
     }
     if (auto waiting = this->TakeWaiting(ToWaitingRequest(aFinished.ticket))) {
+      this->ReturnRetry(waiting->choose);
       waiting->promise.deliver(ChooseEndpointReply{});
       this->Undo(aFinished.ticket);
     }
--- a/packages/router/test/zone_evacuation_test.cc
+++ b/packages/router/test/zone_evacuation_test.cc
@@ -196,3 +196,19 @@
   CHECK(this->received.evacuations ==
         std::vector<std::set<ZoneId>>{ zones, {} });
 }
+
+// Guards against retries that are used up by choices which lead to no attempt,
+// so that a request whose endpoint has failed is not retried.
+TEST_CASE_METHOD(ZoneControllerFixture,
+                 "A choice without an endpoint uses up no retry")
+{
+  for (int i = 0; i < 30; ++i) {
+    this->Choose(1, { EndpointId("e1"), EndpointId("e2") });
+    this->Advance(500ms);
+  }
+  this->received.choices.clear();
+  this->Choose(1, { EndpointId("e1") });
+  this->Advance(1s);
+  REQUIRE(this->received.choices.size() == 1);
+  CHECK(this->received.choices[0].endpoint);
+}
--- a/packages/routing/include/lycheestand/routing.h
+++ b/packages/routing/include/lycheestand/routing.h
@@ -109,6 +109,9 @@
   // Consumes one retry and returns true, or returns false if none is left.
   bool TryAcquireRetry();
 
+  // Gives back a retry that was acquired but not made.
+  void ReturnRetry();
+
 private:
   double retriesPerRequest;
   double burst;
--- a/packages/routing/src/retries.cc
+++ b/packages/routing/src/retries.cc
@@ -16,6 +16,12 @@
   this->tokens = std::min(this->burst, this->tokens + this->retriesPerRequest);
 }
 
+void
+RetryBudget::ReturnRetry()
+{
+  this->tokens = std::min(this->tokens + 1, this->burst);
+}
+
 bool
 RetryBudget::TryAcquireRetry()
 {
