Read what has arrived before a call times out

Cause: after the process has stood still, a call's timer may be handled before the bytes of its answer, which are in the socket; the call then ended with a timeout, or its endpoint counted as silent. Change: the check waits while there are unread bytes.

--- a/packages/net/src/client_connection.cc
+++ b/packages/net/src/client_connection.cc
@@ -169,6 +169,14 @@
     return limit > Duration(0) && aNow - this->startedAt >= limit;
   }
 
+  // Returns whether bytes have arrived that are not read yet. After the process
+  // has stood still, a timer may be handled before them.
+  bool HasUnreadBytes() const
+  {
+    beast::error_code ignored;
+    return this->isConnected && this->socket.available(ignored) > 0;
+  }
+
   // Time without progress that does not count, since the owner holds back
   // acknowledgements.
   bool IsAwaitingOwner() const
@@ -208,6 +216,10 @@
         return;
       }
       auto now = Now(this->GetRuntime());
+      if (this->HasUnreadBytes() && !this->IsOverdue(now)) {
+        this->ScheduleTimeoutCheck(aCall);
+        return;
+      }
       bool isSilent = !this->IsAwaitingOwner() &&
                       now - this->lastProgress >= this->CurrentTimeout();
       if (isSilent || this->IsOverdue(now)) {
--- a/packages/net/test/calls_test.cc
+++ b/packages/net/test/calls_test.cc
@@ -430,3 +430,20 @@
   this->RunUntil([&] { return isCancelled && !this->results.empty(); });
   CHECK(this->results[0].value().body == "whole");
 }
+
+// Guards against an answer that is dropped because a timeout is handled before
+// the bytes that arrived first, after the process has stood still.
+TEST_CASE_METHOD(CallFixture, "An answer that has arrived is not late")
+{
+  RawEndpoint endpoint;
+  CallOptions options;
+  options.idleTimeout = 2s;
+  this->Fetch(endpoint.GetAddress(), options);
+  this->RunUntil([&] { return endpoint.Accept(); });
+  this->RunUntil([&] { return endpoint.HasReceived("\r\n\r\n"); });
+  endpoint.Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  this->Coordinator().advance_time(2500ms);
+  this->Coordinator().run();
+  this->RunUntil([&] { return !this->results.empty(); });
+  CHECK(this->results[0].has_value());
+}
