Count a silent attempt as one that may have run

Cause: a request that may have one attempt only could get a second one while its first endpoint was silent before its answer. Change: MayForward looks at the attempt that is set aside, too. Result: router_test passes; no test of its own.

--- a/packages/router/src/check_quarantine.cc
+++ b/packages/router/src/check_quarantine.cc
@@ -66,9 +66,11 @@
 bool
 MayForward(const Request& aRequest, const CheckRequestReply& aReply)
 {
-  bool isAccepted = aReply.verdict == quarantine::RequestVerdict::Accepted ||
-                    (aReply.verdict == quarantine::RequestVerdict::OneAttempt &&
-                     aRequest.ran == ExecutionState::NotRun);
+  bool hasNoAttempt =
+    aRequest.ran == ExecutionState::NotRun && !aRequest.silentAttempt;
+  bool isAccepted =
+    aReply.verdict == quarantine::RequestVerdict::Accepted ||
+    (aReply.verdict == quarantine::RequestVerdict::OneAttempt && hasNoAttempt);
   return isAccepted && !aReply.hasQuarantinedPart;
 }
 
