Answer a request whose task gets no reply

Cause: when a request to another task failed or timed out, the connection ended without an answer. The controllers of a live router are asked without a limit of time and end only by an error of their own, but the dump of an operator waits 2 s for each task, and a busy one exceeded this.

Change: if no response has been started, the owner of the exchange answers. The router refuses the request: 503 and "not_run" if no endpoint can have got it, else 500 and "unknown". Without an owner the server answers with 500 and "unknown". A request that was being read is refused. A response whose end is queued is written; a stream that has begun is closed as before.

--- a/packages/net/include/lycheestand/net.h
+++ b/packages/net/include/lycheestand/net.h
@@ -389,6 +389,11 @@
   // process has closed the connection; without a function, the server does.
   virtual void OnDisconnect(std::function<void(Disconnect)> aRun) = 0;
 
+  // Sets the function that runs when another task did not reply to a request of
+  // the connection's task, in time or at all, and no response has been started;
+  // it must respond. Without a function, the server responds with 500.
+  virtual void OnNoReply(std::function<void()> aRun) = 0;
+
   // Returns the connection's task, which can send messages and make calls.
   virtual IoTask& Task() = 0;
 };
--- a/packages/net/src/http_connection.cc
+++ b/packages/net/src/http_connection.cc
@@ -84,12 +84,8 @@
     , reader({ this->options.maxHeaderBytes, this->options.maxBodyBytes })
     , hold(*this, this->options.buffers)
   {
-    // A request to another task, which the response depends on, has failed or
-    // timed out. Without closing the connection, the caller would never get a
-    // response.
-    this->set_error_handler([this](caf::scheduled_actor*, caf::error&) {
-      this->Close(Disconnect::TaskFailed);
-    });
+    this->set_error_handler(
+      [this](caf::scheduled_actor*, caf::error&) { this->HandleNoReply(); });
   }
 
   void on_exit() override
@@ -198,12 +194,30 @@
       this->onDisconnect = std::move(aRun);
     }
 
+    void OnNoReply(std::function<void()> aRun) override
+    {
+      this->onNoReply = std::move(aRun);
+    }
+
+    // Called when another task has not replied and there is no response.
+    void HandleNoReply()
+    {
+      if (auto run = this->onNoReply) {
+        run();
+      }
+      this->Respond({ 500,
+                      { { "Content-Type", "application/json" } },
+                      R"({"error":{"code":"internal_error","message":")"
+                      R"(a part of this instance does not reply",)"
+                      R"("ran":"unknown"}})" });
+    }
+
     // Called when the connection closes: runs the disconnect callback and drops
     // the pointer to the connection. Returns whether there was a callback.
     bool Detach(Disconnect aHow)
     {
       auto run = std::move(this->onDisconnect);
-      this->onDisconnect = nullptr;
+      this->Complete();
       if (run) {
         run(aHow);
       }
@@ -212,12 +226,17 @@
     }
 
     // Called when the response is fully written.
-    void Complete() { this->onDisconnect = nullptr; }
+    void Complete()
+    {
+      this->onDisconnect = nullptr;
+      this->onNoReply = nullptr;
+    }
 
   private:
     HttpConnection* connection;
     HttpRequest request;
     std::function<void(Disconnect)> onDisconnect;
+    std::function<void()> onNoReply;
     bool answered = false;
   };
 
@@ -279,6 +298,23 @@
     return this->progress.SinceProgress(this->CurrentTime());
   }
 
+  // A request to another task, which the response may depend on, has failed or
+  // timed out. Without this, the caller would never get a response. One whose
+  // end is already queued does not depend on it any more.
+  void HandleNoReply()
+  {
+    Log(LogLevel::Error,
+        "another task did not reply to a connection",
+        { { "event", "no_reply" }, { "peer", this->peer } });
+    if (!this->exchange) {
+      this->RejectUnread();
+    } else if (!this->exchange->IsAnswered()) {
+      this->exchange->HandleNoReply();
+    } else if (this->writes.empty() || !this->writes.back().isLast) {
+      this->Close(Disconnect::TaskFailed);
+    }
+  }
+
   // Checks the timeouts every 2 seconds and closes the connection when one has
   // expired.
   void ScheduleTimeoutCheck()
@@ -483,6 +519,15 @@
                  { { "Retry-After", kNoMemoryRetrySeconds } });
   }
 
+  // Refuses a request that can't be read to its end, if there is one.
+  void RejectUnread()
+  {
+    if (this->IsReading() && this->reader.HasBegun()) {
+      this->Reject(
+        500, "internal_error", "a part of this instance does not reply");
+    }
+  }
+
   void RejectLate()
   {
     Log(LogLevel::Warning,
--- a/packages/net/test/http_server_test.cc
+++ b/packages/net/test/http_server_test.cc
@@ -560,6 +560,47 @@
     [&] { return CountOccurrences(first.Received(), "whole") == 2; });
 }
 
+// Guards against a caller that gets no response since another task has failed.
+TEST_CASE_METHOD(NetFixture, "A request that needs a failed task is answered")
+{
+  auto failed = this->system.spawn<CallerTask>(this->runtime);
+  caf::anon_send_exit(failed, caf::exit_reason::kill);
+  this->Coordinator().run();
+  auto address = this->Serve([failed](const ExchangePtr& aExchange) {
+    const auto& target = aExchange->Request().target;
+    if (target == "/hook") {
+      aExchange->OnNoReply([aExchange] {
+        aExchange->Respond({ 503, {}, "own" });
+      });
+    }
+    if (target == "/begun") {
+      aExchange->StartStream(200, {});
+    }
+    if (target == "/whole") {
+      aExchange->Respond({ 200, {}, "whole" });
+    }
+    aExchange->Task()
+      .request(failed, caf::infinite, CountOpenConnections{})
+      .then([](std::size_t) {});
+  });
+  auto get = [](RawCaller& aCaller, const std::string& aTarget) {
+    aCaller.Send("GET " + aTarget + " HTTP/1.1\r\nHost: x\r\n\r\n");
+  };
+  RawCaller caller(address);
+  get(caller, "/a");
+  this->RunUntil([&] { return caller.Received().ends_with("}}"); });
+  CHECK(caller.Received().starts_with("HTTP/1.1 500"));
+  CHECK(caller.Received().find(R"("ran":"unknown")") != std::string::npos);
+  get(caller, "/hook");
+  this->RunUntil([&] { return caller.Received().ends_with("own"); });
+  get(caller, "/whole");
+  this->RunUntil([&] { return caller.Received().ends_with("whole"); });
+  CHECK_FALSE(caller.IsClosed());
+  RawCaller begun(address);
+  get(begun, "/begun");
+  this->RunUntil([&] { return begun.IsClosed(); });
+}
+
 // Guards against a planned stop that drops connections with a request in
 // progress.
 TEST_CASE_METHOD(NetFixture,
--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -192,6 +192,10 @@
 void
 RefuseUnconfirmed(const RequestPtr& aRequest);
 
+// Refuses a request because a controller does not reply.
+void
+RefuseWithoutReply(const RequestPtr& aRequest);
+
 // Releases all resources of a request; repeated calls have no effect.
 void
 FinishRequest(const RequestPtr& aRequest);
--- a/packages/router/src/finish.cc
+++ b/packages/router/src/finish.cc
@@ -7,6 +7,10 @@
 
 namespace {
 
+// Retry-After of a request that was not passed on since a controller does not
+// reply; another router can serve it at once.
+constexpr double kNoReplyRetrySeconds = 0.1;
+
 // Returns seconds rounded to one decimal, without the fraction if it is zero.
 std::string
 FormatSeconds(double aSeconds)
@@ -96,6 +100,16 @@
   }
 }
 
+// Returns whether an endpoint may have got the request.
+bool
+IsSent(const Request& aRequest)
+{
+  bool isRecordedCallSent =
+    aRequest.operation != 0 && !aRequest.isOperationOpen;
+  return aRequest.upstream.IsValid() || isRecordedCallSent ||
+         aRequest.ran != ExecutionState::NotRun;
+}
+
 // Returns how far the request had got.
 const char*
 StateOf(const Request& aRequest)
@@ -103,11 +117,7 @@
   if (aRequest.exchange->IsAnswered()) {
     return "answering";
   }
-  bool isRecordedCallSent =
-    aRequest.operation != 0 && !aRequest.isOperationOpen;
-  bool isSent = aRequest.upstream.IsValid() || isRecordedCallSent ||
-                aRequest.ran != ExecutionState::NotRun;
-  return isSent ? "sent" : "waiting";
+  return IsSent(aRequest) ? "sent" : "waiting";
 }
 
 // The outcome tells why a response was aborted.
@@ -163,6 +173,18 @@
   FinishRequest(aRequest);
 }
 
+void
+RefuseWithoutReply(const RequestPtr& aRequest)
+{
+  bool isSent = IsSent(*aRequest);
+  Refuse(aRequest,
+         { isSent ? 500u : 503u,
+           "internal_error",
+           "a part of this router does not reply",
+           isSent ? ExecutionState::Unknown : ExecutionState::NotRun,
+           isSent ? 0 : kNoReplyRetrySeconds });
+}
+
 // The request may have ended already, with an answer that is not yet written. A
 // suspension, which the task's clock does not count, counts as time that the
 // caller has waited.
--- a/packages/router/src/router.cc
+++ b/packages/router/src/router.cc
@@ -384,6 +384,7 @@
     // answer is complete or the caller has disconnected.
     aExchange->OnDisconnect(
       [request](net::Disconnect aHow) { EndDisconnected(request, aHow); });
+    aExchange->OnNoReply([request] { RefuseWithoutReply(request); });
     this->chain.Run(request);
   }
 
--- a/packages/router/test/request_cut_test.cc
+++ b/packages/router/test/request_cut_test.cc
@@ -29,6 +29,8 @@
     return this->requests.back();
   }
 
+  // Runs in the task of the connection; may be empty.
+  std::function<void(const RequestPtr&)> onRequest;
   std::vector<RequestPtr> requests;
   Address address = this->Serve([this](const net::ExchangePtr& aExchange) {
     auto request = std::make_shared<Request>();
@@ -37,6 +39,9 @@
     aExchange->OnDisconnect(
       [request](net::Disconnect aHow) { EndDisconnected(request, aHow); });
     this->requests.push_back(request);
+    if (this->onRequest) {
+      this->onRequest(request);
+    }
   });
 };
 
@@ -89,3 +94,27 @@
   };
   CHECK(find(net::Metrics().Render()) == find(text));
 }
+
+// Guards against a request that stays without an answer, or keeps what it
+// holds, when a controller fails; and against a wrong promise that it did not
+// run.
+TEST_CASE_METHOD(CutFixture, "A request is refused if a controller fails")
+{
+  net::RawCaller first(this->address);
+  auto waiting = this->Receive(first);
+  RefuseWithoutReply(waiting);
+  this->RunUntil([&] { return first.Received().ends_with("}}"); });
+  CHECK(first.Received().starts_with("HTTP/1.1 503"));
+  CHECK(first.Received().find("not_run") != std::string::npos);
+  CHECK(waiting->isFinished);
+  this->onRequest = [](const RequestPtr& aRequest) {
+    aRequest->upstream = aRequest->exchange->Task().StartCall(
+      net::NetFixture::FreeAddress(), { "GET", "/", {}, {} }, {}, {});
+    RefuseWithoutReply(aRequest);
+  };
+  net::RawCaller second(this->address);
+  this->Receive(second);
+  this->RunUntil([&] { return second.Received().ends_with("}}"); });
+  CHECK(second.Received().starts_with("HTTP/1.1 500"));
+  CHECK(second.Received().find("unknown") != std::string::npos);
+}
