Read what a caller still sends after the last response

Cause: a connection that had announced its close was closed at once after the response. If the caller had sent more, for example a pipelined request, the system reset the connection and dropped what was not yet delivered of the response.

Change: input that is known by then is read and dropped for up to 1 s, as after a refusal.

Measured: "Input after the last response is no reset" fails before (broken pipe at the caller) and passes now; net_test passes (62 cases).

--- a/packages/net/src/http_connection.cc
+++ b/packages/net/src/http_connection.cc
@@ -249,7 +249,7 @@
   };
 
   // Returns whether a request can arrive now: none is in progress or refused.
-  bool IsReading() const { return !this->exchange && !this->hasUnreadRequest; }
+  bool IsReading() const { return !this->exchange && !this->hasStoppedReading; }
 
   // Returns whether no byte of a request has arrived.
   bool IsIdle() const
@@ -496,7 +496,7 @@
               Headers aHeaders = {})
   {
     this->keepAlive = false;
-    this->hasUnreadRequest = true;
+    this->hasStoppedReading = true;
     this->reader.Clear();
     this->requestBytes = 0;
     this->exchange = std::make_shared<ServerExchange>(this, HttpRequest{});
@@ -777,12 +777,14 @@
     if (!this->keepAlive) {
       beast::error_code ignored;
       this->socket.shutdown(tcp::socket::shutdown_send, ignored);
-      if (this->hasUnreadRequest) {
+      bool hasInput = this->hasStoppedReading || !this->IsIdle();
+      // Bytes after a response that announced the close are no request.
+      this->reader.Clear();
+      this->hasStoppedReading = true;
+      if (hasInput) {
         this->After(kMaxDiscardTime, [this] { this->quit(); });
         this->DiscardInput();
       } else {
-        // Bytes after a response that announced the close are no request.
-        this->reader.Clear();
         this->quit();
       }
       return;
@@ -851,8 +853,9 @@
   // The connection is closed as soon as no request has begun.
   bool isStopping = false;
   bool isHeadRequest = false;
-  // The request in progress was rejected before all of it had arrived.
-  bool hasUnreadRequest = false;
+  // No further request is read: the current one was rejected before all of it
+  // had arrived, or the last response is written.
+  bool hasStoppedReading = false;
   bool isWatchingDisconnect = false;
   // Why the connection ends; none if the task fails.
   std::optional<Disconnect> disconnect;
--- a/packages/net/test/http_server_test.cc
+++ b/packages/net/test/http_server_test.cc
@@ -601,6 +601,28 @@
   this->RunUntil([&] { return begun.IsClosed(); });
 }
 
+// Guards against a response that is lost by a reset, since the caller has sent
+// more than one request.
+TEST_CASE_METHOD(NetFixture, "Input after the last response is no reset")
+{
+  ExchangePtr exchange;
+  auto address = this->Serve(
+    [&exchange](const ExchangePtr& aExchange) { exchange = aExchange; });
+  RawCaller caller(address);
+  caller.Send("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  this->RunUntil([&] { return exchange != nullptr; });
+  caller.Send(kGetRequest);
+  exchange->Respond({ 200, {}, "whole" });
+  this->RunUntil([&] { return caller.IsClosed(); });
+  CHECK(caller.Received().ends_with("whole"));
+  CHECK_NOTHROW(caller.Send(kGetRequest));
+  this->Advance(2s);
+  caf::scoped_actor self(this->system);
+  self->send(this->started.front(), CountOpenConnections{});
+  this->Coordinator().run();
+  self->receive([](std::size_t aOpen) { CHECK(aOpen == 0); });
+}
+
 // Guards against a planned stop that drops connections with a request in
 // progress.
 TEST_CASE_METHOD(NetFixture,
