Accept the connections that wait when a server stops

Cause: a stopping server closed its listening socket, which resets the connections that wait to be accepted, although their callers may have sent requests. The pause of a busy server accepts them first.

Change: the stop does the same; connections with bytes of a request are answered, the others are closed.

Measured: "A stopping server accepts connections that wait" fails before and passes now; net_test passes (63 cases).

--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -125,8 +125,10 @@
     }
   }
 
+  // Accepts the connections that wait: their callers may have sent requests.
   void Stop()
   {
+    this->acceptLoop.SetListening(false);
     this->acceptLoop.Close();
     for (const auto& connection : this->connections) {
       caf::anon_send(caf::actor_cast<caf::actor>(connection), StopListening{});
--- a/packages/net/test/http_server_test.cc
+++ b/packages/net/test/http_server_test.cc
@@ -690,6 +690,23 @@
   CHECK(kept.Received().ends_with("whole"));
 }
 
+// Guards against a stop that resets connections which wait to be accepted, with
+// requests that their callers have sent.
+TEST_CASE_METHOD(NetFixture, "A stopping server accepts connections that wait")
+{
+  auto address = this->Serve([](const ExchangePtr& aExchange) {
+    aExchange->Respond({ 200, {}, "whole" });
+  });
+  this->RunUntil([rounds = 0]() mutable { return ++rounds > 20; });
+  RawCaller caller(address);
+  caller.Send(kGetRequest);
+  caf::anon_send(this->started.front(), StopListening{});
+  this->Coordinator().run();
+  this->RunUntil([&] { return caller.IsClosed(); });
+  CHECK(caller.Received().ends_with("whole"));
+  CHECK_THROWS_AS(RawCaller(address), boost::system::system_error);
+}
+
 // Guards against a stop that resets a connection on which a refusal is being
 // sent: the caller may lose the refusal.
 TEST_CASE_METHOD(NetFixture, "A stopping server reads on after a refusal")
