Let a stopping process answer the platform's and operators' requests

Cause: at the end of a process only the admin server finished its requests. The servers of the platform's interfaces, with the changes of the configuration and the evacuations, were dropped with the requests that they were reading or serving.

Change: all these servers stop gracefully, for at most 5 s as before for the admin server.

Measured: the new fault case control-stop (a request whose last bytes come 0.5 s after SIGTERM) fails before, with no answer, and passes now.

--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -65,7 +65,7 @@
   endforeach()
 endfunction()
 lycheestand_fault_cases(short group-two-disks group-no-disk leader-search budget-partition answers-killed not-run once-killed once-retry
-                        once-no-answer once-left leaving planned-stop config-cut overload-config
+                        once-no-answer once-left leaving planned-stop control-stop config-cut overload-config
                         unconfirmed-denial deadly-part undelivered-charge broken-event
                         error-after-stream cut-head endless-answer endless-chat
                         repeated-refusal server-leaving retry-after rate-limit rate-limit-refusal
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -1,5 +1,6 @@
 #include "daemon.h"
 
+#include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -25,7 +26,7 @@
 // because the control addresses in the file are needed only for new links.
 constexpr Duration kFileWatchInterval = std::chrono::seconds(1);
 
-// Time limit for operators' requests in flight at a stop.
+// Time limit for requests in flight of operators and the platform at a stop.
 constexpr Duration kAdminStopTimeout = std::chrono::seconds(5);
 
 // Time in which the tasks of connections end before the process does.
@@ -268,11 +269,21 @@
     }
   }
 
-  // Waits for operators' requests in flight, then ends the process.
+  // Waits for the requests in flight of operators and of the platform, then
+  // ends the process. The servers stop in tasks of their own.
   void StopAdmin()
   {
-    net::StopServer(
-      this->runtime, this->admin, kAdminStopTimeout, [this] { this->Stop(); });
+    auto servers = this->platformServers;
+    servers.push_back(this->admin);
+    auto running = std::make_shared<std::atomic<std::size_t>>(servers.size());
+    for (const auto& server : servers) {
+      net::StopServer(
+        this->runtime, server, kAdminStopTimeout, [this, running] {
+          if (--*running == 0) {
+            this->Stop();
+          }
+        });
+    }
   }
 
   // Connections that are still open are closed, so that the log tells which
--- a/test/faults/platform_fleet.cc
+++ b/test/faults/platform_fleet.cc
@@ -276,7 +276,7 @@
 PlatformFleet::SendToControl(int aMachine, const Call& aCall) const
 {
   constexpr int kMaxRedirects = 2;
-  Address address{ this->environment.MachineIp(aMachine), kOperatorPort };
+  Address address = this->OperatorAddress(aMachine);
   Reply reply = Send(address, aCall);
   for (int i = 0; i < kMaxRedirects && reply.status == 307; ++i) {
     std::string location = reply.headers["Location"];
@@ -337,6 +337,12 @@
   return document.as_object().at("version").to_number<std::int64_t>();
 }
 
+Address
+PlatformFleet::OperatorAddress(int aMachine) const
+{
+  return { this->environment.MachineIp(aMachine), kOperatorPort };
+}
+
 Address
 PlatformFleet::CallerAddress(int aMachine) const
 {
--- a/test/faults/platform_fleet.h
+++ b/test/faults/platform_fleet.h
@@ -106,6 +106,8 @@
   std::int64_t ReadVersion(int aMachine);
   // Returns the address at which a router serves callers.
   Address CallerAddress(int aMachine) const;
+  // Returns the address at which a control instance serves operators.
+  Address OperatorAddress(int aMachine) const;
   // Returns whether a router says that it is ready.
   bool IsReady(int aMachine) const;
   // Sends a GET request to a router; the default target is on the route of the
--- a/test/faults/stops_test.cc
+++ b/test/faults/stops_test.cc
@@ -2,7 +2,11 @@
 // no new requests, and a planned stop interrupts none.
 
 #include "fleet.h"
+#include "platform_fleet.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
 
@@ -83,4 +87,33 @@
   REQUIRE(budget.spent == load.CompletedTokens());
 }
 
+// Guards against an operator's request that gets neither an answer nor a
+// refusal, since its control instance is being stopped.
+TEST_CASE("a stopping control instance answers a request that it reads",
+          "[control-stop]")
+{
+  PlatformFleet fleet("control-stop");
+  MachineOptions options;
+  options.seeds = { 1 };
+  options.bootstrap = true;
+  options.toleratedLosses = 0;
+  fleet.StartControl(1, options);
+  REQUIRE(WaitFor(60s, [&] { return fleet.PutConfiguration(1, 1) == 200; }));
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket socket(io);
+  Address address = fleet.OperatorAddress(1);
+  socket.connect({ boost::asio::ip::make_address(address.host), address.port });
+  const std::string begin = "GET /config HTTP/1.1\r\nHost: x\r\n";
+  boost::asio::write(socket, boost::asio::buffer(begin));
+  std::this_thread::sleep_for(300ms);
+  fleet.Machine(1).Signal(SIGTERM);
+  std::this_thread::sleep_for(500ms);
+  boost::system::error_code error;
+  boost::asio::write(socket, boost::asio::buffer("\r\n", 2), error);
+  std::string answer;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+  CHECK(fleet.Machine(1).WaitForExit(10s) == 0);
+}
+
 } // namespace lycheestand::faults
