Let the head of a response need no memory beyond its body

Cause: a response that was granted memory for its body asked for more when it was written in parts, since its head and framing came on top and crossed a step of the grants. With the memory used up this was refused, and the connection was closed although the caller read.

Change: the 16 KiB that a connection holds without asking come in addition to what it was granted, as docs/configuration.md says of max_buffered_bytes.

--- a/packages/net/src/buffer_hold.cc
+++ b/packages/net/src/buffer_hold.cc
@@ -9,8 +9,9 @@
 
 namespace {
 
-// Bytes that a connection holds without asking. Most requests are smaller and
-// cost no message.
+// Bytes that a connection holds without asking, beyond those that it was
+// granted. Most requests are smaller and cost no message; and the head of a
+// response does not need a grant in addition to its body.
 constexpr std::size_t kUnheldBytes = 16 * 1024;
 
 // A message asks for more memory at most this many times while its size
@@ -22,7 +23,7 @@
 void
 BufferHold::Hold(std::size_t aBytes, std::function<void(bool)> aDone)
 {
-  if (aBytes <= std::max(kUnheldBytes, this->heldBytes)) {
+  if (aBytes <= this->heldBytes + kUnheldBytes) {
     aDone(true);
     return;
   }
--- a/packages/net/test/http_server_test.cc
+++ b/packages/net/test/http_server_test.cc
@@ -363,6 +363,49 @@
   CHECK_FALSE(first.IsClosed());
 }
 
+// Guards against a response that was granted memory for its body and is dropped
+// for want of memory for its head.
+TEST_CASE_METHOD(NetFixture, "A granted response needs no memory for its head")
+{
+  constexpr std::size_t kGrantedBytes = 1024 * 1024;
+  constexpr std::size_t kHeadBytes = 1024;
+  HttpServerOptions options;
+  options.maxBufferedBytes = 2 * kGrantedBytes;
+  // Each takes half of what is left, with what a request takes.
+  const std::map<std::string, std::size_t> sizes{
+    { "/first", kGrantedBytes - 64 * 1024 },
+    { "/second", kGrantedBytes / 2 - 32 * 1024 },
+    { "/third", kGrantedBytes / 4 - 16 * 1024 }
+  };
+  std::vector<bool> grants;
+  std::optional<bool> mayHoldHead;
+  auto address = this->Serve(
+    [&](const ExchangePtr& aExchange) {
+      const auto& target = aExchange->Request().target;
+      aExchange->HoldBytes(sizes.at(target), [&grants](bool aMayHold) {
+        grants.push_back(aMayHold);
+      });
+      if (target == "/first") {
+        aExchange->Task().After(10s, [&mayHoldHead, aExchange] {
+          aExchange->HoldBytes(
+            kGrantedBytes + kHeadBytes,
+            [&mayHoldHead](bool aMayHold) { mayHoldHead = aMayHold; });
+        });
+      }
+    },
+    options);
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (const auto& [target, bytes] : sizes) {
+    callers.push_back(std::make_unique<RawCaller>(address));
+    callers.back()->Send("GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
+    this->RunUntil([&] { return grants.size() == callers.size(); });
+  }
+  REQUIRE(grants == std::vector<bool>(sizes.size(), true));
+  this->Advance(10s);
+  this->RunUntil([&] { return mayHoldHead.has_value(); });
+  CHECK(*mayHoldHead);
+}
+
 // Guards against an idle connection that keeps bytes which it was granted after
 // its response was complete.
 TEST_CASE_METHOD(NetFixture, "A late grant of bytes is given back")
