Move the exchange of a connection into files of its own

ServerExchange needs its connection only to write, to hold bytes and to close, which ResponseWriter names. No behaviour changes.

--- a/packages/net/src/http_connection.cc
+++ b/packages/net/src/http_connection.cc
@@ -4,6 +4,7 @@
 #include "buffer_hold.h"
 #include "connection_progress.h"
 #include "request_reader.h"
+#include "server_exchange.h"
 
 #include <array>
 #include <boost/asio/bind_executor.hpp>
@@ -66,7 +67,9 @@
 }
 
 // Owns a caller's socket and handles its requests sequentially.
-class HttpConnection : public IoTask
+class HttpConnection
+  : public IoTask
+  , public ResponseWriter
 {
 public:
   HttpConnection(caf::actor_config& aConfig,
@@ -126,120 +129,6 @@
   }
 
 private:
-  // The request in progress and its response.
-  class ServerExchange : public Exchange
-  {
-  public:
-    ServerExchange(HttpConnection* aConnection, HttpRequest aRequest)
-      : connection(aConnection)
-      , request(std::move(aRequest))
-    {
-    }
-
-    const HttpRequest& Request() const override { return this->request; }
-    std::string Peer() const override { return this->connection->peer; }
-    IoTask& Task() override { return *this->connection; }
-    bool IsAnswered() const override { return this->answered; }
-
-    void Respond(HttpResponse aResponse) override
-    {
-      if (this->answered || !this->connection) {
-        return;
-      }
-      this->answered = true;
-      this->connection->WriteWhole(std::move(aResponse));
-    }
-
-    void StartStream(unsigned aStatus, Headers aHeaders) override
-    {
-      if (this->answered || !this->connection) {
-        return;
-      }
-      this->answered = true;
-      this->connection->WriteHead(aStatus, aHeaders);
-    }
-
-    void WriteStream(std::string aChunk,
-                     std::function<void()> aWritten) override
-    {
-      if (this->connection && !aChunk.empty()) {
-        this->connection->WriteChunk(std::move(aChunk), std::move(aWritten));
-      }
-    }
-
-    void HoldBytes(std::size_t aBytes, std::function<void(bool)> aDone) override
-    {
-      if (this->connection) {
-        this->connection->HoldBytes(aBytes, std::move(aDone));
-      }
-    }
-
-    void EndStream() override
-    {
-      if (this->connection) {
-        this->connection->WriteLastChunk();
-      }
-    }
-
-    void Abort() override
-    {
-      this->answered = true;
-      if (this->connection) {
-        this->connection->CloseAfterWrites();
-      }
-    }
-
-    void OnDisconnect(std::function<void(Disconnect)> aRun) override
-    {
-      this->onDisconnect = std::move(aRun);
-    }
-
-    void OnNoReply(std::function<void()> aRun) override
-    {
-      this->onNoReply = std::move(aRun);
-    }
-
-    // Called when another task has not replied and there is no response.
-    void HandleNoReply()
-    {
-      if (auto run = this->onNoReply) {
-        run();
-      }
-      this->Respond({ 500,
-                      { { "Content-Type", "application/json" } },
-                      R"({"error":{"code":"internal_error","message":")"
-                      R"(a part of this instance does not reply",)"
-                      R"("ran":"unknown"}})" });
-    }
-
-    // Called when the connection closes: runs the disconnect callback and drops
-    // the pointer to the connection. Returns whether there was a callback.
-    bool Detach(Disconnect aHow)
-    {
-      auto run = std::move(this->onDisconnect);
-      this->Complete();
-      if (run) {
-        run(aHow);
-      }
-      this->connection = nullptr;
-      return run != nullptr;
-    }
-
-    // Called when the response is fully written.
-    void Complete()
-    {
-      this->onDisconnect = nullptr;
-      this->onNoReply = nullptr;
-    }
-
-  private:
-    HttpConnection* connection;
-    HttpRequest request;
-    std::function<void(Disconnect)> onDisconnect;
-    std::function<void()> onNoReply;
-    bool answered = false;
-  };
-
   struct QueuedWrite
   {
     std::string bytes;
@@ -248,6 +137,9 @@
     std::size_t writtenBytes = 0;
   };
 
+  IoTask& Task() override { return *this; }
+  const std::string& Peer() const override { return this->peer; }
+
   // Returns whether a request can arrive now: none is in progress or refused.
   bool IsReading() const { return !this->exchange && !this->hasStoppedReading; }
 
@@ -470,7 +362,8 @@
   }
 
   // Asks to hold the request and this many bytes of a response.
-  void HoldBytes(std::size_t aResponseBytes, std::function<void(bool)> aDone)
+  void HoldBytes(std::size_t aResponseBytes,
+                 std::function<void(bool)> aDone) override
   {
     this->hold.Hold(this->requestBytes + aResponseBytes, std::move(aDone));
   }
@@ -483,7 +376,7 @@
     this->isHeadRequest = this->reader.IsHead();
     ++this->exchangeNumber;
     this->exchange =
-      std::make_shared<ServerExchange>(this, this->reader.Take());
+      std::make_shared<ServerExchange>(*this, this->reader.Take());
     this->WatchDisconnect();
     this->handler(this->exchange);
   }
@@ -499,7 +392,7 @@
     this->hasStoppedReading = true;
     this->reader.Clear();
     this->requestBytes = 0;
-    this->exchange = std::make_shared<ServerExchange>(this, HttpRequest{});
+    this->exchange = std::make_shared<ServerExchange>(*this, HttpRequest{});
     aHeaders.emplace_back("Content-Type", "application/json");
     this->exchange->Respond({ aStatus,
                               std::move(aHeaders),
@@ -634,7 +527,7 @@
     return this->keepAlive;
   }
 
-  void WriteWhole(HttpResponse aResponse)
+  void WriteWhole(HttpResponse aResponse) override
   {
     http::response<http::string_body> message;
     message.version(11);
@@ -656,7 +549,7 @@
     }
   }
 
-  void WriteHead(unsigned aStatus, const Headers& aHeaders)
+  void WriteHead(unsigned aStatus, const Headers& aHeaders) override
   {
     http::response<http::empty_body> message;
     message.version(11);
@@ -671,14 +564,14 @@
     this->Enqueue({ text.str(), nullptr, false });
   }
 
-  void WriteChunk(std::string aChunk, std::function<void()> aWritten)
+  void WriteChunk(std::string aChunk, std::function<void()> aWritten) override
   {
     auto chunk = http::make_chunk(asio::buffer(aChunk));
     this->Enqueue(
       { beast::buffers_to_string(chunk), std::move(aWritten), false });
   }
 
-  void WriteLastChunk()
+  void WriteLastChunk() override
   {
     this->Enqueue(
       { beast::buffers_to_string(http::make_chunk_last()), nullptr, true });
@@ -758,7 +651,7 @@
 
   // Closes the connection once what was sent so far is written, or after
   // kMaxAbortTime if the caller does not read it.
-  void CloseAfterWrites()
+  void CloseAfterWrites() override
   {
     this->closesAfterWrites = true;
     this->SetDisconnect(Disconnect::Aborted);
