--- a/packages/net/src/http_connection.cc
+++ b/packages/net/src/http_connection.cc
@@ -4,6 +4,7 @@
 #include "buffer_hold.h"
 #include "connection_progress.h"
 #include "request_reader.h"
+#include "server_exchange.h"
 
 #include <array>
 #include <boost/asio/bind_executor.hpp>
@@ -66,7 +67,9 @@
 }
 
 // Owns a caller's socket and handles its requests sequentially.
-class HttpConnection : public IoTask
+class HttpConnection
+  : public IoTask
+  , public ResponseWriter
 {
 public:
   HttpConnection(caf::actor_config& aConfig,
@@ -84,12 +87,8 @@
     , reader({ this->options.maxHeaderBytes, this->options.maxBodyBytes })
     , hold(*this, this->options.buffers)
   {
-    // A request to another task, which the response depends on, has failed or
-    // timed out. Without closing the connection, the caller would never get a
-    // response.
-    this->set_error_handler([this](caf::scheduled_actor*, caf::error&) {
-      this->Close(Disconnect::TaskFailed);
-    });
+    this->set_error_handler(
+      [this](caf::scheduled_actor*, caf::error&) { this->HandleNoReply(); });
   }
 
   void on_exit() override
@@ -130,97 +129,6 @@
   }
 
 private:
-  // The request in progress and its response.
-  class ServerExchange : public Exchange
-  {
-  public:
-    ServerExchange(HttpConnection* aConnection, HttpRequest aRequest)
-      : connection(aConnection)
-      , request(std::move(aRequest))
-    {
-    }
-
-    const HttpRequest& Request() const override { return this->request; }
-    std::string Peer() const override { return this->connection->peer; }
-    IoTask& Task() override { return *this->connection; }
-    bool IsAnswered() const override { return this->answered; }
-
-    void Respond(HttpResponse aResponse) override
-    {
-      if (this->answered || !this->connection) {
-        return;
-      }
-      this->answered = true;
-      this->connection->WriteWhole(std::move(aResponse));
-    }
-
-    void StartStream(unsigned aStatus, Headers aHeaders) override
-    {
-      if (this->answered || !this->connection) {
-        return;
-      }
-      this->answered = true;
-      this->connection->WriteHead(aStatus, aHeaders);
-    }
-
-    void WriteStream(std::string aChunk,
-                     std::function<void()> aWritten) override
-    {
-      if (this->connection && !aChunk.empty()) {
-        this->connection->WriteChunk(std::move(aChunk), std::move(aWritten));
-      }
-    }
-
-    void HoldBytes(std::size_t aBytes, std::function<void(bool)> aDone) override
-    {
-      if (this->connection) {
-        this->connection->HoldBytes(aBytes, std::move(aDone));
-      }
-    }
-
-    void EndStream() override
-    {
-      if (this->connection) {
-        this->connection->WriteLastChunk();
-      }
-    }
-
-    void Abort() override
-    {
-      this->answered = true;
-      if (this->connection) {
-        this->connection->CloseAfterWrites();
-      }
-    }
-
-    void OnDisconnect(std::function<void(Disconnect)> aRun) override
-    {
-      this->onDisconnect = std::move(aRun);
-    }
-
-    // Called when the connection closes: runs the disconnect callback and drops
-    // the pointer to the connection. Returns whether there was a callback.
-    bool Detach(Disconnect aHow)
-    {
-      auto run = std::move(this->onDisconnect);
-      this->onDisconnect = nullptr;
-      if (run) {
-        run(aHow);
-      }
-      this->connection = nullptr;
-      return run != nullptr;
-    }
-
-    // Called when the response is fully written.
-    void Complete() { this->onDisconnect = nullptr; }
-
-  private:
-    HttpConnection* connection;
-    HttpRequest request;
-    std::function<void(Disconnect)> onDisconnect;
-    bool answered = false;
-  };
-
   struct QueuedWrite
   {
     std::string bytes;
@@ -229,8 +137,11 @@
     std::size_t writtenBytes = 0;
   };
 
+  IoTask& Task() override { return *this; }
+  const std::string& Peer() const override { return this->peer; }
+
   // Returns whether a request can arrive now: none is in progress or refused.
-  bool IsReading() const { return !this->exchange && !this->hasUnreadRequest; }
+  bool IsReading() const { return !this->exchange && !this->hasStoppedReading; }
 
   // Returns whether no byte of a request has arrived.
   bool IsIdle() const
@@ -279,6 +190,23 @@
     return this->progress.SinceProgress(this->CurrentTime());
   }
 
+  // A request to another task, which the response may depend on, has failed or
+  // timed out. Without this, the caller would never get a response. One whose
+  // end is already queued does not depend on it any more.
+  void HandleNoReply()
+  {
+    Log(LogLevel::Error,
+        "another task did not reply to a connection",
+        { { "event", "no_reply" }, { "peer", this->peer } });
+    if (!this->exchange) {
+      this->RejectUnread();
+    } else if (!this->exchange->IsAnswered()) {
+      this->exchange->HandleNoReply();
+    } else if (this->writes.empty() || !this->writes.back().isLast) {
+      this->Close(Disconnect::TaskFailed);
+    }
+  }
+
   // Checks the timeouts every 2 seconds and closes the connection when one has
   // expired.
   void ScheduleTimeoutCheck()
@@ -434,7 +362,8 @@
   }
 
   // Asks to hold the request and this many bytes of a response.
-  void HoldBytes(std::size_t aResponseBytes, std::function<void(bool)> aDone)
+  void HoldBytes(std::size_t aResponseBytes,
+                 std::function<void(bool)> aDone) override
   {
     this->hold.Hold(this->requestBytes + aResponseBytes, std::move(aDone));
   }
@@ -447,7 +376,7 @@
     this->isHeadRequest = this->reader.IsHead();
     ++this->exchangeNumber;
     this->exchange =
-      std::make_shared<ServerExchange>(this, this->reader.Take());
+      std::make_shared<ServerExchange>(*this, this->reader.Take());
     this->WatchDisconnect();
     this->handler(this->exchange);
   }
@@ -460,10 +389,10 @@
               Headers aHeaders = {})
   {
     this->keepAlive = false;
-    this->hasUnreadRequest = true;
+    this->hasStoppedReading = true;
     this->reader.Clear();
     this->requestBytes = 0;
-    this->exchange = std::make_shared<ServerExchange>(this, HttpRequest{});
+    this->exchange = std::make_shared<ServerExchange>(*this, HttpRequest{});
     aHeaders.emplace_back("Content-Type", "application/json");
     this->exchange->Respond({ aStatus,
                               std::move(aHeaders),
@@ -483,6 +412,15 @@
                  { { "Retry-After", kNoMemoryRetrySeconds } });
   }
 
+  // Refuses a request that can't be read to its end, if there is one.
+  void RejectUnread()
+  {
+    if (this->IsReading() && this->reader.HasBegun()) {
+      this->Reject(
+        500, "internal_error", "a part of this instance does not reply");
+    }
+  }
+
   void RejectLate()
   {
     Log(LogLevel::Warning,
@@ -589,7 +527,7 @@
     return this->keepAlive;
   }
 
-  void WriteWhole(HttpResponse aResponse)
+  void WriteWhole(HttpResponse aResponse) override
   {
     http::response<http::string_body> message;
     message.version(11);
@@ -611,7 +549,7 @@
     }
   }
 
-  void WriteHead(unsigned aStatus, const Headers& aHeaders)
+  void WriteHead(unsigned aStatus, const Headers& aHeaders) override
   {
     http::response<http::empty_body> message;
     message.version(11);
@@ -626,14 +564,14 @@
     this->Enqueue({ text.str(), nullptr, false });
   }
 
-  void WriteChunk(std::string aChunk, std::function<void()> aWritten)
+  void WriteChunk(std::string aChunk, std::function<void()> aWritten) override
   {
     auto chunk = http::make_chunk(asio::buffer(aChunk));
     this->Enqueue(
       { beast::buffers_to_string(chunk), std::move(aWritten), false });
   }
 
-  void WriteLastChunk()
+  void WriteLastChunk() override
   {
     this->Enqueue(
       { beast::buffers_to_string(http::make_chunk_last()), nullptr, true });
@@ -713,7 +651,7 @@
 
   // Closes the connection once what was sent so far is written, or after
   // kMaxAbortTime if the caller does not read it.
-  void CloseAfterWrites()
+  void CloseAfterWrites() override
   {
     this->closesAfterWrites = true;
     this->SetDisconnect(Disconnect::Aborted);
@@ -732,12 +670,14 @@
     if (!this->keepAlive) {
       beast::error_code ignored;
       this->socket.shutdown(tcp::socket::shutdown_send, ignored);
-      if (this->hasUnreadRequest) {
+      bool hasInput = this->hasStoppedReading || !this->IsIdle();
+      // Bytes after a response that announced the close are no request.
+      this->reader.Clear();
+      this->hasStoppedReading = true;
+      if (hasInput) {
         this->After(kMaxDiscardTime, [this] { this->quit(); });
         this->DiscardInput();
       } else {
-        // Bytes after a response that announced the close are no request.
-        this->reader.Clear();
         this->quit();
       }
       return;
@@ -806,8 +746,9 @@
   // The connection is closed as soon as no request has begun.
   bool isStopping = false;
   bool isHeadRequest = false;
-  // The request in progress was rejected before all of it had arrived.
-  bool hasUnreadRequest = false;
+  // No further request is read: the current one was rejected before all of it
+  // had arrived, or the last response is written.
+  bool hasStoppedReading = false;
   bool isWatchingDisconnect = false;
   // Why the connection ends; none if the task fails.
   std::optional<Disconnect> disconnect;
--- a/packages/net/test/http_server_test.cc
+++ b/packages/net/test/http_server_test.cc
@@ -363,6 +363,49 @@
   CHECK_FALSE(first.IsClosed());
 }
 
+// Guards against a response that was granted memory for its body and is dropped
+// for want of memory for its head.
+TEST_CASE_METHOD(NetFixture, "A granted response needs no memory for its head")
+{
+  constexpr std::size_t kGrantedBytes = 1024 * 1024;
+  constexpr std::size_t kHeadBytes = 1024;
+  HttpServerOptions options;
+  options.maxBufferedBytes = 2 * kGrantedBytes;
+  // Each takes half of what is left, with what a request takes.
+  const std::map<std::string, std::size_t> sizes{
+    { "/first", kGrantedBytes - 64 * 1024 },
+    { "/second", kGrantedBytes / 2 - 32 * 1024 },
+    { "/third", kGrantedBytes / 4 - 16 * 1024 }
+  };
+  std::vector<bool> grants;
+  std::optional<bool> mayHoldHead;
+  auto address = this->Serve(
+    [&](const ExchangePtr& aExchange) {
+      const auto& target = aExchange->Request().target;
+      aExchange->HoldBytes(sizes.at(target), [&grants](bool aMayHold) {
+        grants.push_back(aMayHold);
+      });
+      if (target == "/first") {
+        aExchange->Task().After(10s, [&mayHoldHead, aExchange] {
+          aExchange->HoldBytes(
+            kGrantedBytes + kHeadBytes,
+            [&mayHoldHead](bool aMayHold) { mayHoldHead = aMayHold; });
+        });
+      }
+    },
+    options);
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (const auto& [target, bytes] : sizes) {
+    callers.push_back(std::make_unique<RawCaller>(address));
+    callers.back()->Send("GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
+    this->RunUntil([&] { return grants.size() == callers.size(); });
+  }
+  REQUIRE(grants == std::vector<bool>(sizes.size(), true));
+  this->Advance(10s);
+  this->RunUntil([&] { return mayHoldHead.has_value(); });
+  CHECK(*mayHoldHead);
+}
+
 // Guards against an idle connection that keeps bytes which it was granted after
 // its response was complete.
 TEST_CASE_METHOD(NetFixture, "A late grant of bytes is given back")
@@ -560,6 +603,69 @@
     [&] { return CountOccurrences(first.Received(), "whole") == 2; });
 }
 
+// Guards against a caller that gets no response since another task has failed.
+TEST_CASE_METHOD(NetFixture, "A request that needs a failed task is answered")
+{
+  auto failed = this->system.spawn<CallerTask>(this->runtime);
+  caf::anon_send_exit(failed, caf::exit_reason::kill);
+  this->Coordinator().run();
+  auto address = this->Serve([failed](const ExchangePtr& aExchange) {
+    const auto& target = aExchange->Request().target;
+    if (target == "/hook") {
+      aExchange->OnNoReply([aExchange] {
+        aExchange->Respond({ 503, {}, "own" });
+      });
+    }
+    if (target == "/begun") {
+      aExchange->StartStream(200, {});
+    }
+    if (target == "/whole") {
+      aExchange->Respond({ 200, {}, "whole" });
+    }
+    aExchange->Task()
+      .request(failed, caf::infinite, CountOpenConnections{})
+      .then([](std::size_t) {});
+  });
+  auto get = [](RawCaller& aCaller, const std::string& aTarget) {
+    aCaller.Send("GET " + aTarget + " HTTP/1.1\r\nHost: x\r\n\r\n");
+  };
+  RawCaller caller(address);
+  get(caller, "/a");
+  this->RunUntil([&] { return caller.Received().ends_with("}}"); });
+  CHECK(caller.Received().starts_with("HTTP/1.1 500"));
+  CHECK(caller.Received().find(R"("ran":"unknown")") != std::string::npos);
+  get(caller, "/hook");
+  this->RunUntil([&] { return caller.Received().ends_with("own"); });
+  get(caller, "/whole");
+  this->RunUntil([&] { return caller.Received().ends_with("whole"); });
+  CHECK_FALSE(caller.IsClosed());
+  RawCaller begun(address);
+  get(begun, "/begun");
+  this->RunUntil([&] { return begun.IsClosed(); });
+}
+
+// Guards against a response that is lost by a reset, since the caller has sent
+// more than one request.
+TEST_CASE_METHOD(NetFixture, "Input after the last response is no reset")
+{
+  ExchangePtr exchange;
+  auto address = this->Serve(
+    [&exchange](const ExchangePtr& aExchange) { exchange = aExchange; });
+  RawCaller caller(address);
+  caller.Send("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  this->RunUntil([&] { return exchange != nullptr; });
+  caller.Send(kGetRequest);
+  exchange->Respond({ 200, {}, "whole" });
+  this->RunUntil([&] { return caller.IsClosed(); });
+  CHECK(caller.Received().ends_with("whole"));
+  CHECK_NOTHROW(caller.Send(kGetRequest));
+  this->Advance(2s);
+  caf::scoped_actor self(this->system);
+  self->send(this->started.front(), CountOpenConnections{});
+  this->Coordinator().run();
+  self->receive([](std::size_t aOpen) { CHECK(aOpen == 0); });
+}
+
 // Guards against a planned stop that drops connections with a request in
 // progress.
 TEST_CASE_METHOD(NetFixture,
@@ -627,6 +733,23 @@
   CHECK(kept.Received().ends_with("whole"));
 }
 
+// Guards against a stop that resets connections which wait to be accepted, with
+// requests that their callers have sent.
+TEST_CASE_METHOD(NetFixture, "A stopping server accepts connections that wait")
+{
+  auto address = this->Serve([](const ExchangePtr& aExchange) {
+    aExchange->Respond({ 200, {}, "whole" });
+  });
+  this->RunUntil([rounds = 0]() mutable { return ++rounds > 20; });
+  RawCaller caller(address);
+  caller.Send(kGetRequest);
+  caf::anon_send(this->started.front(), StopListening{});
+  this->Coordinator().run();
+  this->RunUntil([&] { return caller.IsClosed(); });
+  CHECK(caller.Received().ends_with("whole"));
+  CHECK_THROWS_AS(RawCaller(address), boost::system::system_error);
+}
+
 // Guards against a stop that resets a connection on which a refusal is being
 // sent: the caller may lose the refusal.
 TEST_CASE_METHOD(NetFixture, "A stopping server reads on after a refusal")
