Check for a crash again after a reset connection

The check for a crash went on only if the connection opened. The listener of a process that ends may also reset it, which counted as no crash: after 15 of 15 good runs of faults_test [quarantine-lift], 2 of the next 4 still missed one of three crashes.

Only a refusal ends the check early now. 15 of 15 runs pass, in three processes side by side.

--- a/packages/router/src/quarantine_controller.cc
+++ b/packages/router/src/quarantine_controller.cc
@@ -16,8 +16,8 @@
   return { aParts.begin(), aParts.end() };
 }
 
-// A process that ends may close its connections before its listener, so a
-// connection that opens is tried again after this time, up to kMaxChecks.
+// A process that ends may close its connections before its listener. Meanwhile
+// a connection opens or is reset, and is tried again after this time.
 constexpr Duration kCheckInterval = std::chrono::milliseconds(50);
 constexpr int kMaxChecks = 3;
 
@@ -109,7 +109,7 @@
       aAddress,
       kCrashCheckTimeout,
       [this, aEndpoint, aAddress, aChecks](net::ConnectResult aResult) {
-        if (aResult != net::ConnectResult::Connected || aChecks <= 1) {
+        if (aResult == net::ConnectResult::Refused || aChecks <= 1) {
           this->FinishCheck(aEndpoint, aResult);
           return;
         }
