Take another process in the endpoint list for a crash

An endpoint that is back within milliseconds, or whose machine is silent, refuses no connection, so its crashes were never related to requests.

A router now keeps the requests of a broken attempt for 10 s. If the list then shows another start time at the endpoint's id, or another id at its address, they are reported as a crash at the time of the break. A process that is known to have crashed, but is still listed, is left out, so that the list's delay blames no attempt at the next one. Parts of prompts are not reported this way.

--- a/packages/quarantine/include/lycheestand/quarantine.h
+++ b/packages/quarantine/include/lycheestand/quarantine.h
@@ -236,6 +236,66 @@
   std::vector<RequestDigest> digests;
 };
 
+struct ReplacedProcessesOptions
+{
+  // Time after a broken attempt in which the list may show another process. The
+  // list lags.
+  Duration watchTime = std::chrono::seconds(10);
+  std::size_t maxBroken = 256;
+};
+
+// Finds crashes that no refused connection shows, since the endpoint was back
+// at once or its machine was silent: the list of endpoints shows another
+// process than the one that broke off.
+class ReplacedProcesses
+{
+public:
+  struct Process
+  {
+    EndpointId endpoint;
+    Address address;
+    StartTime start;
+
+    friend bool operator==(const Process&, const Process&) = default;
+  };
+
+  explicit ReplacedProcesses(ReplacedProcessesOptions aOptions = {})
+    : options(aOptions)
+  {
+  }
+
+  // The endpoint is known to have crashed; the list may go on showing the
+  // process that has ended.
+  void AddCrashed(const EndpointId& aEndpoint);
+
+  // An endpoint broke off while it worked on these requests.
+  void AddBroken(RequestCrash aBroken);
+
+  // Replaces the list; returns the broken attempts that were crashes.
+  std::vector<RequestCrash> Update(const std::vector<Process>& aProcesses,
+                                   TimePoint aNow);
+
+private:
+  struct Listed
+  {
+    Process process;
+    bool hasEnded = false;
+  };
+
+  struct Broken
+  {
+    Process process;
+    RequestCrash attempt;
+  };
+
+  bool IsReplaced(const Process& aProcess,
+                  const std::map<Address, EndpointId>& aAtAddress) const;
+
+  ReplacedProcessesOptions options;
+  std::map<EndpointId, Listed> processes;
+  std::vector<Broken> broken;
+};
+
 // Why a request is no longer held or quarantined.
 enum class ReleaseReason
 {
--- a/packages/router/src/control_link.cc
+++ b/packages/router/src/control_link.cc
@@ -365,6 +365,7 @@
     this->send(this->controllers.membership, ViewChanged{ view });
     this->send(this->controllers.overload, ViewChanged{ view });
     this->send(this->controllers.budget, ViewChanged{ view });
+    this->send(this->controllers.quarantine, ViewChanged{ view });
   }
 
   void Forward(const caf::actor& aController, wire::Message& aMessage)
--- a/packages/router/src/quarantine_controller.cc
+++ b/packages/router/src/quarantine_controller.cc
@@ -50,6 +50,7 @@
       [this](RequestSucceeded& aSucceeded) { this->ReportSuccess(aSucceeded); },
       [this](CheckRequest& aCheck) { return this->Check(aCheck); },
       [this](FromControl& aMessage) { this->Handle(aMessage.message); },
+      [this](ViewChanged& aChanged) { this->HandleView(*aChanged.view); },
       [this](ControlUp) {
         this->contactSince = this->Time();
         this->Resend();
@@ -122,33 +123,52 @@
   void FinishCheck(const EndpointId& aEndpoint, net::ConnectResult aResult)
   {
     auto requests = std::move(this->checked.extract(aEndpoint).mapped());
+    quarantine::RequestCrash attempt{ aEndpoint, this->Time(), {} };
+    for (const auto& request : requests) {
+      attempt.digests.push_back(request.digest);
+    }
     if (aResult != net::ConnectResult::Refused) {
+      this->replaced.AddBroken(std::move(attempt));
       return;
     }
-    net::Log(net::LogLevel::Warning,
-             "an endpoint has crashed",
-             { { "event", "endpoint_crashed" },
-               { "endpoint", aEndpoint.Get() },
-               { "requests", std::to_string(requests.size()) } });
-    net::Metrics().GetCounter("lycheestand_endpoint_crashes_total").Add();
-    quarantine::RequestCrash crash{ aEndpoint, this->Time(), {} };
-    for (const auto& request : requests) {
-      crash.digests.push_back(request.digest);
-    }
-    this->Send(crash);
-    this->observed.AddCrash(aEndpoint, crash.digests, crash.time);
+    this->replaced.AddCrashed(aEndpoint);
+    this->ReportCrash(attempt, "refused");
     for (auto& request : requests) {
       if (!request.parts.empty()) {
         quarantine::CrashReports::Report report{ aEndpoint,
                                                  std::move(request.parts),
-                                                 crash.time };
+                                                 attempt.time };
         this->Send(report);
         this->reports.Add(std::move(report));
       }
     }
+  }
+
+  void ReportCrash(const quarantine::RequestCrash& aCrash, const char* aSign)
+  {
+    net::Log(net::LogLevel::Warning,
+             "an endpoint has crashed",
+             { { "event", "endpoint_crashed" },
+               { "endpoint", aCrash.endpoint.Get() },
+               { "requests", std::to_string(aCrash.digests.size()) },
+               { "sign", aSign } });
+    net::Metrics().GetCounter("lycheestand_endpoint_crashes_total").Add();
+    this->Send(aCrash);
+    this->observed.AddCrash(aCrash.endpoint, aCrash.digests, aCrash.time);
     this->ReportCounts();
   }
 
+  void HandleView(const membership::View& aView)
+  {
+    std::vector<quarantine::ReplacedProcesses::Process> processes;
+    for (const auto& entry : aView.Endpoints()) {
+      processes.push_back({ entry.endpoint, entry.address, entry.startTime });
+    }
+    for (const auto& crash : this->replaced.Update(processes, this->Time())) {
+      this->ReportCrash(crash, "replaced");
+    }
+  }
+
   // The lists change when control has counted the success; until then each
   // request reports it once more.
   void ReportSuccess(const RequestSucceeded& aSucceeded)
@@ -329,6 +349,7 @@
   // What this router has seen itself.
   quarantine::CrashReports reports;
   quarantine::RequestTracker observed;
+  quarantine::ReplacedProcesses replaced;
   Counts reported;
 };
 
