--- a/test/faults/http_client.cc
+++ b/test/faults/http_client.cc
@@ -1,6 +1,10 @@
 #include "http_client.h"
 
+#include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
+#include <sstream>
+#include <sys/socket.h>
+#include <thread>
 
 namespace lycheestand::faults {
 
@@ -9,6 +13,8 @@
 
 namespace {
 
+constexpr std::size_t kSlowReadBytes = 16 * 1024;
+
 // Starts an asynchronous operation and runs the context until it completes.
 template<class Start>
 beast::error_code
@@ -59,6 +65,45 @@
   return reply;
 }
 
+void
+HttpClient::DropClosed()
+{
+  if (!this->stream) {
+    return;
+  }
+  auto& socket = this->stream->socket();
+  char byte = 0;
+  auto received =
+    ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (received == 0 || (received < 0 && errno != EAGAIN)) {
+    this->stream.reset();
+  }
+}
+
+beast::error_code
+HttpClient::WritePieces(const Call& aCall,
+                        const http::request<http::string_body>& aRequest)
+{
+  std::ostringstream text;
+  text << aRequest.base() << aRequest.body();
+  const std::string bytes = text.str();
+  beast::error_code error;
+  for (std::size_t sent = 0; !error && sent < bytes.size();
+       sent += aCall.pieceBytes) {
+    if (sent > 0) {
+      std::this_thread::sleep_for(aCall.piecePause);
+    }
+    error = RunOperation(this->io, [&](auto aDone) {
+      boost::asio::async_write(
+        *this->stream,
+        boost::asio::buffer(
+          std::string_view(bytes).substr(sent, aCall.pieceBytes)),
+        aDone);
+    });
+  }
+  return error;
+}
+
 void
 HttpClient::Exchange(const Call& aCall, Reply& aReply)
 {
@@ -72,13 +117,24 @@
   }
   request.body() = aCall.body;
   request.prepare_payload();
-  auto error = RunOperation(this->io, [&](auto aDone) {
-    http::async_write(*this->stream, request, aDone);
-  });
+  beast::error_code error;
+  if (aCall.pieceBytes > 0) {
+    error = this->WritePieces(aCall, request);
+  } else {
+    error = RunOperation(this->io, [&](auto aDone) {
+      http::async_write(*this->stream, request, aDone);
+    });
+  }
+  aReply.isSent = !error;
   http::response_parser<http::string_body> parser;
   parser.body_limit(boost::none);
   bool isAborted = false;
+  if (aCall.readPause > Duration(0)) {
+    // Otherwise a read takes some hundred bytes.
+    this->buffer.reserve(kSlowReadBytes);
+  }
   while (!error && !parser.is_done() && !isAborted) {
+    std::this_thread::sleep_for(aCall.readPause);
     error = RunOperation(this->io, [&](auto aDone) {
       http::async_read_some(*this->stream, this->buffer, parser, aDone);
     });
@@ -87,6 +143,7 @@
   }
   aReply.isTimeout = error == beast::error::timeout;
   aReply.isComplete = !error && parser.is_done();
+  aReply.error = error ? error.message() : "";
   if (parser.is_header_done()) {
     aReply.status = parser.get().result_int();
     for (const auto& field : parser.get()) {
--- a/test/faults/http_client.h
+++ b/test/faults/http_client.h
@@ -9,6 +9,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <map>
 #include <optional>
@@ -23,6 +25,12 @@
   std::map<std::string, std::string> headers;
   std::string body;
   Duration timeout = 20s;
+  // If set, the request is sent in pieces of this size, with a pause before
+  // each further one.
+  std::size_t pieceBytes = 0;
+  Duration piecePause{};
+  // Pause before each read of the response.
+  Duration readPause{};
   // Called with the body received so far after each read; the client
   // disconnects when it returns false.
   std::function<bool(const std::string&)> onBody;
@@ -40,6 +48,10 @@
   bool isComplete = false;
   bool isTimeout = false;
   bool isConnected = false;
+  // The whole request was written to the connection.
+  bool isSent = false;
+  // Why the response is not complete.
+  std::string error;
 };
 
 // A client with one connection, which is reused while the server keeps it alive
@@ -52,9 +64,18 @@
   // Sends a request and reads its response; failures are reported in the Reply.
   Reply Send(const Call& aCall);
 
+  // Returns whether a connection is kept for the next request.
+  bool IsConnected() const { return this->stream.has_value(); }
+  // Closes the kept connection if the server has closed it.
+  void DropClosed();
+
 private:
   bool Connect(Duration aTimeout);
   void Exchange(const Call& aCall, Reply& aReply);
+  boost::beast::error_code WritePieces(
+    const Call& aCall,
+    const boost::beast::http::request<boost::beast::http::string_body>&
+      aRequest);
 
   Address address;
   boost::asio::io_context io;
