Failing test: a stopping router cuts requests that are still arriving

When the server stops, StopAfterRequest closes each connection that has no request in progress, also one on which a part of a request has arrived. The caller whose last bytes cross the close gets neither an answer nor a refusal.

--- a/test/faults/replica_faults_test.cc
+++ b/test/faults/replica_faults_test.cc
@@ -77,6 +77,16 @@
 
   // Sends a request of 230 tokens at most.
   Reply Send(const std::string& aTarget, const std::string& aKey = "k")
+  {
+    return this->Send(this->MakeCall(aTarget, aKey));
+  }
+
+  Reply Send(const Call& aCall) const
+  {
+    return faults::Send(this->fleet.CallerAddress(kRouterNumber), aCall);
+  }
+
+  Call MakeCall(const std::string& aTarget, const std::string& aKey = "k")
   {
     Call call;
     call.method = "POST";
@@ -93,7 +103,7 @@
     }
     call.body = "{}";
     call.timeout = 5s;
-    return faults::Send(this->fleet.CallerAddress(kRouterNumber), call);
+    return call;
   }
 
   PlatformFleet fleet{ "replica-faults" };
@@ -578,4 +588,38 @@
   CHECK(whole >= 10);
 }
 
+// Guards against a stopping router that closes a connection on which a request
+// is still arriving.
+TEST_CASE_METHOD(ReplicaFaultsFixture,
+                 "a stopping router answers a request that arrives slowly",
+                 "[late-body]")
+{
+  constexpr std::size_t kBodyBytes = 60'000;
+  constexpr std::size_t kPieceBytes = 4'000;
+  constexpr Duration kPiecePause = 100ms;
+  // The router listens for longer, and closes unused connections then.
+  constexpr Duration kLastStart = 4s;
+  std::atomic<int> complete{ 0 };
+  std::atomic<int> cut{ 0 };
+  std::vector<std::thread> callers;
+  this->fleet.Machine(kRouterNumber).Signal(SIGTERM);
+  auto stoppedAt = Clock::now();
+  for (Duration at = 0s; at < kLastStart; at += 50ms) {
+    callers.emplace_back([&, at] {
+      std::this_thread::sleep_until(stoppedAt + at);
+      auto call = this->MakeCall("/safe/1");
+      call.body.assign(kBodyBytes, 'x');
+      call.pieceBytes = kPieceBytes;
+      call.piecePause = kPiecePause;
+      auto reply = this->Send(call);
+      ++(reply.isComplete ? complete : cut);
+    });
+  }
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  CHECK(cut == 0);
+  CHECK(complete > 0);
+}
+
 } // namespace lycheestand::faults
