Don't count what a stopping router cuts at the end of its grace period

A stopping router accepts repeatable requests for 2.5 s whatever their timeout. What it cuts in the last sixth of its grace period of those sent within 3 s of SIGTERM is reported apart: the replica was still at work then.

--- a/test/faults/silent_soak_test.cc
+++ b/test/faults/silent_soak_test.cc
@@ -45,6 +45,7 @@
   // A request's target is its route and its id, which ends with its options.
   struct Sent
   {
+    int router = kFirstRouter;
     std::string kind;
     std::string id;
     bool isLarge = false;
@@ -66,6 +67,8 @@
     std::map<std::string, int> outcomes;
     std::vector<std::string> faults;
     std::vector<std::string> incomplete;
+    // When the routers last got SIGTERM.
+    std::map<int, Clock::time_point> stoppedAt;
     Clock::time_point lastChange;
     Clock::time_point lastSilence;
   };
@@ -88,6 +91,12 @@
   static constexpr int kMaxLongerTimeoutMs = 3000;
   static constexpr Duration kCallTimeout = 8s;
 
+  // A stopping router has the time "graceS". It may cut requests in the last
+  // sixth of it that were sent within the first seconds.
+  static constexpr Duration kGrace = 8s;
+  static constexpr Duration kLastPartOfGrace = kGrace - kGrace / 6;
+  static constexpr Duration kAcceptTime = 3s;
+
   static constexpr int kEvents = 6;
   static constexpr std::size_t kLargeEventBytes = 40'000;
   static constexpr std::size_t kLargeAnswerBytes = 400'000;
@@ -309,6 +318,7 @@
     std::optional<HttpClient> client;
     for (int i = 0; !this->isDone; ++i) {
       Sent sent;
+      sent.router = aRouter;
       sent.kind = kKinds[random() % kKinds.size()];
       sent.isLarge = IsChance(random, kLargePercent);
       sent.id = "r" + std::to_string(aRouter) + "c" + std::to_string(aCaller) +
@@ -359,6 +369,8 @@
     } else if (aTime >=
                std::chrono::milliseconds(kDeadlineMs) - kDeadlineSlack) {
       count("after the deadline");
+    } else if (this->IsCutByStop(aSent, aTime)) {
+      count("cut at the end of a stop");
     } else {
       count("incomplete");
       this->observed.incomplete.push_back(
@@ -366,6 +378,17 @@
     }
   }
 
+  bool IsCutByStop(const Sent& aSent, Duration aTime) const
+  {
+    auto found = this->observed.stoppedAt.find(aSent.router);
+    if (found == this->observed.stoppedAt.end()) {
+      return false;
+    }
+    auto sinceStop = Clock::now() - found->second;
+    return sinceStop >= kLastPartOfGrace && sinceStop <= kGrace &&
+           sinceStop - aTime <= kAcceptTime;
+  }
+
   // Returns the code of a refusal, or nothing.
   static std::string CodeOf(const Reply& aReply)
   {
@@ -456,6 +479,8 @@
       } else if (stopping == kNoRouter && IsChance(random, kStopPercent)) {
         stopping = router;
         this->fleet.Machine(router).Signal(SIGTERM);
+        std::lock_guard lock(this->observed.mutex);
+        this->observed.stoppedAt[router] = Clock::now();
       }
     }
     this->isDone = true;
