Test a refusal of a silent replica after another one was asked

The first replica answers with 503 and X-Not-Executed after 1.9 s; meanwhile another one was asked to take the stream over.

Fails on: the takeover is abandoned, and the refusal says "not_run" although the second replica has run the request.

--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -69,7 +69,7 @@
                         unconfirmed-denial deadly-part undelivered-charge broken-event
                         error-after-stream cut-head endless-answer endless-chat
                         repeated-refusal server-leaving retry-after rate-limit rate-limit-refusal
-                        rate-limit-restart cold cold-start late-stop late-body broken-service-stream
+                        rate-limit-restart cold cold-start late-stop late-body late-refusal broken-service-stream
                         late-chat large-answers large-requests group-seeds-exchanged group-gateways-restarted
                         no-workspaces zone-evacuation zone-evacuation-streams zone-orders zone-changes silent-stream silent-soak soak)
 lycheestand_fault_cases(long group-replaced group-seeds budget-killed budget-frozen answers-broken once-race once-cut
--- a/test/faults/replica_faults_test.cc
+++ b/test/faults/replica_faults_test.cc
@@ -622,4 +622,30 @@
   CHECK(complete > 0);
 }
 
+// Guards against a refusal that says "not run" after a second replica has been
+// asked to take the stream over from a silent one, which then refuses it.
+TEST_CASE_METHOD(ReplicaFaultsFixture,
+                 "a late refusal does not end a stream that was taken over",
+                 "[late-refusal]")
+{
+  // Longer than a router waits for the first replica.
+  constexpr Duration kRefusalTime = 1900ms;
+  constexpr Duration kTakeoverTime = 700ms;
+  std::atomic<int> calls{ 0 };
+  this->SetAnswer([&](int, const ReplicaRequest& aRequest) {
+    bool isFirst = calls++ == 0;
+    auto answer = isFirst ? ReplicaAnswer{ { MakeAnswer(
+                              503, aRequest, "", "X-Not-Executed: 1\r\n") } }
+                          : MakeStream(aRequest);
+    answer.pause = isFirst ? kRefusalTime : kTakeoverTime;
+    return answer;
+  });
+  auto reply = this->Send("/resumable/1");
+  CAPTURE(calls.load());
+  CHECK(reply.body.find(R"("ran":"not_run")") == std::string::npos);
+  CHECK(reply.status == 200);
+  CHECK(reply.isComplete);
+  CHECK(reply.body == MakeEvent(1) + MakeEvent(2) + MakeEvent(3));
+}
+
 } // namespace lycheestand::faults
