Go on with the endpoint that took over when the silent one refuses

What callers saw: a refusal that said not_run although a second endpoint had run the request and was about to answer.

Cause: a refusal of the silent endpoint counted as if it had gone on: the other endpoint was cancelled 0.2 s later, and the request was refused. That other attempt was not recorded as one that may have run. Change: a set-aside attempt whose answer is no success ends, and the other one goes on; a cancelled takeover counts as one that may have run.

--- a/packages/router/src/forward_events.cc
+++ b/packages/router/src/forward_events.cc
@@ -95,6 +95,13 @@
     auto self = this->shared_from_this();
     net::CallObserver observer;
     observer.onHead = [self, aNumber](const net::CallHead& aHead) {
+      if (self->IsSetAside(aNumber) && !IsSuccess(aHead.status)) {
+        self->EndSilent(net::CallFailure::Interrupted,
+                        "status " + std::to_string(aHead.status) +
+                          " after a silence");
+        self->ScheduleSilenceCheck();
+        return;
+      }
       self->Run(aNumber, [aHead](EventsForward& aForward) {
         aForward.HandleHead(aHead);
       });
@@ -216,6 +223,7 @@
   {
     if (this->request->attempt.upstream.IsValid()) {
       this->request->attempt.upstream.Cancel();
+      this->request->ran = ExecutionState::Unknown;
       EndAttempt(this->request,
                  routing::Outcome::Abandoned,
                  "the silent endpoint has gone on");
@@ -262,11 +270,13 @@
     this->request->attempt = std::move(other);
   }
 
-  bool IsSuccess() const
+  static bool IsSuccess(unsigned aStatus)
   {
-    return this->current.status >= 200 && this->current.status < 300;
+    return aStatus >= 200 && aStatus < 300;
   }
 
+  bool IsSuccess() const { return IsSuccess(this->current.status); }
+
   void HandleHead(const net::CallHead& aHead)
   {
     ++this->arrivals;
