Guard a sound request of many callers beside a deadly one

A request that six callers send is at most replicas that crash, so its crashes are soon those of the deadly one. The case deadly-request-popular has the bounds of deadly-request-sound, whose steps move to the fixture.

--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -67,7 +67,8 @@
 lycheestand_fault_cases(short group-two-disks group-no-disk leader-search budget-partition answers-killed not-run once-killed once-retry
                         once-no-answer once-left leaving planned-stop config-cut overload-config
                         unconfirmed-denial deadly-part deadly-request deadly-request-burst deadly-request-once
-                        deadly-request-stream deadly-request-leader deadly-request-sound silent-replica-blame undelivered-charge broken-event
+                        deadly-request-stream deadly-request-leader deadly-request-sound deadly-request-popular
+                        silent-replica-blame undelivered-charge broken-event
                         error-after-stream cut-head endless-answer endless-chat
                         repeated-refusal server-leaving retry-after rate-limit rate-limit-refusal
                         rate-limit-restart cold cold-start late-stop broken-service-stream
--- a/test/faults/deadly_request_test.cc
+++ b/test/faults/deadly_request_test.cc
@@ -319,11 +319,11 @@
     }
   }
 
-  // Starts callers that each repeat one sound request.
-  void StartRepeatingCallers()
+  // Starts callers that each repeat one of so many sound requests.
+  void StartRepeatingCallers(int aRequests = kSoundCallers)
   {
     for (int caller = 0; caller < kSoundCallers; ++caller) {
-      auto path = RepeatedPath(caller);
+      auto path = RepeatedPath(caller % aRequests);
       this->StartSoundCaller(caller, [path] { return path; });
     }
   }
@@ -410,6 +410,28 @@
     this->CheckBound(start, deadlyStart);
   }
 
+  // Lets callers repeat so many sound requests beside a deadly one, and checks
+  // that they are served in time after the last crash, and not refused later.
+  void CheckSound(int aRequests)
+  {
+    this->StartRepeatingCallers(aRequests);
+    std::this_thread::sleep_for(1s);
+    this->StartDeadlyCallers("safe");
+    std::this_thread::sleep_for(4s);
+    this->StopDeadlyCallers();
+    CAPTURE(this->records.MaxSharedCrashes());
+    REQUIRE(this->records.MaxSharedCrashes() > 0);
+    auto lastCrash = this->records.Crashes().back();
+    CHECK(WaitFor(lastCrash + kClearTime - Now(), [&] {
+      auto served = this->records.ServedPaths(lastCrash).size();
+      return static_cast<int>(served) == aRequests;
+    }));
+    auto cleared = Now();
+    std::this_thread::sleep_for(2s);
+    this->StopCallers();
+    CHECK(this->records.CountQuarantined(cleared) == 0);
+  }
+
   // Checks that each router refuses the deadly request of a route.
   void CheckQuarantined(const std::string& aRoute)
   {
@@ -601,21 +623,17 @@
                  "repeated sound requests are served after crashes of others",
                  "[deadly-request-sound]")
 {
-  this->StartRepeatingCallers();
-  std::this_thread::sleep_for(1s);
-  this->StartDeadlyCallers("safe");
-  std::this_thread::sleep_for(4s);
-  this->StopDeadlyCallers();
-  CAPTURE(this->records.MaxSharedCrashes());
-  REQUIRE(this->records.MaxSharedCrashes() > 0);
-  auto lastCrash = this->records.Crashes().back();
-  CHECK(WaitFor(lastCrash + kClearTime - Now(), [this, lastCrash] {
-    return this->records.ServedPaths(lastCrash).size() == kSoundCallers;
-  }));
-  auto cleared = Now();
-  std::this_thread::sleep_for(2s);
-  this->StopCallers();
-  CHECK(this->records.CountQuarantined(cleared) == 0);
+  this->CheckSound(kSoundCallers);
+}
+
+// Guards against the same for a request that many callers send, so that it is
+// at most replicas that crash.
+TEST_CASE_METHOD(DeadlyRequestFixture,
+                 "a sound request of many callers is served after crashes of "
+                 "others",
+                 "[deadly-request-popular]")
+{
+  this->CheckSound(1);
 }
 
 // Guards against sound requests that are blamed for replicas that fall silent
