Tell a sound request from the deadly one by trials

What callers saw: a sound request that many send was refused for 10 minutes, and the deadly one beside it went on to crash endpoints.

Cause: whichever request was first reported at three crashes was quarantined, and the others were cleared as explained by it. A sound request that is sent again at once follows the deadly one from endpoint to endpoint. A router's own tracker, which sees only a part of the requests, decided in the same way beside control's lists. Change: while others that are not cleared share two of its crashes, a request is held until its trial decides: a success clears it, a fourth crash is its own. No trial begins within 200 ms of the last crash.

--- a/packages/quarantine/include/lycheestand/quarantine.h
+++ b/packages/quarantine/include/lycheestand/quarantine.h
@@ -327,6 +327,9 @@
   std::size_t crashesToQuarantine = 3;
   // Reports of one endpoint within this time are of the same crash.
   Duration reportTime = std::chrono::seconds(1);
+  // Time after a crash in which several routers report the requests that were
+  // at the endpoint.
+  Duration settleTime = std::chrono::milliseconds(200);
   // Time without a crash after which a request is forgotten that is not
   // quarantined.
   Duration crashLifetime = std::chrono::minutes(1);
@@ -345,7 +348,9 @@
 };
 
 // Relates crashes of endpoints to requests. The same request is held after two
-// crashes and quarantined after the third, unless it has succeeded since.
+// crashes and quarantined after the third, unless it has succeeded since. If
+// other requests were at the same crashes, it stays held until it has more than
+// they have; trials tell them apart.
 // Crashes of different endpoints count separately however close they are: the
 // copies of one request may run at several endpoints.
 class RequestTracker
@@ -382,6 +387,9 @@
   // Nothing if no crash of the request counts.
   std::optional<RequestState> StateOf(RequestDigest aDigest) const;
 
+  // Time of the last crash that counts.
+  std::optional<TimePoint> LastCrash(RequestDigest aDigest) const;
+
   RequestLists Lists() const;
 
   // The crashes that count.
@@ -423,6 +431,12 @@
   void HandleCrash(RequestDigest aDigest, Record& aRecord);
   void Hold(RequestDigest aDigest, Record& aRecord);
   void Quarantine(RequestDigest aDigest, Record& aRecord, Duration aLength);
+  // Returns the undecided requests that may have caused its crashes as well.
+  std::vector<const Record*> RivalsOf(RequestDigest aDigest,
+                                      const Record& aRecord) const;
+  std::size_t CountShared(const Record& aLeft, const Record& aRight) const;
+  bool IsSettling(const Record& aRecord, TimePoint aNow) const;
+  void SettleRivals(TimePoint aNow);
   bool Explains(const Record& aCulprit, const Record& aOther) const;
   void Clear(RequestDigest aDigest, Record& aRecord, ReleaseReason aReason);
   bool IsForgotten(RequestDigest aDigest, Record& aRecord, TimePoint aNow);
--- a/packages/quarantine/src/request_tracker.cc
+++ b/packages/quarantine/src/request_tracker.cc
@@ -145,7 +145,8 @@
     case RequestState::OnTrial:
       break;
   }
-  if (aRecord.crashes.size() >= this->options.crashesToQuarantine) {
+  bool isDue = aRecord.count >= this->options.crashesToQuarantine;
+  if (isDue && this->RivalsOf(aDigest, aRecord).empty()) {
     this->Quarantine(aDigest, aRecord, this->options.quarantineTime);
   } else if (aRecord.crashes.size() >= this->options.crashesToHold) {
     this->Hold(aDigest, aRecord);
@@ -163,13 +164,74 @@
              this->Explains(aOther.second, aRecord);
     });
   if (isExplained) {
-    aRecord.crashes.clear();
-    aRecord.count = 0;
-    return;
-  }
-  if (aRecord.state == RequestState::Suspected) {
+    this->Clear(aDigest, aRecord, ReleaseReason::Explained);
+  } else if (aRecord.state == RequestState::Suspected) {
     aRecord.state = RequestState::Held;
     this->Decide({ aDigest, RequestState::Held, {}, aRecord.count });
+  } else if (aRecord.state == RequestState::OnTrial) {
+    aRecord.state = RequestState::Held;
+    this->isUrgent = true;
+  }
+}
+
+// A sound request that is sent again at once may follow the deadly one from
+// endpoint to endpoint, and its reports may come first.
+std::vector<const RequestTracker::Record*>
+RequestTracker::RivalsOf(RequestDigest aDigest, const Record& aRecord) const
+{
+  std::vector<const Record*> rivals;
+  for (const auto& [digest, other] : this->records) {
+    bool isOpen = other.state != RequestState::Quarantined &&
+                  other.state != RequestState::OnProbation;
+    if (digest != aDigest && isOpen &&
+        this->CountShared(aRecord, other) >= this->options.crashesToHold) {
+      rivals.push_back(&other);
+    }
+  }
+  return rivals;
+}
+
+std::size_t
+RequestTracker::CountShared(const Record& aLeft, const Record& aRight) const
+{
+  return static_cast<std::size_t>(std::count_if(
+    aLeft.crashes.begin(), aLeft.crashes.end(), [&](const Crash& aCrash) {
+      return std::any_of(
+        aRight.crashes.begin(), aRight.crashes.end(), [&](const Crash& aOther) {
+          return this->IsSame(aOther, aCrash);
+        });
+    }));
+}
+
+bool
+RequestTracker::IsSettling(const Record& aRecord, TimePoint aNow) const
+{
+  return aRecord.count >= this->options.crashesToQuarantine &&
+         aNow - aRecord.lastCrash < this->options.settleTime;
+}
+
+// Of requests that were at the same crashes, their trials decide: a success
+// clears one, and a further crash is its own. A report may be missing, so one
+// crash more among the first three tells nothing.
+void
+RequestTracker::SettleRivals(TimePoint aNow)
+{
+  for (auto& [digest, record] : this->records) {
+    bool isHeld = record.state == RequestState::Held ||
+                  record.state == RequestState::OnTrial;
+    if (!isHeld || record.count < this->options.crashesToQuarantine ||
+        this->IsSettling(record, aNow)) {
+      continue;
+    }
+    auto rivals = this->RivalsOf(digest, record);
+    bool hasMost = std::all_of(
+      rivals.begin(), rivals.end(), [&record = record](const Record* aRival) {
+        return aRival->count < record.count;
+      });
+    bool hasFailedTrial = record.count > this->options.crashesToQuarantine;
+    if (rivals.empty() || (hasMost && hasFailedTrial)) {
+      this->Quarantine(digest, record, this->options.quarantineTime);
+    }
   }
 }
 
@@ -288,6 +350,7 @@
                ? this->records.erase(record)
                : std::next(record);
   }
+  this->SettleRivals(aNow);
   this->ChooseTrial(aNow);
 }
 
@@ -335,6 +398,7 @@
     if (record.state == RequestState::OnTrial) {
       current = &record;
     } else if (record.state == RequestState::Held &&
+               !this->IsSettling(record, aNow) &&
                (next == nullptr || record.triedAt < next->triedAt)) {
       next = &record;
     }
@@ -393,6 +457,14 @@
   return found->second.state;
 }
 
+std::optional<TimePoint>
+RequestTracker::LastCrash(RequestDigest aDigest) const
+{
+  return this->StateOf(aDigest)
+           ? std::optional(this->records.at(aDigest).lastCrash)
+           : std::nullopt;
+}
+
 RequestEntry
 RequestTracker::MakeEntry(RequestDigest aDigest, const Record& aRecord) const
 {
--- a/packages/quarantine/test/request_tracker_test.cc
+++ b/packages/quarantine/test/request_tracker_test.cc
@@ -135,6 +135,12 @@
         (this->Verdict(kSoundRequest) == RequestVerdict::Held));
   auto last = this->now;
   this->Crash({ kDeadlyRequest });
+  CHECK(this->Verdict(kDeadlyRequest) == RequestVerdict::Held);
+  this->Advance(200ms);
+  // A report of the sound request may be missing.
+  CHECK(this->Verdict(kDeadlyRequest) != RequestVerdict::Quarantined);
+  this->Crash({ kDeadlyRequest });
+  this->Advance(200ms);
   CHECK(this->Verdict(kDeadlyRequest) == RequestVerdict::Quarantined);
   CHECK(this->Verdict(kSoundRequest) == RequestVerdict::Accepted);
   CHECK(this->TakeRelease() == ReleaseReason::Explained);
@@ -144,6 +150,40 @@
   CHECK(this->Verdict(kSoundRequest) == RequestVerdict::Accepted);
 }
 
+// Guards against a sound request that is quarantined in place of the deadly
+// one, since it was at the same crashes and was reported first.
+TEST_CASE_METHOD(RequestTrackerFixture,
+                 "Requests at the same three crashes are told apart by trials")
+{
+  bool isDeadlyTried = GENERATE(true, false);
+  for (int i = 0; i < 3; ++i) {
+    this->Crash({ kSoundRequest });
+    // The same endpoint.
+    this->tracker.AddCrash(EndpointId("e" + std::to_string(this->endpoints)),
+                           { kDeadlyRequest },
+                           this->now + 2ms);
+    this->Advance(10ms);
+    CHECK(this->Verdict(kSoundRequest) != RequestVerdict::Quarantined);
+    CHECK(this->Verdict(kDeadlyRequest) != RequestVerdict::Quarantined);
+  }
+  // Neither runs while reports of the last crash may arrive.
+  CHECK(this->Verdict(kSoundRequest) == RequestVerdict::Held);
+  CHECK(this->Verdict(kDeadlyRequest) == RequestVerdict::Held);
+  auto tried = isDeadlyTried ? kDeadlyRequest : kSoundRequest;
+  for (int i = 0; i < 50 && this->Verdict(tried) == RequestVerdict::Held; ++i) {
+    this->Advance(100ms);
+  }
+  REQUIRE(this->Verdict(tried) == RequestVerdict::OneAttempt);
+  if (isDeadlyTried) {
+    this->Crash({ kDeadlyRequest });
+  } else {
+    this->tracker.AddSuccess(kSoundRequest, this->now);
+  }
+  this->Advance(200ms);
+  CHECK(this->Verdict(kDeadlyRequest) == RequestVerdict::Quarantined);
+  CHECK(this->Verdict(kSoundRequest) == RequestVerdict::Accepted);
+}
+
 // Guards against a held request that is never tried because another one is.
 TEST_CASE_METHOD(RequestTrackerFixture, "Held requests are tried in turn")
 {
--- a/packages/router/src/quarantine_controller.cc
+++ b/packages/router/src/quarantine_controller.cc
@@ -84,9 +84,18 @@
     }
     auto told =
       quarantine::Judge(quarantine::StateAt(found->second, this->Time()));
-    bool mayBeOld =
-      !this->contactSince || own == quarantine::RequestVerdict::Quarantined;
-    return mayBeOld ? std::max(own, told) : told;
+    bool isNews =
+      own == quarantine::RequestVerdict::Quarantined && this->IsNews(aDigest);
+    return !this->contactSince || isNews ? std::max(own, told) : told;
+  }
+
+  // Returns whether control may not have learnt yet what this router has seen
+  // of a request. Later on control knows more: this router may have seen only
+  // some of the requests at the endpoints that crashed.
+  bool IsNews(RequestDigest aDigest) const
+  {
+    auto crash = this->observed.LastCrash(aDigest);
+    return crash && this->Time() - *crash < kLearnTime;
   }
 
   // All requests at an endpoint end at the moment of its crash, and one
