--- a/packages/net/test/calls_test.cc
+++ b/packages/net/test/calls_test.cc
@@ -132,62 +132,6 @@
 
 namespace {
 
-// An endpoint with a plain socket that can send any bytes at any time.
-class RawEndpoint
-{
-public:
-  RawEndpoint()
-    : acceptor(this->io, { boost::asio::ip::make_address("127.0.0.1"), 0 })
-    , socket(this->io)
-  {
-    this->acceptor.non_blocking(true);
-  }
-
-  Address GetAddress() const
-  {
-    return { "127.0.0.1", this->acceptor.local_endpoint().port() };
-  }
-
-  // Accepts a pending connection; returns false if there is none.
-  bool Accept()
-  {
-    boost::system::error_code error;
-    boost::asio::ip::tcp::socket next(this->io);
-    this->acceptor.accept(next, error);
-    if (!error) {
-      this->socket = std::move(next);
-    }
-    return !error;
-  }
-
-  void Send(const std::string& aText)
-  {
-    boost::asio::write(this->socket, boost::asio::buffer(aText));
-  }
-
-  // Returns whether the bytes that were received on the connection contain a
-  // text.
-  bool HasReceived(const std::string& aText)
-  {
-    std::array<char, 4096> bytes{};
-    boost::system::error_code error;
-    this->socket.non_blocking(true);
-    while (!error) {
-      auto size = this->socket.read_some(boost::asio::buffer(bytes), error);
-      this->received.append(bytes.data(), size);
-    }
-    return this->received.find(aText) != std::string::npos;
-  }
-
-  void Close() { this->socket.close(); }
-
-private:
-  boost::asio::io_context io;
-  boost::asio::ip::tcp::acceptor acceptor;
-  boost::asio::ip::tcp::socket socket;
-  std::string received;
-};
-
 constexpr const char* kEarlyResponse =
   "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno";
 
--- a/packages/net/test/net_fixture.h
+++ b/packages/net/test/net_fixture.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEESTAND_NET_TEST_NET_FIXTURE_H
 #define LYCHEESTAND_NET_TEST_NET_FIXTURE_H
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -115,6 +116,76 @@
   }
 };
 
+// An endpoint with a plain socket that can send any bytes at any time.
+class RawEndpoint
+{
+public:
+  RawEndpoint()
+    : acceptor(this->io, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+    , socket(this->io)
+  {
+    this->acceptor.non_blocking(true);
+  }
+
+  Address GetAddress() const
+  {
+    return { "127.0.0.1", this->acceptor.local_endpoint().port() };
+  }
+
+  // Accepts a pending connection; returns false if there is none.
+  bool Accept()
+  {
+    boost::system::error_code error;
+    boost::asio::ip::tcp::socket next(this->io);
+    this->acceptor.accept(next, error);
+    if (!error) {
+      this->socket = std::move(next);
+    }
+    return !error;
+  }
+
+  void Send(const std::string& aText)
+  {
+    boost::asio::write(this->socket, boost::asio::buffer(aText));
+  }
+
+  // Returns whether the bytes that were received on the connection contain a
+  // text.
+  bool HasReceived(const std::string& aText)
+  {
+    this->ReadAvailable();
+    return this->received.find(aText) != std::string::npos;
+  }
+
+  // Returns whether the other side has closed the connection.
+  bool IsClosed()
+  {
+    this->ReadAvailable();
+    return this->readError != boost::asio::error::would_block;
+  }
+
+  void Close() { this->socket.close(); }
+
+private:
+  void ReadAvailable()
+  {
+    std::array<char, 4096> bytes{};
+    this->socket.non_blocking(true);
+    this->readError = {};
+    while (!this->readError) {
+      auto size =
+        this->socket.read_some(boost::asio::buffer(bytes), this->readError);
+      this->received.append(bytes.data(), size);
+    }
+  }
+
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor acceptor;
+  boost::asio::ip::tcp::socket socket;
+  std::string received;
+  boost::system::error_code readError;
+};
+
 // An HTTP client with a plain socket, for tests of the exact bytes on the
 // connection.
 class RawCaller
--- a/packages/router/test/forward_events_test.cc
+++ b/packages/router/test/forward_events_test.cc
@@ -10,52 +10,6 @@
 
 namespace {
 
-// An endpoint whose bytes a test writes itself.
-class RawEndpoint
-{
-public:
-  RawEndpoint()
-    : acceptor(this->io, { boost::asio::ip::make_address("127.0.0.1"), 0 })
-    , socket(this->io)
-  {
-    this->acceptor.non_blocking(true);
-  }
-  Address GetAddress() const
-  {
-    return { "127.0.0.1", this->acceptor.local_endpoint().port() };
-  }
-  bool Accept()
-  {
-    boost::system::error_code error;
-    boost::asio::ip::tcp::socket next(this->io);
-    this->acceptor.accept(next, error);
-    if (!error) {
-      this->socket = std::move(next);
-      this->socket.non_blocking(true);
-    }
-    return !error;
-  }
-  void Send(const std::string& aText)
-  {
-    boost::asio::write(this->socket, boost::asio::buffer(aText));
-  }
-  bool IsClosed()
-  {
-    std::array<char, 4096> bytes{};
-    boost::system::error_code error;
-    while (!error) {
-      this->socket.read_some(boost::asio::buffer(bytes), error);
-    }
-    return error != boost::asio::error::would_block;
-  }
-  void Close() { this->socket.close(); }
-
-private:
-  boost::asio::io_context io;
-  boost::asio::ip::tcp::acceptor acceptor;
-  boost::asio::ip::tcp::socket socket;
-};
-
 // What the endpoint controller was asked, and the endpoints that it chooses in
 // turn.
 struct Seen
@@ -201,7 +155,7 @@
     this->Rounds();
   }
 
-  std::array<RawEndpoint, 3> endpoints;
+  std::array<net::RawEndpoint, 3> endpoints;
   Seen seen;
   caf::actor chooser;
   std::shared_ptr<const RouteProtocol> protocol;
