Hold few requests at a time

What callers saw: many sound requests that were at crashed endpoints were refused one after the other until their trials, and a deadly prompt part beside them went on to crash endpoints.

Cause: each request at two crashes was held. An endpoint may run a hundred, so sound ones could not succeed, a sound part was not cleared, and the wrong part was quarantined first. Change: four requests are held at most; what many have in common is left to the quarantine of parts. A request with enough crashes is still quarantined once no other can have caused them.

--- a/packages/quarantine/include/lycheestand/quarantine.h
+++ b/packages/quarantine/include/lycheestand/quarantine.h
@@ -325,6 +325,8 @@
   // when that one crashes, too.
   std::size_t crashesToHold = 2;
   std::size_t crashesToQuarantine = 3;
+  // Requests that are held at a time.
+  std::size_t maxHeld = 4;
   // Reports of one endpoint within this time are of the same crash.
   Duration reportTime = std::chrono::seconds(1);
   // Time after a crash in which several routers report the requests that were
@@ -435,6 +437,7 @@
   std::vector<const Record*> RivalsOf(RequestDigest aDigest,
                                       const Record& aRecord) const;
   std::size_t CountShared(const Record& aLeft, const Record& aRight) const;
+  std::size_t CountHeld() const;
   bool IsSettling(const Record& aRecord, TimePoint aNow) const;
   void SettleRivals(TimePoint aNow);
   bool Explains(const Record& aCulprit, const Record& aOther) const;
--- a/packages/quarantine/src/request_tracker.cc
+++ b/packages/quarantine/src/request_tracker.cc
@@ -154,7 +154,9 @@
 }
 
 // A report that arrives after the quarantine of the request that caused the
-// crashes holds nothing.
+// crashes holds nothing. An endpoint may run a hundred requests; if many of
+// them were at the same crashes, holding them all would refuse sound ones for
+// long and keep the parts of their prompts from being cleared.
 void
 RequestTracker::Hold(RequestDigest aDigest, Record& aRecord)
 {
@@ -166,6 +168,9 @@
   if (isExplained) {
     this->Clear(aDigest, aRecord, ReleaseReason::Explained);
   } else if (aRecord.state == RequestState::Suspected) {
+    if (this->CountHeld() >= this->options.maxHeld) {
+      return;
+    }
     aRecord.state = RequestState::Held;
     this->Decide({ aDigest, RequestState::Held, {}, aRecord.count });
   } else if (aRecord.state == RequestState::OnTrial) {
@@ -174,6 +179,16 @@
   }
 }
 
+std::size_t
+RequestTracker::CountHeld() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    this->records.begin(), this->records.end(), [](const auto& aEntry) {
+      return aEntry.second.state == RequestState::Held ||
+             aEntry.second.state == RequestState::OnTrial;
+    }));
+}
+
 // A sound request that is sent again at once may follow the deadly one from
 // endpoint to endpoint, and its reports may come first.
 std::vector<const RequestTracker::Record*>
@@ -217,9 +232,9 @@
 RequestTracker::SettleRivals(TimePoint aNow)
 {
   for (auto& [digest, record] : this->records) {
-    bool isHeld = record.state == RequestState::Held ||
-                  record.state == RequestState::OnTrial;
-    if (!isHeld || record.count < this->options.crashesToQuarantine ||
+    bool isOpen = record.state != RequestState::Quarantined &&
+                  record.state != RequestState::OnProbation;
+    if (!isOpen || record.count < this->options.crashesToQuarantine ||
         this->IsSettling(record, aNow)) {
       continue;
     }
--- a/packages/quarantine/test/request_tracker_test.cc
+++ b/packages/quarantine/test/request_tracker_test.cc
@@ -184,6 +184,32 @@
   CHECK(this->Verdict(kSoundRequest) == RequestVerdict::Accepted);
 }
 
+// Guards against refusals of all sound requests at endpoints that run many,
+// when these crash for another reason than one request.
+TEST_CASE_METHOD(RequestTrackerFixture, "Few of many requests are held")
+{
+  constexpr std::size_t kRequests = 40;
+  std::vector<RequestDigest> all;
+  for (std::uint64_t i = 0; i < kRequests; ++i) {
+    all.emplace_back(i + 100);
+  }
+  for (int i = 0; i < 3; ++i) {
+    this->Crash(all);
+    this->Advance(300ms);
+  }
+  std::size_t refused = 0;
+  for (auto digest : all) {
+    refused += this->Verdict(digest) == RequestVerdict::Accepted ? 0 : 1;
+  }
+  CHECK(refused == RequestTrackerOptions().maxHeld);
+  // The deadly one of them is found when the others have succeeded.
+  for (std::size_t i = 1; i < kRequests; ++i) {
+    this->tracker.AddSuccess(all[i], this->now);
+  }
+  this->Advance(100ms);
+  CHECK(this->Verdict(all[0]) == RequestVerdict::Quarantined);
+}
+
 // Guards against a held request that is never tried because another one is.
 TEST_CASE_METHOD(RequestTrackerFixture, "Held requests are tried in turn")
 {
