--- a/test/faults/silent_soak_test.cc
+++ b/test/faults/silent_soak_test.cc
@@ -229,7 +229,8 @@
   }
 
   // Sends the next configuration: with other timeouts, with another service for
-  // a part of the requests, with one more workspace, or with no change.
+  // a part of the requests or without that service, with one more workspace, or
+  // with no change.
   bool ChangeConfiguration(std::mt19937& aRandom)
   {
     enum class Change
@@ -287,10 +288,12 @@
     }
     auto document = json::parse(MakeEngineDocument(
       ++this->version, std::move(routes), std::move(tenants)));
-    auto& services = document.at("services").as_array();
-    json::value second = services.front();
-    second.as_object()["name"] = kSecondService;
-    services.push_back(std::move(second));
+    if (this->secondWeight > 0) {
+      auto& services = document.at("services").as_array();
+      json::value second = services.front();
+      second.as_object()["name"] = kSecondService;
+      services.push_back(std::move(second));
+    }
     return json::serialize(document);
   }
 
