--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -67,7 +67,7 @@
 endfunction()
 lycheestand_fault_cases(short group-two-disks group-no-disk leader-search budget-partition answers-killed not-run once-killed once-retry
                         once-no-answer once-left leaving planned-stop control-stop config-cut overload-config
-                        unconfirmed-denial deadly-part quarantine-lift deadly-request deadly-request-burst deadly-request-once
+                        unconfirmed-denial deadly-part quarantine-lift deadly-request deadly-request-burst deadly-request-crowd deadly-request-once
                         deadly-request-stream deadly-request-leader deadly-request-sound deadly-request-popular silent-replica-blame undelivered-charge broken-event
                         error-after-stream cut-head endless-answer endless-chat
                         repeated-refusal server-leaving retry-after rate-limit rate-limit-refusal
--- a/test/faults/deadly_request_test.cc
+++ b/test/faults/deadly_request_test.cc
@@ -241,12 +241,13 @@
 public:
   using Answer = std::function<ReplicaAnswer(const ReplicaRequest& aRequest)>;
 
-  explicit DeadlyRequestFixture(int aControls = 1)
+  explicit DeadlyRequestFixture(int aControls = 1,
+                                Duration aDownTime = kDownTime)
     : controls(aControls)
     , pool(this->ReplicaIps(),
            this->fleet.MachineIp(kListMachine),
            "llm",
-           kDownTime,
+           aDownTime,
            [this](int aReplica, const ReplicaRequest& aRequest) {
              return this->Choose(aReplica, aRequest);
            })
@@ -547,6 +548,17 @@
   }
 };
 
+// The same with replicas that come back after the time within which a request
+// must be recognized.
+class LongDownTimeFixture : public DeadlyRequestFixture
+{
+public:
+  LongDownTimeFixture()
+    : DeadlyRequestFixture(1, kContactWindow + 1s)
+  {
+  }
+};
+
 } // namespace
 
 // Guards against a request without prompt parts that crashes all replicas of
@@ -569,6 +581,23 @@
   this->CheckRoute("safe", 4 * kRouterCount);
 }
 
+// Guards against copies of a request that run at several replicas while it is
+// tried, since a popular sound one was at the same crashes.
+TEST_CASE_METHOD(LongDownTimeFixture,
+                 "one copy of a request is tried at a time",
+                 "[deadly-request-crowd]")
+{
+  auto start = Now();
+  this->StartRepeatingCallers(1);
+  std::this_thread::sleep_for(2s);
+  auto deadlyStart = Now();
+  this->StartDeadlyCallers("safe", 4 * kRouterCount);
+  std::this_thread::sleep_for(12s);
+  this->CheckQuarantined("safe");
+  this->StopCallers();
+  this->CheckBound(start, deadlyStart);
+}
+
 // Guards against the same on a route whose requests run once at most, and
 // against a refusal, which promises that the request has not run, for one that
 // has crashed a replica.
--- a/test/faults/platform_fleet.cc
+++ b/test/faults/platform_fleet.cc
@@ -3,6 +3,7 @@
 #include "fleet_internal.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -100,6 +101,10 @@
 // failed.
 PlatformFleet::~PlatformFleet()
 {
+  if (std::getenv("LYCHEESTAND_KEEP_LOGS") != nullptr) {
+    this->environment.KeepFolder();
+    std::cout << "logs in " << this->environment.Folder() << std::endl;
+  }
   if (std::uncaught_exceptions() <= this->uncaughtExceptions) {
     return;
   }
