Let control's judgment of a request replace the router's own

Callers saw a sound request refused as quarantined for minutes after a deadly one beside it had been found.

Cause: a router that was at all crashes with a sound request, but not with the deadly one, quarantines the sound one by itself. If control lists it only as suspected, the router kept its record, and judged by it, in contact with control, too. It refused the request, so the success that would have cleared it never came. On each new link it told its judgment to the leader as if an earlier leader had made it.

A new leader gets the crashes, and judges them together with those of other routers. The gauges of held and quarantined requests show a router's own only without contact.

--- a/packages/router/src/quarantine_controller.cc
+++ b/packages/router/src/quarantine_controller.cc
@@ -73,14 +73,17 @@
   }
 
   // Control knows the crashes that all routers have seen, and which request is
-  // on trial. What this router has seen counts beside it if control has not
-  // learnt of it, or can't tell what it has decided since.
+  // on trial. This router may have seen only some of the requests at the
+  // endpoints that crashed, so in contact with control its own judgment counts
+  // only until control has learnt of the crashes.
   quarantine::RequestVerdict JudgeRequest(RequestDigest aDigest) const
   {
     auto own = quarantine::Judge(this->observed.StateOf(aDigest));
     auto found = this->told.find(aDigest);
     if (found == this->told.end()) {
-      return own;
+      return !this->contactSince || this->IsNews(aDigest)
+               ? own
+               : quarantine::RequestVerdict::Accepted;
     }
     auto told =
       quarantine::Judge(quarantine::StateAt(found->second, this->Time()));
@@ -89,13 +92,13 @@
     return !this->contactSince || isNews ? std::max(own, told) : told;
   }
 
-  // Returns whether control may not have learnt yet what this router has seen
-  // of a request. Later on control knows more: this router may have seen only
-  // some of the requests at the endpoints that crashed.
+  // Returns whether control, with which this router is in contact, may not have
+  // learnt yet what it has seen of a request.
   bool IsNews(RequestDigest aDigest) const
   {
     auto crash = this->observed.LastCrash(aDigest);
-    return crash && this->Time() - *crash < kLearnTime;
+    return crash &&
+           this->Time() - std::max(*crash, *this->contactSince) < kLearnTime;
   }
 
   // All requests at an endpoint end at the moment of its crash, and one
@@ -262,6 +265,7 @@
     Counts counts{ this->parts.quarantined.size(),
                    quarantine::Count(this->ToldLists()),
                    quarantine::Count(this->observed.Lists()) };
+    this->SetGauges(counts);
     if (counts == this->reported) {
       return;
     }
@@ -275,24 +279,30 @@
                { "requests", text(counts.told.quarantined) },
                { "own_held", text(counts.observed.held) },
                { "own_requests", text(counts.observed.quarantined) } });
+  }
+
+  // What this router has seen itself is refused only without contact with
+  // control.
+  void SetGauges(const Counts& aCounts) const
+  {
+    auto own =
+      this->contactSince ? quarantine::RequestCounts{} : aCounts.observed;
     auto set = [](const char* aName, std::size_t aNumber) {
       net::Metrics().GetGauge(aName).Set(static_cast<std::int64_t>(aNumber));
     };
-    set("lycheestand_quarantined_parts", counts.parts);
-    set("lycheestand_held_requests",
-        std::max(counts.told.held, counts.observed.held));
+    set("lycheestand_quarantined_parts", aCounts.parts);
+    set("lycheestand_held_requests", std::max(aCounts.told.held, own.held));
     set("lycheestand_quarantined_requests",
-        std::max(counts.told.quarantined, counts.observed.quarantined));
+        std::max(aCounts.told.quarantined, own.quarantined));
   }
 
-  // A new leader knows neither the crashes nor the quarantine.
+  // A new leader knows neither the crashes nor the quarantine. It judges the
+  // crashes itself, together with those that other routers have seen.
   void Resend()
   {
     wire::QuarantineState state;
     state.quarantined = ToVector(this->parts.quarantined);
     auto known = this->ToldLists();
-    auto own = this->observed.Lists().entries;
-    known.entries.insert(known.entries.end(), own.begin(), own.end());
     std::erase_if(known.entries, [now = this->Time()](const auto& aEntry) {
       return aEntry.end <= now;
     });
