Forward one copy of a request in a trial

Callers saw: after three crashes, a request that many callers repeat crashed all endpoints of its service once more, and everybody else's requests were refused for as long again.

Cause: a held request that is on trial was allowed one attempt by every router and for every copy that arrived within the 2 s of the trial.

The leader now decides which copy runs: a router asks it before it forwards a copy of a request on trial or on probation, and one copy in 2 s is granted. A router without contact decides the same for itself. TrialRequest and TrialReply are new messages, sent only to control that announces them.

--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -226,7 +226,8 @@
                  wire::Welcome{ .accepted = true,
                                 .control = this->group,
                                 .tracksCrashes = true,
-                                .grantsPermits = true });
+                                .grantsPermits = true,
+                                .grantsTrials = true });
     this->SendLimits(aState);
     this->SendQuarantine(aState);
     this->PushUpdates(aState);
@@ -423,6 +424,15 @@
     this->ForwardToQuarantine(aState, aKnown);
   }
 
+  void Handle(net::LinkId aLink,
+              LinkState& aState,
+              const wire::TrialRequest& aRequest)
+  {
+    if (aState.isAccepted) {
+      this->send(this->quarantine, RequestTrial{ aLink, aRequest });
+    }
+  }
+
   template<class Message>
   void ForwardToQuarantine(const LinkState& aState, const Message& aMessage)
   {
--- a/packages/control/src/messages.h
+++ b/packages/control/src/messages.h
@@ -170,6 +170,14 @@
   RequestDigest digest;
 };
 
+// To the quarantine controller: a router asks to forward a request that is
+// tried.
+struct RequestTrial
+{
+  net::LinkId link;
+  wire::TrialRequest request;
+};
+
 // Tells the fleet controller which task finds what crashes endpoints.
 struct SetQuarantineController
 {
@@ -291,6 +299,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::QuarantineChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::ListQuarantine)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::LiftQuarantine)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::RequestTrial)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::SetQuarantineController)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::LimitsChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::EndpointsChecked)
--- a/packages/control/src/quarantine_controller.cc
+++ b/packages/control/src/quarantine_controller.cc
@@ -73,6 +73,7 @@
       [this](wire::CrashReport& aReport) { this->HandleCrash(aReport); },
       [this](wire::PartSuccess& aSuccess) { this->HandleSuccess(aSuccess); },
       [this](wire::QuarantineState& aKnown) { this->HandleKnown(aKnown); },
+      [this](RequestTrial& aRequest) { this->HandleTrial(aRequest); },
       [this](ListQuarantine) { return this->FormatRequests(); },
       [this](LiftQuarantine& aLift) {
         bool isLifted = this->requests.Lift(aLift.digest);
@@ -125,6 +126,24 @@
     this->PublishIfUrgent();
   }
 
+  // Copies of a request may arrive at several routers at the same moment; one
+  // of them runs.
+  void HandleTrial(const RequestTrial& aRequest)
+  {
+    const auto digest = aRequest.request.digest;
+    bool isGranted =
+      this->isLeader && this->requests.BeginTrial(digest, this->Time());
+    if (isGranted) {
+      net::Log(
+        net::LogLevel::Info,
+        "a router forwards a request that is tried",
+        { { "event", "request_tried" }, { "digest", ToString(digest) } });
+    }
+    this->send(
+      this->fleet,
+      SendToRouter{ aRequest.link, wire::TrialReply{ digest, isGranted } });
+  }
+
   // The next copy of a request may arrive at another router some milliseconds
   // after a crash.
   void PublishIfUrgent()
--- a/packages/quarantine/include/lycheestand/quarantine.h
+++ b/packages/quarantine/include/lycheestand/quarantine.h
@@ -335,7 +335,8 @@
   // Time without a crash after which a request is forgotten that is not
   // quarantined.
   Duration crashLifetime = std::chrono::minutes(1);
-  // Time without an outcome after which another held request is tried.
+  // Time without an outcome after which another held request, or another copy,
+  // is tried.
   Duration trialTime = std::chrono::seconds(2);
   // The first quarantine ends this long after the last crash; each further one
   // takes twice as long as the one before.
@@ -374,6 +375,11 @@
   // Another tracker has quarantined a request, now or earlier.
   void AddKnown(const RequestEntry& aEntry);
 
+  // Returns whether a copy of a request may be forwarded now. None may within
+  // the time of a trial after another one, so that a trial crashes one endpoint
+  // at most.
+  bool BeginTrial(RequestDigest aDigest, TimePoint aNow);
+
   // Forgets a request that is not only suspected; returns whether there is one.
   bool Lift(RequestDigest aDigest);
 
@@ -423,6 +429,8 @@
     TimePoint succeededAt{};
     // When the latest trial began.
     TimePoint triedAt{};
+    // When a copy was last forwarded for a trial.
+    std::optional<TimePoint> forwardedAt;
     // Of a quarantine, or of the probation after it.
     TimePoint end{};
     Duration length{};
--- a/packages/quarantine/src/request_tracker.cc
+++ b/packages/quarantine/src/request_tracker.cc
@@ -293,6 +293,23 @@
   this->ChooseTrial(aTime);
 }
 
+bool
+RequestTracker::BeginTrial(RequestDigest aDigest, TimePoint aNow)
+{
+  Record& record = this->FindOrAddRecord(aDigest);
+  bool isRefused = Judge(record.state) > RequestVerdict::OneAttempt;
+  bool isTried =
+    record.forwardedAt && aNow - *record.forwardedAt < this->options.trialTime;
+  if (isRefused || isTried) {
+    return false;
+  }
+  record.forwardedAt = aNow;
+  if (record.state == RequestState::OnTrial) {
+    record.triedAt = aNow;
+  }
+  return true;
+}
+
 // The record stays for a while, so that late reports of earlier crashes are
 // recognized.
 void
@@ -392,7 +409,9 @@
     case RequestState::OnTrial:
       break;
   }
-  TimePoint last = std::max(aRecord.lastCrash, aRecord.succeededAt);
+  TimePoint last = std::max({ aRecord.lastCrash,
+                              aRecord.succeededAt,
+                              aRecord.forwardedAt.value_or(TimePoint{}) });
   if (aNow - last < this->options.crashLifetime) {
     return false;
   }
--- a/packages/quarantine/test/request_tracker_test.cc
+++ b/packages/quarantine/test/request_tracker_test.cc
@@ -235,6 +235,61 @@
   CHECK(tried.size() == 3);
 }
 
+// Guards against copies of a request that crash several endpoints during one
+// trial.
+TEST_CASE_METHOD(RequestTrackerFixture, "A trial forwards one copy")
+{
+  this->Crash({ kDeadlyRequest });
+  this->Crash({ kDeadlyRequest });
+  REQUIRE(this->tracker.StateOf(kDeadlyRequest) == RequestState::OnTrial);
+  this->Advance(1500ms);
+  CHECK(this->tracker.BeginTrial(kDeadlyRequest, this->now));
+  CHECK_FALSE(this->tracker.BeginTrial(kDeadlyRequest, this->now));
+  this->Advance(1900ms);
+  CHECK_FALSE(this->tracker.BeginTrial(kDeadlyRequest, this->now));
+  // The copy has ended without an outcome.
+  this->Advance(100ms);
+  CHECK(this->tracker.BeginTrial(kDeadlyRequest, this->now));
+  this->Crash({ kDeadlyRequest });
+  this->Advance(5s);
+  CHECK_FALSE(this->tracker.BeginTrial(kDeadlyRequest, this->now));
+}
+
+// Guards against the same on probation, and at a router that has seen none of
+// the crashes.
+TEST_CASE_METHOD(RequestTrackerFixture, "Probation forwards one copy at a time")
+{
+  this->tracker.AddKnown(
+    { kDeadlyRequest, RequestState::OnProbation, 3, this->now + 1h, 10min });
+  for (auto digest : { kDeadlyRequest, kOtherRequest }) {
+    for (int i = 0; i < 3; ++i) {
+      CHECK(this->tracker.BeginTrial(digest, this->now));
+      this->Advance(1s);
+      CHECK_FALSE(this->tracker.BeginTrial(digest, this->now));
+      this->Advance(1s);
+    }
+  }
+  CHECK_FALSE(this->tracker.StateOf(kOtherRequest));
+}
+
+// Guards against another held request that runs beside the copy of a trial.
+TEST_CASE_METHOD(RequestTrackerFixture, "A copy has the time of a whole trial")
+{
+  this->Crash({ kSoundRequest, kOtherRequest });
+  this->Crash({ kSoundRequest, kOtherRequest });
+  bool isSoundFirst =
+    this->Verdict(kSoundRequest) == RequestVerdict::OneAttempt;
+  auto first = isSoundFirst ? kSoundRequest : kOtherRequest;
+  auto second = isSoundFirst ? kOtherRequest : kSoundRequest;
+  this->Advance(1900ms);
+  CHECK_FALSE(this->tracker.BeginTrial(second, this->now));
+  REQUIRE(this->tracker.BeginTrial(first, this->now));
+  this->Advance(1900ms);
+  CHECK(this->Verdict(second) == RequestVerdict::Held);
+  this->Advance(100ms);
+  CHECK(this->tracker.BeginTrial(second, this->now));
+}
+
 // Guards against waits between the trials of requests that succeed.
 TEST_CASE_METHOD(RequestTrackerFixture, "A success begins the next trial")
 {
--- a/packages/router/src/check_quarantine.cc
+++ b/packages/router/src/check_quarantine.cc
@@ -50,12 +50,14 @@
 
 void
 CheckQuarantine(const RequestPtr& aRequest,
+                bool aIsForwarding,
                 std::function<void(const CheckRequestReply&)> aDone)
 {
   aRequest->exchange->Task()
-    .request(aRequest->controllers.quarantine,
-             caf::infinite,
-             CheckRequest{ PartsOf(*aRequest), *aRequest->digest })
+    .request(
+      aRequest->controllers.quarantine,
+      caf::infinite,
+      CheckRequest{ PartsOf(*aRequest), *aRequest->digest, aIsForwarding })
     .then([aRequest, done = std::move(aDone)](const CheckRequestReply& aReply) {
       if (!aRequest->isFinished) {
         done(aReply);
@@ -130,7 +132,10 @@
     aRequest->digest = DigestOf(*aRequest);
     CheckQuarantine(
       aRequest,
+      false,
       [aRequest, next = std::move(aNext)](const CheckRequestReply& aReply) {
+        aRequest->isTried =
+          aReply.verdict == quarantine::RequestVerdict::OneAttempt;
         if (MayForward(*aRequest, aReply)) {
           next();
         } else {
--- a/packages/router/src/control_link.cc
+++ b/packages/router/src/control_link.cc
@@ -260,7 +260,8 @@
       this->Forward(this->controllers.configuration, aMessage);
     } else if (auto* view = std::get_if<wire::ViewPush>(&aMessage)) {
       this->HandleViewPush(*view);
-    } else if (std::holds_alternative<wire::QuarantineState>(aMessage)) {
+    } else if (std::holds_alternative<wire::QuarantineState>(aMessage) ||
+               std::holds_alternative<wire::TrialReply>(aMessage)) {
       this->Forward(this->controllers.quarantine, aMessage);
     } else if (std::holds_alternative<wire::LimitState>(aMessage) ||
                std::holds_alternative<wire::PermitReply>(aMessage)) {
@@ -283,6 +284,7 @@
     this->accepted = aLink;
     this->tracksCrashes = aWelcome.tracksCrashes;
     this->grantsPermits = aWelcome.grantsPermits;
+    this->grantsTrials = aWelcome.grantsTrials;
     this->wasRefused = false;
     this->viewReceiver.Reset();
     for (const auto& [link, state] : this->links) {
@@ -303,6 +305,8 @@
     this->send(this->controllers.membership, ControlUp{});
     this->send(this->controllers.operation, ControlUp{});
     this->send(this->controllers.quarantine, ControlUp{});
+    this->send(this->controllers.quarantine,
+               TrialSourceChanged{ this->grantsTrials });
     this->send(this->controllers.endpoint,
                PermitSourceChanged{ this->grantsPermits
                                       ? limits::PermitSource::Control
@@ -335,6 +339,9 @@
     if (isAboutLimits) {
       return this->grantsPermits;
     }
+    if (std::holds_alternative<wire::TrialRequest>(aMessage)) {
+      return this->grantsTrials;
+    }
     return this->tracksCrashes ||
            !(std::holds_alternative<wire::CrashReport>(aMessage) ||
              std::holds_alternative<wire::PartSuccess>(aMessage) ||
@@ -434,6 +441,7 @@
   TimePoint nextSearchLog{};
   bool tracksCrashes = false;
   bool grantsPermits = false;
+  bool grantsTrials = false;
   // When the last link to the leader was lost, or the process started.
   TimePoint lostAt{};
   bool isLeaving = false;
--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -109,6 +109,9 @@
     call;
   // Set by the CheckQuarantine filter.
   std::optional<RequestDigest> digest;
+  // One copy at a time may be forwarded, to find out whether it crashes its
+  // endpoint.
+  bool isTried = false;
   // Time by which the answer must begin, if there is a limit.
   std::optional<TimePoint> deadline;
   // Set by the Admit filter; true while the request is queued or admitted.
@@ -223,10 +226,12 @@
 std::vector<PromptPartId>
 PartsOf(const Request& aRequest);
 
-// Calls aDone with what is known of the request as a cause of crashes. It does
-// not run if the request ends meanwhile.
+// Calls aDone with what is known of the request as a cause of crashes; with
+// aIsForwarding, the request is forwarded now if it may be. aDone does not run
+// if the request ends meanwhile.
 void
 CheckQuarantine(const RequestPtr& aRequest,
+                bool aIsForwarding,
                 std::function<void(const CheckRequestReply&)> aDone);
 
 // Returns whether the request may be sent to one more endpoint.
--- a/packages/router/src/forward.cc
+++ b/packages/router/src/forward.cc
@@ -52,13 +52,15 @@
 // attempt.
 constexpr Duration kMinRecheckWait = std::chrono::milliseconds(100);
 
-// Returns whether the request may have been quarantined since it was checked.
+// Returns whether the request may have been quarantined since it was checked,
+// or another copy may be forwarded in its place.
 bool
 NeedsCheck(const Request& aRequest)
 {
   auto waited =
     net::Now(aRequest.exchange->Task().GetRuntime()) - aRequest.startedAt;
-  return !aRequest.triedEndpoints.empty() || waited >= kMinRecheckWait;
+  return aRequest.isTried || !aRequest.triedEndpoints.empty() ||
+         waited >= kMinRecheckWait;
 }
 
 } // namespace
@@ -77,6 +79,7 @@
   }
   CheckQuarantine(
     aRequest,
+    true,
     [aRequest,
      ticket = aRequest->attempt.ticket,
      query = std::move(aQuery),
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -227,6 +227,9 @@
 {
   std::vector<PromptPartId> parts;
   RequestDigest digest;
+  // It is forwarded now if it may be. Of a request that is tried, one copy at a
+  // time may.
+  bool isForwarding = false;
 };
 struct CheckRequestReply
 {
@@ -360,6 +363,12 @@
   Duration remaining{};
 };
 
+// Says whether control decides which copy of a tried request is forwarded.
+struct TrialSourceChanged
+{
+  bool isControl = false;
+};
+
 // Says where permits for limited endpoints come from now.
 struct PermitSourceChanged
 {
@@ -488,6 +497,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointAnswered)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::SetEvacuatedZones)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointCold)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::TrialSourceChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::PermitSourceChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CrashSuspected)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::RequestSucceeded)
--- a/packages/router/src/quarantine_controller.cc
+++ b/packages/router/src/quarantine_controller.cc
@@ -27,6 +27,9 @@
 // router knows.
 constexpr Duration kLearnTime = std::chrono::seconds(2);
 
+// Time in which control answers a question; a reply takes some milliseconds.
+constexpr Duration kTrialReplyTimeout = std::chrono::milliseconds(500);
+
 // Tells crashes of endpoints from single broken connections, and exchanges
 // observations and lists with control. Without contact with control, what this
 // router observes decides alone.
@@ -48,14 +51,20 @@
         this->CheckEndpoint(std::move(aSuspected));
       },
       [this](RequestSucceeded& aSucceeded) { this->ReportSuccess(aSucceeded); },
-      [this](CheckRequest& aCheck) { return this->Check(aCheck); },
+      [this](CheckRequest& aCheck) { return this->HandleCheck(aCheck); },
       [this](FromControl& aMessage) { this->Handle(aMessage.message); },
       [this](ViewChanged& aChanged) { this->HandleView(*aChanged.view); },
       [this](ControlUp) {
         this->contactSince = this->Time();
         this->Resend();
       },
-      [this](ControlDown) { this->contactSince.reset(); },
+      [this](ControlDown) {
+        this->contactSince.reset();
+        this->HandleTrialSource(false);
+      },
+      [this](TrialSourceChanged aChanged) {
+        this->HandleTrialSource(aChanged.isControl);
+      },
       [this](caf::actor& aLink) { this->link = aLink; },
       [this](DumpState) { return this->Dump(); },
     };
@@ -64,6 +73,64 @@
 private:
   TimePoint Time() const { return net::Now(this->GetRuntime()); }
 
+  caf::result<CheckRequestReply> HandleCheck(const CheckRequest& aCheck)
+  {
+    auto reply = this->Check(aCheck);
+    bool isTrial = aCheck.isForwarding && !reply.hasQuarantinedPart &&
+                   reply.verdict == quarantine::RequestVerdict::OneAttempt;
+    if (!isTrial) {
+      return reply;
+    }
+    if (!this->isControlTrying) {
+      return this->MakeTrialReply(
+        this->observed.BeginTrial(aCheck.digest, this->Time()));
+    }
+    return this->AskForTrial(aCheck.digest);
+  }
+
+  static CheckRequestReply MakeTrialReply(bool aIsGranted)
+  {
+    return { false,
+             aIsGranted ? quarantine::RequestVerdict::OneAttempt
+                        : quarantine::RequestVerdict::Held };
+  }
+
+  // Of the copies that wait for control's reply, only the first could be
+  // forwarded.
+  caf::result<CheckRequestReply> AskForTrial(RequestDigest aDigest)
+  {
+    if (this->asked.contains(aDigest)) {
+      return this->MakeTrialReply(false);
+    }
+    auto promise = this->make_response_promise();
+    const auto number = ++this->lastAsked;
+    this->asked.emplace(aDigest, Asked{ promise, number });
+    this->send(this->link, ToControl{ wire::TrialRequest{ aDigest } });
+    this->After(kTrialReplyTimeout, [this, aDigest, number] {
+      auto found = this->asked.find(aDigest);
+      if (found != this->asked.end() && found->second.number == number) {
+        this->EndAsking(aDigest, false);
+      }
+    });
+    return promise;
+  }
+
+  void EndAsking(RequestDigest aDigest, bool aIsGranted)
+  {
+    auto found = this->asked.extract(aDigest);
+    if (!found.empty()) {
+      found.mapped().promise.deliver(this->MakeTrialReply(aIsGranted));
+    }
+  }
+
+  void HandleTrialSource(bool aIsControl)
+  {
+    this->isControlTrying = aIsControl;
+    while (!aIsControl && !this->asked.empty()) {
+      this->EndAsking(this->asked.begin()->first, false);
+    }
+  }
+
   CheckRequestReply Check(const CheckRequest& aCheck) const
   {
     return {
@@ -201,6 +268,10 @@
 
   void Handle(const wire::Message& aMessage)
   {
+    if (const auto* reply = std::get_if<wire::TrialReply>(&aMessage)) {
+      this->EndAsking(reply->digest, reply->granted);
+      return;
+    }
     const auto* state = std::get_if<wire::QuarantineState>(&aMessage);
     if (state == nullptr) {
       return;
@@ -355,7 +426,18 @@
            "}";
   }
 
+  // A copy of a request that waits for control's reply.
+  struct Asked
+  {
+    caf::response_promise promise;
+    std::uint64_t number = 0;
+  };
+
   caf::actor link;
+  // Control decides which copy of a tried request is forwarded.
+  bool isControlTrying = false;
+  std::map<RequestDigest, Asked> asked;
+  std::uint64_t lastAsked = 0;
   // When the link to control was opened; empty without one.
   std::optional<TimePoint> contactSince;
   // The newest lists from control; kept while it is out of contact.
--- a/packages/router/test/quarantine_controller_test.cc
+++ b/packages/router/test/quarantine_controller_test.cc
@@ -87,6 +87,23 @@
       [&] { return this->CountSent<wire::CrashReport>() > reports; });
   }
 
+  // Control's lists with the deadly request.
+  static wire::QuarantineState MakeState(quarantine::RequestState aState)
+  {
+    constexpr Milliseconds kTime = 10min;
+    wire::QuarantineState state;
+    state.requests = {
+      { kDeadlyRequest, static_cast<std::uint8_t>(aState), 3, kTime, kTime }
+    };
+    return state;
+  }
+
+  // Asks to forward a copy of a request.
+  void Ask(RequestDigest aDigest)
+  {
+    this->Tell(this->link, CheckRequest{ {}, aDigest, true });
+  }
+
   quarantine::RequestVerdict Check(RequestDigest aDigest)
   {
     auto checks = this->exchanged.verdicts.size();
@@ -151,18 +168,67 @@
   }
 }
 
+// Guards against copies of a request that each router forwards during a trial.
+TEST_CASE_METHOD(QuarantineControllerFixture,
+                 "Control decides which copy of a tried request is forwarded")
+{
+  this->Tell(this->controller, ControlUp{});
+  this->Tell(this->controller, TrialSourceChanged{ true });
+  this->Tell(this->controller,
+             FromControl{ MakeState(quarantine::RequestState::OnTrial) });
+  CHECK(this->Check(kDeadlyRequest) == quarantine::RequestVerdict::OneAttempt);
+  this->Ask(kDeadlyRequest);
+  CHECK(this->exchanged.verdicts.size() == 1);
+  CHECK(this->CountSent<wire::TrialRequest>() == 1);
+  // Another copy does not wait.
+  this->Ask(kDeadlyRequest);
+  CHECK(this->exchanged.verdicts.back() == quarantine::RequestVerdict::Held);
+  CHECK(this->CountSent<wire::TrialRequest>() == 1);
+  SECTION("granted")
+  {
+    this->Tell(this->controller,
+               FromControl{ wire::TrialReply{ kDeadlyRequest, true } });
+    CHECK(this->exchanged.verdicts.back() ==
+          quarantine::RequestVerdict::OneAttempt);
+  }
+  SECTION("refused")
+  {
+    this->Tell(this->controller,
+               FromControl{ wire::TrialReply{ kDeadlyRequest, false } });
+    CHECK(this->exchanged.verdicts.back() == quarantine::RequestVerdict::Held);
+  }
+  SECTION("no reply")
+  {
+    this->Advance(1s);
+    CHECK(this->exchanged.verdicts.back() == quarantine::RequestVerdict::Held);
+  }
+  SECTION("link lost")
+  {
+    this->Tell(this->controller, ControlDown{});
+    CHECK(this->exchanged.verdicts.back() == quarantine::RequestVerdict::Held);
+  }
+  CHECK(this->exchanged.verdicts.size() == 3);
+}
+
+// Guards against the same at a router without contact with control.
+TEST_CASE_METHOD(QuarantineControllerFixture,
+                 "A router without contact forwards one copy in a trial")
+{
+  this->Tell(this->controller,
+             FromControl{ MakeState(quarantine::RequestState::OnProbation) });
+  for (auto expected : { quarantine::RequestVerdict::OneAttempt,
+                         quarantine::RequestVerdict::Held }) {
+    this->Ask(kDeadlyRequest);
+    CHECK(this->exchanged.verdicts.back() == expected);
+  }
+}
+
 // Guards against a new leader that lets a quarantined request run again.
 TEST_CASE_METHOD(QuarantineControllerFixture,
                  "A new leader gets what an earlier one has quarantined")
 {
-  wire::QuarantineState state;
-  state.requests = { { kDeadlyRequest,
-                       static_cast<std::uint8_t>(
-                         quarantine::RequestState::Quarantined),
-                       3,
-                       Milliseconds(600'000),
-                       Milliseconds(600'000) } };
-  this->Tell(this->controller, FromControl{ state });
+  this->Tell(this->controller,
+             FromControl{ MakeState(quarantine::RequestState::Quarantined) });
   this->Tell(this->controller, ControlDown{});
   this->Tell(this->controller, ControlUp{});
   REQUIRE(this->CountSent<wire::QuarantineState>() == 1);
--- a/packages/wire/include/lycheestand/wire.h
+++ b/packages/wire/include/lycheestand/wire.h
@@ -69,6 +69,8 @@
   bool grantsPermits = false;
   // Session of a router that lends tokens; control sends none.
   SessionId session;
+  // False for control of an earlier version, which knows no TrialRequest.
+  bool grantsTrials = false;
 };
 
 // Sent by a router once per heartbeat interval (1 s by default).
@@ -344,6 +346,18 @@
   Milliseconds wait{};
 };
 
+// A router asks whether it may forward a request that is tried.
+struct TrialRequest
+{
+  RequestDigest digest;
+};
+
+struct TrialReply
+{
+  RequestDigest digest;
+  bool granted = false;
+};
+
 // One entry of the replicated log.
 struct LogRecord
 {
@@ -398,7 +412,9 @@
                              LimitReport,
                              LimitState,
                              PermitRequest,
-                             PermitReply>;
+                             PermitReply,
+                             TrialRequest,
+                             TrialReply>;
 
 // Reasons for which Decode fails.
 enum class WireError
--- a/packages/wire/src/codec.cc
+++ b/packages/wire/src/codec.cc
@@ -359,6 +359,7 @@
   out.tracks_crashes = aIn.tracksCrashes;
   out.grants_permits = aIn.grantsPermits;
   out.session = aIn.session.Get();
+  out.grants_trials = aIn.grantsTrials;
   return out;
 }
 
@@ -371,7 +372,8 @@
            UnpackList<ControlEntry>(aIn.control),
            aIn.tracks_crashes,
            aIn.grants_permits,
-           SessionId(aIn.session) };
+           SessionId(aIn.session),
+           aIn.grants_trials };
 }
 
 fb::HeartbeatAckT
@@ -718,6 +720,35 @@
   return { EndpointId(aIn.endpoint), aIn.granted, Milliseconds(aIn.wait_ms) };
 }
 
+fb::TrialRequestT
+Pack(const TrialRequest& aIn)
+{
+  fb::TrialRequestT out;
+  out.digest = aIn.digest.Get();
+  return out;
+}
+
+TrialRequest
+Unpack(const fb::TrialRequestT& aIn)
+{
+  return { RequestDigest(aIn.digest) };
+}
+
+fb::TrialReplyT
+Pack(const TrialReply& aIn)
+{
+  fb::TrialReplyT out;
+  out.digest = aIn.digest.Get();
+  out.granted = aIn.granted;
+  return out;
+}
+
+TrialReply
+Unpack(const fb::TrialReplyT& aIn)
+{
+  return { RequestDigest(aIn.digest), aIn.granted };
+}
+
 fb::ReplicationT
 Pack(const Replication& aIn)
 {
@@ -813,6 +844,10 @@
       return Unpack(*aBody.AsPermitRequest());
     case fb::Body::PermitReply:
       return Unpack(*aBody.AsPermitReply());
+    case fb::Body::TrialRequest:
+      return Unpack(*aBody.AsTrialRequest());
+    case fb::Body::TrialReply:
+      return Unpack(*aBody.AsTrialReply());
     case fb::Body::NONE:
       break;
   }
--- a/packages/wire/test/codec_test.cc
+++ b/packages/wire/test/codec_test.cc
@@ -132,6 +132,19 @@
   CHECK(std::get<Welcome>(welcome.value()).grantsPermits);
 }
 
+// Guards against a permission to forward a request that is lost, or taken for
+// another one's, on its way.
+TEST_CASE("Messages about trials keep their fields")
+{
+  auto request = Decode(Encode(TrialRequest{ RequestDigest(7) }));
+  CHECK(std::get<TrialRequest>(request.value()).digest == RequestDigest(7));
+  auto reply = Decode(Encode(TrialReply{ RequestDigest(8), true }));
+  CHECK(std::get<TrialReply>(reply.value()).digest == RequestDigest(8));
+  CHECK(std::get<TrialReply>(reply.value()).granted);
+  auto welcome = Decode(Encode(Welcome{ .grantsTrials = true }));
+  CHECK(std::get<Welcome>(welcome.value()).grantsTrials);
+}
+
 // Fails if truncated or corrupted input from a faulty or hostile peer crashes
 // the decoder. The seed is fixed.
 TEST_CASE("Decode rejects malformed input without crashing")
