Hold the request at the most crashes when all places are taken

Callers would see: a deadly request goes on crashing endpoints, while four sound ones that were at its first two crashes are held.

Cause: four requests at most are held at a time, and the first ones that were reported kept their places for a minute. The deadly one, which had further crashes of its own, was forwarded to the fourth crash without a bound on its copies.

A request at more crashes now takes the place of the held one at the fewest; that one is released as displaced and stays suspected. The number of held requests keeps its bound, which sound parts of prompts rely on.

--- a/packages/quarantine/include/lycheestand/quarantine.h
+++ b/packages/quarantine/include/lycheestand/quarantine.h
@@ -302,6 +302,8 @@
   Succeeded,
   // All its crashes are also those of a request that is quarantined now.
   Explained,
+  // Another request, at more crashes, is held in its place.
+  Displaced,
   Expired,
   Lifted
 };
@@ -446,6 +448,7 @@
                                       const Record& aRecord) const;
   std::size_t CountShared(const Record& aLeft, const Record& aRight) const;
   std::size_t CountHeld() const;
+  bool MakePlace(unsigned aCrashes);
   bool IsSettling(const Record& aRecord, TimePoint aNow) const;
   void SettleRivals(TimePoint aNow);
   bool Explains(const Record& aCulprit, const Record& aOther) const;
--- a/packages/quarantine/src/request_tracker.cc
+++ b/packages/quarantine/src/request_tracker.cc
@@ -30,6 +30,8 @@
       return "succeeded";
     case ReleaseReason::Explained:
       return "explained";
+    case ReleaseReason::Displaced:
+      return "displaced";
     case ReleaseReason::Expired:
       return "expired";
     case ReleaseReason::Lifted:
@@ -169,7 +171,7 @@
   if (isExplained) {
     this->Clear(aDigest, aRecord, ReleaseReason::Explained);
   } else if (aRecord.state == RequestState::Suspected) {
-    if (this->CountHeld() >= this->options.maxHeld) {
+    if (!this->MakePlace(aRecord.count)) {
       return;
     }
     aRecord.state = RequestState::Held;
@@ -180,6 +182,32 @@
   }
 }
 
+// Returns whether one more request, at so many crashes, may be held. If none
+// may, the one at the fewest crashes is no longer held if it has fewer.
+bool
+RequestTracker::MakePlace(unsigned aCrashes)
+{
+  if (this->CountHeld() < this->options.maxHeld) {
+    return true;
+  }
+  RequestDigest digest{ 0 };
+  Record* least = nullptr;
+  for (auto& [other, record] : this->records) {
+    bool isLess = record.state == RequestState::Held &&
+                  (least == nullptr || record.count < least->count);
+    if (isLess) {
+      digest = other;
+      least = &record;
+    }
+  }
+  if (least == nullptr || least->count >= aCrashes) {
+    return false;
+  }
+  least->state = RequestState::Suspected;
+  this->Decide({ digest, {}, ReleaseReason::Displaced, least->count });
+  return true;
+}
+
 std::size_t
 RequestTracker::CountHeld() const
 {
--- a/packages/quarantine/test/request_tracker_test.cc
+++ b/packages/quarantine/test/request_tracker_test.cc
@@ -210,6 +210,32 @@
   CHECK(this->Verdict(all[0]) == RequestVerdict::Quarantined);
 }
 
+// Guards against a request that crashes one endpoint after the other, since
+// sound ones at its first crashes take all places of held requests.
+TEST_CASE_METHOD(RequestTrackerFixture,
+                 "A request at more crashes takes the place of a held one")
+{
+  std::vector<RequestDigest> all;
+  for (std::uint64_t i = 1; i <= RequestTrackerOptions().maxHeld; ++i) {
+    all.emplace_back(i);
+  }
+  all.push_back(kDeadlyRequest);
+  this->Crash(all);
+  this->Crash(all);
+  REQUIRE(this->Verdict(kDeadlyRequest) == RequestVerdict::Accepted);
+  this->tracker.TakeDecisions();
+  this->Crash({ kDeadlyRequest });
+  CHECK(this->Verdict(kDeadlyRequest) == RequestVerdict::Held);
+  CHECK(this->TakeRelease() == ReleaseReason::Displaced);
+  // One with as many crashes stays.
+  this->Crash(all);
+  this->tracker.TakeDecisions();
+  this->Crash({ kOtherRequest });
+  this->Crash({ kOtherRequest });
+  CHECK(this->Verdict(kOtherRequest) == RequestVerdict::Accepted);
+  CHECK(this->Verdict(kDeadlyRequest) != RequestVerdict::Accepted);
+}
+
 // Guards against a held request that is never tried because another one is.
 TEST_CASE_METHOD(RequestTrackerFixture, "Held requests are tried in turn")
 {
