Relate crashes of a request that are minutes apart

Callers would see: a request that is sent again some minutes after each crash goes on crashing endpoints without end.

Cause: a request was forgotten a minute after its last crash, with the hold, so crashes further apart never added up to three.

A hold still ends after a minute, so that no request takes one of its four places for long, but the crashes count for ten minutes.

The case 'A hold is forgotten after a minute' checked both by one time.

--- a/packages/quarantine/include/lycheestand/quarantine.h
+++ b/packages/quarantine/include/lycheestand/quarantine.h
@@ -334,9 +334,10 @@
   // Time after a crash in which several routers report the requests that were
   // at the endpoint.
   Duration settleTime = std::chrono::milliseconds(200);
-  // Time without a crash after which a request is forgotten that is not
-  // quarantined.
-  Duration crashLifetime = std::chrono::minutes(1);
+  // Time without a crash after which a request is no longer held.
+  Duration holdTime = std::chrono::minutes(1);
+  // Time without a crash after which a suspected request is forgotten.
+  Duration crashLifetime = std::chrono::minutes(10);
   // Time without an outcome after which another held request, or another copy,
   // is tried.
   Duration trialTime = std::chrono::seconds(2);
--- a/packages/quarantine/src/request_tracker.cc
+++ b/packages/quarantine/src/request_tracker.cc
@@ -446,22 +446,22 @@
     case RequestState::OnProbation:
       this->isChanged |= aRecord.end <= aNow;
       return aRecord.end <= aNow;
-    case RequestState::Suspected:
     case RequestState::Held:
     case RequestState::OnTrial:
+      if (aNow - aRecord.lastCrash >= this->options.holdTime) {
+        this->Decide({ aDigest, {}, ReleaseReason::Expired, aRecord.count });
+        aRecord.state = RequestState::Suspected;
+      }
+      return false;
+    case RequestState::Suspected:
       break;
   }
   TimePoint last = std::max({ aRecord.lastCrash,
                               aRecord.succeededAt,
                               aRecord.forwardedAt.value_or(TimePoint{}) });
-  if (aNow - last < this->options.crashLifetime) {
-    return false;
-  }
-  if (aRecord.state != RequestState::Suspected) {
-    this->Decide({ aDigest, {}, ReleaseReason::Expired, aRecord.count });
-  }
-  this->isChanged = true;
-  return true;
+  bool isForgotten = aNow - last >= this->options.crashLifetime;
+  this->isChanged |= isForgotten;
+  return isForgotten;
 }
 
 // One held request at a time may run, so that its crash or success is its own.
@@ -548,7 +548,7 @@
   bool isTimed = aRecord.state == RequestState::Quarantined ||
                  aRecord.state == RequestState::OnProbation;
   TimePoint end =
-    isTimed ? aRecord.end : aRecord.lastCrash + this->options.crashLifetime;
+    isTimed ? aRecord.end : aRecord.lastCrash + this->options.holdTime;
   return { aDigest, aRecord.state, aRecord.count, end, aRecord.length };
 }
 
--- a/packages/quarantine/test/request_tracker_test.cc
+++ b/packages/quarantine/test/request_tracker_test.cc
@@ -333,15 +333,33 @@
 }
 
 // Guards against a hold without end of a request that nobody sends any more.
-TEST_CASE_METHOD(RequestTrackerFixture, "A hold is forgotten after a minute")
+TEST_CASE_METHOD(RequestTrackerFixture, "A hold ends after a minute")
 {
   this->Crash({ kSoundRequest });
   this->Crash({ kSoundRequest });
   this->Advance(59s);
   CHECK(this->tracker.StateOf(kSoundRequest) == RequestState::OnTrial);
   this->Advance(1s);
-  CHECK_FALSE(this->tracker.StateOf(kSoundRequest));
+  CHECK(this->Verdict(kSoundRequest) == RequestVerdict::Accepted);
+  CHECK(this->tracker.Lists().entries.empty());
   CHECK(this->TakeRelease() == ReleaseReason::Expired);
+  // Its crashes are remembered for longer.
+  this->Advance(8min + 59s);
+  CHECK(this->tracker.StateOf(kSoundRequest) == RequestState::Suspected);
+  this->Advance(1s);
+  CHECK_FALSE(this->tracker.StateOf(kSoundRequest));
+}
+
+// Guards against a request that crashes one endpoint after the other without
+// end, since its callers send it again some minutes later.
+TEST_CASE_METHOD(RequestTrackerFixture, "Crashes minutes apart are related")
+{
+  for (int i = 0; i < 3; ++i) {
+    this->Advance(9min);
+    CHECK(this->Verdict(kDeadlyRequest) == RequestVerdict::Accepted);
+    this->Crash({ kDeadlyRequest });
+  }
+  CHECK(this->Verdict(kDeadlyRequest) == RequestVerdict::Quarantined);
 }
 
 // Guards against a request that crashes three more endpoints after each
