--- a/packages/router/src/quarantine_controller.cc
+++ b/packages/router/src/quarantine_controller.cc
@@ -147,16 +147,16 @@
   {
     auto own = quarantine::Judge(this->observed.StateOf(aDigest));
     auto found = this->told.find(aDigest);
-    if (found == this->told.end()) {
-      return !this->contactSince || this->IsNews(aDigest)
-               ? own
-               : quarantine::RequestVerdict::Accepted;
-    }
+    bool isTold = found != this->told.end();
     auto told =
-      quarantine::Judge(quarantine::StateAt(found->second, this->Time()));
-    bool isNews =
-      own == quarantine::RequestVerdict::Quarantined && this->IsNews(aDigest);
-    return !this->contactSince || isNews ? std::max(own, told) : told;
+      isTold
+        ? quarantine::Judge(quarantine::StateAt(found->second, this->Time()))
+        : quarantine::RequestVerdict::Accepted;
+    if (!this->contactSince) {
+      return std::max(own, told);
+    }
+    bool mayDiffer = !isTold || own == quarantine::RequestVerdict::Quarantined;
+    return mayDiffer && this->IsNews(aDigest) ? std::max(own, told) : told;
   }
 
   // Returns whether control, with which this router is in contact, may not have
--- a/packages/router/test/quarantine_controller_test.cc
+++ b/packages/router/test/quarantine_controller_test.cc
@@ -168,6 +168,23 @@
   }
 }
 
+// Guards against a router without contact that goes by the last lists alone.
+TEST_CASE_METHOD(QuarantineControllerFixture,
+                 "Without contact the stricter judgment of a request counts")
+{
+  this->Tell(this->controller, ControlUp{});
+  this->Tell(this->controller,
+             FromControl{ MakeState(quarantine::RequestState::OnTrial) });
+  this->Tell(this->controller, ControlDown{});
+  CHECK(this->Check(kDeadlyRequest) == quarantine::RequestVerdict::OneAttempt);
+  for (int i = 0; i < 3; ++i) {
+    this->Crash({ kDeadlyRequest });
+  }
+  CHECK(this->Check(kDeadlyRequest) == quarantine::RequestVerdict::Quarantined);
+  this->Advance(5s);
+  CHECK(this->Check(kDeadlyRequest) == quarantine::RequestVerdict::Quarantined);
+}
+
 // Guards against copies of a request that each router forwards during a trial.
 TEST_CASE_METHOD(QuarantineControllerFixture,
                  "Control decides which copy of a tried request is forwarded")
