Answer operators when no quorum confirms their request in time

Callers saw: while the disks of the control group were stalled, an operator's change or read on the project's own interface got neither an answer nor a refusal.

Cause: the handler waited for the replica without a limit. A leader whose disks answer no sync keeps its place, since heartbeats need no disk, and neither commits nor refuses. The class: a wait without a limit on something that another machine's health decides. The postmortem said of it that all controllers reply; that was read from the code of one machine.

The handler now waits for kQuorumTimeout (2.5 s), which the other users of the replica had already, and answers 503 not_leader: with ran unknown for a change, which may be committed later and is resent with its change id, and not_run for the rest. A route table that was not confirmed is logged (routes_unconfirmed); nothing told of it before.

--- a/packages/control/src/control.cc
+++ b/packages/control/src/control.cc
@@ -9,9 +9,6 @@
 
 namespace {
 
-// Covers the wait for a quorum. Operators' clients give up after about 1 s.
-constexpr Duration kReplicaTimeout = std::chrono::milliseconds(2500);
-
 RoutesReply
 MakeReply(bool aIsAnswered, const InstanceId& aLeader)
 {
@@ -37,6 +34,16 @@
   }
 }
 
+void
+LogUnconfirmed(ConfigVersion aVersion)
+{
+  net::Log(net::LogLevel::Warning,
+           "no quorum confirmed a route table in time; it may be committed "
+           "later",
+           { { "event", "routes_unconfirmed" },
+             { "version", std::to_string(aVersion.Get()) } });
+}
+
 EvacuationReply
 ToReply(const ZoneOrderResult& aResult)
 {
@@ -88,7 +95,7 @@
     state::ReplaceRoutes command{ aDocument.version,
                                   std::move(aDocument.text),
                                   std::move(aDocument.prepaid) };
-    aTask.request(this->replica, kReplicaTimeout, Propose{ std::move(command) })
+    aTask.request(this->replica, kQuorumTimeout, Propose{ std::move(command) })
       .then(
         [aDone, version](const ProposalResult& aResult) {
           RoutesReply reply =
@@ -105,7 +112,10 @@
           LogReplacement(version, reply);
           aDone(reply);
         },
-        [aDone](const caf::error&) { aDone({}); });
+        [aDone, version](const caf::error&) {
+          LogUnconfirmed(version);
+          aDone({});
+        });
   }
 
   void SetZoneEvacuation(net::IoTask& aTask,
@@ -126,7 +136,7 @@
 
   void ReadRoutes(net::IoTask& aTask, RoutesCallback aDone) override
   {
-    aTask.request(this->replica, kReplicaTimeout, GetRoutes{})
+    aTask.request(this->replica, kQuorumTimeout, GetRoutes{})
       .then(
         [aDone](const RoutesResult& aFound) {
           RoutesReply reply =
--- a/packages/control/src/messages.h
+++ b/packages/control/src/messages.h
@@ -15,6 +15,10 @@
 
 namespace lycheestand::control {
 
+// Time in which a quorum confirms a command or a read unless disks or links are
+// stalled. Callers of the platform give up after about 1 s and ask again.
+constexpr Duration kQuorumTimeout = std::chrono::milliseconds(2500);
+
 // Requests that a command be committed and applied; the response is
 // ProposalResult.
 struct Propose
--- a/packages/control/src/operator_handler.cc
+++ b/packages/control/src/operator_handler.cc
@@ -111,6 +111,18 @@
   std::string problem;
 };
 
+void
+SendNotLeader(const net::ExchangePtr& aExchange, const InstanceId& aLeader)
+{
+  SendError(aExchange,
+            503,
+            "not_leader",
+            "this instance is not the leader, or no quorum confirmed it in "
+            "time; send the request to the leader",
+            ExecutionState::NotRun,
+            aLeader);
+}
+
 unsigned
 HttpStatusOf(state::Rejection aReason)
 {
@@ -153,9 +165,9 @@
     SendError(aExchange,
               503,
               "not_leader",
-              "this instance is not the leader, or lost leadership before it "
-              "learned whether the change was committed; resend the change "
-              "with the same change id to the leader",
+              "this instance is not the leader, or did not learn in time "
+              "whether the change was committed; resend the change with the "
+              "same change id to the leader",
               aResult.isUnknown ? ExecutionState::Unknown
                                 : ExecutionState::NotRun,
               aResult.leader);
@@ -178,10 +190,12 @@
               state::Command aCommand)
 {
   aExchange->Task()
-    .request(aTasks.replica, caf::infinite, Propose{ std::move(aCommand) })
-    .then([aExchange](const ProposalResult& aResult) {
-      SendResult(aExchange, aResult);
-    });
+    .request(aTasks.replica, kQuorumTimeout, Propose{ std::move(aCommand) })
+    .then([aExchange](
+            const ProposalResult& aResult) { SendResult(aExchange, aResult); },
+          [aExchange](const caf::error&) {
+            SendResult(aExchange, { std::nullopt, {}, true });
+          });
 }
 
 // Proposes the command, or sends the body's error if there is one.
@@ -363,20 +377,16 @@
            std::function<std::string(const state::StateMachine&)> aRead)
 {
   aExchange->Task()
-    .request(aTasks.replica, caf::infinite, Query{ std::move(aRead) })
-    .then([aExchange](const QueryResult& aResult) {
-      if (aResult.text) {
-        SendResponse(aExchange, 200, *aResult.text);
-      } else {
-        SendError(
-          aExchange,
-          503,
-          "not_leader",
-          "this instance is not the leader; send the request to the leader",
-          ExecutionState::NotRun,
-          aResult.leader);
-      }
-    });
+    .request(aTasks.replica, kQuorumTimeout, Query{ std::move(aRead) })
+    .then(
+      [aExchange](const QueryResult& aResult) {
+        if (aResult.text) {
+          SendResponse(aExchange, 200, *aResult.text);
+        } else {
+          SendNotLeader(aExchange, aResult.leader);
+        }
+      },
+      [aExchange](const caf::error&) { SendNotLeader(aExchange, {}); });
 }
 
 // Calls aRun if a quorum confirms that this instance is the leader; otherwise
@@ -387,21 +397,17 @@
             std::function<void()> aRun)
 {
   aExchange->Task()
-    .request(aTasks.replica, caf::infinite, ConfirmLeadership{})
-    .then([aExchange,
-           run = std::move(aRun)](const LeadershipConfirmation& aConfirmation) {
-      if (aConfirmation.isLeader) {
-        run();
-        return;
-      }
-      SendError(
-        aExchange,
-        503,
-        "not_leader",
-        "this instance is not the leader; send the request to the leader",
-        ExecutionState::NotRun,
-        aConfirmation.leader);
-    });
+    .request(aTasks.replica, kQuorumTimeout, ConfirmLeadership{})
+    .then(
+      [aExchange,
+       run = std::move(aRun)](const LeadershipConfirmation& aConfirmation) {
+        if (aConfirmation.isLeader) {
+          run();
+        } else {
+          SendNotLeader(aExchange, aConfirmation.leader);
+        }
+      },
+      [aExchange](const caf::error&) { SendNotLeader(aExchange, {}); });
 }
 
 // Requests JSON text from a task that has it only while this instance is the
--- a/packages/control/src/zone_orders.cc
+++ b/packages/control/src/zone_orders.cc
@@ -4,11 +4,10 @@
 
 namespace {
 
-// Together less than the time within which the platform expects an
-// acknowledgement (5 s). The first covers the wait of a new leader for the
-// endpoint list, the second that for a quorum.
+// Covers the wait of a new leader for the endpoint list. Together with
+// kQuorumTimeout it is less than the time within which the platform expects an
+// acknowledgement (5 s).
 constexpr Duration kZonesTimeout = std::chrono::milliseconds(1500);
-constexpr Duration kQuorumTimeout = std::chrono::milliseconds(2500);
 
 std::string
 JoinZones(const std::set<ZoneId>& aZones)
