Log and count writes that a disk does not complete

Control logs disk_stalled when a write to the replicated log has taken 1 s, and disk_answers when it is complete, and sets lycheestand_disk_stalled.

--- a/packages/control/src/replica.cc
+++ b/packages/control/src/replica.cc
@@ -19,6 +19,9 @@
 // which it is repeated. An election normally takes less than two seconds.
 constexpr Duration kNoLeaderWarningInterval = std::chrono::seconds(3);
 
+// A write, with its sync, normally takes some milliseconds.
+constexpr Duration kStalledWriteTime = std::chrono::seconds(1);
+
 std::string
 JoinInstances(const std::set<consensus::Member>& aMembers)
 {
@@ -113,6 +116,7 @@
     this->ProcessEffects(this->node.Tick(net::Now(this->GetRuntime())));
     this->network.OpenLinks();
     this->WarnIfNoLeader();
+    this->WarnIfDiskStalls();
     this->ReportLostVoters();
     this->After(kTickInterval, [this] { this->TickPeriodically(); });
   }
@@ -248,6 +252,7 @@
       this->ExitProcess(aError);
     }
     this->isWriting = false;
+    this->SetDiskStalled(false);
     this->ProcessEffects(this->node.CompleteWrites(aNumber));
     this->StartNextWrite();
   }
@@ -403,6 +408,34 @@
                  std::to_string(voters == 0 ? 0 : (voters - 1) / 2) } });
   }
 
+  void WarnIfDiskStalls()
+  {
+    if (this->isWriting && this->WriteTime() >= kStalledWriteTime) {
+      this->SetDiskStalled(true);
+    }
+  }
+
+  Duration WriteTime() const
+  {
+    return net::Now(this->GetRuntime()) - this->writeStartedAt;
+  }
+
+  // While the disk of a majority is stalled, nothing can be committed.
+  void SetDiskStalled(bool aIsStalled)
+  {
+    if (aIsStalled == this->isDiskStalled) {
+      return;
+    }
+    this->isDiskStalled = aIsStalled;
+    auto time = std::chrono::duration_cast<Milliseconds>(this->WriteTime());
+    net::Log(aIsStalled ? net::LogLevel::Warning : net::LogLevel::Info,
+             aIsStalled ? "the disk does not complete a write"
+                        : "the disk has completed a write",
+             { { "event", aIsStalled ? "disk_stalled" : "disk_answers" },
+               { "ms", std::to_string(time.count()) } });
+    net::Metrics().GetGauge("lycheestand_disk_stalled").Set(aIsStalled ? 1 : 0);
+  }
+
   void WarnIfNoLeader()
   {
     auto now = net::Now(this->GetRuntime());
@@ -464,6 +497,7 @@
       return;
     }
     this->isWriting = true;
+    this->writeStartedAt = net::Now(this->GetRuntime());
     std::uint64_t first = this->writes.front().number;
     std::size_t before = this->writes.size();
     auto batch =
@@ -503,6 +537,8 @@
   std::map<consensus::ReadId, std::function<void(bool)>> reads;
   std::deque<consensus::Write> writes;
   bool isWriting = false;
+  TimePoint writeStartedAt{};
+  bool isDiskStalled = false;
   LeadershipChanged publishedLeadership;
   Revision publishedRevision;
   // Evacuated zones that were last published, and the revision of that time.
