Wait for successes after a new leader learns of crashes

Callers saw: after the death of a leader of control, most requests of a class were refused as prompt_quarantined for ten minutes, though one of its requests was deadly.

Cause: routers tell a new leader the crashes of the last seconds with their age. The time in which a success could speak for a prompt part was counted from the crash and was over then, and no router had reported a success, since it did not know the new leader's suspects. A part that all requests of the class share explained most crashes and was quarantined with the first update. The class: evidence without its counter-evidence after a hand-over.

The time now counts from when the leader learnt of the first of the crashes; within it routers have the suspects and report successes. Another leader's quarantine is still in force at once.

--- a/packages/control/src/quarantine_controller.cc
+++ b/packages/control/src/quarantine_controller.cc
@@ -99,7 +99,7 @@
   {
     TimePoint time = this->Time() - aReport.age;
     if (!aReport.parts.empty()) {
-      this->parts.AddCrash(aReport.endpoint, aReport.parts, time);
+      this->parts.AddCrash(aReport.endpoint, aReport.parts, time, this->Time());
     }
     this->requests.AddCrash(aReport.endpoint, aReport.digests, time);
     this->PublishIfUrgent();
--- a/packages/quarantine/include/lycheestand/quarantine.h
+++ b/packages/quarantine/include/lycheestand/quarantine.h
@@ -49,8 +49,8 @@
   // Reports of one endpoint within this time are of the same crash. They come
   // from several routers; the endpoint may start again under its id.
   Duration reportTime = std::chrono::seconds(1);
-  // Time after the first of these crashes in which a request with the part
-  // could have succeeded elsewhere.
+  // Time after the first of these crashes is known in which a request with the
+  // part could have succeeded elsewhere. Successes are reported only then.
   Duration observationTime = std::chrono::seconds(1);
   // Age at which a crash no longer counts.
   Duration crashLifetime = std::chrono::minutes(1);
@@ -73,11 +73,12 @@
   }
 
   // An endpoint crashed at aTime while it worked on a request with these parts,
-  // in the order of the prompt. Called for each such request; the first call
-  // determines the time of the crash.
+  // in the order of the prompt; that is known since aLearntAt. Called for each
+  // such request; the first call determines the times of the crash.
   void AddCrash(const EndpointId& aEndpoint,
                 const std::vector<PromptPartId>& aParts,
-                TimePoint aTime);
+                TimePoint aTime,
+                TimePoint aLearntAt);
 
   // Requests with these parts have succeeded.
   void AddSuccess(const std::vector<PromptPartId>& aParts, TimePoint aTime);
@@ -100,6 +101,7 @@
   {
     EndpointId endpoint;
     TimePoint time{};
+    TimePoint learntAt{};
     // Each part with its position in the prompt.
     std::map<PromptPartId, std::size_t> parts;
   };
@@ -108,13 +110,16 @@
   struct Evidence
   {
     std::size_t crashes = 0;
-    TimePoint first{};
+    // When the first of them became known, and the time of the last.
+    TimePoint knownSince{};
     TimePoint last{};
     std::size_t position = 0;
   };
   using EvidenceByPart = std::map<PromptPartId, Evidence>;
 
-  Crash& FindOrAddCrash(const EndpointId& aEndpoint, TimePoint aTime);
+  Crash& FindOrAddCrash(const EndpointId& aEndpoint,
+                        TimePoint aTime,
+                        TimePoint aLearntAt);
   void DropExpired(TimePoint aNow);
   bool IsExplained(const Crash& aCrash) const;
   EvidenceByPart CollectEvidence() const;
--- a/packages/quarantine/src/crash_tracker.cc
+++ b/packages/quarantine/src/crash_tracker.cc
@@ -15,7 +15,9 @@
 }
 
 CrashTracker::Crash&
-CrashTracker::FindOrAddCrash(const EndpointId& aEndpoint, TimePoint aTime)
+CrashTracker::FindOrAddCrash(const EndpointId& aEndpoint,
+                             TimePoint aTime,
+                             TimePoint aLearntAt)
 {
   auto same = std::find_if(
     this->crashes.begin(), this->crashes.end(), [&](const Crash& aCrash) {
@@ -33,15 +35,16 @@
     std::find_if(this->crashes.begin(),
                  this->crashes.end(),
                  [aTime](const Crash& aCrash) { return aCrash.time > aTime; });
-  return *this->crashes.insert(later, Crash{ aEndpoint, aTime, {} });
+  return *this->crashes.insert(later, Crash{ aEndpoint, aTime, aLearntAt, {} });
 }
 
 void
 CrashTracker::AddCrash(const EndpointId& aEndpoint,
                        const std::vector<PromptPartId>& aParts,
-                       TimePoint aTime)
+                       TimePoint aTime,
+                       TimePoint aLearntAt)
 {
-  Crash& crash = this->FindOrAddCrash(aEndpoint, aTime);
+  Crash& crash = this->FindOrAddCrash(aEndpoint, aTime, aLearntAt);
   for (std::size_t position = 0; position < aParts.size(); ++position) {
     crash.parts.emplace(aParts[position], position);
   }
@@ -109,10 +112,11 @@
       Evidence& found = evidence[part];
       found.position = std::max(found.position, position);
       if (found.crashes == 0) {
-        found.first = crash.time;
+        found.knownSince = crash.learntAt;
       } else if (crash.time - found.last < this->options.minCrashInterval) {
         continue;
       }
+      found.knownSince = std::min(found.knownSince, crash.learntAt);
       found.last = crash.time;
       ++found.crashes;
     }
@@ -144,7 +148,7 @@
   std::size_t needed =
     isTied ? this->options.minCrashesIfTied : this->options.minCrashes;
   bool isDue = worst->second.crashes >= needed &&
-               aNow - worst->second.first >= this->options.observationTime;
+               aNow - worst->second.knownSince >= this->options.observationTime;
   return isDue ? std::optional(worst->first) : std::nullopt;
 }
 
--- a/packages/quarantine/test/quarantine_test.cc
+++ b/packages/quarantine/test/quarantine_test.cc
@@ -19,8 +19,10 @@
 public:
   void Crash(const std::vector<PromptPartId>& aParts)
   {
-    this->tracker.AddCrash(
-      EndpointId("e" + std::to_string(++this->endpoints)), aParts, this->now);
+    this->tracker.AddCrash(EndpointId("e" + std::to_string(++this->endpoints)),
+                           aParts,
+                           this->now,
+                           this->now);
   }
 
   void Succeed(const std::vector<PromptPartId>& aParts)
@@ -67,6 +69,7 @@
     // Other requests at the same endpoint.
     this->tracker.AddCrash(EndpointId("e" + std::to_string(this->endpoints)),
                            { kCommon, kRare },
+                           this->now,
                            this->now);
     this->Succeed({ kCommon });
     this->Advance(150ms);
@@ -138,7 +141,8 @@
   this->Advance(500ms);
   this->Succeed({ kRare });
   // A report of an earlier crash arrives late.
-  this->tracker.AddCrash(EndpointId("late"), { kRare }, this->now - 100ms);
+  this->tracker.AddCrash(
+    EndpointId("late"), { kRare }, this->now - 100ms, this->now);
   this->Advance(5s);
   CHECK(this->Quarantined().empty());
   CHECK(this->Suspects().empty());
@@ -177,9 +181,11 @@
 {
   for (int i = 0; i < 3; ++i) {
     // Two routers report the crash.
-    this->tracker.AddCrash(EndpointId("e"), { kDeadly }, this->now);
-    this->tracker.AddCrash(
-      EndpointId("e"), { kDeadly, PromptPartId(100 + i) }, this->now - 200ms);
+    this->tracker.AddCrash(EndpointId("e"), { kDeadly }, this->now, this->now);
+    this->tracker.AddCrash(EndpointId("e"),
+                           { kDeadly, PromptPartId(100 + i) },
+                           this->now - 200ms,
+                           this->now);
     CHECK(this->Quarantined().empty());
     this->Advance(3s);
   }
