Name the trials of requests by what they are

Read as a newcomer would: the router's questions to control had three words (ask, try, trial), and a flag of the request said tried where it is on trial. The order of two requests in the tests of the tracker stands once now.

--- a/packages/control/src/messages.h
+++ b/packages/control/src/messages.h
@@ -174,8 +174,8 @@
   RequestDigest digest;
 };
 
-// To the quarantine controller: a router asks to forward a request that is
-// tried.
+// To the quarantine controller: a router asks to forward a copy of a request on
+// trial.
 struct RequestTrial
 {
   net::LinkId link;
--- a/packages/control/src/quarantine_controller.cc
+++ b/packages/control/src/quarantine_controller.cc
@@ -136,7 +136,7 @@
     if (isGranted) {
       net::Log(
         net::LogLevel::Info,
-        "a router forwards a request that is tried",
+        "a router forwards a copy of a request on trial",
         { { "event", "request_tried" }, { "digest", ToString(digest) } });
     }
     this->send(
--- a/packages/quarantine/include/lycheestand/quarantine.h
+++ b/packages/quarantine/include/lycheestand/quarantine.h
@@ -471,8 +471,8 @@
   std::vector<RequestDecision> decisions;
   bool isChanged = false;
   bool isUrgent = false;
-  // Another one of the requests at the same crashes may be to blame than
-  // before, which takes long to find out.
+  // Something has changed since requests at the same crashes were last told
+  // apart, which compares them all.
   bool maySettle = false;
 };
 
--- a/packages/quarantine/test/request_tracker_test.cc
+++ b/packages/quarantine/test/request_tracker_test.cc
@@ -33,6 +33,14 @@
     return Judge(this->tracker.StateOf(aDigest));
   }
 
+  // Returns the sound and the other request, the one on trial first.
+  std::pair<RequestDigest, RequestDigest> OrderByTrial() const
+  {
+    return this->Verdict(kSoundRequest) == RequestVerdict::OneAttempt
+             ? std::pair(kSoundRequest, kOtherRequest)
+             : std::pair(kOtherRequest, kSoundRequest);
+  }
+
   // Returns the reason of the only release among the latest decisions.
   ReleaseReason TakeRelease()
   {
@@ -303,10 +311,7 @@
 {
   this->Crash({ kSoundRequest, kOtherRequest });
   this->Crash({ kSoundRequest, kOtherRequest });
-  bool isSoundFirst =
-    this->Verdict(kSoundRequest) == RequestVerdict::OneAttempt;
-  auto first = isSoundFirst ? kSoundRequest : kOtherRequest;
-  auto second = isSoundFirst ? kOtherRequest : kSoundRequest;
+  auto [first, second] = this->OrderByTrial();
   this->Advance(1900ms);
   CHECK_FALSE(this->tracker.BeginTrial(second, this->now));
   REQUIRE(this->tracker.BeginTrial(first, this->now));
@@ -321,10 +326,7 @@
 {
   this->Crash({ kSoundRequest, kOtherRequest });
   this->Crash({ kSoundRequest, kOtherRequest });
-  bool isSoundFirst =
-    this->Verdict(kSoundRequest) == RequestVerdict::OneAttempt;
-  auto first = isSoundFirst ? kSoundRequest : kOtherRequest;
-  auto second = isSoundFirst ? kOtherRequest : kSoundRequest;
+  auto [first, second] = this->OrderByTrial();
   CHECK(this->Verdict(second) == RequestVerdict::Held);
   this->Advance(10ms);
   this->tracker.AddSuccess(first, this->now);
--- a/packages/router/src/check_quarantine.cc
+++ b/packages/router/src/check_quarantine.cc
@@ -134,7 +134,7 @@
       aRequest,
       false,
       [aRequest, next = std::move(aNext)](const CheckRequestReply& aReply) {
-        aRequest->isTried =
+        aRequest->isOnTrial =
           aReply.verdict == quarantine::RequestVerdict::OneAttempt;
         if (MayForward(*aRequest, aReply)) {
           next();
--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -109,9 +109,9 @@
     call;
   // Set by the CheckQuarantine filter.
   std::optional<RequestDigest> digest;
-  // One copy at a time may be forwarded, to find out whether it crashes its
-  // endpoint.
-  bool isTried = false;
+  // The request is on trial or on probation: one copy at a time is forwarded,
+  // to find out whether it crashes its endpoint.
+  bool isOnTrial = false;
   // Time by which the answer must begin, if there is a limit.
   std::optional<TimePoint> deadline;
   // Set by the Admit filter; true while the request is queued or admitted.
--- a/packages/router/src/forward.cc
+++ b/packages/router/src/forward.cc
@@ -59,7 +59,7 @@
 {
   auto waited =
     net::Now(aRequest.exchange->Task().GetRuntime()) - aRequest.startedAt;
-  return aRequest.isTried || !aRequest.triedEndpoints.empty() ||
+  return aRequest.isOnTrial || !aRequest.triedEndpoints.empty() ||
          waited >= kMinRecheckWait;
 }
 
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -227,8 +227,8 @@
 {
   std::vector<PromptPartId> parts;
   RequestDigest digest;
-  // It is forwarded now if it may be. Of a request that is tried, one copy at a
-  // time may.
+  // It is forwarded now if it may be. Of a request on trial, one copy at a time
+  // may.
   bool isForwarding = false;
 };
 struct CheckRequestReply
@@ -363,7 +363,7 @@
   Duration remaining{};
 };
 
-// Says whether control decides which copy of a tried request is forwarded.
+// Says whether control decides which copy of a request on trial is forwarded.
 struct TrialSourceChanged
 {
   bool isControl = false;
--- a/packages/router/src/quarantine_controller.cc
+++ b/packages/router/src/quarantine_controller.cc
@@ -27,7 +27,7 @@
 // router knows.
 constexpr Duration kLearnTime = std::chrono::seconds(2);
 
-// Time in which control answers a question; a reply takes some milliseconds.
+// Longest wait for control to decide on a copy of a request on trial.
 constexpr Duration kTrialReplyTimeout = std::chrono::milliseconds(500);
 
 // Tells crashes of endpoints from single broken connections, and exchanges
@@ -60,10 +60,10 @@
       },
       [this](ControlDown) {
         this->contactSince.reset();
-        this->HandleTrialSource(false);
+        this->SetTrialSource(false);
       },
       [this](TrialSourceChanged aChanged) {
-        this->HandleTrialSource(aChanged.isControl);
+        this->SetTrialSource(aChanged.isControl);
       },
       [this](caf::actor& aLink) { this->link = aLink; },
       [this](DumpState) { return this->Dump(); },
@@ -81,11 +81,11 @@
     if (!isTrial) {
       return reply;
     }
-    if (!this->isControlTrying) {
+    if (!this->controlGrantsTrials) {
       return this->MakeTrialReply(
         this->observed.BeginTrial(aCheck.digest, this->Time()));
     }
-    return this->AskForTrial(aCheck.digest);
+    return this->RequestTrial(aCheck.digest);
   }
 
   static CheckRequestReply MakeTrialReply(bool aIsGranted)
@@ -97,37 +97,38 @@
 
   // Of the copies that wait for control's reply, only the first could be
   // forwarded.
-  caf::result<CheckRequestReply> AskForTrial(RequestDigest aDigest)
+  caf::result<CheckRequestReply> RequestTrial(RequestDigest aDigest)
   {
-    if (this->asked.contains(aDigest)) {
+    if (this->trialRequests.contains(aDigest)) {
       return this->MakeTrialReply(false);
     }
     auto promise = this->make_response_promise();
-    const auto number = ++this->lastAsked;
-    this->asked.emplace(aDigest, Asked{ promise, number });
+    const auto number = ++this->lastTrialRequest;
+    this->trialRequests.emplace(aDigest, TrialRequest{ promise, number });
     this->send(this->link, ToControl{ wire::TrialRequest{ aDigest } });
     this->After(kTrialReplyTimeout, [this, aDigest, number] {
-      auto found = this->asked.find(aDigest);
-      if (found != this->asked.end() && found->second.number == number) {
-        this->EndAsking(aDigest, false);
+      auto found = this->trialRequests.find(aDigest);
+      if (found != this->trialRequests.end() &&
+          found->second.number == number) {
+        this->FinishTrialRequest(aDigest, false);
       }
     });
     return promise;
   }
 
-  void EndAsking(RequestDigest aDigest, bool aIsGranted)
+  void FinishTrialRequest(RequestDigest aDigest, bool aIsGranted)
   {
-    auto found = this->asked.extract(aDigest);
+    auto found = this->trialRequests.extract(aDigest);
     if (!found.empty()) {
       found.mapped().promise.deliver(this->MakeTrialReply(aIsGranted));
     }
   }
 
-  void HandleTrialSource(bool aIsControl)
+  void SetTrialSource(bool aIsControl)
   {
-    this->isControlTrying = aIsControl;
-    while (!aIsControl && !this->asked.empty()) {
-      this->EndAsking(this->asked.begin()->first, false);
+    this->controlGrantsTrials = aIsControl;
+    while (!aIsControl && !this->trialRequests.empty()) {
+      this->FinishTrialRequest(this->trialRequests.begin()->first, false);
     }
   }
 
@@ -269,7 +270,7 @@
   void Handle(const wire::Message& aMessage)
   {
     if (const auto* reply = std::get_if<wire::TrialReply>(&aMessage)) {
-      this->EndAsking(reply->digest, reply->granted);
+      this->FinishTrialRequest(reply->digest, reply->granted);
       return;
     }
     const auto* state = std::get_if<wire::QuarantineState>(&aMessage);
@@ -426,18 +427,18 @@
            "}";
   }
 
-  // A copy of a request that waits for control's reply.
-  struct Asked
+  // A copy of a request on trial that waits for control to decide on it.
+  struct TrialRequest
   {
     caf::response_promise promise;
     std::uint64_t number = 0;
   };
 
   caf::actor link;
-  // Control decides which copy of a tried request is forwarded.
-  bool isControlTrying = false;
-  std::map<RequestDigest, Asked> asked;
-  std::uint64_t lastAsked = 0;
+  // False without contact, and with control of an earlier version.
+  bool controlGrantsTrials = false;
+  std::map<RequestDigest, TrialRequest> trialRequests;
+  std::uint64_t lastTrialRequest = 0;
   // When the link to control was opened; empty without one.
   std::optional<TimePoint> contactSince;
   // The newest lists from control; kept while it is out of contact.
--- a/packages/wire/include/lycheestand/wire.h
+++ b/packages/wire/include/lycheestand/wire.h
@@ -346,7 +346,7 @@
   Milliseconds wait{};
 };
 
-// A router asks whether it may forward a request that is tried.
+// A router asks whether it may forward a copy of a request on trial.
 struct TrialRequest
 {
   RequestDigest digest;
