Build the shared requests of two benchmarks in one place

Found in the last reading of the change: CountThirdCrash and UpdateTracker built the same hundred requests, and the registration of the first stood after the second.

--- a/bench/micro/decisions_bench.cc
+++ b/bench/micro/decisions_bench.cc
@@ -198,6 +198,19 @@
   return tracker;
 }
 
+// Returns a hundred requests that are not among those of MakeTracker.
+std::vector<RequestDigest>
+MakeSharingRequests()
+{
+  constexpr std::uint64_t kFirst = 100'000;
+  constexpr std::uint64_t kCount = 100;
+  std::vector<RequestDigest> digests;
+  for (std::uint64_t i = 0; i < kCount; ++i) {
+    digests.emplace_back(kFirst + i);
+  }
+  return digests;
+}
+
 // Looks up the state of a request, as a router does for each.
 void
 JudgeRequest(benchmark::State& aState)
@@ -217,10 +230,7 @@
 CountThirdCrash(benchmark::State& aState)
 {
   TimePoint now(1000s);
-  std::vector<RequestDigest> digests;
-  for (std::uint64_t i = 0; i < 100; ++i) {
-    digests.emplace_back(100'000 + i);
-  }
+  const auto digests = MakeSharingRequests();
   for (auto iteration : aState) {
     aState.PauseTiming();
     auto tracker = MakeTracker(aState.range(0), now);
@@ -232,6 +242,8 @@
     benchmark::DoNotOptimize(tracker.Lists());
   }
 }
+BENCHMARK(CountThirdCrash)->Arg(100)->Arg(1000)->Arg(3900);
+
 // Updates a tracker in which a hundred requests share three crashes, without
 // news.
 void
@@ -239,10 +251,7 @@
 {
   TimePoint now(1000s);
   auto tracker = MakeTracker(aState.range(0), now);
-  std::vector<RequestDigest> digests;
-  for (std::uint64_t i = 0; i < 100; ++i) {
-    digests.emplace_back(100'000 + i);
-  }
+  const auto digests = MakeSharingRequests();
   for (const char* endpoint : { "f1", "f2", "f3" }) {
     tracker.AddCrash(EndpointId(endpoint), digests, now);
   }
@@ -252,8 +261,6 @@
 }
 BENCHMARK(UpdateTracker)->Arg(100)->Arg(3900);
 
-BENCHMARK(CountThirdCrash)->Arg(100)->Arg(1000)->Arg(3900);
-
 void
 EncodeAndDecodeHeartbeat(benchmark::State& aState)
 {
