--- a/packages/control/src/view_push.cc
+++ b/packages/control/src/view_push.cc
@@ -29,7 +29,8 @@
                                entry.isService,
                                entry.leaving,
                                entry.startTime,
-                               entry.isCold });
+                               entry.isCold,
+                               entry.version });
   }
   push.removedInstances = std::move(delta.removedInstances);
   push.removedEndpoints = std::move(delta.removedEndpoints);
--- a/packages/core/include/lycheestand/core.h
+++ b/packages/core/include/lycheestand/core.h
@@ -146,6 +146,13 @@
 // Identifies requests of one caller with the same path, prompt and body.
 using RequestDigest = StrongType<struct RequestDigestTag, std::uint64_t>;
 
+// Version of the software that an endpoint runs; empty if it names none.
+using SoftwareVersion = StrongType<struct SoftwareVersionTag, std::string>;
+
+// Identifies a stream of events over all requests with which its caller takes
+// it up again.
+using StreamId = StrongType<struct StreamIdTag, std::uint64_t>;
+
 // Returns the 16 hexadecimal digits that logs and operators use.
 std::string
 ToString(RequestDigest aDigest);
--- a/packages/membership/include/lycheestand/membership.h
+++ b/packages/membership/include/lycheestand/membership.h
@@ -122,6 +122,7 @@
   // The endpoint takes few requests, because it has started or idled. For how
   // long is not part of the view, which would change with every reading.
   bool isCold = false;
+  SoftwareVersion version;
 
   friend bool operator==(const Endpoint&, const Endpoint&) = default;
 };
--- a/packages/router/src/view_receiver.cc
+++ b/packages/router/src/view_receiver.cc
@@ -30,7 +30,8 @@
                                 entry.isService,
                                 entry.leaving,
                                 entry.startTime,
-                                entry.isCold });
+                                entry.isCold,
+                                entry.version });
   }
   delta.removedInstances = aPush.removedInstances;
   delta.removedEndpoints = aPush.removedEndpoints;
--- a/packages/wire/include/lycheestand/wire.h
+++ b/packages/wire/include/lycheestand/wire.h
@@ -40,6 +40,8 @@
   Address peerAddress;
   // False for a router of an earlier version.
   bool acceptsPartialLimits = false;
+  // False for a router of an earlier version, which knows no StreamServices.
+  bool acceptsStreamServices = false;
 };
 
 // An instance of the control group.
@@ -71,6 +73,8 @@
   SessionId session;
   // False for control of an earlier version, which knows no TrialRequest.
   bool grantsTrials = false;
+  // False for control of an earlier version, which knows no StreamReport.
+  bool recordsStreams = false;
 };
 
 // Sent by a router once per heartbeat interval (1 s by default).
@@ -146,6 +150,7 @@
   bool leaving = false;
   StartTime startTime;
   bool isCold = false;
+  SoftwareVersion version;
 
   friend bool operator==(const EndpointEntry&, const EndpointEntry&) = default;
 };
@@ -358,6 +363,41 @@
   bool granted = false;
 };
 
+// From control: all services that several versions of software serve, or have
+// served lately. Routers report the streams of these services.
+struct StreamServices
+{
+  std::vector<ServiceName> services;
+};
+
+// From a router: streams that endpoints of this version have begun. A report
+// may be repeated.
+struct StreamReport
+{
+  ServiceName service;
+  SoftwareVersion version;
+  std::vector<StreamId> streams;
+};
+
+// A router asks which version has begun a stream. Routers pick the number; the
+// reply repeats it.
+struct StreamQuery
+{
+  std::uint64_t query = 0;
+  ServiceName service;
+  // Empty if the caller does not say which stream it takes up.
+  std::optional<StreamId> stream;
+};
+
+// Reply to StreamQuery, sent after a quorum has confirmed that the sender is
+// still the leader.
+struct StreamReply
+{
+  std::uint64_t query = 0;
+  // Empty if it is not known.
+  std::optional<SoftwareVersion> version;
+};
+
 // One entry of the replicated log.
 struct LogRecord
 {
@@ -414,7 +454,11 @@
                              PermitRequest,
                              PermitReply,
                              TrialRequest,
-                             TrialReply>;
+                             TrialReply,
+                             StreamServices,
+                             StreamReport,
+                             StreamQuery,
+                             StreamReply>;
 
 // Reasons for which Decode fails.
 enum class WireError
--- a/packages/wire/src/codec.cc
+++ b/packages/wire/src/codec.cc
@@ -73,6 +73,7 @@
   out.accepts_limits = aIn.acceptsLimits;
   out.peer_address = PackAddress(aIn.peerAddress);
   out.accepts_partial_limits = aIn.acceptsPartialLimits;
+  out.accepts_stream_services = aIn.acceptsStreamServices;
   return out;
 }
 
@@ -90,7 +91,8 @@
            aIn.accepts_quarantine,
            aIn.accepts_limits,
            UnpackAddress(aIn.peer_address),
-           aIn.accepts_partial_limits };
+           aIn.accepts_partial_limits,
+           aIn.accepts_stream_services };
 }
 
 fb::ControlEntryT
@@ -249,6 +251,7 @@
   out.leaving = aIn.leaving;
   out.start_time = aIn.startTime.Get();
   out.is_cold = aIn.isCold;
+  out.version = aIn.version.Get();
   return out;
 }
 
@@ -262,7 +265,8 @@
            aIn.is_service,
            aIn.leaving,
            StartTime(aIn.start_time),
-           aIn.is_cold };
+           aIn.is_cold,
+           SoftwareVersion(aIn.version) };
 }
 
 fb::UsageEntryT
@@ -360,6 +364,7 @@
   out.grants_permits = aIn.grantsPermits;
   out.session = aIn.session.Get();
   out.grants_trials = aIn.grantsTrials;
+  out.records_streams = aIn.recordsStreams;
   return out;
 }
 
@@ -373,7 +378,8 @@
            aIn.tracks_crashes,
            aIn.grants_permits,
            SessionId(aIn.session),
-           aIn.grants_trials };
+           aIn.grants_trials,
+           aIn.records_streams };
 }
 
 fb::HeartbeatAckT
@@ -749,6 +755,79 @@
   return { RequestDigest(aIn.digest), aIn.granted };
 }
 
+fb::StreamServicesT
+Pack(const StreamServices& aIn)
+{
+  fb::StreamServicesT out;
+  out.services = PackIds(aIn.services);
+  return out;
+}
+
+StreamServices
+Unpack(const fb::StreamServicesT& aIn)
+{
+  return { UnpackIds<ServiceName>(aIn.services) };
+}
+
+fb::StreamReportT
+Pack(const StreamReport& aIn)
+{
+  fb::StreamReportT out;
+  out.service = aIn.service.Get();
+  out.version = aIn.version.Get();
+  out.streams = PackNumbers(aIn.streams);
+  return out;
+}
+
+StreamReport
+Unpack(const fb::StreamReportT& aIn)
+{
+  return { ServiceName(aIn.service),
+           SoftwareVersion(aIn.version),
+           UnpackNumbers<StreamId>(aIn.streams) };
+}
+
+fb::StreamQueryT
+Pack(const StreamQuery& aIn)
+{
+  fb::StreamQueryT out;
+  out.query = aIn.query;
+  out.service = aIn.service.Get();
+  out.has_stream = aIn.stream.has_value();
+  out.stream = aIn.stream.value_or(StreamId()).Get();
+  return out;
+}
+
+StreamQuery
+Unpack(const fb::StreamQueryT& aIn)
+{
+  StreamQuery out{ aIn.query, ServiceName(aIn.service), {} };
+  if (aIn.has_stream) {
+    out.stream = StreamId(aIn.stream);
+  }
+  return out;
+}
+
+fb::StreamReplyT
+Pack(const StreamReply& aIn)
+{
+  fb::StreamReplyT out;
+  out.query = aIn.query;
+  out.is_known = aIn.version.has_value();
+  out.version = aIn.version.value_or(SoftwareVersion()).Get();
+  return out;
+}
+
+StreamReply
+Unpack(const fb::StreamReplyT& aIn)
+{
+  StreamReply out{ aIn.query, {} };
+  if (aIn.is_known) {
+    out.version = SoftwareVersion(aIn.version);
+  }
+  return out;
+}
+
 fb::ReplicationT
 Pack(const Replication& aIn)
 {
@@ -848,6 +927,14 @@
       return Unpack(*aBody.AsTrialRequest());
     case fb::Body::TrialReply:
       return Unpack(*aBody.AsTrialReply());
+    case fb::Body::StreamServices:
+      return Unpack(*aBody.AsStreamServices());
+    case fb::Body::StreamReport:
+      return Unpack(*aBody.AsStreamReport());
+    case fb::Body::StreamQuery:
+      return Unpack(*aBody.AsStreamQuery());
+    case fb::Body::StreamReply:
+      return Unpack(*aBody.AsStreamReply());
     case fb::Body::NONE:
       break;
   }
--- a/packages/wire/test/codec_test.cc
+++ b/packages/wire/test/codec_test.cc
@@ -145,6 +145,39 @@
   CHECK(std::get<Welcome>(welcome.value()).grantsTrials);
 }
 
+// Guards against a stream that is taken up at another version because a message
+// has lost the version, or because an unknown one reads as one without a name.
+TEST_CASE("Messages about streams keep their fields")
+{
+  auto services = Decode(Encode(StreamServices{ { ServiceName("s") } }));
+  CHECK(std::get<StreamServices>(services.value()).services ==
+        std::vector{ ServiceName("s") });
+  auto report = Decode(Encode(StreamReport{
+    ServiceName("s"), SoftwareVersion("v2"), { StreamId(7), StreamId(9) } }));
+  CHECK(std::get<StreamReport>(report.value()).version ==
+        SoftwareVersion("v2"));
+  CHECK(std::get<StreamReport>(report.value()).streams ==
+        std::vector{ StreamId(7), StreamId(9) });
+  auto query = Decode(Encode(StreamQuery{ 5, ServiceName("s"), StreamId(7) }));
+  CHECK(std::get<StreamQuery>(query.value()).query == 5);
+  CHECK(std::get<StreamQuery>(query.value()).stream == StreamId(7));
+  auto unnamed = Decode(Encode(StreamQuery{ 6, ServiceName("s"), {} }));
+  CHECK_FALSE(std::get<StreamQuery>(unnamed.value()).stream);
+  auto known = Decode(Encode(StreamReply{ 5, SoftwareVersion("") }));
+  CHECK(std::get<StreamReply>(known.value()).version == SoftwareVersion(""));
+  auto unknown = Decode(Encode(StreamReply{ 6, {} }));
+  CHECK_FALSE(std::get<StreamReply>(unknown.value()).version);
+  auto hello = Decode(Encode(Hello{ .acceptsStreamServices = true }));
+  CHECK(std::get<Hello>(hello.value()).acceptsStreamServices);
+  auto welcome = Decode(Encode(Welcome{ .recordsStreams = true }));
+  CHECK(std::get<Welcome>(welcome.value()).recordsStreams);
+  ViewPush push;
+  push.endpoints.resize(1);
+  push.endpoints[0].version = SoftwareVersion("v2");
+  auto view = Decode(Encode(push));
+  CHECK(std::get<ViewPush>(view.value()).endpoints == push.endpoints);
+}
+
 // Fails if truncated or corrupted input from a faulty or hostile peer crashes
 // the decoder. The seed is fixed.
 TEST_CASE("Decode rejects malformed input without crashing")
