Name a software version in the list of the replica stand-ins

The platform's list names the version of each replica's software, and an entry without one is to be malformed. The stand-in left it out.

--- a/test/faults/replica_pool.cc
+++ b/test/faults/replica_pool.cc
@@ -23,6 +23,7 @@
 
 constexpr std::uint16_t kReplicaPort = 8080;
 constexpr std::uint16_t kListPort = 8223;
+constexpr const char* kDefaultVersion = "v1";
 
 // Returns a listening socket that the processes of the fleet don't inherit:
 // they would keep it open when the replica has closed it.
@@ -164,7 +165,8 @@
              { "service", aService },
              { "address", this->ip + ":" + std::to_string(kReplicaPort) },
              { "zone", "z" + std::to_string(this->number % 3 + 1) },
-             { "state", "ready" } };
+             { "state", "ready" },
+             { "version", kDefaultVersion } };
   }
 
   std::string Id() const
