--- a/test/faults/replica_pool.cc
+++ b/test/faults/replica_pool.cc
@@ -8,6 +8,7 @@
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 #include <fcntl.h>
+#include <future>
 #include <optional>
 #include <set>
 
@@ -139,19 +140,26 @@
 class ReplicaPool::Replica : public std::enable_shared_from_this<Replica>
 {
 public:
-  Replica(ReplicaPool& aPool, int aNumber, std::string aIp, Duration aDownTime)
+  Replica(ReplicaPool& aPool,
+          int aNumber,
+          std::string aIp,
+          std::string aVersion = kDefaultVersion)
     : pool(aPool)
     , number(aNumber)
     , ip(std::move(aIp))
-    , downTime(aDownTime)
+    , version(std::move(aVersion))
     , acceptor(aPool.io)
     , timer(aPool.io)
   {
   }
 
   void Start();
+  void Start(const std::string& aVersion);
   void Crash();
   void Stop();
+  void Drain() { this->state = "draining"; }
+  void Remove();
+  bool IsListed() const { return this->isListed; }
   void Silence(Duration aTime)
   {
     this->silentUntil = std::max(this->silentUntil, Clock::now() + aTime);
@@ -165,8 +173,8 @@
              { "service", aService },
              { "address", this->ip + ":" + std::to_string(kReplicaPort) },
              { "zone", "z" + std::to_string(this->number % 3 + 1) },
-             { "state", "ready" },
-             { "version", kDefaultVersion } };
+             { "state", this->state },
+             { "version", this->version } };
   }
 
   std::string Id() const
@@ -176,8 +184,10 @@
   }
 
   int Number() const { return this->number; }
-  ReplicaAnswer Choose(const ReplicaRequest& aRequest)
+  ReplicaAnswer Choose(ReplicaRequest aRequest)
   {
+    aRequest.instance = this->Id();
+    aRequest.version = this->version;
     return this->pool.answer(this->number, aRequest);
   }
   asio::io_context& Io() { return this->pool.io; }
@@ -192,7 +202,9 @@
   ReplicaPool& pool;
   int number;
   std::string ip;
-  Duration downTime;
+  std::string version;
+  std::string state = "ready";
+  bool isListed = true;
   tcp::acceptor acceptor;
   asio::steady_timer timer;
   std::set<std::shared_ptr<Connection>> connections;
@@ -370,6 +382,23 @@
   this->Accept();
 }
 
+void
+ReplicaPool::Replica::Start(const std::string& aVersion)
+{
+  this->version = aVersion;
+  this->state = "ready";
+  this->isListed = true;
+  this->Start();
+}
+
+void
+ReplicaPool::Replica::Remove()
+{
+  this->timer.cancel();
+  this->isListed = false;
+  this->Stop();
+}
+
 void
 ReplicaPool::Replica::Accept()
 {
@@ -401,11 +430,14 @@
 void
 ReplicaPool::Replica::Crash()
 {
+  if (!this->isListed) {
+    return;
+  }
   this->Stop();
   auto self = this->shared_from_this();
-  this->timer.expires_after(this->downTime);
+  this->timer.expires_after(this->pool.downTime);
   this->timer.async_wait([self](beast::error_code aError) {
-    if (!aError) {
+    if (!aError && self->isListed) {
       self->Start();
     }
   });
@@ -465,10 +497,16 @@
   {
     json::array entries;
     for (const auto& replica : this->pool.replicas) {
+      if (!replica->IsListed()) {
+        continue;
+      }
       json::object entry = replica->Entry(this->service);
       if (this->pool.entryMembers) {
         for (auto& member : this->pool.entryMembers(replica->Number())) {
           entry.insert_or_assign(member.key(), member.value());
+          if (member.value().is_null()) {
+            entry.erase(member.key());
+          }
         }
       }
       entries.push_back(std::move(entry));
@@ -489,12 +527,13 @@
                          const std::string& aService,
                          Duration aDownTime,
                          Answer aAnswer)
-  : answer(std::move(aAnswer))
+  : work(this->io.get_executor())
+  , downTime(aDownTime)
+  , answer(std::move(aAnswer))
 {
   for (const auto& ip : aReplicaIps) {
     auto number = static_cast<int>(this->replicas.size());
-    this->replicas.push_back(
-      std::make_shared<Replica>(*this, number, ip, aDownTime));
+    this->replicas.push_back(std::make_shared<Replica>(*this, number, ip));
     this->replicas.back()->Start();
   }
   this->list = std::make_shared<ListServer>(*this, aListIp, aService);
@@ -519,6 +558,56 @@
   });
 }
 
+int
+ReplicaPool::Add(const std::string& aIp, const std::string& aVersion)
+{
+  std::promise<int> added;
+  asio::post(this->io, [&] {
+    auto number = static_cast<int>(this->replicas.size());
+    this->replicas.push_back(
+      std::make_shared<Replica>(*this, number, aIp, aVersion));
+    this->replicas.back()->Start();
+    added.set_value(number);
+  });
+  return added.get_future().get();
+}
+
+void
+ReplicaPool::Change(int aReplica, const std::function<void(Replica&)>& aChange)
+{
+  std::promise<void> changed;
+  asio::post(this->io, [&] {
+    aChange(*this->replicas.at(static_cast<std::size_t>(aReplica)));
+    changed.set_value();
+  });
+  changed.get_future().get();
+}
+
+void
+ReplicaPool::Drain(int aReplica)
+{
+  this->Change(aReplica, [](Replica& aChanged) { aChanged.Drain(); });
+}
+
+void
+ReplicaPool::Kill(int aReplica)
+{
+  this->Change(aReplica, [](Replica& aChanged) { aChanged.Crash(); });
+}
+
+void
+ReplicaPool::Remove(int aReplica)
+{
+  this->Change(aReplica, [](Replica& aChanged) { aChanged.Remove(); });
+}
+
+void
+ReplicaPool::Start(int aReplica, const std::string& aVersion)
+{
+  this->Change(aReplica,
+               [&aVersion](Replica& aChanged) { aChanged.Start(aVersion); });
+}
+
 void
 ReplicaPool::SetEntryMembers(
   std::function<boost::json::object(int aReplica)> aHook)
--- a/test/faults/replica_pool.h
+++ b/test/faults/replica_pool.h
@@ -6,6 +6,7 @@
 
 #include "process.h"
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 #include <functional>
@@ -26,6 +27,9 @@
   // Names in lower case.
   std::map<std::string, std::string> headers;
   std::string body;
+  // Id and software version of the replica that has read it.
+  std::string instance;
+  std::string version;
 
   // Returns the value of a header, or an empty string.
   std::string Header(const std::string& aName) const;
@@ -116,8 +120,21 @@
   // afterwards. A later call while it is stopped can only extend the time.
   void Silence(int aReplica, Duration aTime);
 
+  // Starts another replica and returns its number. This function and the four
+  // below return when it has taken effect; they must not be called by a hook.
+  int Add(const std::string& aIp, const std::string& aVersion);
+  // The list says from now on that a replica is draining; it still answers.
+  void Drain(int aReplica);
+  // Ends a replica whose entry the list shows until it is back.
+  void Kill(int aReplica);
+  // Ends a replica and takes its entry out of the list.
+  void Remove(int aReplica);
+  // Starts a replica again that was removed, with this version.
+  void Start(int aReplica, const std::string& aVersion);
+
   // Sets a hook that returns the further members of a replica's entry in the
-  // list. It is called in the pool's thread.
+  // list; one that is null takes the member out. It is called in the pool's
+  // thread.
   void SetEntryMembers(std::function<boost::json::object(int aReplica)> aHook);
 
 private:
@@ -125,7 +142,13 @@
   class Connection;
   class ListServer;
 
+  // Calls a function for a replica in the pool's thread.
+  void Change(int aReplica, const std::function<void(Replica&)>& aChange);
+
   boost::asio::io_context io;
+  // Keeps the thread running while no replica listens.
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+  Duration downTime;
   Answer answer;
   std::function<boost::json::object(int aReplica)> entryMembers;
   std::vector<std::shared_ptr<Replica>> replicas;
