--- a/packages/journal/src/command_codec.cc
+++ b/packages/journal/src/command_codec.cc
@@ -315,6 +315,75 @@
                               FencingNumber(aIn.number) };
 }
 
+fb::AdmitVersionT
+PackBody(const state::AdmitVersion& aIn)
+{
+  fb::AdmitVersionT out;
+  out.service = aIn.service.Get();
+  out.version = aIn.version.Get();
+  return out;
+}
+
+state::Command
+UnpackBody(const fb::AdmitVersionT& aIn)
+{
+  return state::AdmitVersion{ ServiceName(aIn.service),
+                              SoftwareVersion(aIn.version) };
+}
+
+fb::RetireVersionT
+PackBody(const state::RetireVersion& aIn)
+{
+  fb::RetireVersionT out;
+  out.service = aIn.service.Get();
+  out.version = aIn.version.Get();
+  return out;
+}
+
+state::Command
+UnpackBody(const fb::RetireVersionT& aIn)
+{
+  return state::RetireVersion{ ServiceName(aIn.service),
+                               SoftwareVersion(aIn.version) };
+}
+
+fb::RecordStreamsT
+PackBody(const state::RecordStreams& aIn)
+{
+  fb::RecordStreamsT out;
+  for (const auto& batch : aIn.batches) {
+    auto& entry =
+      *out.batches.emplace_back(std::make_unique<fb::StreamBatchT>());
+    entry.service = batch.service.Get();
+    entry.version = batch.version.Get();
+    entry.streams.reserve(batch.streams.size());
+    for (StreamId stream : batch.streams) {
+      entry.streams.push_back(stream.Get());
+    }
+  }
+  return out;
+}
+
+state::Command
+UnpackBody(const fb::RecordStreamsT& aIn)
+{
+  state::RecordStreams out;
+  for (const auto& entry : aIn.batches) {
+    out.batches.push_back(
+      { ServiceName(entry->service), SoftwareVersion(entry->version), {} });
+    for (std::uint64_t stream : entry->streams) {
+      out.batches.back().streams.emplace_back(stream);
+    }
+  }
+  return out;
+}
+
+fb::AgeStreamsT
+PackBody(const state::AgeStreams&)
+{
+  return {};
+}
+
 } // namespace
 
 std::string
@@ -389,6 +458,14 @@
       return UnpackBody(*aIn.body.AsReplaceRoutes());
     case fb::CommandBody::SetZoneEvacuation:
       return UnpackBody(*aIn.body.AsSetZoneEvacuation());
+    case fb::CommandBody::AdmitVersion:
+      return UnpackBody(*aIn.body.AsAdmitVersion());
+    case fb::CommandBody::RetireVersion:
+      return UnpackBody(*aIn.body.AsRetireVersion());
+    case fb::CommandBody::RecordStreams:
+      return UnpackBody(*aIn.body.AsRecordStreams());
+    case fb::CommandBody::AgeStreams:
+      return state::AgeStreams{};
     case fb::CommandBody::NONE:
       break;
   }
--- a/packages/journal/src/outcome_codec.cc
+++ b/packages/journal/src/outcome_codec.cc
@@ -59,6 +59,16 @@
   return out;
 }
 
+fb::StreamsRecordedT
+PackBody(const state::StreamsRecorded& aIn)
+{
+  fb::StreamsRecordedT out;
+  out.added = aIn.added;
+  out.dropped = aIn.dropped;
+  out.total = aIn.total;
+  return out;
+}
+
 } // namespace
 
 fb::TokensGrantedT
@@ -99,7 +109,7 @@
       return state::Done{};
     case fb::OutcomeBody::Rejected:
       return state::Rejected{ CheckedEnum(aIn.body.AsRejected()->reason,
-                                          state::Rejection::LastZone) };
+                                          state::Rejection::TooManyVersions) };
     case fb::OutcomeBody::ConfigurationApplied:
       return state::ConfigurationApplied{ ConfigVersion(
         aIn.body.AsConfigurationApplied()->version) };
@@ -116,6 +126,12 @@
     case fb::OutcomeBody::OrderAccepted:
       return state::OrderAccepted{ FencingNumber(
         aIn.body.AsOrderAccepted()->number) };
+    case fb::OutcomeBody::StreamsRecorded: {
+      const auto& recorded = *aIn.body.AsStreamsRecorded();
+      return state::StreamsRecorded{ recorded.added,
+                                     recorded.dropped,
+                                     recorded.total };
+    }
     case fb::OutcomeBody::NONE:
       break;
   }
--- a/packages/journal/src/snapshot_codec.cc
+++ b/packages/journal/src/snapshot_codec.cc
@@ -23,6 +23,7 @@
   static void Save(const ChangeRegister& aFrom, Snapshot& aTo);
   static void Save(const OrderRegister& aFrom, Snapshot& aTo);
   static void Save(const EvacuationRegister& aFrom, Snapshot& aTo);
+  static void Save(const StreamRegister& aFrom, Snapshot& aTo);
   static void Save(const StateMachine& aFrom, Snapshot& aTo);
 
   static void Restore(const Snapshot& aFrom, WorkspaceController& aTo);
@@ -33,7 +34,17 @@
   static void Restore(const Snapshot& aFrom, ChangeRegister& aTo);
   static void Restore(const Snapshot& aFrom, OrderRegister& aTo);
   static void Restore(const Snapshot& aFrom, EvacuationRegister& aTo);
+  static void Restore(const Snapshot& aFrom, StreamRegister& aTo);
   static void Restore(const Snapshot& aFrom, StateMachine& aTo);
+
+private:
+  static std::vector<std::uint64_t> SelectStreams(
+    const StreamRegister::Records& aRecords,
+    StreamRegister::VersionNumber aNumber);
+  static void RestoreStreams(const std::vector<std::uint64_t>& aCurrent,
+                             const std::vector<std::uint64_t>& aOlder,
+                             StreamRegister::VersionNumber aNumber,
+                             StreamRegister::Service& aTo);
 };
 
 namespace {
@@ -349,6 +360,93 @@
   }
 }
 
+// Sorted, so that equal states have equal snapshots.
+std::vector<std::uint64_t>
+SnapshotAccess::SelectStreams(const StreamRegister::Records& aRecords,
+                              StreamRegister::VersionNumber aNumber)
+{
+  std::vector<std::uint64_t> streams;
+  for (const auto& [stream, number] : aRecords) {
+    if (number == aNumber) {
+      streams.push_back(stream.Get());
+    }
+  }
+  std::sort(streams.begin(), streams.end());
+  return streams;
+}
+
+void
+SnapshotAccess::Save(const StreamRegister& aFrom, Snapshot& aTo)
+{
+  constexpr auto kAmbiguous = StreamRegister::kAmbiguous;
+  for (const auto& [name, service] : aFrom.services) {
+    auto& entry = Append(aTo.streams);
+    entry.service = name.Get();
+    for (const auto& [version, number] : service.versions) {
+      auto& saved = Append(entry.versions);
+      saved.version = version.Get();
+      saved.number = number;
+      saved.current = SelectStreams(service.current, number);
+      saved.older = SelectStreams(service.older, number);
+    }
+    entry.ambiguous_current = SelectStreams(service.current, kAmbiguous);
+    entry.ambiguous_older = SelectStreams(service.older, kAmbiguous);
+  }
+  aTo.version_changes = aFrom.versionChanges;
+}
+
+// Adds the records of one version, or of two, to a service. No stream may have
+// a record already.
+void
+SnapshotAccess::RestoreStreams(const std::vector<std::uint64_t>& aCurrent,
+                               const std::vector<std::uint64_t>& aOlder,
+                               StreamRegister::VersionNumber aNumber,
+                               StreamRegister::Service& aTo)
+{
+  for (std::uint64_t stream : aCurrent) {
+    Require(aTo.FindRecord(StreamId(stream)) == nullptr);
+    aTo.current.emplace(StreamId(stream), aNumber);
+  }
+  for (std::uint64_t stream : aOlder) {
+    Require(aTo.FindRecord(StreamId(stream)) == nullptr);
+    aTo.older.emplace(StreamId(stream), aNumber);
+  }
+}
+
+// Snapshots of builds without versions have no entries.
+void
+SnapshotAccess::Restore(const Snapshot& aFrom, StreamRegister& aTo)
+{
+  std::size_t current = 0;
+  std::size_t older = 0;
+  for (const auto& entry : aFrom.streams) {
+    auto& service = InsertNew(
+      aTo.services, ServiceName(entry->service), StreamRegister::Service{});
+    Require(!entry->versions.empty() &&
+            entry->versions.size() <= StreamRegister::kMaxVersions);
+    std::set<StreamRegister::VersionNumber> numbers{
+      StreamRegister::kAmbiguous
+    };
+    for (const auto& saved : entry->versions) {
+      Require(!saved->version.empty() && numbers.insert(saved->number).second);
+      InsertNew(
+        service.versions, SoftwareVersion(saved->version), saved->number);
+      RestoreStreams(saved->current, saved->older, saved->number, service);
+    }
+    RestoreStreams(entry->ambiguous_current,
+                   entry->ambiguous_older,
+                   StreamRegister::kAmbiguous,
+                   service);
+    Require(service.versions.size() > 1 ||
+            (service.current.empty() && service.older.empty()));
+    current += service.current.size();
+    older += service.older.size();
+  }
+  Require(current <= StreamRegister::kMaxRecords &&
+          older <= StreamRegister::kMaxRecords);
+  aTo.versionChanges = aFrom.version_changes;
+}
+
 void
 SnapshotAccess::Save(const StateMachine& aFrom, Snapshot& aTo)
 {
@@ -361,6 +459,7 @@
   Save(aFrom.changes, aTo);
   Save(aFrom.orders, aTo);
   Save(aFrom.evacuations, aTo);
+  Save(aFrom.streams, aTo);
   aTo.routes_version = aFrom.routes.version.Get();
   aTo.routes_document = aFrom.routes.document;
 }
@@ -377,6 +476,7 @@
   Restore(aFrom, aTo.changes);
   Restore(aFrom, aTo.orders);
   Restore(aFrom, aTo.evacuations);
+  Restore(aFrom, aTo.streams);
   aTo.routes.version = ConfigVersion(aFrom.routes_version);
   aTo.routes.document = aFrom.routes_document;
 }
--- a/packages/journal/test/journal_test.cc
+++ b/packages/journal/test/journal_test.cc
@@ -27,7 +27,7 @@
     ChangeId change(this->Name("change-", 2000));
     WorkspaceId workspace(this->Name("w", 4));
     SessionId session(this->Pick(12));
-    switch (this->Pick(14)) {
+    switch (this->Pick(18)) {
       case 0:
         return CreateWorkspace{ change, workspace };
       case 1:
@@ -71,6 +71,17 @@
                                   this->Pick(2) == 0,
                                   this->Pick(4) != 0,
                                   { ZoneId("z0"), ZoneId("z1") } };
+      case 13:
+        return AdmitVersion{ this->MakeService(), this->MakeVersion() };
+      case 14:
+        return this->Pick(8) == 0
+                 ? Command(
+                     RetireVersion{ this->MakeService(), this->MakeVersion() })
+                 : Command(this->MakeStreams());
+      case 15:
+        return this->MakeStreams();
+      case 16:
+        return AgeStreams{};
       default:
         return this->MakeOperation(session, workspace);
     }
@@ -106,6 +117,23 @@
                             { 200, "text/plain", std::string("a\0b", 3) } };
   }
 
+  ServiceName MakeService() { return ServiceName(this->Name("s", 2)); }
+
+  SoftwareVersion MakeVersion() { return SoftwareVersion(this->Name("v", 20)); }
+
+  RecordStreams MakeStreams()
+  {
+    RecordStreams command;
+    for (auto batches = this->Pick(4); batches > 0; --batches) {
+      command.batches.push_back(
+        { this->MakeService(), this->MakeVersion(), {} });
+      for (auto streams = this->Pick(5); streams > 0; --streams) {
+        command.batches.back().streams.emplace_back(this->Pick(100));
+      }
+    }
+    return command;
+  }
+
   std::string Corrupt(const std::string& aBytes)
   {
     std::string bad = aBytes;
@@ -252,3 +280,40 @@
   CHECK(restored.value().Evacuations().Evacuations().at(ZoneId("b")) ==
         Evacuation{ Revision(2), ChangeId("c-b") });
 }
+
+// Guards against streams that can't be taken up after a restart of all control
+// instances, and against a generation that a restored record lives on in.
+TEST_CASE("Versions and records of streams are part of the snapshot")
+{
+  const ServiceName chat("chat");
+  const SoftwareVersion v1("v1");
+  const SoftwareVersion v2("v2");
+  StateMachine machine;
+  machine.Apply(AdmitVersion{ chat, v1 });
+  machine.Apply(AdmitVersion{ chat, v2 });
+  machine.Apply(
+    RecordStreams{ { { chat, v1, { StreamId(1), StreamId(3) } } } });
+  machine.Apply(AgeStreams{});
+  machine.Apply(
+    RecordStreams{ { { chat, v2, { StreamId(2), StreamId(3) } } } });
+  auto decoded = DecodeSnapshot(EncodeSnapshot(machine));
+  REQUIRE(decoded.has_value());
+  StateMachine restored = decoded.value();
+  CHECK(restored == machine);
+  CHECK(restored.Streams().Find(chat, StreamId(1)) == v1);
+  CHECK(restored.Streams().Find(chat, StreamId(2)) == v2);
+  CHECK(restored.Streams().Find(chat, StreamId(3)) == std::nullopt);
+  CHECK(restored.Streams().VersionChanges() == 2);
+  restored.Apply(AgeStreams{});
+  CHECK(restored.Streams().Find(chat, StreamId(1)) == std::nullopt);
+  CHECK(restored.Streams().Find(chat, StreamId(2)) == v2);
+}
+
+// Guards against a new build that can't read the disk of one without versions,
+// or that takes its state for one with streams.
+TEST_CASE("A snapshot without versions is read as none")
+{
+  auto snapshot = DecodeSnapshot(FromHex(kOldSnapshot));
+  REQUIRE(snapshot.has_value());
+  CHECK(snapshot.value().Streams() == StreamRegister());
+}
--- a/packages/state/include/lycheestand/state.h
+++ b/packages/state/include/lycheestand/state.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <lycheestand/core.h>
+#include <lycheestand/stream_register.h>
 #include <map>
 #include <optional>
 #include <set>
@@ -224,7 +225,11 @@
                              OrderEngine,
                              ConfirmOrder,
                              ReplaceRoutes,
-                             SetZoneEvacuation>;
+                             SetZoneEvacuation,
+                             AdmitVersion,
+                             RetireVersion,
+                             RecordStreams,
+                             AgeStreams>;
 
 // ---------------------------------------------------------------- outcomes
 
@@ -242,7 +247,9 @@
   BatchOutOfOrder,
   UnknownZone,
   // The zone is the only one that has endpoints and is not evacuated.
-  LastZone
+  LastZone,
+  // The service has the maximum number of versions.
+  TooManyVersions
 };
 
 // Returns the error code that operators see, such as "version_conflict".
@@ -309,7 +316,8 @@
                              BudgetToppedUp,
                              TokensGranted,
                              OperationRecorded,
-                             OrderAccepted>;
+                             OrderAccepted,
+                             StreamsRecorded>;
 
 // ---------------------------------------------------------------- controllers
 
@@ -718,6 +726,7 @@
   const OrderRegister& Orders() const { return this->orders; }
   const RouteRegister& Routes() const { return this->routes; }
   const EvacuationRegister& Evacuations() const { return this->evacuations; }
+  const StreamRegister& Streams() const { return this->streams; }
 
   friend bool operator==(const StateMachine&, const StateMachine&) = default;
 
@@ -739,6 +748,10 @@
   Outcome Handle(const ConfirmOrder& aCommand);
   Outcome Handle(const ReplaceRoutes& aCommand);
   Outcome Handle(const SetZoneEvacuation& aCommand);
+  Outcome Handle(const AdmitVersion& aCommand);
+  Outcome Handle(const RetireVersion& aCommand);
+  Outcome Handle(const RecordStreams& aCommand);
+  Outcome Handle(const AgeStreams& aCommand);
 
   // Updates the controllers that keep data for open sessions only.
   void EndSession(SessionId aSession);
@@ -755,6 +768,7 @@
   OrderRegister orders;
   RouteRegister routes;
   EvacuationRegister evacuations;
+  StreamRegister streams;
 };
 
 // ------------------------------------------------------------ recalls
--- a/packages/state/src/state_machine.cc
+++ b/packages/state/src/state_machine.cc
@@ -97,6 +97,8 @@
       return "unknown_zone";
     case Rejection::LastZone:
       return "last_zone";
+    case Rejection::TooManyVersions:
+      return "too_many_versions";
     case Rejection::BatchOutOfOrder:
       break;
   }
@@ -324,6 +326,34 @@
   return outcome;
 }
 
+Outcome
+StateMachine::Handle(const AdmitVersion& aCommand)
+{
+  if (!this->streams.Admit(aCommand)) {
+    return Rejected{ Rejection::TooManyVersions };
+  }
+  return Done{};
+}
+
+Outcome
+StateMachine::Handle(const RetireVersion& aCommand)
+{
+  this->streams.Retire(aCommand);
+  return Done{};
+}
+
+Outcome
+StateMachine::Handle(const RecordStreams& aCommand)
+{
+  return this->streams.Record(aCommand);
+}
+
+Outcome
+StateMachine::Handle(const AgeStreams&)
+{
+  return this->streams.Age();
+}
+
 void
 StateMachine::EndSession(SessionId aSession)
 {
