Admit versions, record streams and answer queries at the leader

Change: StreamController, a task of the leader, passes on only endpoints whose versions are committed, proposes AdmitVersion, RetireVersion, RecordStreams and AgeStreams, and answers StreamQuery by a linearizable read. The fleet controller sends StreamServices after Welcome and before views. Operators see the version in the list of endpoints.

--- a/packages/control/src/control.cc
+++ b/packages/control/src/control.cc
@@ -202,6 +202,9 @@
   caf::anon_send(fleet,
                  SetLimitController{ SpawnLimitController(
                    aRuntime, fleet, std::move(aFormat.readColdRules)) });
+  caf::anon_send(
+    fleet,
+    SetStreamController{ SpawnStreamController(aRuntime, replica, fleet) });
   caf::anon_send(replica, fleet);
   auto server =
     net::SpawnLinkServer(aRuntime,
--- a/packages/control/src/fleet_controller.cc
+++ b/packages/control/src/fleet_controller.cc
@@ -92,9 +92,20 @@
       [this](discovery::ListUpdate& aList) {
         this->send(this->limits, std::move(aList));
       },
+      // Endpoints get requests only at versions in the replicated state.
       [this](EndpointsChecked& aChecked) {
-        this->HandleEndpointsChecked(aChecked);
+        this->send(this->streams, std::move(aChecked));
       },
+      [this](StreamVersionsChanged& aChanged) {
+        this->send(this->streams, std::move(aChanged));
+      },
+      [this](StreamServicesChanged& aChanged) {
+        this->PushStreamServices(std::move(aChanged.services));
+      },
+      [this](EndpointsAdmitted& aAdmitted) {
+        this->HandleEndpointsAdmitted(aAdmitted);
+      },
+      [this](SetStreamController& aSet) { this->streams = aSet.controller; },
       [this](SetListReader& aSet) {
         this->listReader = aSet.reader;
         this->send(this->listReader,
@@ -227,7 +238,9 @@
                                 .control = this->group,
                                 .tracksCrashes = true,
                                 .grantsPermits = true,
-                                .grantsTrials = true });
+                                .grantsTrials = true,
+                                .recordsStreams = true });
+    this->SendStreamServices(aState);
     this->SendLimits(aState);
     this->SendQuarantine(aState);
     this->PushUpdates(aState);
@@ -476,6 +489,40 @@
     }
   }
 
+  void Handle(net::LinkId, LinkState& aState, const wire::StreamReport& aReport)
+  {
+    if (aState.isAccepted) {
+      this->send(this->streams, aReport);
+    }
+  }
+
+  void Handle(net::LinkId aLink,
+              LinkState& aState,
+              const wire::StreamQuery& aQuery)
+  {
+    if (aState.isAccepted) {
+      this->send(this->streams, QueryStream{ aLink, aQuery });
+    }
+  }
+
+  void PushStreamServices(wire::StreamServices aServices)
+  {
+    this->streamServices = std::move(aServices);
+    for (auto& [id, link] : this->links) {
+      if (link.isAccepted) {
+        this->SendStreamServices(link);
+      }
+    }
+  }
+
+  // Call it before a view is sent, which may have endpoints of these services.
+  void SendStreamServices(LinkState& aState)
+  {
+    if (this->streamServices && aState.hello.acceptsStreamServices) {
+      this->SendTo(aState, *this->streamServices);
+    }
+  }
+
   void PushLimits(wire::LimitState aState)
   {
     (aState.isPartial ? this->partialLimits : this->limitState) =
@@ -559,6 +606,8 @@
       this->limitState.reset();
       this->partialLimits.reset();
       this->send(this->limits, aChanged);
+      this->streamServices.reset();
+      this->send(this->streams, aChanged);
     }
     this->isLeader = aChanged.isLeader;
     this->leader = aChanged.leader;
@@ -635,10 +684,10 @@
                 [this] { this->UpdateViewPeriodically(); });
   }
 
-  void HandleEndpointsChecked(EndpointsChecked& aChecked)
+  void HandleEndpointsAdmitted(EndpointsAdmitted& aAdmitted)
   {
-    this->endpoints = std::move(aChecked.endpoints);
-    this->hasReadList = true;
+    this->endpoints = std::move(aAdmitted.endpoints);
+    this->hasReadList |= aAdmitted.isRead;
     this->UpdateView();
   }
 
@@ -773,7 +822,8 @@
                       { "serves", entry.serves },
                       { "kind", entry.isService ? "service" : "model" },
                       { "leaving", entry.leaving },
-                      { "cold", entry.isCold } });
+                      { "cold", entry.isCold },
+                      { "version", entry.version.Get() } });
     }
     return boost::json::serialize(out);
   }
@@ -805,6 +855,9 @@
   std::optional<wire::LimitState> limitState;
   // The cold limits that a new leader has sent before that.
   std::optional<wire::LimitState> partialLimits;
+  caf::actor streams;
+  // Empty until a new leader knows them.
+  std::optional<wire::StreamServices> streamServices;
   // When this instance became the leader.
   TimePoint leaderSince{};
   // Whether an endpoint list has been read since then.
--- a/packages/control/src/messages.h
+++ b/packages/control/src/messages.h
@@ -227,6 +227,54 @@
   wire::Message message;
 };
 
+// To the stream controller, by way of the fleet controller: the versions of
+// software in the replicated state, sent by a leader's replica when they have
+// changed and when it has become the leader.
+struct StreamVersionsChanged
+{
+  state::StreamRegister::Versions versions;
+  // Number of records of streams.
+  std::size_t records = 0;
+};
+// To the fleet controller: the services whose streams routers must report. It
+// is sent before the EndpointsAdmitted that has the endpoints.
+struct StreamServicesChanged
+{
+  wire::StreamServices services;
+};
+// To the fleet controller: the endpoints whose versions may serve.
+struct EndpointsAdmitted
+{
+  std::vector<membership::Endpoint> endpoints;
+  // False if the list has not been read since this instance became the leader.
+  bool isRead = false;
+};
+struct SetStreamController
+{
+  caf::actor controller;
+};
+
+// To the stream controller: a router asks which version has begun a stream.
+struct QueryStream
+{
+  net::LinkId link;
+  wire::StreamQuery query;
+};
+
+// Requests a linearizable read of which version has begun a stream; the
+// response is FoundStream.
+struct FindStream
+{
+  ServiceName service;
+  std::optional<StreamId> stream;
+};
+struct FoundStream
+{
+  bool isLeader = false;
+  // Empty if it is not known.
+  std::optional<SoftwareVersion> version;
+};
+
 // Tells the fleet controller which task reads the platform's endpoint list.
 struct SetListReader
 {
@@ -311,6 +359,14 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::SetLimitController)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::RequestPermits)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::SendToRouter)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::StreamVersionsChanged)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::StreamServicesChanged)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::EndpointsAdmitted)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::SetStreamController)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::QueryStream)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::FindStream)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::control::FoundStream)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::wire::StreamReport)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::wire::LimitReport)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::wire::CrashReport)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::wire::PartSuccess)
--- a/packages/control/src/replica.cc
+++ b/packages/control/src/replica.cc
@@ -90,6 +90,7 @@
       },
       [this](GetOrders) { return this->HandleGetOrders(); },
       [this](GetRoutes) { return this->HandleGetRoutes(); },
+      [this](FindStream& aFind) { return this->HandleFindStream(aFind); },
       [this](PeerLink& aLink) { this->HandleLink(aLink); },
       [this](PeerMessage& aMessage) { this->HandleMessage(aMessage); },
       [this](SetPeers& aSet) { this->network.SetConfigured(aSet.control); },
@@ -198,6 +199,21 @@
     return promise;
   }
 
+  caf::typed_response_promise<FoundStream> HandleFindStream(
+    const FindStream& aFind)
+  {
+    auto promise = this->make_response_promise<FoundStream>();
+    this->ReadWhenConfirmed([this, promise, aFind](bool aIsConfirmed) mutable {
+      FoundStream found{ aIsConfirmed, std::nullopt };
+      if (aIsConfirmed) {
+        found.version =
+          this->state.Machine().Streams().Find(aFind.service, aFind.stream);
+      }
+      promise.deliver(std::move(found));
+    });
+    return promise;
+  }
+
   void ReadWhenConfirmed(std::function<void(bool)> aDone)
   {
     consensus::ReadId read(this->nextRead++);
@@ -279,6 +295,7 @@
     }
     this->PublishLeadership();
     this->PublishRevision();
+    this->PublishStreamVersions();
     this->PublishEvacuations();
     this->UpdateMembers();
     this->CompleteReads(aEffects.confirmedReads, true);
@@ -369,6 +386,20 @@
     }
   }
 
+  // Each new leader needs the versions, also if they have not changed.
+  void PublishStreamVersions()
+  {
+    const auto& streams = this->state.Machine().Streams();
+    if (!this->publishedLeadership.isLeader) {
+      this->publishedVersionChanges.reset();
+    } else if (this->publishedVersionChanges != streams.VersionChanges()) {
+      this->publishedVersionChanges = streams.VersionChanges();
+      this->send(
+        this->fleet,
+        StreamVersionsChanged{ streams.AllVersions(), streams.RecordCount() });
+    }
+  }
+
   // All control instances show which zones are evacuated.
   void PublishEvacuations()
   {
@@ -541,6 +572,7 @@
   bool isDiskStalled = false;
   LeadershipChanged publishedLeadership;
   Revision publishedRevision;
+  std::optional<std::uint64_t> publishedVersionChanges;
   // Evacuated zones that were last published, and the revision of that time.
   Revision evacuationsRevision;
   std::set<ZoneId> evacuatedZones;
--- a/packages/control/src/tasks.h
+++ b/packages/control/src/tasks.h
@@ -53,6 +53,15 @@
   caf::actor aFleet,
   std::function<limits::ColdRules(const std::string&)> aReadColdRules);
 
+// Starts the task that keeps streams at the version of software that began
+// them. It gets LeadershipChanged, StreamVersionsChanged, EndpointsChecked and
+// the routers' messages from the fleet controller, and sends
+// StreamServicesChanged, EndpointsAdmitted and SendToRouter to it.
+caf::actor
+SpawnStreamController(const net::Runtime& aRuntime,
+                      caf::actor aReplica,
+                      caf::actor aFleet);
+
 // Starts the task that sends orders to engines while this instance is the
 // leader.
 caf::actor
--- /dev/null
+++ b/packages/control/test/stream_controller_test.cc
@@ -0,0 +1,391 @@
+#include "net_fixture.h"
+#include "tasks.h"
+
+using namespace lycheestand;
+using namespace lycheestand::control;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ServiceName kChat{ "chat" };
+const SoftwareVersion kFirst{ "v1" };
+const SoftwareVersion kSecond{ "v2" };
+
+enum class ProposalMode
+{
+  Commit,
+  // No quorum answers, so there is no outcome.
+  Stall,
+  // The instance is no longer the leader.
+  Refuse
+};
+
+// What the tasks beside the stream controller have and have got.
+struct ControlWorld
+{
+  state::StateMachine machine;
+  ProposalMode mode = ProposalMode::Commit;
+  std::vector<state::Command> proposals;
+  // Ids of the endpoints that were delivered last.
+  std::vector<std::string> endpoints;
+  bool isRead = false;
+  // The services that routers were told, and those of the time when the
+  // endpoints were delivered.
+  std::vector<ServiceName> services;
+  std::vector<ServiceName> servicesAtDelivery;
+  std::vector<wire::StreamReply> replies;
+};
+
+// Takes the place of the replica.
+class ReplicaStandIn : public net::IoTask
+{
+public:
+  ReplicaStandIn(caf::actor_config& aConfig,
+                 net::Runtime aRuntime,
+                 ControlWorld& aWorld)
+    : net::IoTask(aConfig, aRuntime)
+    , world(aWorld)
+  {
+  }
+
+protected:
+  caf::message_handler Handlers() override
+  {
+    return { [this](caf::actor& aController) {
+              this->controller = aController;
+            },
+             [this](Propose& aPropose) { return this->Handle(aPropose); },
+             [this](FindStream& aFind) {
+               return FoundStream{ true,
+                                   this->world.machine.Streams().Find(
+                                     aFind.service, aFind.stream) };
+             } };
+  }
+
+private:
+  caf::typed_response_promise<ProposalResult> Handle(Propose& aPropose)
+  {
+    auto promise = this->make_response_promise<ProposalResult>();
+    this->world.proposals.push_back(aPropose.command);
+    if (this->world.mode == ProposalMode::Stall) {
+      this->stalled.push_back(promise);
+    } else if (this->world.mode == ProposalMode::Refuse) {
+      promise.deliver(ProposalResult{});
+    } else {
+      auto before = this->world.machine.Streams().VersionChanges();
+      auto outcome = this->world.machine.Apply(aPropose.command);
+      const auto& streams = this->world.machine.Streams();
+      if (streams.VersionChanges() != before) {
+        this->send(this->controller,
+                   StreamVersionsChanged{ streams.AllVersions(),
+                                          streams.RecordCount() });
+      }
+      promise.deliver(ProposalResult{ outcome, {}, false });
+    }
+    return promise;
+  }
+
+  ControlWorld& world;
+  caf::actor controller;
+  std::vector<caf::typed_response_promise<ProposalResult>> stalled;
+};
+
+// Takes the place of the fleet controller for the stream controller.
+class StreamFleetStandIn : public net::IoTask
+{
+public:
+  StreamFleetStandIn(caf::actor_config& aConfig,
+                     net::Runtime aRuntime,
+                     ControlWorld& aWorld)
+    : net::IoTask(aConfig, aRuntime)
+    , world(aWorld)
+  {
+  }
+
+protected:
+  caf::message_handler Handlers() override
+  {
+    return { [this](StreamServicesChanged& aChanged) {
+              this->world.services = std::move(aChanged.services.services);
+            },
+             [this](EndpointsAdmitted& aAdmitted) {
+               this->world.endpoints.clear();
+               for (const auto& endpoint : aAdmitted.endpoints) {
+                 this->world.endpoints.push_back(endpoint.endpoint.Get());
+               }
+               this->world.isRead = aAdmitted.isRead;
+               this->world.servicesAtDelivery = this->world.services;
+             },
+             [this](SendToRouter& aSend) {
+               this->world.replies.push_back(
+                 std::get<wire::StreamReply>(aSend.message));
+             } };
+  }
+
+private:
+  ControlWorld& world;
+};
+
+// The stream controller of an instance that does not lead yet, on a paused
+// clock.
+class StreamControllerFixture : public net::NetFixture
+{
+public:
+  StreamControllerFixture()
+  {
+    auto replica =
+      this->system.spawn<ReplicaStandIn>(this->runtime, std::ref(this->world));
+    auto fleet = this->system.spawn<StreamFleetStandIn>(this->runtime,
+                                                        std::ref(this->world));
+    this->controller = SpawnStreamController(this->runtime, replica, fleet);
+    this->started = { replica, fleet, this->controller };
+    caf::anon_send(replica, this->controller);
+  }
+
+  ~StreamControllerFixture() { this->controller = nullptr; }
+
+  template<class Message>
+  void Tell(Message aMessage)
+  {
+    caf::anon_send(this->controller, std::move(aMessage));
+    this->Coordinator().run();
+  }
+
+  void Lead(bool aIsLeader = true)
+  {
+    LeadershipChanged changed;
+    changed.isLeader = aIsLeader;
+    this->Tell(changed);
+    if (aIsLeader) {
+      const auto& streams = this->world.machine.Streams();
+      this->Tell(
+        StreamVersionsChanged{ streams.AllVersions(), streams.RecordCount() });
+    }
+  }
+
+  void Admit(const SoftwareVersion& aVersion)
+  {
+    this->world.machine.Apply(state::AdmitVersion{ kChat, aVersion });
+  }
+
+  // Takes a reading of the list, with endpoints that are named by their
+  // versions.
+  void Read(const std::vector<SoftwareVersion>& aVersions)
+  {
+    EndpointsChecked checked;
+    for (const auto& version : aVersions) {
+      membership::Endpoint endpoint;
+      endpoint.endpoint = EndpointId("e-" + version.Get());
+      endpoint.serves = kChat.Get();
+      endpoint.isService = true;
+      endpoint.version = version;
+      checked.endpoints.push_back(endpoint);
+    }
+    this->Tell(checked);
+  }
+
+  void Report(const SoftwareVersion& aVersion, std::uint64_t aStream)
+  {
+    this->Tell(wire::StreamReport{ kChat, aVersion, { StreamId(aStream) } });
+    this->Advance(500ms);
+  }
+
+  std::optional<SoftwareVersion> Ask(std::uint64_t aStream)
+  {
+    this->Tell(QueryStream{ net::LinkId(1),
+                            { ++this->lastQuery, kChat, StreamId(aStream) } });
+    REQUIRE(!this->world.replies.empty());
+    REQUIRE(this->world.replies.back().query == this->lastQuery);
+    return this->world.replies.back().version;
+  }
+
+  template<class Command>
+  std::size_t CountProposals() const
+  {
+    std::size_t count = 0;
+    for (const auto& command : this->world.proposals) {
+      count += std::holds_alternative<Command>(command) ? 1 : 0;
+    }
+    return count;
+  }
+
+  ControlWorld world;
+  caf::actor controller;
+  std::uint64_t lastQuery = 0;
+  const std::vector<std::string> onlyFirst{ "e-v1" };
+  const std::vector<std::string> both{ "e-v1", "e-v2" };
+};
+
+} // namespace
+
+// Guards against streams that begin at a version that the replicated state does
+// not have, so that they go on anywhere after a failure; and against endpoints
+// that wait for the admission of others.
+TEST_CASE_METHOD(StreamControllerFixture,
+                 "Endpoints get requests once their version is committed")
+{
+  this->Admit(kFirst);
+  this->Lead();
+  this->Read({ kFirst });
+  REQUIRE(this->world.endpoints == this->onlyFirst);
+  this->world.mode = ProposalMode::Stall;
+  this->Read({ kFirst, kSecond });
+  CHECK(this->world.endpoints == this->onlyFirst);
+  CHECK(this->CountProposals<state::AdmitVersion>() == 1);
+  this->Admit(kSecond);
+  CHECK(this->world.services.empty());
+  this->Tell(
+    StreamVersionsChanged{ this->world.machine.Streams().AllVersions(), 0 });
+  CHECK(this->world.endpoints == this->both);
+  CHECK(this->world.servicesAtDelivery == std::vector{ kChat });
+}
+
+// Guards against a version that never serves because one proposal failed, and
+// against a proposal with every reading while one is on its way.
+TEST_CASE_METHOD(StreamControllerFixture,
+                 "A failed admission is repeated with the next reading")
+{
+  this->Lead();
+  this->world.mode = ProposalMode::Refuse;
+  this->Read({ kFirst });
+  this->world.mode = ProposalMode::Stall;
+  this->Read({ kFirst });
+  this->Read({ kFirst });
+  CHECK(this->CountProposals<state::AdmitVersion>() == 2);
+  this->Lead(false);
+  this->world.mode = ProposalMode::Commit;
+  this->Lead();
+  this->Read({ kFirst });
+  CHECK(this->world.endpoints == this->onlyFirst);
+}
+
+// Guards against a new leader that takes endpoints away from routers while it
+// commits their versions.
+TEST_CASE_METHOD(StreamControllerFixture,
+                 "A new leader's first list waits for its versions")
+{
+  this->Admit(kFirst);
+  this->Lead();
+  this->world.mode = ProposalMode::Stall;
+  this->Read({ kFirst, kSecond });
+  this->Advance(3s);
+  CHECK(!this->world.isRead);
+  CHECK(this->world.endpoints.empty());
+  this->Advance(1s);
+  CHECK(this->world.isRead);
+  CHECK(this->world.endpoints == this->onlyFirst);
+}
+
+// Guards against a leader that can commit and waits nevertheless.
+TEST_CASE_METHOD(StreamControllerFixture,
+                 "A first list is delivered when its versions are committed")
+{
+  this->Lead();
+  this->Read({ kFirst, kSecond });
+  CHECK(this->world.endpoints == this->both);
+  CHECK(this->world.isRead);
+  CHECK(this->world.services == std::vector{ kChat });
+}
+
+// Guards against requests at a version that was retired while another instance
+// led.
+TEST_CASE_METHOD(StreamControllerFixture,
+                 "Endpoints from an earlier time as leader are checked again")
+{
+  this->Lead();
+  this->Read({ kFirst, kSecond });
+  this->Lead(false);
+  this->world.machine.Apply(state::RetireVersion{ kChat, kSecond });
+  this->Lead();
+  CHECK(this->world.endpoints == this->onlyFirst);
+  CHECK(!this->world.isRead);
+}
+
+// Guards against a version that stays in the register, so that streams are
+// recorded for good, and against one that leaves it too early.
+TEST_CASE_METHOD(StreamControllerFixture,
+                 "A version that left the list is retired after a minute")
+{
+  this->Lead();
+  this->Read({ kFirst, kSecond });
+  this->Read({ kSecond });
+  this->Advance(59s);
+  this->Read({ kSecond });
+  CHECK(this->world.services == std::vector{ kChat });
+  this->Advance(1s);
+  this->Read({ kSecond });
+  CHECK(this->world.services.empty());
+  CHECK(this->Ask(1) == kSecond);
+}
+
+// Guards against reports that are not committed, and against answers that name
+// a version which is not.
+TEST_CASE_METHOD(StreamControllerFixture,
+                 "A reported stream is known once it is committed")
+{
+  this->Lead();
+  this->Read({ kFirst, kSecond });
+  this->Report(kSecond, 7);
+  CHECK(this->Ask(7) == kSecond);
+  CHECK(this->Ask(8) == std::nullopt);
+  this->world.mode = ProposalMode::Stall;
+  this->Report(kFirst, 8);
+  CHECK(this->Ask(8) == std::nullopt);
+}
+
+// Guards against a report that is taken for a repeated one although the leader
+// that had it could not commit it, and against a proposal that blocks later
+// ones after a change of leadership.
+TEST_CASE_METHOD(StreamControllerFixture,
+                 "A report whose leader was lost is accepted again")
+{
+  this->Lead();
+  this->Read({ kFirst, kSecond });
+  this->world.mode = ProposalMode::Stall;
+  this->Report(kFirst, 7);
+  this->Lead(false);
+  this->Report(kFirst, 7);
+  this->world.mode = ProposalMode::Commit;
+  this->Lead();
+  REQUIRE(this->Ask(7) == std::nullopt);
+  this->Report(kFirst, 7);
+  CHECK(this->Ask(7) == kFirst);
+}
+
+// Guards against a command for each report, and against one command without a
+// bound after many routers have connected.
+TEST_CASE_METHOD(StreamControllerFixture, "Reports are committed in batches")
+{
+  this->Lead();
+  this->Read({ kFirst, kSecond });
+  std::vector<StreamId> many;
+  for (std::uint64_t stream = 0; stream < 10000; ++stream) {
+    many.emplace_back(stream);
+  }
+  this->Tell(wire::StreamReport{ kChat, kFirst, many });
+  this->Tell(wire::StreamReport{ kChat, kSecond, { StreamId(10000) } });
+  this->Tell(wire::StreamReport{ kChat, kSecond, { StreamId(10001) } });
+  this->Advance(500ms);
+  CHECK(this->CountProposals<state::RecordStreams>() == 3);
+  CHECK(this->Ask(9999) == kFirst);
+  CHECK(this->Ask(10001) == kSecond);
+}
+
+// Guards against records that are dropped early or kept for good, and against
+// a log that grows while there is nothing to do.
+TEST_CASE_METHOD(StreamControllerFixture,
+                 "Records live for thirty to sixty seconds")
+{
+  this->Lead();
+  this->Read({ kFirst, kSecond });
+  this->Advance(90s);
+  CHECK(this->CountProposals<state::AgeStreams>() == 0);
+  this->Report(kFirst, 7);
+  this->Advance(29s);
+  CHECK(this->Ask(7) == kFirst);
+  this->Advance(31s);
+  CHECK(this->Ask(7) == std::nullopt);
+  auto proposals = this->world.proposals.size();
+  this->Advance(90s);
+  CHECK(this->world.proposals.size() == proposals);
+}
