--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -101,7 +101,7 @@
 # with "make bench-micro" and "make bench-policy".
 find_package(benchmark REQUIRED)
 lycheestand_program(bench_micro bench/micro DEPS lycheestand_routing lycheestand_membership lycheestand_budget lycheestand_quarantine
-                    lycheestand_settings lycheestand_wire benchmark::benchmark)
+                    lycheestand_settings lycheestand_wire lycheestand_journal benchmark::benchmark)
 lycheestand_program(bench_policy bench/policy DEPS lycheestand_routing)
 
 # Prints the measured values in docs/budgets.md.
