--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -20,10 +20,11 @@
 lycheestand_package(quarantine DEPS lycheestand_core)
 lycheestand_package(quarantine_codec DEPS lycheestand_quarantine lycheestand_wire)
 lycheestand_package(limits DEPS lycheestand_core)
+lycheestand_package(streams DEPS lycheestand_core lycheestand_membership)
 lycheestand_package(routes DEPS lycheestand_core)
 lycheestand_package(discovery DEPS lycheestand_net lycheestand_membership TEST_INCLUDE packages/net/test)
 lycheestand_package(router DEPS lycheestand_routes lycheestand_discovery lycheestand_net lycheestand_settings lycheestand_budget lycheestand_routing lycheestand_membership lycheestand_quarantine_codec lycheestand_limits lycheestand_wire TEST_INCLUDE packages/net/test)
-lycheestand_package(control DEPS lycheestand_discovery lycheestand_net lycheestand_settings lycheestand_state lycheestand_membership lycheestand_quarantine_codec lycheestand_limits lycheestand_wire lycheestand_journal lycheestand_consensus lycheestand_storage TEST_INCLUDE packages/net/test)
+lycheestand_package(control DEPS lycheestand_discovery lycheestand_net lycheestand_settings lycheestand_state lycheestand_membership lycheestand_quarantine_codec lycheestand_limits lycheestand_streams lycheestand_wire lycheestand_journal lycheestand_consensus lycheestand_storage TEST_INCLUDE packages/net/test)
 lycheestand_package(client DEPS lycheestand_net lycheestand_settings)
 lycheestand_package(platform FOLDER platform DEPS lycheestand_router lycheestand_control)
 
@@ -101,7 +102,7 @@
 # with "make bench-micro" and "make bench-policy".
 find_package(benchmark REQUIRED)
 lycheestand_program(bench_micro bench/micro DEPS lycheestand_routing lycheestand_membership lycheestand_budget lycheestand_quarantine
-                    lycheestand_settings lycheestand_wire benchmark::benchmark)
+                    lycheestand_settings lycheestand_wire lycheestand_journal benchmark::benchmark)
 lycheestand_program(bench_policy bench/policy DEPS lycheestand_routing)
 
 # Prints the measured values in docs/budgets.md.
