Read versions of software, and the request that a caller takes up

Cause: an endpoint that names no version can't be told from one of another version, and nothing reads which stream a caller takes up. The call's description has the id of the request that began the stream.

--- a/packages/discovery/include/lycheestand/discovery.h
+++ b/packages/discovery/include/lycheestand/discovery.h
@@ -14,6 +14,9 @@
 
 namespace lycheestand::discovery {
 
+// Longest version of software that an entry may name.
+inline constexpr std::size_t kMaxVersionBytes = 128;
+
 // One page of the endpoint list.
 struct ListPage
 {
--- a/packages/discovery/src/plain_format.cc
+++ b/packages/discovery/src/plain_format.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // Returns the endpoint that a list item describes, or nothing if the item has
-// no valid address or kind.
+// no valid address or kind, or a version that is too long.
 std::optional<membership::Endpoint>
 ReadEndpoint(const json::value& aItem)
 {
@@ -21,7 +21,9 @@
   };
   auto address = ParseAddress(readString("/address"));
   const std::string kind = readString("/kind");
-  if (address.has_error() || (kind != "model" && kind != "service")) {
+  const std::string version = readString("/version");
+  if (address.has_error() || (kind != "model" && kind != "service") ||
+      version.size() > kMaxVersionBytes) {
     return std::nullopt;
   }
   membership::Endpoint entry;
@@ -31,6 +33,7 @@
   entry.serves = readString("/serves");
   entry.isService = kind == "service";
   entry.leaving = readString("/state") == "leaving";
+  entry.version = SoftwareVersion(version);
   return entry;
 }
 
--- a/packages/router/include/lycheestand/router.h
+++ b/packages/router/include/lycheestand/router.h
@@ -33,6 +33,8 @@
   std::optional<Milliseconds> timeout;
   // The stream resumes after the event with this id.
   std::optional<std::uint64_t> lastEvent;
+  // Id of the request that brought the first event of this stream.
+  std::optional<RequestId> resumes;
   // Zero if the call is not to a model.
   Tokens promptTokens;
   // Maximum number of output tokens.
--- a/test/fuzz/text_fuzz_test.cc
+++ b/test/fuzz/text_fuzz_test.cc
@@ -143,7 +143,7 @@
 {
   const std::string listText =
     R"({"instances":[{"id":"i1","service":"s","address":"10.0.0.1:80",)"
-    R"("zone":"z","state":"running","slots":16,"models":["m"],)"
+    R"("zone":"z","version":"v1","state":"ready","slots":16,"models":["m"],)"
     R"("coldRemainingMs":5}],"next":"2"})";
   const std::string plainListText =
     R"([{"id":"e","address":"10.0.0.1:80","zone":"z","models":["m"]}])";
