Choose only endpoints of the version that a query names

Change: a query may name a version, and the table tells whether an endpoint of it is listed and not leaving. Another version at the same id and address is another process.

--- a/packages/routing/include/lycheestand/routing.h
+++ b/packages/routing/include/lycheestand/routing.h
@@ -388,6 +388,7 @@
   StartTime startTime;
   // It is slower than others until it has warmed up.
   bool isCold = false;
+  SoftwareVersion version;
 };
 
 // Load of an endpoint as reported by the endpoint itself.
@@ -423,6 +424,8 @@
   Tokens promptTokens;
   // Endpoints that must not be chosen.
   std::set<EndpointId> excluded;
+  // Only endpoints of this version may be chosen, if it is set.
+  std::optional<SoftwareVersion> version;
 };
 
 // Inputs to a policy about one endpoint that can serve the request.
@@ -576,6 +579,7 @@
   EndpointId endpoint;
   Address address;
   ChoiceBasis basis;
+  SoftwareVersion version;
 };
 
 // State of one endpoint for diagnostics.
@@ -636,6 +640,10 @@
                                const Query& aQuery,
                                TimePoint aNow);
 
+  // Returns whether an endpoint for the query is listed and not leaving that
+  // has its version, also if it can't be chosen now.
+  bool HasVersion(const Query& aQuery) const;
+
   // Ends a request. Does nothing for a request without a chosen endpoint.
   void Finish(RequestNumber aRequest, Outcome aOutcome, TimePoint aNow);
 
@@ -757,6 +765,7 @@
                         TimePoint aNow);
   static double CurrentSpeed(TrackedEndpoint& aTracked, TimePoint aNow);
 
+  static bool Serves(const TrackedEndpoint& aTracked, const Query& aQuery);
   bool IsEvacuated(const TrackedEndpoint& aTracked) const
   {
     return this->evacuatedZones.contains(aTracked.endpoint.zone);
--- a/packages/routing/src/endpoint_table.cc
+++ b/packages/routing/src/endpoint_table.cc
@@ -41,14 +41,17 @@
 }
 
 // Returns whether another process has taken over an endpoint's id: its address
-// has changed, or the time of its start has.
+// has changed, or the time of its start or its version has.
 bool
 IsOtherProcess(const Endpoint& aKnown, const Endpoint& aListed)
 {
   const StartTime unknown;
+  const SoftwareVersion unnamed;
   return aKnown.address != aListed.address ||
          (aKnown.startTime != unknown && aListed.startTime != unknown &&
-          aKnown.startTime != aListed.startTime);
+          aKnown.startTime != aListed.startTime) ||
+         (aKnown.version != unnamed && aListed.version != unnamed &&
+          aKnown.version != aListed.version);
 }
 
 } // namespace
@@ -224,15 +227,33 @@
 // An endpoint serves the model in the endpoint list and every model that it
 // reports as loaded.
 bool
-EndpointTable::CanServe(const TrackedEndpoint& aTracked,
-                        const Query& aQuery) const
+EndpointTable::Serves(const TrackedEndpoint& aTracked, const Query& aQuery)
 {
+  const auto& endpoint = aTracked.endpoint;
   bool servesModel =
-    aTracked.endpoint.serves == aQuery.serves ||
+    endpoint.serves == aQuery.serves ||
     (aTracked.report && aTracked.report->models.contains(aQuery.serves));
+  bool hasVersion = !aQuery.version || endpoint.version == *aQuery.version;
+  return servesModel && endpoint.isService == aQuery.isService && hasVersion &&
+         !aTracked.IsLeaving();
+}
+
+bool
+EndpointTable::HasVersion(const Query& aQuery) const
+{
+  return std::any_of(
+    this->endpoints.begin(), this->endpoints.end(), [&](const auto& aTracked) {
+      return Serves(aTracked.second, aQuery);
+    });
+}
+
+bool
+EndpointTable::CanServe(const TrackedEndpoint& aTracked,
+                        const Query& aQuery) const
+{
   bool runsPrefill = !aTracked.report || aTracked.report->runsPrefill;
-  return servesModel && aTracked.endpoint.isService == aQuery.isService &&
-         runsPrefill && !aTracked.IsLeaving() && !this->IsEvacuated(aTracked) &&
+  return Serves(aTracked, aQuery) && runsPrefill &&
+         !this->IsEvacuated(aTracked) &&
          aTracked.inFlight < this->options.maxInFlight &&
          !aQuery.excluded.contains(aTracked.endpoint.endpoint);
 }
@@ -322,8 +343,8 @@
                    best.reportAgeSeconds,
                    best.cachedTokens,
                    best.speed,
-                   best.hasReport ? InFlightLimit(best.slots, best.speed)
-                                  : 0 } };
+                   best.hasReport ? InFlightLimit(best.slots, best.speed) : 0 },
+                 chosen.version };
 }
 
 void
--- a/packages/routing/test/choice_test.cc
+++ b/packages/routing/test/choice_test.cc
@@ -283,3 +283,78 @@
   // It takes a part of the load when the warm one is full.
   CHECK(share(12) > 200);
 }
+
+// Guards against a stream that goes on at another version of software than the
+// one that began it.
+TEST_CASE_METHOD(TableFixture, "A query with a version gets no other endpoint")
+{
+  this->list[1].version = SoftwareVersion("v2");
+  this->list[2].version = SoftwareVersion("v2");
+  this->table.SetEndpoints(this->list);
+  Query query = this->MakeQuery();
+  query.version = SoftwareVersion("v2");
+  std::set<std::string> chosen;
+  for (std::uint64_t i = 1; i <= 40; ++i) {
+    auto choice = this->table.Choose(RequestNumber(i), query, this->now);
+    REQUIRE(choice);
+    CHECK(choice->version == SoftwareVersion("v2"));
+    chosen.insert(choice->endpoint.Get());
+  }
+  CHECK(chosen == std::set<std::string>{ "b", "c" });
+  // Endpoints that name no version are of one version.
+  query.version = SoftwareVersion();
+  query.excluded = { EndpointId("a") };
+  CHECK(this->Choose(100, query) == "d");
+  query.version = SoftwareVersion("v3");
+  CHECK(this->Choose(101, query) == "");
+}
+
+// Guards against a stream that is given up although its version may have room
+// again, and against one that waits for a version that has left.
+TEST_CASE_METHOD(TableFixture, "A version is there until its endpoints leave")
+{
+  this->list[0].version = SoftwareVersion("v2");
+  this->table.SetEndpoints(this->list);
+  Query query = this->MakeQuery();
+  query.version = SoftwareVersion("v2");
+  query.excluded = { EndpointId("a") };
+  this->table.Block(EndpointId("a"), this->now + 1s);
+  CHECK(this->table.HasVersion(query));
+  SECTION("its endpoint drains")
+  {
+    this->list[0].leaving = true;
+  }
+  SECTION("its endpoint is listed no more")
+  {
+    this->list.erase(this->list.begin());
+  }
+  SECTION("another version takes over its id and address")
+  {
+    this->list[0].version = SoftwareVersion("v3");
+  }
+  SECTION("its endpoint serves something else")
+  {
+    this->list[0].serves = "n";
+  }
+  this->table.SetEndpoints(this->list);
+  CHECK_FALSE(this->table.HasVersion(query));
+}
+
+// Guards against an endpoint of a new version that stays without requests
+// because of the failures of the process before.
+TEST_CASE_METHOD(TableFixture,
+                 "Another version at an endpoint's address is another process")
+{
+  this->list.resize(1);
+  this->list[0].version = SoftwareVersion("v1");
+  this->table.SetEndpoints(this->list);
+  this->Report("a", { .running = 8 });
+  auto hasReport = [this] {
+    return this->table.Status(this->now).at(0).report.has_value();
+  };
+  this->table.SetEndpoints(this->list);
+  CHECK(hasReport());
+  this->list[0].version = SoftwareVersion("v2");
+  this->table.SetEndpoints(this->list);
+  CHECK_FALSE(hasReport());
+}
