Keep the answer of a request at one version of software

Change: the version of the endpoint whose first event is passed on, also after a race with a silent one, holds for all later attempts of the request.

--- a/packages/router/src/endpoint_controller.cc
+++ b/packages/router/src/endpoint_controller.cc
@@ -66,7 +66,8 @@
                     entry.isService,
                     entry.leaving,
                     entry.startTime,
-                    entry.isCold });
+                    entry.isCold,
+                    entry.version });
   }
   return out;
 }
@@ -280,9 +281,7 @@
         ToRequestNumber(aChoose.ticket), aChoose.query, this->Time());
       if (!choice) {
         this->ReturnRetry(aChoose);
-        aPromise.deliver(ChooseEndpointReply{
-          std::nullopt,
-          this->table.RemainingBlock(aChoose.query, this->Time()) });
+        this->DeliverNone(aChoose.query, aPromise);
         return;
       }
       if (!this->permits.NeedsPermit(choice->endpoint, this->Time())) {
@@ -303,6 +302,14 @@
     }
   }
 
+  void DeliverNone(const routing::Query& aQuery, Promise& aPromise) const
+  {
+    ChooseEndpointReply reply;
+    reply.freeAfter = this->table.RemainingBlock(aQuery, this->Time());
+    reply.lacksVersion = aQuery.version && !this->table.HasVersion(aQuery);
+    aPromise.deliver(std::move(reply));
+  }
+
   static void Deliver(Promise& aPromise,
                       const routing::Choice& aChoice,
                       bool aIsLimited)
@@ -311,7 +318,8 @@
                                           Duration{},
                                           aChoice.address,
                                           aChoice.basis,
-                                          aIsLimited });
+                                          aIsLimited,
+                                          aChoice.version });
   }
 
   // Takes back a choice that is not used.
--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -79,6 +79,8 @@
   Ticket ticket;
   EndpointId endpoint;
   Address address;
+  // Version of its software when it was chosen.
+  SoftwareVersion version;
   // The endpoint has named a limit.
   bool isLimited = false;
   // True while an endpoint is being chosen or is called.
@@ -132,8 +134,12 @@
   std::set<EndpointId> triedEndpoints;
   // Attempts that reached an endpoint.
   unsigned attempts = 0;
-  // ChooseEndpointReply::freeAfter of the last choice.
+  // ChooseEndpointReply::freeAfter and lacksVersion of the last choice.
   Duration endpointFreeAfter{};
+  bool lacksVersion = false;
+  // Version that began the answer. Later attempts must be at endpoints of the
+  // same version.
+  std::optional<SoftwareVersion> streamVersion;
   // Number of the recorded operation, for a call that must run at most once.
   std::uint64_t operation = 0;
   // FinishRequest must abort the operation.
--- a/packages/router/src/forward.cc
+++ b/packages/router/src/forward.cc
@@ -18,6 +18,7 @@
   choose.ticket = aRequest->attempt.ticket;
   choose.query = std::move(aQuery);
   choose.query.excluded = aRequest->triedEndpoints;
+  choose.query.version = aRequest->streamVersion;
   choose.attempts = aRequest->attempts;
   choose.maxInFlight = aRequest->snapshot->settings.maxInFlightPerEndpoint;
   aRequest->exchange->Task()
@@ -32,6 +33,7 @@
           return;
         }
         aRequest->endpointFreeAfter = aChosen.freeAfter;
+        aRequest->lacksVersion = aChosen.lacksVersion;
         if (!aChosen.endpoint) {
           attempt.isAssigned = false;
           onNoEndpoint();
@@ -39,6 +41,7 @@
         }
         attempt.endpoint = *aChosen.endpoint;
         attempt.address = aChosen.address;
+        attempt.version = aChosen.version;
         attempt.basis = aChosen.basis;
         attempt.isLimited = aChosen.isLimited;
         attempt.startedAt = net::Now(aRequest->exchange->Task().GetRuntime());
--- a/packages/router/src/forward.h
+++ b/packages/router/src/forward.h
@@ -40,6 +40,11 @@
 void
 RecordFailure(const RequestPtr& aRequest, net::CallFailure aFailure);
 
+// Called when the first part of an answer that may be resumed is passed on:
+// later attempts must be at endpoints of the same version.
+void
+BeginStream(const RequestPtr& aRequest);
+
 // Tells the endpoint controller how the call ended.
 void
 ReleaseEndpoint(const RequestPtr& aRequest, routing::Outcome aOutcome);
--- a/packages/router/src/forward_chat.cc
+++ b/packages/router/src/forward_chat.cc
@@ -230,6 +230,7 @@
     if (event->delta.empty()) {
       return "";
     }
+    BeginStream(this->request);
     this->text += event->delta;
     return FormatChatChunk(this->head, event->delta, "");
   }
--- a/packages/router/src/forward_events.cc
+++ b/packages/router/src/forward_events.cc
@@ -382,6 +382,7 @@
       this->EndTakenOver();
     }
     this->hasEvents = true;
+    BeginStream(this->request);
     if (aEvent.id) {
       this->lastEvent = aEvent.id;
     }
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -306,6 +306,9 @@
   routing::ChoiceBasis basis;
   // The endpoint has named a limit.
   bool isLimited = false;
+  SoftwareVersion version;
+  // Without an endpoint: none of the query's version is listed.
+  bool lacksVersion = false;
 };
 
 // An endpoint reported its load in an answer.
--- a/packages/router/test/forward_events_test.cc
+++ b/packages/router/test/forward_events_test.cc
@@ -11,11 +11,12 @@
 namespace {
 
 // What the endpoint controller was asked, and the endpoints that it chooses in
-// turn.
+// turn. Each is of a version of its own.
 struct Seen
 {
   std::vector<Address> endpoints;
   std::vector<unsigned> choices;
+  std::vector<std::optional<SoftwareVersion>> versions;
   std::vector<routing::Outcome> finished;
 };
 
@@ -34,10 +35,13 @@
   {
     return { [this](ChooseEndpoint& aChoose) {
               this->seen.choices.push_back(aChoose.attempts);
+              this->seen.versions.push_back(aChoose.query.version);
               ChooseEndpointReply reply;
               auto tried = aChoose.query.excluded.size();
               if (tried < this->seen.endpoints.size()) {
-                reply.endpoint = EndpointId("e" + std::to_string(tried + 1));
+                auto number = std::to_string(tried + 1);
+                reply.endpoint = EndpointId("e" + number);
+                reply.version = SoftwareVersion("v" + number);
                 reply.address = this->seen.endpoints[tried];
               }
               return reply;
@@ -142,14 +146,27 @@
     this->RunUntil([rounds = 0]() mutable { return ++rounds > 40; });
   }
 
-  // The first endpoint sends an event and falls silent.
-  void StartSilent(net::RawCaller& aCaller)
+  // Sends a request, which reaches the first endpoint.
+  void StartCall(net::RawCaller& aCaller)
   {
     aCaller.Send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}");
     this->RunUntil([&] { return this->endpoints[0].Accept(); });
-    this->endpoints[0].Send(kHead + Event(1));
+    this->Rounds();
+  }
+
+  void AwaitEvent(net::RawCaller& aCaller, int aId)
+  {
+    auto text = "id: " + std::to_string(aId);
     this->RunUntil(
-      [&] { return aCaller.Received().find("id: 1") != std::string::npos; });
+      [&] { return aCaller.Received().find(text) != std::string::npos; });
+  }
+
+  // The first endpoint sends an event and falls silent.
+  void StartSilent(net::RawCaller& aCaller)
+  {
+    this->StartCall(aCaller);
+    this->endpoints[0].Send(kHead + Event(1));
+    this->AwaitEvent(aCaller, 1);
     this->Rounds();
     this->Advance(1500ms);
     this->Rounds();
@@ -269,3 +286,71 @@
   CHECK_FALSE(caller.IsClosed());
   CHECK_FALSE(this->endpoints[0].IsClosed());
 }
+
+using Versions = std::vector<std::optional<SoftwareVersion>>;
+
+// Guards against a stream that is joined from two versions of software within
+// one answer.
+TEST_CASE_METHOD(EventsFixture,
+                 "A broken stream goes on at the version that began it")
+{
+  net::RawCaller caller(this->address);
+  this->StartCall(caller);
+  // Nothing has been passed on, so the next endpoint may be of any version.
+  this->endpoints[0].Send(kHead);
+  this->endpoints[0].Close();
+  this->RunUntil([&] { return this->endpoints[1].Accept(); });
+  this->endpoints[1].Send(kHead + Event(1));
+  this->AwaitEvent(caller, 1);
+  this->endpoints[1].Close();
+  this->RunUntil([&] { return this->endpoints[2].Accept(); });
+  CHECK(this->seen.versions == Versions{ {}, {}, SoftwareVersion("v2") });
+}
+
+// Guards against the same if the stream is raced after a silence.
+TEST_CASE_METHOD(EventsFixture,
+                 "A silent stream is taken over at the version that began it")
+{
+  net::RawCaller caller(this->address);
+  this->StartSilent(caller);
+  this->RunUntil([&] { return this->endpoints[1].Accept(); });
+  CHECK(this->seen.versions == Versions{ {}, SoftwareVersion("v1") });
+}
+
+// Guards against the same if neither endpoint of a race has sent an event when
+// it begins: the version is that of the one whose event is passed on first.
+TEST_CASE_METHOD(EventsFixture,
+                 "The first event in a race decides on the version")
+{
+  net::RawCaller caller(this->address);
+  this->StartCall(caller);
+  this->Advance(1500ms);
+  this->RunUntil([&] { return this->endpoints[1].Accept(); });
+  auto expected = SoftwareVersion("v1");
+  SECTION("of the endpoint that was silent")
+  {
+    this->endpoints[0].Send(kHead + Event(1));
+    this->Rounds();
+    this->Advance(500ms);
+    this->AwaitEvent(caller, 1);
+    this->endpoints[0].Close();
+  }
+  SECTION("of the endpoint that takes over")
+  {
+    expected = SoftwareVersion("v2");
+    this->endpoints[1].Send(kHead + Event(1));
+    this->AwaitEvent(caller, 1);
+    this->endpoints[1].Close();
+  }
+  SECTION("of the one that is settled on if both go on")
+  {
+    expected = SoftwareVersion("v2");
+    this->endpoints[0].Send(kHead + Event(1));
+    this->Rounds();
+    this->endpoints[1].Send(kHead + Event(1));
+    this->AwaitEvent(caller, 1);
+    this->endpoints[1].Close();
+  }
+  this->RunUntil([&] { return this->endpoints[2].Accept(); });
+  CHECK(this->seen.versions == Versions{ {}, {}, expected });
+}
