Take up streams at the version that began them

A filter after CheckQuarantine gets the version for the whole request, and refuses it as not run where it is not known (version_unknown) before it reserves tokens. If no endpoint of the version is left, the request is refused at once (no_endpoint_of_version), and an answer that has begun breaks off. A log line and a counter tell both; the lines attempt, request and refused name the version. With control of an earlier version a stream goes on anywhere.

--- a/packages/router/src/control_link.cc
+++ b/packages/router/src/control_link.cc
@@ -188,6 +188,7 @@
     hello.acceptsQuarantine = true;
     hello.acceptsLimits = true;
     hello.acceptsPartialLimits = true;
+    hello.acceptsStreamServices = true;
     if (this->settings.role == settings::Role::Router) {
       hello.peerAddress = this->settings.peerAddress;
     }
@@ -217,6 +218,8 @@
     this->send(this->controllers.budget, ControlDown{});
     this->send(this->controllers.membership, ControlDown{});
     this->send(this->controllers.quarantine, ControlDown{});
+    this->send(this->controllers.stream,
+               StreamSourceChanged{ StreamSource::None });
     this->send(this->controllers.endpoint,
                PermitSourceChanged{ limits::PermitSource::Local });
   }
@@ -263,6 +266,9 @@
     } else if (std::holds_alternative<wire::QuarantineState>(aMessage) ||
                std::holds_alternative<wire::TrialReply>(aMessage)) {
       this->Forward(this->controllers.quarantine, aMessage);
+    } else if (std::holds_alternative<wire::StreamServices>(aMessage) ||
+               std::holds_alternative<wire::StreamReply>(aMessage)) {
+      this->Forward(this->controllers.stream, aMessage);
     } else if (std::holds_alternative<wire::LimitState>(aMessage) ||
                std::holds_alternative<wire::PermitReply>(aMessage)) {
       this->Forward(this->controllers.endpoint, aMessage);
@@ -285,6 +291,7 @@
     this->tracksCrashes = aWelcome.tracksCrashes;
     this->grantsPermits = aWelcome.grantsPermits;
     this->grantsTrials = aWelcome.grantsTrials;
+    this->recordsStreams = aWelcome.recordsStreams;
     this->wasRefused = false;
     this->viewReceiver.Reset();
     for (const auto& [link, state] : this->links) {
@@ -307,6 +314,10 @@
     this->send(this->controllers.quarantine, ControlUp{});
     this->send(this->controllers.quarantine,
                TrialSourceChanged{ this->grantsTrials });
+    this->send(this->controllers.stream,
+               StreamSourceChanged{ this->recordsStreams
+                                      ? StreamSource::Control
+                                      : StreamSource::Unrecorded });
     this->send(this->controllers.endpoint,
                PermitSourceChanged{ this->grantsPermits
                                       ? limits::PermitSource::Control
@@ -342,6 +353,10 @@
     if (std::holds_alternative<wire::TrialRequest>(aMessage)) {
       return this->grantsTrials;
     }
+    if (std::holds_alternative<wire::StreamReport>(aMessage) ||
+        std::holds_alternative<wire::StreamQuery>(aMessage)) {
+      return this->recordsStreams;
+    }
     return this->tracksCrashes ||
            !(std::holds_alternative<wire::CrashReport>(aMessage) ||
              std::holds_alternative<wire::PartSuccess>(aMessage) ||
@@ -442,6 +457,7 @@
   bool tracksCrashes = false;
   bool grantsPermits = false;
   bool grantsTrials = false;
+  bool recordsStreams = false;
   // When the last link to the leader was lost, or the process started.
   TimePoint lostAt{};
   bool isLeaving = false;
--- a/packages/router/src/controllers.h
+++ b/packages/router/src/controllers.h
@@ -103,6 +103,11 @@
 caf::actor
 SpawnQuarantineController(const net::Runtime& aRuntime);
 
+// Starts the task that owns the streams that this router has begun, reports
+// them to control, and finds out which version of software has begun a stream.
+caf::actor
+SpawnStreamController(const net::Runtime& aRuntime);
+
 // Starts the task that owns the view of the fleet's instances.
 caf::actor
 SpawnMembershipController(const net::Runtime& aRuntime,
--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -137,8 +137,10 @@
   // ChooseEndpointReply::freeAfter and lacksVersion of the last choice.
   Duration endpointFreeAfter{};
   bool lacksVersion = false;
-  // Version that began the answer. Later attempts must be at endpoints of the
-  // same version.
+  // True while the stream controller looks for the stream that is taken up.
+  bool isFindingStream = false;
+  // Version that began the stream. All later attempts must be at endpoints of
+  // this version.
   std::optional<SoftwareVersion> streamVersion;
   // Number of the recorded operation, for a call that must run at most once.
   std::uint64_t operation = 0;
@@ -284,6 +286,11 @@
 Filter
 MakeCheckQuarantine();
 
+// Finds out which version of software has begun a stream that is taken up, and
+// refuses the request if that is not known.
+Filter
+MakeFindStream();
+
 // The filters of the project's own interface, in order, after ShedLoad;
 // CheckQuarantine follows ParseCall. CheckQuarantine, Reserve, Recheck and
 // Forward also follow MatchRoute.
--- a/packages/router/src/finish.cc
+++ b/packages/router/src/finish.cc
@@ -49,6 +49,7 @@
     { "workspace", aRequest.workspace.Get() },
     { "service", aCall.service.Get() },
     { "endpoint", aRequest.attempt.endpoint.Get() },
+    { "version", aRequest.attempt.version.Get() },
     { "attempts", std::to_string(aRequest.attempts) },
     { "reserved", std::to_string(aRequest.reserved.Get()) },
     { "spent", std::to_string(SpentTokens(aRequest).Get()) },
@@ -72,6 +73,9 @@
       fields.emplace_back("endpoint_limit", round(basis.limit));
     }
   }
+  if (aCall.description.lastEvent && aCall.description.resumes) {
+    fields.emplace_back("resumes", aCall.description.resumes->Get());
+  }
   if (aRequest.answerStartedAt) {
     fields.emplace_back(
       "first_ms",
@@ -157,6 +161,9 @@
   if (aRequest->digest) {
     fields.emplace_back("digest", ToString(*aRequest->digest));
   }
+  if (aRequest->streamVersion) {
+    fields.emplace_back("version", aRequest->streamVersion->Get());
+  }
   net::Log(net::LogLevel::Info, "refused", fields);
   net::Metrics()
     .GetCounter("lycheestand_refusals_total",
@@ -245,6 +252,10 @@
   if (aRequest->silentAttempt) {
     CancelAttempt(aRequest, *aRequest->silentAttempt);
   }
+  if (aRequest->isFindingStream) {
+    task.send(aRequest->controllers.stream,
+              CancelFindStream{ aRequest->ticket });
+  }
   if (aRequest->holdsAdmission) {
     task.send(aRequest->controllers.admission,
               ReleaseAdmission{ aRequest->ticket });
--- a/packages/router/src/forward.cc
+++ b/packages/router/src/forward.cc
@@ -14,6 +14,7 @@
        std::function<void()> aOnNoEndpoint)
 {
   aRequest->attempt.isAssigned = true;
+  aRequest->lacksVersion = false;
   ChooseEndpoint choose;
   choose.ticket = aRequest->attempt.ticket;
   choose.query = std::move(aQuery);
--- a/packages/router/src/forward.h
+++ b/packages/router/src/forward.h
@@ -41,10 +41,21 @@
 RecordFailure(const RequestPtr& aRequest, net::CallFailure aFailure);
 
 // Called when the first part of an answer that may be resumed is passed on:
-// later attempts must be at endpoints of the same version.
+// later attempts must be at endpoints of the same version. If the caller may
+// take the stream up, the stream controller keeps its version.
 void
 BeginStream(const RequestPtr& aRequest);
 
+// Logs and counts that a stream ends since there is no endpoint of its version,
+// if that is why the last choice found none.
+void
+ReportLackOfVersion(const Request& aRequest);
+
+// Refuses a request that did not run, since there is no endpoint of the version
+// that has begun its stream.
+void
+RefuseNoEndpointOfVersion(const RequestPtr& aRequest);
+
 // Tells the endpoint controller how the call ended.
 void
 ReleaseEndpoint(const RequestPtr& aRequest, routing::Outcome aOutcome);
--- a/packages/router/src/forward_chat.cc
+++ b/packages/router/src/forward_chat.cc
@@ -362,6 +362,7 @@
   // the request did not run.
   void EndAfterAttempts()
   {
+    ReportLackOfVersion(*this->request);
     if (this->request->ran != ExecutionState::NotRun) {
       this->EndInterrupted(this->lastReason);
       return;
--- a/packages/router/src/forward_events.cc
+++ b/packages/router/src/forward_events.cc
@@ -506,6 +506,7 @@
     }
     auto& exchange = *this->request->exchange;
     if (exchange.IsAnswered()) {
+      ReportLackOfVersion(*this->request);
       this->request->outcome = "broken_stream";
       exchange.Abort();
       FinishRequest(this->request);
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -14,6 +14,7 @@
 #include <lycheestand/routes.h>
 #include <lycheestand/routing.h>
 #include <lycheestand/settings.h>
+#include <lycheestand/streams.h>
 #include <lycheestand/wire.h>
 #include <memory>
 #include <set>
@@ -237,6 +238,58 @@
   quarantine::RequestVerdict verdict = quarantine::RequestVerdict::Accepted;
 };
 
+// ------------------------------------------------------------ streams
+
+// To the stream controller: an endpoint of a version has begun a stream that
+// its caller may take up again.
+struct StreamBegan
+{
+  ServiceName service;
+  StreamId stream;
+  SoftwareVersion version;
+};
+
+// Asks which version of software has begun a stream; the answer is
+// FindStreamReply.
+struct FindStream
+{
+  Ticket ticket;
+  ServiceName service;
+  // Empty if the caller does not say which stream it takes up.
+  std::optional<StreamId> stream;
+};
+struct FindStreamReply
+{
+  // The stream may go on at any version.
+  bool isAnyVersion = false;
+  // Empty if it is not known.
+  std::optional<SoftwareVersion> version;
+  // False if control could not be asked in time.
+  bool isCertain = false;
+};
+
+// Withdraws a request to find a stream.
+struct CancelFindStream
+{
+  Ticket ticket;
+};
+
+// Who knows which versions have begun the streams of other routers.
+enum class StreamSource
+{
+  // Nobody, since there is no link to control.
+  None,
+  Control,
+  // Control of an earlier version, which knows no versions.
+  Unrecorded
+};
+
+// To the stream controller: the link to control is open, or lost.
+struct StreamSourceChanged
+{
+  StreamSource source = StreamSource::None;
+};
+
 // ------------------------------------------------------------ operations
 
 // Records one step of a call that must run at most once; the answer is
@@ -456,6 +509,7 @@
   caf::actor membership;
   caf::actor overload;
   caf::actor quarantine;
+  caf::actor stream;
   caf::actor link;
 };
 
@@ -502,6 +556,11 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointCold)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::TrialSourceChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::PermitSourceChanged)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::StreamBegan)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::FindStream)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::FindStreamReply)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CancelFindStream)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::StreamSourceChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CrashSuspected)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::RequestSucceeded)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CheckRequest)
--- a/packages/router/src/request_digest.cc
+++ b/packages/router/src/request_digest.cc
@@ -35,13 +35,13 @@
       aText.size());
   }
 
-  RequestDigest Finish()
+  std::uint64_t Finish()
   {
     std::array<unsigned char, crypto_generichash_BYTES_MIN> bytes{};
     crypto_generichash_final(&this->state, bytes.data(), bytes.size());
     std::uint64_t digest = 0;
     std::memcpy(&digest, bytes.data(), sizeof(digest));
-    return RequestDigest(digest);
+    return digest;
   }
 
 private:
@@ -62,7 +62,19 @@
   for (const auto& prefix : aIdentity.prefix) {
     hasher.Add(prefix.hash.Get());
   }
-  return hasher.Finish();
+  return RequestDigest(hasher.Finish());
+}
+
+StreamId
+ComputeStreamId(const WorkspaceId& aWorkspace,
+                const ServiceName& aService,
+                const RequestId& aRequest)
+{
+  Hasher hasher;
+  hasher.Add(aWorkspace.Get());
+  hasher.Add(aService.Get());
+  hasher.Add(aRequest.Get());
+  return StreamId(hasher.Finish());
 }
 
 } // namespace lycheestand::router
--- a/packages/router/src/request_digest.h
+++ b/packages/router/src/request_digest.h
@@ -1,7 +1,7 @@
 #ifndef LYCHEESTAND_ROUTER_SRC_REQUEST_DIGEST_H
 #define LYCHEESTAND_ROUTER_SRC_REQUEST_DIGEST_H
 
-// Tells whether two requests ask the same thing of an endpoint.
+// Hashes by which requests and streams are told apart.
 
 #include <lycheestand/core.h>
 #include <lycheestand/routing.h>
@@ -27,6 +27,13 @@
 RequestDigest
 ComputeDigest(const RequestIdentity& aIdentity);
 
+// Returns the id of the stream of a workspace at a service whose first event
+// this request has brought.
+StreamId
+ComputeStreamId(const WorkspaceId& aWorkspace,
+                const ServiceName& aService,
+                const RequestId& aRequest);
+
 } // namespace lycheestand::router
 
 #endif
--- a/packages/router/src/route_attempt.cc
+++ b/packages/router/src/route_attempt.cc
@@ -219,6 +219,7 @@
       { { "event", "attempt" },
         { "request", aRequest->id.Get() },
         { "endpoint", aRequest->attempt.endpoint.Get() },
+        { "version", aRequest->attempt.version.Get() },
         { "attempt", std::to_string(aRequest->attempts) },
         { "ms", net::FormatMilliseconds(now - aRequest->attempt.startedAt) },
         { "parts", FormatParts(call.description.parts) },
@@ -246,11 +247,16 @@
 void
 RefuseRouted(const RequestPtr& aRequest, const std::string& aReason)
 {
+  ReportLackOfVersion(*aRequest);
   if (aRequest->ran != ExecutionState::NotRun) {
     Refuse(aRequest,
            { 502, "endpoint_failed", aReason, ExecutionState::Unknown });
     return;
   }
+  if (aRequest->lacksVersion) {
+    RefuseNoEndpointOfVersion(aRequest);
+    return;
+  }
   bool wasBusy = !aRequest->triedEndpoints.empty();
   Refuse(
     aRequest,
--- a/packages/router/src/router.cc
+++ b/packages/router/src/router.cc
@@ -59,6 +59,7 @@
       MakeShedLoad(std::move(aAccepts)),
       MakeMatchRoute(routes.changeApplyTime, std::move(aMayAccept)),
       MakeCheckQuarantine(),
+      MakeFindStream(),
       MakeReserve(),
       MakeRecheck(),
       MakeForward(),
@@ -238,6 +239,7 @@
       all.endpoint);
     all.membership = SpawnMembershipController(this->runtime, this->settings);
     all.quarantine = SpawnQuarantineController(this->runtime);
+    all.stream = SpawnStreamController(this->runtime);
     all.overload = overload;
     all.link =
       SpawnControlLink(this->runtime, this->settings, aKey, all, [this] {
@@ -252,6 +254,7 @@
     caf::anon_send(all.budget, SetPeerLinks{ peerLinks.value() });
     caf::anon_send(all.operation, all.link);
     caf::anon_send(all.quarantine, all.link);
+    caf::anon_send(all.stream, all.link);
     caf::anon_send(all.endpoint, all.link);
     auto server = net::SpawnHttpServer(
       this->runtime,
@@ -338,6 +341,7 @@
       { "admission", this->controllers.admission },
       { "membership", this->controllers.membership },
       { "quarantine", this->controllers.quarantine },
+      { "stream", this->controllers.stream },
     };
     *pendingReplies = static_cast<int>(namedControllers.size());
     for (const auto& [name, controller] : namedControllers) {
--- a/packages/router/test/forward_events_test.cc
+++ b/packages/router/test/forward_events_test.cc
@@ -1,5 +1,6 @@
 #include "forward.h"
 #include "net_fixture.h"
+#include "request_digest.h"
 #include "route_attempt.h"
 
 #include <array>
@@ -18,6 +19,9 @@
   std::vector<unsigned> choices;
   std::vector<std::optional<SoftwareVersion>> versions;
   std::vector<routing::Outcome> finished;
+  std::vector<StreamBegan> begun;
+  // No endpoint of the version that is asked for is left.
+  bool lacksVersion = false;
 };
 
 // Stands in for the endpoint controller, and for a quarantine of nothing.
@@ -38,7 +42,9 @@
               this->seen.versions.push_back(aChoose.query.version);
               ChooseEndpointReply reply;
               auto tried = aChoose.query.excluded.size();
-              if (tried < this->seen.endpoints.size()) {
+              reply.lacksVersion =
+                this->seen.lacksVersion && aChoose.query.version;
+              if (tried < this->seen.endpoints.size() && !reply.lacksVersion) {
                 auto number = std::to_string(tried + 1);
                 reply.endpoint = EndpointId("e" + number);
                 reply.version = SoftwareVersion("v" + number);
@@ -49,6 +55,9 @@
              [this](CallFinished& aDone) {
                this->seen.finished.push_back(aDone.outcome);
              },
+             [this](StreamBegan& aBegan) {
+               this->seen.begun.push_back(std::move(aBegan));
+             },
              [](CheckRequest&) { return CheckRequestReply{}; },
              [](CrashSuspected&) {},
              [](RequestSucceeded&) {},
@@ -120,6 +129,7 @@
       request->exchange = aExchange;
       request->controllers.endpoint = this->chooser;
       request->controllers.quarantine = this->chooser;
+      request->controllers.stream = this->chooser;
       request->digest = RequestDigest(1);
       request->id = RequestId("r");
       request->ticket = NextTicket();
@@ -131,6 +141,8 @@
       call.table = this->table;
       call.route = &this->route;
       call.description.id = request->id;
+      call.description.lastEvent = this->lastEvent;
+      request->streamVersion = this->streamVersion;
       call.service = ServiceName("s");
       request->call = std::move(call);
       aExchange->OnDisconnect(
@@ -178,6 +190,9 @@
   std::shared_ptr<const RouteProtocol> protocol;
   std::shared_ptr<const routes::RouteTable> table;
   routes::Route route;
+  // Set if the caller takes a stream up.
+  std::optional<std::uint64_t> lastEvent;
+  std::optional<SoftwareVersion> streamVersion;
   std::weak_ptr<Request> request;
   Address address;
 };
@@ -354,3 +369,73 @@
   this->RunUntil([&] { return this->endpoints[2].Accept(); });
   CHECK(this->seen.versions == Versions{ {}, {}, expected });
 }
+
+// Guards against a stream whose version is not known when its caller takes it
+// up, and against one that is known at the version of another endpoint.
+TEST_CASE_METHOD(EventsFixture,
+                 "The version is kept of the endpoint that begins a stream")
+{
+  net::RawCaller caller(this->address);
+  SECTION("a new stream")
+  {
+    this->StartCall(caller);
+    this->endpoints[0].Send(kHead);
+    this->endpoints[0].Close();
+    this->RunUntil([&] { return this->endpoints[1].Accept(); });
+    CHECK(this->seen.begun.empty());
+    this->endpoints[1].Send(kHead + Event(1) + Event(2));
+    this->AwaitEvent(caller, 2);
+    this->Rounds();
+    REQUIRE(this->seen.begun.size() == 1);
+    CHECK(this->seen.begun[0].service == ServiceName("s"));
+    CHECK(this->seen.begun[0].version == SoftwareVersion("v2"));
+    CHECK(this->seen.begun[0].stream ==
+          ComputeStreamId({}, ServiceName("s"), RequestId("r")));
+    return;
+  }
+  SECTION("a stream that is taken up")
+  {
+    this->lastEvent = 1;
+    this->streamVersion = SoftwareVersion("v1");
+  }
+  SECTION("a stream that can't be taken up")
+  {
+    this->route.isResumable = false;
+  }
+  this->StartCall(caller);
+  this->endpoints[0].Send(kHead + Event(2));
+  this->AwaitEvent(caller, 2);
+  this->Rounds();
+  CHECK(this->seen.begun.empty());
+}
+
+// Guards against a caller that waits, or comes back in vain, for a version that
+// has left.
+TEST_CASE_METHOD(EventsFixture,
+                 "A stream ends at once if its version has no endpoint")
+{
+  this->seen.lacksVersion = true;
+  net::RawCaller caller(this->address);
+  SECTION("which has run nothing")
+  {
+    this->lastEvent = 1;
+    this->streamVersion = SoftwareVersion("v1");
+    caller.Send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}");
+    this->RunUntil(
+      [&] { return caller.Received().find("not_run") != std::string::npos; });
+    const auto answer = caller.Received();
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(answer.find("no_endpoint_of_version") != std::string::npos);
+    CHECK(answer.find("Retry-After") == std::string::npos);
+  }
+  SECTION("whose answer has begun")
+  {
+    this->StartCall(caller);
+    this->endpoints[0].Send(kHead + Event(1));
+    this->AwaitEvent(caller, 1);
+    this->endpoints[0].Close();
+    this->RunUntil([&] { return caller.IsClosed(); });
+    CHECK_FALSE(caller.Received().ends_with("0\r\n\r\n"));
+    CHECK(this->seen.versions == Versions{ {}, SoftwareVersion("v1") });
+  }
+}
