--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -79,6 +79,8 @@
   Ticket ticket;
   EndpointId endpoint;
   Address address;
+  // Version of its software when it was chosen.
+  SoftwareVersion version;
   // The endpoint has named a limit.
   bool isLimited = false;
   // True while an endpoint is being chosen or is called.
@@ -132,8 +134,14 @@
   std::set<EndpointId> triedEndpoints;
   // Attempts that reached an endpoint.
   unsigned attempts = 0;
-  // ChooseEndpointReply::freeAfter of the last choice.
+  // ChooseEndpointReply::freeAfter and lacksVersion of the last choice.
   Duration endpointFreeAfter{};
+  bool lacksVersion = false;
+  // True while the stream controller looks for the stream that is taken up.
+  bool isFindingStream = false;
+  // Version that began the stream. All later attempts must be at endpoints of
+  // this version.
+  std::optional<SoftwareVersion> streamVersion;
   // Number of the recorded operation, for a call that must run at most once.
   std::uint64_t operation = 0;
   // FinishRequest must abort the operation.
@@ -278,6 +286,11 @@
 Filter
 MakeCheckQuarantine();
 
+// Finds out which version of software has begun a stream that is taken up, and
+// refuses the request if that is not known.
+Filter
+MakeFindStream();
+
 // The filters of the project's own interface, in order, after ShedLoad;
 // CheckQuarantine follows ParseCall. CheckQuarantine, Reserve, Recheck and
 // Forward also follow MatchRoute.
--- a/packages/router/src/forward_chat.cc
+++ b/packages/router/src/forward_chat.cc
@@ -230,6 +230,7 @@
     if (event->delta.empty()) {
       return "";
     }
+    BeginStream(this->request);
     this->text += event->delta;
     return FormatChatChunk(this->head, event->delta, "");
   }
@@ -361,6 +362,7 @@
   // the request did not run.
   void EndAfterAttempts()
   {
+    ReportLackOfVersion(*this->request);
     if (this->request->ran != ExecutionState::NotRun) {
       this->EndInterrupted(this->lastReason);
       return;
--- a/packages/router/src/forward_events.cc
+++ b/packages/router/src/forward_events.cc
@@ -382,6 +382,7 @@
       this->EndTakenOver();
     }
     this->hasEvents = true;
+    BeginStream(this->request);
     if (aEvent.id) {
       this->lastEvent = aEvent.id;
     }
@@ -505,6 +506,7 @@
     }
     auto& exchange = *this->request->exchange;
     if (exchange.IsAnswered()) {
+      ReportLackOfVersion(*this->request);
       this->request->outcome = "broken_stream";
       exchange.Abort();
       FinishRequest(this->request);
