Name a version in the fault cases' list of replicas

Cause: an entry without a version names no endpoint any more. Change: all stand-in replicas are of version v1.

--- a/test/faults/replica_pool.cc
+++ b/test/faults/replica_pool.cc
@@ -164,6 +164,7 @@
              { "service", aService },
              { "address", this->ip + ":" + std::to_string(kReplicaPort) },
              { "zone", "z" + std::to_string(this->number % 3 + 1) },
+             { "version", "v1" },
              { "state", "ready" } };
   }
 
