Bring a stream that is taken up to the service that began it

Cause: a route that splits its requests chooses a service at random for each, so a take-up may come to another service than the stream's. Change: on resumable routes the choice depends on the workspace and on the request that began the stream; the weights stay.

--- a/packages/router/src/match_route.cc
+++ b/packages/router/src/match_route.cc
@@ -1,4 +1,5 @@
 #include "filter_chain.h"
+#include "request_digest.h"
 
 namespace lycheestand::router {
 
@@ -83,6 +84,24 @@
   });
 }
 
+// Returns the service for a request. A stream that is taken up must come to the
+// service that has begun it, at any router.
+const ServiceName&
+ChooseService(const Request& aRequest,
+              const RoutedCall& aCall,
+              const RandomSource& aRandom)
+{
+  if (!aCall.route->isResumable) {
+    return routes::ChooseService(*aCall.route, aRandom);
+  }
+  const auto& description = aCall.description;
+  bool isTakenUp = description.lastEvent && description.resumes;
+  return routes::ChooseService(
+    *aCall.route,
+    MakeStreamSource(aRequest.workspace,
+                     isTakenUp ? *description.resumes : description.id));
+}
+
 void
 Match(const RequestPtr& aRequest,
       bool aIsConfirmed,
@@ -105,7 +124,7 @@
   if (!FindWorkspace(aRequest, call, aIsConfirmed)) {
     return;
   }
-  call.service = routes::ChooseService(*route, aRandom);
+  call.service = ChooseService(*aRequest, call, aRandom);
   const auto* service = call.table->Find(call.service);
   if (service->engine) {
     call.tokensPerEvent = service->engine->tokensPerEvent;
--- a/packages/router/src/request_digest.cc
+++ b/packages/router/src/request_digest.cc
@@ -77,4 +77,15 @@
   return StreamId(hasher.Finish());
 }
 
+RandomSource
+MakeStreamSource(const WorkspaceId& aWorkspace, const RequestId& aRequest)
+{
+  Hasher hasher;
+  hasher.Add(aWorkspace.Get());
+  hasher.Add(aRequest.Get());
+  return [number = hasher.Finish()](std::uint64_t aBound) {
+    return aBound == 0 ? number : number % aBound;
+  };
+}
+
 } // namespace lycheestand::router
--- a/packages/router/src/request_digest.h
+++ b/packages/router/src/request_digest.h
@@ -34,6 +34,11 @@
                 const ServiceName& aService,
                 const RequestId& aRequest);
 
+// Returns a source of one number, which depends on the workspace and on the
+// request that has begun a stream.
+RandomSource
+MakeStreamSource(const WorkspaceId& aWorkspace, const RequestId& aRequest);
+
 } // namespace lycheestand::router
 
 #endif
--- a/packages/router/test/request_digest_test.cc
+++ b/packages/router/test/request_digest_test.cc
@@ -1,6 +1,8 @@
 #include "request_digest.h"
 
 #include <catch2/catch.hpp>
+#include <lycheestand/routes.h>
+#include <map>
 #include <set>
 
 using namespace lycheestand;
@@ -36,3 +38,26 @@
   const RequestIdentity right{ WorkspaceId("w"), "a", "bc", "GET", "", {} };
   CHECK(ComputeDigest(left) != ComputeDigest(right));
 }
+
+// Guards against a stream that is taken up at another service than the one that
+// began it, and against weights that no longer hold.
+TEST_CASE("A stream stays at the service of its split")
+{
+  routes::Route route;
+  route.splits = { { ServiceName("a"), 90 },
+                   { ServiceName("b"), 10 },
+                   { ServiceName("c"), 0 } };
+  std::map<ServiceName, int> chosen;
+  constexpr int kRequests = 20000;
+  for (int i = 0; i < kRequests; ++i) {
+    RequestId id("r" + std::to_string(i));
+    auto source = MakeStreamSource(WorkspaceId("w"), id);
+    const auto& service = routes::ChooseService(route, source);
+    ++chosen[service];
+    CHECK(service ==
+          routes::ChooseService(route, MakeStreamSource(WorkspaceId("w"), id)));
+  }
+  CHECK(chosen[ServiceName("a")] == Approx(kRequests * 0.9).epsilon(0.02));
+  CHECK(chosen[ServiceName("b")] == Approx(kRequests * 0.1).epsilon(0.1));
+  CHECK(chosen[ServiceName("c")] == 0);
+}
