--- a/packages/client/src/request_timeline.cc
+++ b/packages/client/src/request_timeline.cc
@@ -60,6 +60,8 @@
   std::string workspace;
   std::set<std::string> endpoints;
   std::string digest;
+  // The request that has begun the stream which this one takes up.
+  std::string resumes;
   std::string begin;
   std::string end;
   double milliseconds = 0;
@@ -90,6 +92,10 @@
     if (!digest.empty()) {
       summary.digest = digest;
     }
+    std::string resumes = GetField(line.fields, "resumes");
+    if (!resumes.empty()) {
+      summary.resumes = resumes;
+    }
     std::string event = GetField(line.fields, "event");
     std::string time = GetField(line.fields, "ms");
     bool isCut = event == "request_cut";
@@ -108,6 +114,10 @@
 {
   const std::string event = GetField(aLine.fields, "event");
   const std::string message = GetField(aLine.fields, "message");
+  const std::string request = GetField(aLine.fields, "request");
+  if (!request.empty() && request == aSummary.resumes) {
+    return "[stream] ";
+  }
   if (aLine.instance == aSummary.router &&
       (event == "control_lost" || event == "routes_in_force" ||
        event == "leaving" || message == "connected to control" ||
--- a/packages/client/test/request_timeline_test.cc
+++ b/packages/client/test/request_timeline_test.cc
@@ -111,3 +111,28 @@
   CHECK(timeline[1].find("[quarantine] m") != std::string::npos);
   CHECK(timeline[1].find("crashes=3") != std::string::npos);
 }
+
+// Guards against a stream that was not taken up and of which the timeline does
+// not tell at which version it began.
+TEST_CASE("A request's timeline has the request that began its stream")
+{
+  std::istringstream input(
+    R"({"time":"2026-12-06T15:45:08.000Z","instance":"r2","message":"m",)"
+    R"("event":"request","request":"id0","endpoint":"e","version":"v1"})"
+    "\n"
+    R"({"time":"2026-12-06T15:45:08.100Z","instance":"r2","message":"m",)"
+    R"("event":"request","request":"id2","endpoint":"e","version":"v1"})"
+    "\n"
+    R"({"time":"2026-12-06T15:45:09.000Z","instance":"r1","message":"m",)"
+    R"("event":"stream_not_resumed","request":"id1","resumes":"id0"})"
+    "\n"
+    R"({"time":"2026-12-06T15:45:09.100Z","instance":"r1","message":"m",)"
+    R"("event":"request","request":"id1","endpoint":"f","version":"v2"})"
+    "\n");
+  auto timeline = BuildRequestTimeline(ReadLogLines(input), "id1");
+  REQUIRE(timeline.size() == 3);
+  CHECK(timeline[0].find("[stream] m event=request request=id0") !=
+        std::string::npos);
+  CHECK(timeline[0].find("version=v1") != std::string::npos);
+  CHECK(timeline[2].find("version=v2") != std::string::npos);
+}
