Refuse a take-up whose version has left before its reservation

Cause: such a request would wait for its budget first, and be refused then. Change: the filter asks the endpoint table; the dump names the version of each endpoint; a change of the version drops what was polled.

--- a/packages/router/src/endpoint_controller.cc
+++ b/packages/router/src/endpoint_controller.cc
@@ -123,6 +123,7 @@
     return {
       [this](ViewChanged& aChanged) { this->Update(*aChanged.view); },
       [this](ChooseEndpoint& aChoose) { return this->HandleChoose(aChoose); },
+      [this](HasVersion& aHas) { return this->table.HasVersion(aHas.query); },
       [this](CallFinished& aFinished) { this->Finish(aFinished); },
       [this](CallTimed& aTimed) {
         this->table.RecordTime(ToRequestNumber(aTimed.ticket),
@@ -204,7 +205,8 @@
       auto found = this->polled.find(endpoint.endpoint);
       if (found != this->polled.end() &&
           found->second.endpoint.address == endpoint.address &&
-          found->second.endpoint.startTime == endpoint.startTime) {
+          found->second.endpoint.startTime == endpoint.startTime &&
+          found->second.endpoint.version == endpoint.version) {
         polled = found->second;
       }
       polled.endpoint = endpoint;
@@ -700,6 +702,7 @@
       boost::json::object entry{ { "endpoint", status.endpoint.endpoint.Get() },
                                  { "serves", status.endpoint.serves },
                                  { "zone", status.endpoint.zone.Get() },
+                                 { "version", status.endpoint.version.Get() },
                                  { "in_flight", status.inFlight },
                                  { "leaving", status.leaving },
                                  { "evacuated", status.evacuated },
--- a/packages/router/src/filter_chain.h
+++ b/packages/router/src/filter_chain.h
@@ -287,7 +287,7 @@
 MakeCheckQuarantine();
 
 // Finds out which version of software has begun a stream that is taken up, and
-// refuses the request if that is not known.
+// refuses the request if that is not known or no endpoint of it is left.
 Filter
 MakeFindStream();
 
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -364,6 +364,13 @@
   bool lacksVersion = false;
 };
 
+// Asks whether an endpoint of the query's version is listed and not leaving;
+// the answer is true or false.
+struct HasVersion
+{
+  routing::Query query;
+};
+
 // An endpoint reported its load in an answer.
 struct LoadReported
 {
@@ -548,6 +555,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::IsIdle)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ChooseEndpoint)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ChooseEndpointReply)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::HasVersion)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CallFinished)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointLeaving)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointBlocked)
--- a/packages/router/src/stream_version.cc
+++ b/packages/router/src/stream_version.cc
@@ -67,6 +67,33 @@
            aIsCertain ? 0 : kUnknownVersionRetrySeconds });
 }
 
+// Goes on if an endpoint of the stream's version is left. The request would
+// otherwise wait for its budget in vain.
+void
+CheckVersion(const RequestPtr& aRequest, Next aNext)
+{
+  routing::Query query;
+  query.serves = std::get<RoutedCall>(aRequest->call).service.Get();
+  query.isService = true;
+  query.version = aRequest->streamVersion;
+  aRequest->exchange->Task()
+    .request(aRequest->controllers.endpoint,
+             caf::infinite,
+             HasVersion{ std::move(query) })
+    .then([aRequest, next = std::move(aNext)](bool aHasVersion) {
+      if (aRequest->isFinished) {
+        return;
+      }
+      if (aHasVersion) {
+        next();
+      } else {
+        aRequest->lacksVersion = true;
+        ReportLackOfVersion(*aRequest);
+        RefuseNoEndpointOfVersion(aRequest);
+      }
+    });
+}
+
 } // namespace
 
 // Streams at endpoints of several versions do not fit together. A stream
@@ -93,7 +120,9 @@
         }
         aRequest->isFindingStream = false;
         aRequest->streamVersion = aReply.version;
-        if (aReply.version || aReply.isAnyVersion) {
+        if (aReply.version) {
+          CheckVersion(aRequest, next);
+        } else if (aReply.isAnyVersion) {
           next();
         } else {
           RefuseUnknownVersion(aRequest, aReply.isCertain);
--- a/packages/router/test/find_stream_test.cc
+++ b/packages/router/test/find_stream_test.cc
@@ -15,8 +15,12 @@
   std::vector<FindStream> finds;
   std::vector<Ticket> cancelled;
   std::optional<FindStreamReply> reply;
+  // What the endpoint controller was asked, and its answer.
+  std::vector<routing::Query> queries;
+  bool hasVersion = true;
 };
 
+// Stands in for the stream controller and the endpoint controller.
 class StreamControllerStandIn : public net::IoTask
 {
 public:
@@ -39,6 +43,10 @@
               this->waiting = this->make_response_promise();
               return this->waiting;
             },
+             [this](HasVersion& aHas) {
+               this->seen.queries.push_back(aHas.query);
+               return this->seen.hasVersion;
+             },
              [this](CancelFindStream& aCancel) {
                this->seen.cancelled.push_back(aCancel.ticket);
                this->waiting.deliver(FindStreamReply{});
@@ -65,6 +73,7 @@
       auto request = std::make_shared<Request>();
       request->exchange = aExchange;
       request->controllers.stream = this->controller;
+      request->controllers.endpoint = this->controller;
       request->ticket = NextTicket();
       request->workspace = WorkspaceId("w");
       RoutedCall call;
@@ -128,6 +137,24 @@
         ComputeStreamId(WorkspaceId("w"), ServiceName("s"), RequestId("r0")));
 }
 
+// Guards against a request that waits for its budget although its stream can't
+// go on, and against a caller that comes back in vain.
+TEST_CASE_METHOD(FindStreamFixture,
+                 "A stream whose version has left is refused at once")
+{
+  this->seen.reply = FindStreamReply{ false, SoftwareVersion("v1"), true };
+  this->seen.hasVersion = false;
+  const auto answer = this->Call();
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(Contains(answer, "no_endpoint_of_version"));
+  CHECK(Contains(answer, "not_run"));
+  CHECK_FALSE(Contains(answer, "Retry-After"));
+  REQUIRE(this->seen.queries.size() == 1);
+  CHECK(this->seen.queries[0].serves == "s");
+  CHECK(this->seen.queries[0].isService);
+  CHECK(this->seen.queries[0].version == SoftwareVersion("v1"));
+}
+
 // Guards against a request that takes up a stream without saying which one, and
 // gets the version of any.
 TEST_CASE_METHOD(FindStreamFixture, "A stream without a name has no id")
