--- a/packages/streams/include/lycheestand/streams.h
+++ b/packages/streams/include/lycheestand/streams.h
@@ -28,14 +28,14 @@
   std::size_t maxStreams = 32768;
 };
 
-// Streams of one service that endpoints of one version have begun.
-struct Report
+// Streams that endpoints of one version have begun.
+struct StreamBatch
 {
   ServiceName service;
   SoftwareVersion version;
   std::vector<StreamId> streams;
 
-  friend bool operator==(const Report&, const Report&) = default;
+  friend bool operator==(const StreamBatch&, const StreamBatch&) = default;
 };
 
 // What a router knows of a stream.
@@ -75,7 +75,7 @@
 
   // Returns reports of at most aMaxStreams streams that are to be made now, in
   // the order in which the streams began; none if all are made.
-  std::vector<Report> TakeReports(std::size_t aMaxStreams, TimePoint aNow);
+  std::vector<StreamBatch> TakeReports(std::size_t aMaxStreams, TimePoint aNow);
 
   // Returns how many streams are kept. A stream that has begun several times
   // counts each time.
--- a/packages/streams/src/stream_log.cc
+++ b/packages/streams/src/stream_log.cc
@@ -65,7 +65,7 @@
   this->nextReport = this->firstNumber;
 }
 
-std::vector<Report>
+std::vector<StreamBatch>
 StreamLog::TakeReports(std::size_t aMaxStreams, TimePoint aNow)
 {
   this->DropOld(aNow);
@@ -81,7 +81,7 @@
       ++count;
     }
   }
-  std::vector<Report> reports;
+  std::vector<StreamBatch> reports;
   for (auto& [origin, streams] : taken) {
     reports.push_back({ origin.first, origin.second, std::move(streams) });
   }
--- a/packages/streams/test/stream_log_test.cc
+++ b/packages/streams/test/stream_log_test.cc
@@ -27,7 +27,7 @@
     return this->log.Find(StreamId(aStream), this->now);
   }
 
-  std::vector<Report> Take(std::size_t aMaxStreams = 100)
+  std::vector<StreamBatch> Take(std::size_t aMaxStreams = 100)
   {
     return this->log.TakeReports(aMaxStreams, this->now);
   }
@@ -107,8 +107,9 @@
   this->Begin(2);
   this->Begin(3, kNew);
   this->Begin(4, kNew, kOther);
-  CHECK(this->Take() == std::vector{ Report{ kService, kOld, Ids({ 1, 2 }) },
-                                     Report{ kService, kNew, Ids({ 3 }) } });
+  CHECK(this->Take() ==
+        std::vector{ StreamBatch{ kService, kOld, Ids({ 1, 2 }) },
+                     StreamBatch{ kService, kNew, Ids({ 3 }) } });
   CHECK(this->Take().empty());
   this->log.SetServices({ kService });
   CHECK(this->Take().empty());
@@ -125,18 +126,21 @@
   SECTION("a service is added")
   {
     this->log.SetServices({ kService, kOther });
-    CHECK(this->Take() == std::vector{ Report{ kOther, kNew, Ids({ 2 }) } });
+    CHECK(this->Take() ==
+          std::vector{ StreamBatch{ kOther, kNew, Ids({ 2 }) } });
   }
   SECTION("a service was removed meanwhile, and its records with it")
   {
     this->log.SetServices({});
     this->log.SetServices({ kService });
-    CHECK(this->Take() == std::vector{ Report{ kService, kOld, Ids({ 1 }) } });
+    CHECK(this->Take() ==
+          std::vector{ StreamBatch{ kService, kOld, Ids({ 1 }) } });
   }
   SECTION("a new link")
   {
     this->log.ReportAgain();
-    CHECK(this->Take() == std::vector{ Report{ kService, kOld, Ids({ 1 }) } });
+    CHECK(this->Take() ==
+          std::vector{ StreamBatch{ kService, kOld, Ids({ 1 }) } });
   }
   CHECK(this->Take().empty());
 }
@@ -150,11 +154,11 @@
     this->Begin(i);
   }
   CHECK(this->Take(3) ==
-        std::vector{ Report{ kService, kOld, Ids({ 1, 2, 3 }) } });
+        std::vector{ StreamBatch{ kService, kOld, Ids({ 1, 2, 3 }) } });
   // The first entry goes before the next part.
   this->Begin(5);
   CHECK(this->Take(3) ==
-        std::vector{ Report{ kService, kOld, Ids({ 4, 5 }) } });
+        std::vector{ StreamBatch{ kService, kOld, Ids({ 4, 5 }) } });
   CHECK(this->Take(3).empty());
   // A report that was not made in time is not made.
   this->Begin(6);
