Keep records of streams as long as versions, and one type for batches

Cause: a version is kept for 60 s, as longer than a stream may last, but a record lived for 30 s at the least; two types for the same batch met in a merge. Change: records age every 60 s; one StreamBatch in the streams package.

--- a/packages/control/src/stream_controller.cc
+++ b/packages/control/src/stream_controller.cc
@@ -13,7 +13,7 @@
 constexpr std::size_t kMaxStreamsPerCommand = 4096;
 
 // A record lives for one to two intervals.
-constexpr Duration kAgeInterval = std::chrono::seconds(30);
+constexpr Duration kAgeInterval = std::chrono::seconds(60);
 
 // Maximum time for which a new leader holds its first list back until all
 // versions in it are admitted. Shorter than the time for which the fleet
--- a/packages/streams/include/lycheestand/streams.h
+++ b/packages/streams/include/lycheestand/streams.h
@@ -18,6 +18,16 @@
 
 namespace lycheestand::streams {
 
+// Streams of a service that endpoints of one version have begun.
+struct StreamBatch
+{
+  ServiceName service;
+  SoftwareVersion version;
+  std::vector<StreamId> streams;
+
+  friend bool operator==(const StreamBatch&, const StreamBatch&) = default;
+};
+
 // ---------------------------------------------------------------- control
 
 using Versions = std::map<ServiceName, std::set<SoftwareVersion>>;
@@ -83,16 +93,6 @@
   std::map<std::pair<ServiceName, SoftwareVersion>, TimePoint> missingSince;
 };
 
-// Streams that endpoints of one version have begun.
-struct StreamBatch
-{
-  ServiceName service;
-  SoftwareVersion version;
-  std::vector<StreamId> streams;
-
-  friend bool operator==(const StreamBatch&, const StreamBatch&) = default;
-};
-
 // Merges the reports of routers by service and version.
 class ReportQueue
 {
@@ -129,16 +129,6 @@
   std::size_t maxStreams = 32768;
 };
 
-// Streams that endpoints of one version have begun.
-struct StreamBatch
-{
-  ServiceName service;
-  SoftwareVersion version;
-  std::vector<StreamId> streams;
-
-  friend bool operator==(const StreamBatch&, const StreamBatch&) = default;
-};
-
 // What a router knows of a stream.
 struct KnownStream
 {
