Say that a version has left only when the list is known

Cause: a router without any endpoint of a service, such as one that has just started, told callers that no endpoint of their stream's version was left, without Retry-After. Change: the endpoint table lacks a version only if it has an endpoint of another one; otherwise the request gets no_endpoint, as before.

--- a/packages/router/src/endpoint_controller.cc
+++ b/packages/router/src/endpoint_controller.cc
@@ -123,7 +123,9 @@
     return {
       [this](ViewChanged& aChanged) { this->Update(*aChanged.view); },
       [this](ChooseEndpoint& aChoose) { return this->HandleChoose(aChoose); },
-      [this](HasVersion& aHas) { return this->table.HasVersion(aHas.query); },
+      [this](LacksVersion& aLacks) {
+        return this->table.LacksVersion(aLacks.query);
+      },
       [this](CallFinished& aFinished) { this->Finish(aFinished); },
       [this](CallTimed& aTimed) {
         this->table.RecordTime(ToRequestNumber(aTimed.ticket),
@@ -308,7 +310,7 @@
   {
     ChooseEndpointReply reply;
     reply.freeAfter = this->table.RemainingBlock(aQuery, this->Time());
-    reply.lacksVersion = aQuery.version && !this->table.HasVersion(aQuery);
+    reply.lacksVersion = aQuery.version && this->table.LacksVersion(aQuery);
     aPromise.deliver(std::move(reply));
   }
 
--- a/packages/router/src/messages.h
+++ b/packages/router/src/messages.h
@@ -364,9 +364,9 @@
   bool lacksVersion = false;
 };
 
-// Asks whether an endpoint of the query's version is listed and not leaving;
-// the answer is true or false.
-struct HasVersion
+// Asks whether none of the listed endpoints that are not leaving has the
+// query's version; the answer is true or false.
+struct LacksVersion
 {
   routing::Query query;
 };
@@ -555,7 +555,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::IsIdle)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ChooseEndpoint)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::ChooseEndpointReply)
-CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::HasVersion)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::LacksVersion)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::CallFinished)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointLeaving)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lycheestand::router::EndpointBlocked)
--- a/packages/router/src/stream_version.cc
+++ b/packages/router/src/stream_version.cc
@@ -79,18 +79,18 @@
   aRequest->exchange->Task()
     .request(aRequest->controllers.endpoint,
              caf::infinite,
-             HasVersion{ std::move(query) })
-    .then([aRequest, next = std::move(aNext)](bool aHasVersion) {
+             LacksVersion{ std::move(query) })
+    .then([aRequest, next = std::move(aNext)](bool aLacksVersion) {
       if (aRequest->isFinished) {
         return;
       }
-      if (aHasVersion) {
+      if (!aLacksVersion) {
         next();
-      } else {
-        aRequest->lacksVersion = true;
-        ReportLackOfVersion(*aRequest);
-        RefuseNoEndpointOfVersion(aRequest);
+        return;
       }
+      aRequest->lacksVersion = true;
+      ReportLackOfVersion(*aRequest);
+      RefuseNoEndpointOfVersion(aRequest);
     });
 }
 
--- a/packages/router/test/find_stream_test.cc
+++ b/packages/router/test/find_stream_test.cc
@@ -17,7 +17,7 @@
   std::optional<FindStreamReply> reply;
   // What the endpoint controller was asked, and its answer.
   std::vector<routing::Query> queries;
-  bool hasVersion = true;
+  bool lacksVersion = false;
 };
 
 // Stands in for the stream controller and the endpoint controller.
@@ -43,9 +43,9 @@
               this->waiting = this->make_response_promise();
               return this->waiting;
             },
-             [this](HasVersion& aHas) {
-               this->seen.queries.push_back(aHas.query);
-               return this->seen.hasVersion;
+             [this](LacksVersion& aLacks) {
+               this->seen.queries.push_back(aLacks.query);
+               return this->seen.lacksVersion;
              },
              [this](CancelFindStream& aCancel) {
                this->seen.cancelled.push_back(aCancel.ticket);
@@ -143,7 +143,7 @@
                  "A stream whose version has left is refused at once")
 {
   this->seen.reply = FindStreamReply{ false, SoftwareVersion("v1"), true };
-  this->seen.hasVersion = false;
+  this->seen.lacksVersion = true;
   const auto answer = this->Call();
   CHECK(answer.starts_with("HTTP/1.1 503"));
   CHECK(Contains(answer, "no_endpoint_of_version"));
--- a/packages/routing/include/lycheestand/routing.h
+++ b/packages/routing/include/lycheestand/routing.h
@@ -640,9 +640,9 @@
                                const Query& aQuery,
                                TimePoint aNow);
 
-  // Returns whether an endpoint for the query is listed and not leaving that
-  // has its version, also if it can't be chosen now.
-  bool HasVersion(const Query& aQuery) const;
+  // Returns whether none of the listed endpoints for the query that are not
+  // leaving has its version. Whether one can be chosen now does not matter.
+  bool LacksVersion(const Query& aQuery) const;
 
   // Ends a request. Does nothing for a request without a chosen endpoint.
   void Finish(RequestNumber aRequest, Outcome aOutcome, TimePoint aNow);
--- a/packages/routing/src/endpoint_table.cc
+++ b/packages/routing/src/endpoint_table.cc
@@ -238,13 +238,20 @@
          !aTracked.IsLeaving();
 }
 
+// Without any endpoint of the service, the list may not have been received yet.
 bool
-EndpointTable::HasVersion(const Query& aQuery) const
+EndpointTable::LacksVersion(const Query& aQuery) const
 {
-  return std::any_of(
-    this->endpoints.begin(), this->endpoints.end(), [&](const auto& aTracked) {
-      return Serves(aTracked.second, aQuery);
-    });
+  Query anyVersion = aQuery;
+  anyVersion.version.reset();
+  bool hasEndpoint = false;
+  for (const auto& [id, tracked] : this->endpoints) {
+    if (Serves(tracked, aQuery)) {
+      return false;
+    }
+    hasEndpoint |= Serves(tracked, anyVersion);
+  }
+  return hasEndpoint;
 }
 
 bool
--- a/packages/routing/test/choice_test.cc
+++ b/packages/routing/test/choice_test.cc
@@ -319,7 +319,7 @@
   query.version = SoftwareVersion("v2");
   query.excluded = { EndpointId("a") };
   this->table.Block(EndpointId("a"), this->now + 1s);
-  CHECK(this->table.HasVersion(query));
+  CHECK_FALSE(this->table.LacksVersion(query));
   SECTION("its endpoint drains")
   {
     this->list[0].leaving = true;
@@ -337,7 +337,20 @@
     this->list[0].serves = "n";
   }
   this->table.SetEndpoints(this->list);
-  CHECK_FALSE(this->table.HasVersion(query));
+  CHECK(this->table.LacksVersion(query));
+}
+
+// Guards against a caller that is told that its version has left by a router
+// that does not have the list yet.
+TEST_CASE_METHOD(TableFixture,
+                 "An empty table does not tell which versions left")
+{
+  Query query = this->MakeQuery();
+  query.version = SoftwareVersion("v2");
+  this->table.SetEndpoints(this->list);
+  CHECK(this->table.LacksVersion(query));
+  this->table.SetEndpoints({});
+  CHECK_FALSE(this->table.LacksVersion(query));
 }
 
 // Guards against an endpoint of a new version that stays without requests
