Add the further cases of streams at versions of software

Five cases more: a version that has left, take-ups of take-ups beside three versions, take-ups that name no stream of their caller's, a service with one version, and list entries without a sound version.

--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -74,7 +74,9 @@
                         rate-limit-restart cold cold-start late-stop late-body late-refusal broken-service-stream
                         late-chat large-answers large-requests group-seeds-exchanged group-gateways-restarted
                         no-workspaces zone-evacuation zone-evacuation-streams zone-orders zone-changes silent-stream silent-soak soak
-                        stream-version-resume stream-version-takeup stream-version-restart)
+                        stream-version-resume stream-version-takeup stream-version-restart
+                        stream-version-left stream-version-chain stream-version-foreign stream-version-single
+                        stream-version-odd-list)
 lycheestand_fault_cases(long group-replaced group-seeds budget-killed budget-frozen answers-broken once-race once-cut
                         config-one-way config-frozen config-restart control-race control-resent
                         control-killed control-isolated control-one-way control-disk control-restart
