--- a/test/faults/silent_soak_test.cc
+++ b/test/faults/silent_soak_test.cc
@@ -4,13 +4,13 @@
 
 #include "platform_fleet.h"
 #include "replica_pool.h"
+#include "soak_support.h"
 
 #include <algorithm>
 #include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <csignal>
-#include <cstdlib>
 #include <ctime>
 #include <iomanip>
 #include <iostream>
@@ -113,25 +113,6 @@
   static constexpr Duration kPiecePause = 20ms;
   static constexpr Duration kReadPause = 50ms;
 
-  static int ReadOption(const char* aVariable, int aDefault)
-  {
-    const char* text = std::getenv(aVariable);
-    return text == nullptr ? aDefault : std::atoi(text);
-  }
-
-  static bool IsChance(std::mt19937& aRandom, unsigned aPercent)
-  {
-    constexpr unsigned kPercent = 100;
-    return aRandom() % kPercent < aPercent;
-  }
-
-  static std::chrono::milliseconds RandomTime(std::mt19937& aRandom,
-                                              unsigned aMinMs,
-                                              unsigned aMaxMs)
-  {
-    return std::chrono::milliseconds(aMinMs + aRandom() % (aMaxMs - aMinMs));
-  }
-
   static std::string EventOf(const std::string& aTarget, int aId)
   {
     bool isLarge = aTarget.ends_with("large");
@@ -402,20 +383,6 @@
            sinceStop - aTime <= kAcceptTime;
   }
 
-  // Returns the code of a refusal, or nothing.
-  static std::string CodeOf(const Reply& aReply)
-  {
-    json::error_code error;
-    auto body = json::parse(aReply.body, error);
-    if (error) {
-      return "";
-    }
-    auto* code = body.find_pointer("/error/code", error);
-    return code != nullptr && code->is_string()
-             ? " " + std::string(code->as_string())
-             : "";
-  }
-
   std::string DescribeIncomplete(const Sent& aSent,
                                  const Reply& aReply,
                                  Duration aTime) const
--- a/test/faults/soak_test.cc
+++ b/test/faults/soak_test.cc
@@ -4,14 +4,15 @@
 
 #include "platform_fleet.h"
 #include "replica_pool.h"
+#include "soak_support.h"
 
 #include <algorithm>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <csignal>
-#include <cstdlib>
 #include <iostream>
 #include <random>
+#include <set>
 
 namespace lycheestand::faults {
 
@@ -36,13 +37,6 @@
 // after its instance is back.
 constexpr Duration kDiskLossInterval = 8s;
 
-int
-ReadNumber(const char* aVariable, int aDefault)
-{
-  const char* text = std::getenv(aVariable);
-  return text == nullptr ? aDefault : std::atoi(text);
-}
-
 // What the replicas have run and what the callers were told.
 struct Observed
 {
@@ -311,9 +305,9 @@
 // fleet that does not recover.
 TEST_CASE_METHOD(SoakFixture, "the promises hold under disturbances", "[soak]")
 {
-  auto seed = static_cast<unsigned>(ReadNumber("LYCHEESTAND_SOAK_SEED", 1));
+  auto seed = static_cast<unsigned>(ReadOption("LYCHEESTAND_SOAK_SEED", 1));
   auto length = std::chrono::seconds(
-    ReadNumber("LYCHEESTAND_SOAK_SECONDS", kDefaultSeconds));
+    ReadOption("LYCHEESTAND_SOAK_SECONDS", kDefaultSeconds));
   CAPTURE(seed);
   std::mt19937 random(seed);
   for (int machine : AllMachines()) {
