--- a/test/faults/version_fleet.cc
+++ b/test/faults/version_fleet.cc
@@ -360,7 +360,7 @@
                        isCounted = true;
                        ++*begun;
                      }
-                     return true;
+                     return !this->isCut;
                    };
                    WaitFor(VersionFleet::kServeTime, [&] {
                      this->fleet.Try(router, stream, count);
