Tell in messages between control instances that they apply stream commands

Cause: a leader can't tell which instances are of a build that stops at the commands about streams. Change: a flag at the end of Replication; an earlier build ignores it, and its messages read as false.

--- a/packages/wire/include/lycheestand/wire.h
+++ b/packages/wire/include/lycheestand/wire.h
@@ -429,6 +429,9 @@
   ZoneId zone;
   // Leader that the sender knows; only in a keep-alive.
   InstanceId leader;
+  // False for an instance of an earlier version, which stops at a command about
+  // streams.
+  bool appliesStreamCommands = false;
 };
 
 using Message = std::variant<Hello,
--- a/packages/wire/src/codec.cc
+++ b/packages/wire/src/codec.cc
@@ -848,6 +848,7 @@
   out.address = PackAddress(aIn.address);
   out.zone = aIn.zone.Get();
   out.leader = aIn.leader.Get();
+  out.applies_stream_commands = aIn.appliesStreamCommands;
   return out;
 }
 
@@ -871,6 +872,7 @@
   out.address = UnpackAddress(aIn.address);
   out.zone = ZoneId(aIn.zone);
   out.leader = InstanceId(aIn.leader);
+  out.appliesStreamCommands = aIn.applies_stream_commands;
   return out;
 }
 
--- a/packages/wire/test/codec_test.cc
+++ b/packages/wire/test/codec_test.cc
@@ -171,6 +171,12 @@
   CHECK(std::get<Hello>(hello.value()).acceptsStreamServices);
   auto welcome = Decode(Encode(Welcome{ .recordsStreams = true }));
   CHECK(std::get<Welcome>(welcome.value()).recordsStreams);
+  for (bool flag : { false, true }) {
+    auto replication =
+      Decode(Encode(Replication{ .appliesStreamCommands = flag }));
+    CHECK(std::get<Replication>(replication.value()).appliesStreamCommands ==
+          flag);
+  }
   ViewPush push;
   push.endpoints.resize(1);
   push.endpoints[0].version = SoftwareVersion("v2");
