Admit versions only once all control instances in contact know them

Cause: an instance of a build without AdmitVersion ends with exit code 4 when it applies that command, and can't start again with that log. The leader proposes it by itself with the first reading of the list, so that one upgraded leader stops the others during a rolling upgrade. Change: instances tell in each message to each other that they apply these commands. While the replicated state has no version, the leader proposes none of them until all members in contact have told so. While one is known not to, endpoints are passed on without versions and StreamServices is not sent; they stay so until the versions of the list are admitted. While it is only unknown, a new leader holds its first list back as it does for an admission.

--- a/packages/control/src/gateway.cc
+++ b/packages/control/src/gateway.cc
@@ -71,7 +71,7 @@
   // answer.
   void HandleMessage(const PeerMessage& aMessage)
   {
-    this->network.HandleKeepAlive(aMessage.instance, aMessage.message);
+    this->network.HandleMessage(aMessage.instance, aMessage.message);
     auto message = FromWire(aMessage.message, this->self);
     if (message &&
         std::holds_alternative<consensus::JoinRequest>(message->body) &&
--- a/packages/control/src/messages.h
+++ b/packages/control/src/messages.h
@@ -3,6 +3,8 @@
 
 // Messages between the tasks of a control instance.
 
+#include "stream_support.h"
+
 #include <caf/allowed_unsafe_message_type.hpp>
 #include <lycheestand/core.h>
 #include <lycheestand/discovery.h>
@@ -228,13 +230,15 @@
 };
 
 // To the stream controller, by way of the fleet controller: the versions of
-// software in the replicated state, sent by a leader's replica when they have
-// changed and when it has become the leader.
+// software in the replicated state, sent by a leader's replica when they or the
+// support have changed and when it has become the leader.
 struct StreamVersionsChanged
 {
   state::StreamRegister::Versions versions;
   // Number of records of streams.
   std::size_t records = 0;
+  // Whether the control group applies the commands about streams.
+  StreamSupport support = StreamSupport::Unknown;
 };
 // To the fleet controller: the services whose streams routers must report. It
 // is sent before the EndpointsAdmitted that has the endpoints.
--- a/packages/control/src/peer_network.cc
+++ b/packages/control/src/peer_network.cc
@@ -19,6 +19,7 @@
   , directory(aSettings.instance,
               aSettings.heartbeatInterval * kAnnouncementKeepAlives)
   , plan(aSettings.instance)
+  , streamSupport(aSettings.instance, net::Now(aTask.GetRuntime()))
 {
   this->SetConfigured(aSettings.control);
 }
@@ -37,6 +38,7 @@
   if (aLink.isUp) {
     open.push_back(aLink.task);
     this->plan.LinkUp(aLink.instance);
+    this->streamSupport.LinkUp(aLink.instance);
     return open.size() == 1 ? Change::Connected : Change::None;
   }
   if (std::erase(open, aLink.task) > 0) {
@@ -47,6 +49,7 @@
   }
   this->links.erase(aLink.instance);
   this->directory.Forget(aLink.instance);
+  this->streamSupport.ContactLost(aLink.instance, now);
   this->UpdateTargets();
   return Change::Disconnected;
 }
@@ -109,17 +112,27 @@
 // A message that was on its way when the link closed is ignored; Forget would
 // not run for it.
 void
-PeerNetwork::HandleKeepAlive(const InstanceId& aFrom,
-                             const wire::Replication& aMessage)
+PeerNetwork::HandleMessage(const InstanceId& aFrom,
+                           const wire::Replication& aMessage)
 {
+  if (!this->links.contains(aFrom)) {
+    return;
+  }
+  this->streamSupport.Record(aFrom, aMessage.appliesStreamCommands);
   auto announced = ReadAnnouncement(aMessage);
-  if (announced && this->links.contains(aFrom)) {
+  if (announced) {
     this->directory.Record(
       aFrom, *announced, net::Now(this->task.GetRuntime()));
     this->UpdateTargets();
   }
 }
 
+StreamSupport
+PeerNetwork::FindStreamSupport(const consensus::Configuration& aMembers) const
+{
+  return this->streamSupport.Find(aMembers, net::Now(this->task.GetRuntime()));
+}
+
 InstanceId
 PeerNetwork::AnnouncedLeader() const
 {
--- a/packages/control/src/peer_network.h
+++ b/packages/control/src/peer_network.h
@@ -5,6 +5,7 @@
 #include "messages.h"
 #include "peer_directory.h"
 #include "replication_codec.h"
+#include "stream_support.h"
 
 #include <map>
 #include <vector>
@@ -48,9 +49,14 @@
   // Sets the members of the group by the replicated log.
   void SetMembers(const consensus::Configuration& aMembers);
 
-  // Handles a keep-alive of another instance.
-  void HandleKeepAlive(const InstanceId& aFrom,
-                       const wire::Replication& aMessage);
+  // Handles what a message tells about the instance that has sent it.
+  void HandleMessage(const InstanceId& aFrom,
+                     const wire::Replication& aMessage);
+
+  // Returns whether all members that this instance has contact with are known
+  // to apply the commands about streams.
+  StreamSupport FindStreamSupport(
+    const consensus::Configuration& aMembers) const;
 
   // Returns the leader that a member has announced lately; empty if unknown.
   InstanceId AnnouncedLeader() const;
@@ -76,6 +82,7 @@
   // Newest link last. An old one may still be open at this side.
   std::map<InstanceId, std::vector<caf::actor>> links;
   DialPlan plan;
+  StreamSupportTracker streamSupport;
 };
 
 } // namespace lycheestand::control
--- a/packages/control/src/replica.cc
+++ b/packages/control/src/replica.cc
@@ -236,7 +236,7 @@
   // in the name of the instance that it gave in its Hello.
   void HandleMessage(const PeerMessage& aMessage)
   {
-    this->network.HandleKeepAlive(aMessage.instance, aMessage.message);
+    this->network.HandleMessage(aMessage.instance, aMessage.message);
     auto message = FromWire(aMessage.message, this->settings.instance);
     if (message && message->from.instance == aMessage.instance) {
       this->LogJoin(*message);
@@ -389,14 +389,18 @@
   // Each new leader needs the versions, also if they have not changed.
   void PublishStreamVersions()
   {
-    const auto& streams = this->state.Machine().Streams();
     if (!this->publishedLeadership.isLeader) {
-      this->publishedVersionChanges.reset();
-    } else if (this->publishedVersionChanges != streams.VersionChanges()) {
-      this->publishedVersionChanges = streams.VersionChanges();
-      this->send(
-        this->fleet,
-        StreamVersionsChanged{ streams.AllVersions(), streams.RecordCount() });
+      this->publishedVersions.reset();
+      return;
+    }
+    const auto& streams = this->state.Machine().Streams();
+    auto support = this->network.FindStreamSupport(this->node.Members());
+    std::pair current(streams.VersionChanges(), support);
+    if (this->publishedVersions != current) {
+      this->publishedVersions = current;
+      this->send(this->fleet,
+                 StreamVersionsChanged{
+                   streams.AllVersions(), streams.RecordCount(), support });
     }
   }
 
@@ -572,7 +576,7 @@
   bool isDiskStalled = false;
   LeadershipChanged publishedLeadership;
   Revision publishedRevision;
-  std::optional<std::uint64_t> publishedVersionChanges;
+  std::optional<std::pair<std::uint64_t, StreamSupport>> publishedVersions;
   // Evacuated zones that were last published, and the revision of that time.
   Revision evacuationsRevision;
   std::set<ZoneId> evacuatedZones;
--- a/packages/control/src/replication_codec.cc
+++ b/packages/control/src/replication_codec.cc
@@ -178,6 +178,7 @@
   wire::Replication out;
   out.kind = KeepAlive;
   out.from = aFrom;
+  out.appliesStreamCommands = true;
   return out;
 }
 
@@ -213,6 +214,7 @@
   out.fromDisk = aMessage.from.disk;
   out.toDisk = aMessage.to.disk;
   out.term = aMessage.term;
+  out.appliesStreamCommands = true;
   std::visit([&](const auto& aBody) { Pack(out, aBody); }, aMessage.body);
   return out;
 }
--- a/packages/control/src/stream_controller.cc
+++ b/packages/control/src/stream_controller.cc
@@ -1,4 +1,5 @@
 #include "tasks.h"
+#include "version_gate.h"
 
 #include <lycheestand/streams.h>
 
@@ -15,11 +16,6 @@
 // A record lives for one to two intervals.
 constexpr Duration kAgeInterval = std::chrono::seconds(60);
 
-// Maximum time for which a new leader holds its first list back until all
-// versions in it are admitted. Shorter than the time for which the fleet
-// controller waits for the list.
-constexpr Duration kMaxAdmissionWait = std::chrono::seconds(4);
-
 constexpr Duration kCheckInterval = std::chrono::milliseconds(500);
 
 using ServiceVersion = std::pair<ServiceName, SoftwareVersion>;
@@ -69,6 +65,15 @@
   }
 }
 
+std::vector<membership::Endpoint>
+RemoveVersions(std::vector<membership::Endpoint> aEndpoints)
+{
+  for (auto& endpoint : aEndpoints) {
+    endpoint.version = SoftwareVersion();
+  }
+  return aEndpoints;
+}
+
 state::RecordStreams
 ToCommand(std::vector<streams::StreamBatch> aBatches)
 {
@@ -122,11 +127,10 @@
   {
     ++this->leadership;
     this->isLeader = aIsLeader;
-    this->leaderSince = this->Time();
+    this->gate.Reset(this->Time());
     this->tracker.Clear();
     this->hasVersions = false;
     this->hasRead = false;
-    this->hasDelivered = false;
     this->excluded.clear();
     this->proposed.clear();
     this->reports.Clear();
@@ -150,17 +154,32 @@
     }
     this->hasVersions = true;
     this->tracker.SetAdmitted(std::move(aChanged.versions));
+    this->SetSupport(aChanged.support);
     this->SetRecordCount(aChanged.records);
-    this->send(this->fleet,
-               StreamServicesChanged{
-                 { streams::FindMixedServices(this->tracker.Admitted()) } });
+    if (this->gate.IsOpen()) {
+      this->send(this->fleet,
+                 StreamServicesChanged{
+                   { streams::FindMixedServices(this->tracker.Admitted()) } });
+    }
     if (this->hasRead) {
       this->UpdateVersions();
     } else {
       // What this instance read when it led before may name versions that were
       // retired since.
-      this->SendEndpoints();
+      this->SendEndpoints(this->gate.IsOpen());
+    }
+  }
+
+  void SetSupport(StreamSupport aSupport)
+  {
+    if (aSupport == StreamSupport::Missing && this->support != aSupport) {
+      net::Log(net::LogLevel::Warning,
+               "a control instance of an earlier build does not know versions "
+               "of software",
+               { { "event", "versions_unsupported" } });
     }
+    this->support = aSupport;
+    this->gate.Update(aSupport, !this->tracker.Admitted().empty());
   }
 
   void HandleEndpoints(EndpointsChecked& aChecked)
@@ -178,17 +197,24 @@
   void UpdateVersions()
   {
     auto changes = this->tracker.Read(this->endpoints, this->Time());
-    for (const auto& version : ToSet(changes.toAdmit)) {
+    if (this->gate.IsOpen()) {
+      this->ProposeChanges(changes);
+      this->LogExcluded(changes.excluded);
+    }
+    this->isAwaitingAdmission = !changes.toAdmit.empty();
+    this->DeliverEndpoints();
+  }
+
+  void ProposeChanges(const streams::VersionChanges& aChanges)
+  {
+    for (const auto& version : ToSet(aChanges.toAdmit)) {
       this->ProposeVersion(
         version, state::AdmitVersion{ version.first, version.second });
     }
-    for (const auto& version : ToSet(changes.toRetire)) {
+    for (const auto& version : ToSet(aChanges.toRetire)) {
       this->ProposeVersion(
         version, state::RetireVersion{ version.first, version.second });
     }
-    this->LogExcluded(changes.excluded);
-    this->isAwaitingAdmission = !changes.toAdmit.empty();
-    this->DeliverEndpoints();
   }
 
   // A proposal that has failed is repeated with the next reading of the list.
@@ -222,25 +248,26 @@
   // first list of a new one is complete.
   void DeliverEndpoints()
   {
-    bool mayWait = this->Time() - this->leaderSince < kMaxAdmissionWait;
-    if (this->hasDelivered || !this->isAwaitingAdmission || !mayWait) {
-      this->hasDelivered = true;
-      this->SendEndpoints();
+    auto delivery = this->gate.Decide(this->isAwaitingAdmission, this->Time());
+    if (delivery != Delivery::Wait) {
+      this->SendEndpoints(delivery == Delivery::Versioned);
     }
   }
 
-  void SendEndpoints()
+  void SendEndpoints(bool aIsVersioned)
   {
     this->send(this->fleet,
-               EndpointsAdmitted{ this->tracker.SelectAdmitted(this->endpoints),
-                                  this->hasRead });
+               EndpointsAdmitted{
+                 aIsVersioned ? this->tracker.SelectAdmitted(this->endpoints)
+                              : RemoveVersions(this->endpoints),
+                 this->hasRead });
   }
 
   // ---------------------------------------------------------- records
 
   void HandleReport(wire::StreamReport& aReport)
   {
-    if (!this->isLeader) {
+    if (!this->isLeader || !this->gate.IsOpen()) {
       return;
     }
     this->CountDropped(this->reports.Add({ std::move(aReport.service),
@@ -267,6 +294,9 @@
   // reports.
   void RecordReports()
   {
+    if (!this->gate.IsOpen()) {
+      this->reports.Clear();
+    }
     auto batches = this->reports.Take(kMaxStreamsPerCommand);
     if (batches.empty()) {
       return;
@@ -334,7 +364,7 @@
   {
     if (this->isLeader) {
       this->AgeRecords();
-      if (this->hasRead && this->hasVersions && !this->hasDelivered) {
+      if (this->hasRead && this->hasVersions && !this->gate.HasDelivered()) {
         this->DeliverEndpoints();
       }
     }
@@ -344,7 +374,8 @@
 
   void AgeRecords()
   {
-    if (this->recordCount == 0 || this->Time() - this->agedAt < kAgeInterval) {
+    bool isDue = this->Time() - this->agedAt >= kAgeInterval;
+    if (this->recordCount == 0 || !isDue || !this->gate.IsOpen()) {
       return;
     }
     this->agedAt = this->Time();
@@ -387,7 +418,8 @@
   bool isLeader = false;
   // Counts the changes of leadership.
   std::uint64_t leadership = 0;
-  TimePoint leaderSince{};
+  VersionGate gate;
+  StreamSupport support = StreamSupport::Unknown;
   streams::VersionTracker tracker{ state::StreamRegister::kMaxVersions };
   // Whether the versions are known since then.
   bool hasVersions = false;
@@ -395,7 +427,6 @@
   // then.
   std::vector<membership::Endpoint> endpoints;
   bool hasRead = false;
-  bool hasDelivered = false;
   bool isAwaitingAdmission = false;
   // Versions that have a proposal on the way.
   std::set<ServiceVersion> proposed;
--- a/packages/control/test/replication_codec_test.cc
+++ b/packages/control/test/replication_codec_test.cc
@@ -173,3 +173,20 @@
   CHECK(recovered->entries == this->entries);
   CHECK(recovered->snapshot->members == this->members);
 }
+
+// Fails if a leader takes instances of this build for ones of an earlier build,
+// or the other way round. A message of an earlier build has no such field.
+TEST_CASE_METHOD(ReplicationCodecFixture,
+                 "messages tell that the instance applies stream commands")
+{
+  auto check = [](const wire::Replication& aMessage) {
+    auto decoded = wire::Decode(wire::Encode(aMessage));
+    REQUIRE(decoded.has_value());
+    return std::get<wire::Replication>(decoded.value()).appliesStreamCommands;
+  };
+  CHECK(check(MakeKeepAlive(InstanceId("c1"))));
+  CHECK(check(MakeAnnouncement(InstanceId("c1"), Announcement())));
+  CHECK(check(ToWire(this->Wrap(consensus::HeartbeatReply{ 6 }))));
+  CHECK(check(ToWire(this->Wrap(consensus::VoteReply{ false, true }))));
+  CHECK_FALSE(check(wire::Replication()));
+}
--- a/packages/control/test/stream_controller_test.cc
+++ b/packages/control/test/stream_controller_test.cc
@@ -25,13 +25,16 @@
 {
   state::StateMachine machine;
   ProposalMode mode = ProposalMode::Commit;
+  StreamSupport support = StreamSupport::Complete;
   std::vector<state::Command> proposals;
   // Ids of the endpoints that were delivered last.
   std::vector<std::string> endpoints;
+  std::vector<SoftwareVersion> versions;
   bool isRead = false;
   // The services that routers were told, and those of the time when the
   // endpoints were delivered.
   std::vector<ServiceName> services;
+  bool hasServices = false;
   std::vector<ServiceName> servicesAtDelivery;
   std::vector<wire::StreamReply> replies;
 };
@@ -78,7 +81,8 @@
       if (streams.VersionChanges() != before) {
         this->send(this->controller,
                    StreamVersionsChanged{ streams.AllVersions(),
-                                          streams.RecordCount() });
+                                          streams.RecordCount(),
+                                          this->world.support });
       }
       promise.deliver(ProposalResult{ outcome, {}, false });
     }
@@ -107,11 +111,14 @@
   {
     return { [this](StreamServicesChanged& aChanged) {
               this->world.services = std::move(aChanged.services.services);
+              this->world.hasServices = true;
             },
              [this](EndpointsAdmitted& aAdmitted) {
                this->world.endpoints.clear();
+               this->world.versions.clear();
                for (const auto& endpoint : aAdmitted.endpoints) {
                  this->world.endpoints.push_back(endpoint.endpoint.Get());
+                 this->world.versions.push_back(endpoint.version);
                }
                this->world.isRead = aAdmitted.isRead;
                this->world.servicesAtDelivery = this->world.services;
@@ -157,12 +164,18 @@
     changed.isLeader = aIsLeader;
     this->Tell(changed);
     if (aIsLeader) {
-      const auto& streams = this->world.machine.Streams();
-      this->Tell(
-        StreamVersionsChanged{ streams.AllVersions(), streams.RecordCount() });
+      this->SetSupport(this->world.support);
     }
   }
 
+  void SetSupport(StreamSupport aSupport)
+  {
+    this->world.support = aSupport;
+    const auto& streams = this->world.machine.Streams();
+    this->Tell(StreamVersionsChanged{
+      streams.AllVersions(), streams.RecordCount(), aSupport });
+  }
+
   void Admit(const SoftwareVersion& aVersion)
   {
     this->world.machine.Apply(state::AdmitVersion{ kChat, aVersion });
@@ -389,3 +402,73 @@
   this->Advance(90s);
   CHECK(this->world.proposals.size() == proposals);
 }
+
+// Guards against commands that stop control instances of an earlier build
+// during an upgrade, and against routers that refuse to go on with streams that
+// these builds let go on.
+TEST_CASE_METHOD(StreamControllerFixture,
+                 "Nothing is proposed while a member is of an earlier build")
+{
+  this->world.support = StreamSupport::Missing;
+  this->Lead();
+  this->Read({ kFirst, kSecond });
+  this->Report(kFirst, 7);
+  this->Advance(120s);
+  this->Read({ kSecond });
+  this->Read({ kFirst, kSecond });
+  CHECK(this->world.proposals.empty());
+  CHECK(this->world.endpoints == this->both);
+  CHECK(this->world.versions == std::vector<SoftwareVersion>(2));
+  CHECK(this->world.isRead);
+  CHECK_FALSE(this->world.hasServices);
+  CHECK(this->Ask(7) == SoftwareVersion());
+}
+
+// Guards against versions that are not told apart after an upgrade, and against
+// routers without endpoints in between.
+TEST_CASE_METHOD(StreamControllerFixture,
+                 "Versions are admitted once all members know them")
+{
+  this->world.support = StreamSupport::Missing;
+  this->Lead();
+  this->Read({ kFirst, kSecond });
+  this->world.mode = ProposalMode::Stall;
+  this->SetSupport(StreamSupport::Complete);
+  CHECK(this->CountProposals<state::AdmitVersion>() == 2);
+  CHECK(this->world.endpoints == this->both);
+  CHECK(this->world.versions == std::vector<SoftwareVersion>(2));
+  this->Admit(kFirst);
+  this->SetSupport(StreamSupport::Complete);
+  CHECK(this->world.versions == std::vector<SoftwareVersion>(2));
+  this->Admit(kSecond);
+  this->SetSupport(StreamSupport::Complete);
+  CHECK(this->world.versions == std::vector{ kFirst, kSecond });
+  CHECK(this->world.servicesAtDelivery == std::vector{ kChat });
+}
+
+// Guards against a first list of a new fleet without versions, because it was
+// read before all members had told that they know them.
+TEST_CASE_METHOD(StreamControllerFixture,
+                 "The first list waits until members tell what they know")
+{
+  this->world.support = StreamSupport::Unknown;
+  this->Lead();
+  this->Read({ kFirst, kSecond });
+  CHECK(this->world.proposals.empty());
+  CHECK_FALSE(this->world.isRead);
+  this->SetSupport(StreamSupport::Complete);
+  CHECK(this->world.isRead);
+  CHECK(this->world.versions == std::vector{ kFirst, kSecond });
+}
+
+// Guards against versions that are no longer told apart because a member of an
+// earlier build came back: it can't apply the log anyway.
+TEST_CASE_METHOD(StreamControllerFixture,
+                 "A state with versions needs no support of members")
+{
+  this->Admit(kFirst);
+  this->world.support = StreamSupport::Missing;
+  this->Lead();
+  this->Read({ kFirst, kSecond });
+  CHECK(this->world.versions == std::vector{ kFirst, kSecond });
+}
