Keep a stream of a retired version from going on at another one

Cause, found by the review: a router that was out of contact may begin a stream at a version that the list no longer names. Retiring the version erased the stream's record, or the report came after it and was ignored, and the only version that was left was taken for the stream's. What was left lost its records too, so streams of a version that serves were refused once another was admitted. Change: records of a retired version, and later reports of it, are kept as not known; records are looked up before the only version; the others stay.

--- a/packages/journal/src/snapshot_codec.cc
+++ b/packages/journal/src/snapshot_codec.cc
@@ -422,8 +422,7 @@
   for (const auto& entry : aFrom.streams) {
     auto& service = InsertNew(
       aTo.services, ServiceName(entry->service), StreamRegister::Service{});
-    Require(!entry->versions.empty() &&
-            entry->versions.size() <= StreamRegister::kMaxVersions);
+    Require(entry->versions.size() <= StreamRegister::kMaxVersions);
     std::set<StreamRegister::VersionNumber> numbers{
       StreamRegister::kAmbiguous
     };
@@ -437,8 +436,7 @@
                    entry->ambiguous_older,
                    StreamRegister::kAmbiguous,
                    service);
-    Require(service.versions.size() > 1 ||
-            (service.current.empty() && service.older.empty()));
+    Require(!service.IsEmpty());
     current += service.current.size();
     older += service.older.size();
   }
--- a/packages/state/include/lycheestand/stream_register.h
+++ b/packages/state/include/lycheestand/stream_register.h
@@ -27,7 +27,8 @@
   friend bool operator==(const AdmitVersion&, const AdmitVersion&) = default;
 };
 
-// Removes a version that no endpoint has any more, with its streams.
+// Removes a version that no endpoint has any more. The versions of its streams
+// are not known from then on.
 struct RetireVersion
 {
   ServiceName service;
@@ -93,11 +94,10 @@
   // Returns false if the service has the maximum number of other versions.
   bool Admit(const AdmitVersion& aCommand);
 
-  // A service that is left with one version loses its records.
   void Retire(const RetireVersion& aCommand);
 
-  // Ignores streams of services with fewer than two versions, and of versions
-  // that are not admitted.
+  // Ignores streams of the only version of a service. Those of a version that
+  // is not admitted, such as one that was retired, are not known.
   StreamsRecorded Record(const RecordStreams& aCommand);
 
   StreamsRecorded Age();
@@ -139,7 +139,9 @@
 
     VersionNumber FreeNumber() const;
     const VersionNumber* FindRecord(StreamId aStream) const;
-    void RemoveRecords(VersionNumber aNumber);
+    // Makes the streams of a version unknown.
+    void MakeAmbiguous(VersionNumber aNumber);
+    bool IsEmpty() const;
 
     friend bool operator==(const Service&, const Service&) = default;
   };
--- a/packages/state/src/stream_register.cc
+++ b/packages/state/src/stream_register.cc
@@ -30,15 +30,23 @@
 }
 
 void
-StreamRegister::Service::RemoveRecords(VersionNumber aNumber)
+StreamRegister::Service::MakeAmbiguous(VersionNumber aNumber)
 {
   for (Records* records : { &this->current, &this->older }) {
-    std::erase_if(*records, [aNumber](const auto& aRecord) {
-      return aRecord.second == aNumber;
-    });
+    for (auto& [stream, number] : *records) {
+      if (number == aNumber) {
+        number = kAmbiguous;
+      }
+    }
   }
 }
 
+bool
+StreamRegister::Service::IsEmpty() const
+{
+  return this->versions.empty() && this->current.empty() && this->older.empty();
+}
+
 bool
 StreamRegister::Admit(const AdmitVersion& aCommand)
 {
@@ -57,6 +65,9 @@
   return true;
 }
 
+// A router that was out of contact may have begun a stream at the version just
+// now. Its record is kept, so that the stream is not taken for one of the
+// versions that are left.
 void
 StreamRegister::Retire(const RetireVersion& aCommand)
 {
@@ -70,13 +81,10 @@
     return;
   }
   ++this->versionChanges;
-  service->second.RemoveRecords(retired->second);
+  service->second.MakeAmbiguous(retired->second);
   versions.erase(retired);
-  if (versions.empty()) {
+  if (service->second.IsEmpty()) {
     this->services.erase(service);
-  } else if (versions.size() == 1) {
-    service->second.current = {};
-    service->second.older = {};
   }
 }
 
@@ -91,15 +99,18 @@
   std::size_t free = kMaxRecords - used;
   for (const auto& batch : aCommand.batches) {
     auto found = this->services.find(batch.service);
-    if (found == this->services.end() || found->second.versions.size() < 2) {
+    if (found == this->services.end()) {
       continue;
     }
-    auto version = found->second.versions.find(batch.version);
-    if (version == found->second.versions.end()) {
+    const auto& versions = found->second.versions;
+    auto version = versions.find(batch.version);
+    bool isAdmitted = version != versions.end();
+    if (isAdmitted && versions.size() < 2) {
       continue;
     }
+    VersionNumber number = isAdmitted ? version->second : kAmbiguous;
     for (StreamId stream : batch.streams) {
-      RecordStream(found->second, stream, version->second, free, result);
+      RecordStream(found->second, stream, number, free, result);
     }
   }
   result.total = this->RecordCount();
@@ -146,6 +157,8 @@
     service.older = std::move(service.current);
     service.current = {};
   }
+  std::erase_if(this->services,
+                [](const auto& aService) { return aService.second.IsEmpty(); });
   StreamsRecorded result;
   result.total = this->RecordCount();
   return result;
@@ -160,13 +173,15 @@
     return SoftwareVersion();
   }
   const Service& service = found->second;
-  if (service.versions.size() == 1) {
-    return service.versions.begin()->first;
-  }
   const VersionNumber* record =
     aStream ? service.FindRecord(*aStream) : nullptr;
   if (record == nullptr) {
-    return std::nullopt;
+    if (service.versions.empty()) {
+      return SoftwareVersion();
+    }
+    return service.versions.size() == 1
+             ? std::optional(service.versions.begin()->first)
+             : std::nullopt;
   }
   for (const auto& [version, number] : service.versions) {
     if (number == *record) {
