Give no requests to a version that is being retired

Cause, found by the review: if the list names a version again while the proposal to retire it is on its way, its endpoints were passed on; streams that began there could go on at another version once the proposal was committed. Change: from the proposal on, endpoints of the version are left out until it has been retired and admitted again.

--- a/packages/control/src/stream_controller.cc
+++ b/packages/control/src/stream_controller.cc
@@ -212,6 +212,7 @@
         version, state::AdmitVersion{ version.first, version.second });
     }
     for (const auto& version : ToSet(aChanges.toRetire)) {
+      this->tracker.BeginRetirement(version.first, version.second);
       this->ProposeVersion(
         version, state::RetireVersion{ version.first, version.second });
     }
--- a/packages/control/test/stream_controller_test.cc
+++ b/packages/control/test/stream_controller_test.cc
@@ -331,6 +331,49 @@
   CHECK(this->Ask(1) == kSecond);
 }
 
+// Guards against a stream that is joined from two versions since its version
+// returns to the list while the proposal to retire it is on its way: routers
+// would begin streams at a version that the next commit removes.
+TEST_CASE_METHOD(StreamControllerFixture,
+                 "A version that is being retired gets no requests")
+{
+  this->Lead();
+  this->Read({ kFirst, kSecond });
+  this->Read({ kSecond });
+  this->Advance(10min);
+  this->world.mode = ProposalMode::Stall;
+  this->Read({ kSecond });
+  REQUIRE(this->CountProposals<state::RetireVersion>() == 1);
+  this->Read({ kFirst, kSecond });
+  CHECK(this->world.endpoints == std::vector<std::string>{ "e-v2" });
+}
+
+// Guards against a stream that is joined from two versions since a router
+// without contact went on with the endpoints of a version that left the list
+// long ago.
+TEST_CASE_METHOD(StreamControllerFixture,
+                 "A stream of a version that has left stays at it")
+{
+  this->Lead();
+  this->Read({ kFirst, kSecond });
+  this->Read({ kSecond });
+  SECTION("it is reported before its version is retired")
+  {
+    this->Advance(10min - 1s);
+    this->Report(kFirst, 7);
+    REQUIRE(this->Ask(7) == kFirst);
+    this->Advance(1s);
+    this->Read({ kSecond });
+  }
+  SECTION("it is reported afterwards")
+  {
+    this->Advance(10min);
+    this->Read({ kSecond });
+    this->Report(kFirst, 7);
+  }
+  CHECK(this->Ask(7) != kSecond);
+}
+
 // Guards against reports that are not committed, and against answers that name
 // a version which is not.
 TEST_CASE_METHOD(StreamControllerFixture,
--- a/packages/streams/include/lycheestand/streams.h
+++ b/packages/streams/include/lycheestand/streams.h
@@ -68,12 +68,14 @@
   // Forgets what the list has shown, and the admitted versions.
   void Clear();
 
-  void SetAdmitted(Versions aVersions)
-  {
-    this->admitted = std::move(aVersions);
-  }
+  void SetAdmitted(Versions aVersions);
   const Versions& Admitted() const { return this->admitted; }
 
+  // Records that a version is proposed for retirement. Its endpoints are not
+  // selected until it has been retired and admitted again.
+  void BeginRetirement(const ServiceName& aService,
+                       const SoftwareVersion& aVersion);
+
   // Takes a reading of the list. Changes that are not carried out are returned
   // again for the next one.
   VersionChanges Read(const std::vector<membership::Endpoint>& aEndpoints,
@@ -89,6 +91,8 @@
 
   std::size_t maxVersions;
   Versions admitted;
+  // Admitted versions that are proposed for retirement.
+  std::set<std::pair<ServiceName, SoftwareVersion>> retiring;
   // Admitted versions that the last reading did not show, with the time of the
   // first reading that did not.
   std::map<std::pair<ServiceName, SoftwareVersion>, TimePoint> missingSince;
--- a/packages/streams/src/version_tracker.cc
+++ b/packages/streams/src/version_tracker.cc
@@ -40,9 +40,28 @@
 VersionTracker::Clear()
 {
   this->admitted.clear();
+  this->retiring.clear();
   this->missingSince.clear();
 }
 
+void
+VersionTracker::SetAdmitted(Versions aVersions)
+{
+  this->admitted = std::move(aVersions);
+  std::erase_if(this->retiring, [this](const auto& aVersion) {
+    auto found = this->admitted.find(aVersion.first);
+    return found == this->admitted.end() ||
+           !found->second.contains(aVersion.second);
+  });
+}
+
+void
+VersionTracker::BeginRetirement(const ServiceName& aService,
+                                const SoftwareVersion& aVersion)
+{
+  this->retiring.emplace(aService, aVersion);
+}
+
 // Routers may have had endpoints of a version in their view until the first
 // reading without it, however long ago the reading before that was.
 VersionChanges
@@ -103,7 +122,8 @@
                            const SoftwareVersion& aVersion) const
 {
   auto found = this->admitted.find(aService);
-  return found != this->admitted.end() && found->second.contains(aVersion);
+  return found != this->admitted.end() && found->second.contains(aVersion) &&
+         !this->retiring.contains({ aService, aVersion });
 }
 
 } // namespace lycheestand::streams
