Show a release during an outage that has all streams refused (LOST)

Streams of a service with one version are not reported. If their routers die and a second version is admitted before they are taken up, the register knows none of them.

--- a/test/faults/stream_versions_test.cc
+++ b/test/faults/stream_versions_test.cc
@@ -407,4 +407,23 @@
   CHECK(this->oddRequests == 0);
 }
 
+// Guards against a fleet that refuses all streams of a version that serves,
+// because a second one came while the routers that had begun them were down.
+TEST_CASE("streams go on at their version after a release during an outage",
+          "[stream-version-outage]")
+{
+  VersionFleet fleet("stream-versions", {});
+  fleet.AddReplicas(2, "v1");
+  fleet.Start({ "v1" });
+  StreamCrowd crowd(fleet, kStreams);
+  crowd.Begin(fleet.Routers());
+  fleet.AwaitReports();
+  fleet.KillRouters();
+  fleet.AddReplicas(2, "v2");
+  fleet.StartAgain();
+  fleet.AwaitServing(kTwoVersions);
+  int whole = crowd.TakeUp(fleet.Routers());
+  CheckMost("release during an outage", whole);
+}
+
 } // namespace lycheestand::faults
