Report the streams of services with one version too

Cause: a router reported only streams of services with several versions. When all routers died and a second version was admitted before they were back, nobody knew the version of the streams, and all were refused.

Change: a router reports all streams of endpoints with a version, each once a link: every 100 ms while a service has several versions, else every 500 ms, and at once when such a service is added. The leader keeps the reports in memory (StreamLog, 60 s, 131,072 streams) and commits those of a service when it gets its second version. It keeps reports of services with several versions too, since these lose their records while one version is left and routers don't report again; and reports that come before it knows the versions. StreamLog needs no services any more.

That a service which is added or comes back has its streams recorded is now for the leader, with tests there.

--- a/packages/control/src/stream_controller.cc
+++ b/packages/control/src/stream_controller.cc
@@ -133,6 +133,8 @@
     this->hasRead = false;
     this->excluded.clear();
     this->proposed.clear();
+    this->log.Clear();
+    this->recorded.clear();
     this->reports.Clear();
     this->isRecording = false;
     this->isMerging = false;
@@ -156,11 +158,7 @@
     this->tracker.SetAdmitted(std::move(aChanged.versions));
     this->SetSupport(aChanged.support);
     this->SetRecordCount(aChanged.records);
-    if (this->gate.IsOpen()) {
-      this->send(this->fleet,
-                 StreamServicesChanged{
-                   { streams::FindMixedServices(this->tracker.Admitted()) } });
-    }
+    this->UpdateRecorded();
     if (this->hasRead) {
       this->UpdateVersions();
     } else {
@@ -170,6 +168,27 @@
     }
   }
 
+  // Records the streams that were reported before a service got its second
+  // version.
+  void UpdateRecorded()
+  {
+    if (!this->gate.IsOpen()) {
+      this->recorded.clear();
+      return;
+    }
+    auto mixed = streams::FindMixedServices(this->tracker.Admitted());
+    for (const auto& service : mixed) {
+      if (!this->recorded.contains(service)) {
+        for (const auto& batch : this->log.Collect(service, this->Time())) {
+          this->CountDropped(this->reports.Add(batch));
+        }
+      }
+    }
+    this->recorded = { mixed.begin(), mixed.end() };
+    this->MergeReports();
+    this->send(this->fleet, StreamServicesChanged{ { std::move(mixed) } });
+  }
+
   void SetSupport(StreamSupport aSupport)
   {
     if (aSupport == StreamSupport::Missing && this->support != aSupport) {
@@ -267,13 +286,19 @@
 
   void HandleReport(wire::StreamReport& aReport)
   {
-    if (!this->isLeader || !this->gate.IsOpen()) {
+    if (!this->isLeader) {
       return;
     }
-    this->CountDropped(this->reports.Add({ std::move(aReport.service),
-                                           std::move(aReport.version),
-                                           std::move(aReport.streams) }));
-    this->MergeReports();
+    auto now = this->Time();
+    for (StreamId stream : aReport.streams) {
+      this->log.Begin(aReport.service, stream, aReport.version, now);
+    }
+    if (this->recorded.contains(aReport.service)) {
+      this->CountDropped(this->reports.Add({ std::move(aReport.service),
+                                             std::move(aReport.version),
+                                             std::move(aReport.streams) }));
+      this->MergeReports();
+    }
   }
 
   void MergeReports()
@@ -432,6 +457,12 @@
   std::set<ServiceVersion> proposed;
   // Versions in the list of services that have too many.
   std::set<ServiceVersion> excluded;
+  // What routers have reported, also of services with several versions: these
+  // lose their records when only one is left, and routers don't report again.
+  streams::StreamLog log{ { .maxStreams =
+                              state::StreamRegister::kMaxRecords } };
+  // Services whose reports are committed: those with several versions.
+  std::set<ServiceName> recorded;
   streams::ReportQueue reports{ state::StreamRegister::kMaxRecords };
   bool isMerging = false;
   bool isRecording = false;
--- a/packages/control/test/stream_controller_test.cc
+++ b/packages/control/test/stream_controller_test.cc
@@ -403,6 +403,116 @@
   CHECK(this->world.proposals.size() == proposals);
 }
 
+// Guards against streams that nobody knows because their routers died before
+// their service got its second version, and against a log that grows with the
+// streams of services with one version.
+TEST_CASE_METHOD(StreamControllerFixture,
+                 "Streams are recorded when the second version is admitted")
+{
+  this->Lead();
+  this->Read({ kFirst });
+  this->Report(kFirst, 7);
+  this->Tell(
+    wire::StreamReport{ ServiceName("other"), kFirst, { StreamId(8) } });
+  this->Advance(10s);
+  REQUIRE(this->CountProposals<state::RecordStreams>() == 0);
+  SECTION("in time")
+  {
+    this->Read({ kFirst, kSecond });
+    this->Advance(500ms);
+    REQUIRE(this->CountProposals<state::RecordStreams>() == 1);
+    const auto& command =
+      std::get<state::RecordStreams>(this->world.proposals.back());
+    REQUIRE(command.batches.size() == 1);
+    CHECK(command.batches[0].service == kChat);
+    CHECK(command.batches[0].version == kFirst);
+    CHECK(command.batches[0].streams == std::vector{ StreamId(7) });
+    CHECK(this->Ask(7) == kFirst);
+    // Each is recorded once.
+    this->Read({ kFirst, kSecond });
+    this->SetSupport(StreamSupport::Complete);
+    this->Advance(500ms);
+    CHECK(this->CountProposals<state::RecordStreams>() == 1);
+  }
+  SECTION("a minute later")
+  {
+    this->Advance(50s);
+    this->Read({ kFirst, kSecond });
+    this->Advance(500ms);
+    CHECK(this->CountProposals<state::RecordStreams>() == 0);
+  }
+  SECTION("by a leader that has not got them")
+  {
+    this->Lead(false);
+    this->Report(kFirst, 9);
+    this->Lead();
+    this->Read({ kFirst, kSecond });
+    this->Advance(500ms);
+    CHECK(this->CountProposals<state::RecordStreams>() == 0);
+  }
+}
+
+// Guards against streams whose records went when their service had one version
+// for a while, since routers don't report them again.
+TEST_CASE_METHOD(StreamControllerFixture,
+                 "Streams are recorded again when a version comes back")
+{
+  this->Lead();
+  this->Read({ kFirst, kSecond });
+  this->Report(kFirst, 7);
+  REQUIRE(this->Ask(7) == kFirst);
+  this->Read({ kFirst });
+  this->world.machine.Apply(state::RetireVersion{ kChat, kSecond });
+  this->SetSupport(StreamSupport::Complete);
+  REQUIRE(this->world.services.empty());
+  REQUIRE(this->world.machine.Streams().RecordCount() == 0);
+  this->Read({ kFirst, kSecond });
+  this->Advance(500ms);
+  CHECK(this->Ask(7) == kFirst);
+  CHECK(this->Ask(8) == std::nullopt);
+}
+
+// Guards against streams that are lost because routers reported them before the
+// new leader knew the versions, and which may be mixed then.
+TEST_CASE_METHOD(StreamControllerFixture,
+                 "Streams that are reported early are recorded")
+{
+  this->Admit(kFirst);
+  this->Admit(kSecond);
+  LeadershipChanged changed;
+  changed.isLeader = true;
+  this->Tell(changed);
+  this->Report(kFirst, 7);
+  CHECK(this->world.proposals.empty());
+  this->SetSupport(StreamSupport::Complete);
+  this->Advance(500ms);
+  CHECK(this->Ask(7) == kFirst);
+}
+
+// Guards against memory without a bound under a flood of streams, and against
+// old streams that push out later ones.
+TEST_CASE_METHOD(StreamControllerFixture,
+                 "The latest streams are recorded at the second version")
+{
+  constexpr std::uint64_t kMaxStreams = 131072;
+  constexpr std::uint64_t kPart = 1024;
+  this->Lead();
+  this->Read({ kFirst });
+  for (std::uint64_t first = 0; first <= kMaxStreams; first += kPart) {
+    std::vector<StreamId> streams;
+    for (std::uint64_t stream = first; stream < first + kPart; ++stream) {
+      streams.emplace_back(stream);
+    }
+    this->Tell(wire::StreamReport{ kChat, kFirst, streams });
+  }
+  this->Read({ kFirst, kSecond });
+  this->Advance(500ms);
+  CHECK(this->world.machine.Streams().RecordCount() == kMaxStreams);
+  CHECK(this->Ask(kPart - 1) == std::nullopt);
+  CHECK(this->Ask(kPart) == kFirst);
+  CHECK(this->Ask(kMaxStreams + kPart - 1) == kFirst);
+}
+
 // Guards against commands that stop control instances of an earlier build
 // during an upgrade, and against routers that refuse to go on with streams that
 // these builds let go on.
--- a/packages/router/src/stream_controller.cc
+++ b/packages/router/src/stream_controller.cc
@@ -1,5 +1,6 @@
 #include "controllers.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 namespace lycheestand::router {
@@ -8,6 +9,9 @@
 
 constexpr Duration kReportInterval = std::chrono::milliseconds(100);
 
+// While no service has several versions, control only keeps reports in memory.
+constexpr Duration kSlowReportInterval = std::chrono::milliseconds(500);
+
 // Streams in one message to control.
 constexpr std::size_t kMaxReportedStreams = 1024;
 
@@ -114,9 +118,21 @@
       this->HandleReply(*reply);
     } else if (const auto* services =
                  std::get_if<wire::StreamServices>(&aMessage)) {
-      this->log.SetServices(
+      this->SetServices(
         { services->services.begin(), services->services.end() });
-      this->ScheduleReport();
+    }
+  }
+
+  // What the slow interval has held back of a service that is new is reported
+  // at once.
+  void SetServices(std::set<ServiceName> aServices)
+  {
+    bool hasNew = !std::ranges::includes(this->services, aServices);
+    this->services = std::move(aServices);
+    if (hasNew) {
+      this->isReportScheduled = false;
+      ++this->reports;
+      this->Report();
     }
   }
 
@@ -165,9 +181,13 @@
       return;
     }
     this->isReportScheduled = true;
-    this->After(kReportInterval, [this] {
-      this->isReportScheduled = false;
-      this->Report();
+    auto interval =
+      this->services.empty() ? kSlowReportInterval : kReportInterval;
+    this->After(interval, [this, at = this->reports] {
+      if (at == this->reports) {
+        this->isReportScheduled = false;
+        this->Report();
+      }
     });
   }
 
@@ -203,7 +223,11 @@
   // Counts the changes of the source.
   std::uint64_t links = 0;
   streams::StreamLog log;
+  // Services with several versions.
+  std::set<ServiceName> services;
   bool isReportScheduled = false;
+  // Counts the reports that came before their scheduled time.
+  std::uint64_t reports = 0;
   std::map<Ticket, Search> searches;
 };
 
--- a/packages/streams/include/lycheestand/streams.h
+++ b/packages/streams/include/lycheestand/streams.h
@@ -118,7 +118,7 @@
     queued;
 };
 
-// ---------------------------------------------------------------- router
+// ---------------------------------------------------------------- streams
 
 struct LogOptions
 {
@@ -129,17 +129,17 @@
   std::size_t maxStreams = 32768;
 };
 
-// What a router knows of a stream.
+// What a log knows of a stream.
 struct KnownStream
 {
-  // The router has begun the stream and still keeps it.
+  // The stream has begun, and is still kept.
   bool isKept = false;
   // Empty also if the stream has begun more than once, at several versions.
   std::optional<SoftwareVersion> version;
 };
 
-// The streams that a router has begun, and which of them it has not reported
-// yet to control.
+// The streams that have begun lately: at a router, which reports them to
+// control, or at all routers as far as the leader knows from their reports.
 class StreamLog
 {
 public:
@@ -157,17 +157,21 @@
   // Returns what is known of a stream.
   KnownStream Find(StreamId aStream, TimePoint aNow) const;
 
-  // Replaces the services whose streams are reported. All streams of a service
-  // that is new among them are to be reported.
-  void SetServices(std::set<ServiceName> aServices);
-
   // Control may lack the reports until now: all are to be made again.
   void ReportAgain();
 
   // Returns reports of at most aMaxStreams streams that are to be made now, in
-  // the order in which the streams began; none if all are made.
+  // the order in which the streams began; none if all are made. Streams of
+  // endpoints without a version are not reported.
   std::vector<StreamBatch> TakeReports(std::size_t aMaxStreams, TimePoint aNow);
 
+  // Returns all streams of a service that are kept, by version.
+  std::vector<StreamBatch> Collect(const ServiceName& aService,
+                                   TimePoint aNow) const;
+
+  // Forgets all streams.
+  void Clear();
+
   // Returns how many streams are kept. A stream that has begun several times
   // counts each time.
   std::size_t Size() const { return this->entries.size(); }
@@ -183,7 +187,6 @@
     TimePoint beganAt{};
     Origins::iterator origin;
     bool isAmbiguous = false;
-    bool isReported = false;
   };
 
   bool IsExpired(const Entry& aEntry, TimePoint aNow) const
@@ -201,7 +204,6 @@
   std::uint64_t firstNumber = 0;
   // Number of the last entry of each stream.
   std::unordered_map<StreamId, std::uint64_t> numbers;
-  std::set<ServiceName> services;
   // Entries before this number need no report.
   std::uint64_t nextReport = 0;
 };
--- a/packages/streams/src/stream_log.cc
+++ b/packages/streams/src/stream_log.cc
@@ -3,6 +3,23 @@
 
 namespace lycheestand::streams {
 
+namespace {
+
+using StreamsByOrigin =
+  std::map<std::pair<ServiceName, SoftwareVersion>, std::vector<StreamId>>;
+
+std::vector<StreamBatch>
+ToBatches(StreamsByOrigin aStreams)
+{
+  std::vector<StreamBatch> batches;
+  for (auto& [origin, streams] : aStreams) {
+    batches.push_back({ origin.first, origin.second, std::move(streams) });
+  }
+  return batches;
+}
+
+} // namespace
+
 void
 StreamLog::Begin(const ServiceName& aService,
                  StreamId aStream,
@@ -43,25 +60,9 @@
   return known;
 }
 
-void
-StreamLog::SetServices(std::set<ServiceName> aServices)
-{
-  for (auto& entry : this->entries) {
-    const auto& service = entry.origin->first.first;
-    if (aServices.contains(service) && !this->services.contains(service)) {
-      entry.isReported = false;
-      this->nextReport = this->firstNumber;
-    }
-  }
-  this->services = std::move(aServices);
-}
-
 void
 StreamLog::ReportAgain()
 {
-  for (auto& entry : this->entries) {
-    entry.isReported = false;
-  }
   this->nextReport = this->firstNumber;
 }
 
@@ -69,23 +70,41 @@
 StreamLog::TakeReports(std::size_t aMaxStreams, TimePoint aNow)
 {
   this->DropOld(aNow);
-  std::map<Origin, std::vector<StreamId>> taken;
+  StreamsByOrigin taken;
   std::size_t count = 0;
   const auto end = this->firstNumber + this->entries.size();
   for (; this->nextReport < end && count < aMaxStreams; ++this->nextReport) {
-    auto& entry = this->entries[this->nextReport - this->firstNumber];
+    const auto& entry = this->entries[this->nextReport - this->firstNumber];
     const auto& origin = entry.origin->first;
-    if (!entry.isReported && this->services.contains(origin.first)) {
-      entry.isReported = true;
+    // The replicated state has no records without a version.
+    if (!origin.second.Get().empty()) {
       taken[origin].push_back(entry.stream);
       ++count;
     }
   }
-  std::vector<StreamBatch> reports;
-  for (auto& [origin, streams] : taken) {
-    reports.push_back({ origin.first, origin.second, std::move(streams) });
+  return ToBatches(std::move(taken));
+}
+
+std::vector<StreamBatch>
+StreamLog::Collect(const ServiceName& aService, TimePoint aNow) const
+{
+  StreamsByOrigin found;
+  for (const auto& entry : this->entries) {
+    const auto& origin = entry.origin->first;
+    if (origin.first == aService && !this->IsExpired(entry, aNow)) {
+      found[origin].push_back(entry.stream);
+    }
   }
-  return reports;
+  return ToBatches(std::move(found));
+}
+
+void
+StreamLog::Clear()
+{
+  this->entries.clear();
+  this->origins.clear();
+  this->numbers.clear();
+  this->nextReport = this->firstNumber;
 }
 
 void
--- a/packages/wire/include/lycheestand/wire.h
+++ b/packages/wire/include/lycheestand/wire.h
@@ -364,7 +364,7 @@
 };
 
 // From control: all services that several versions of software serve, or have
-// served lately. Routers report the streams of these services.
+// served lately. Routers report more often while there are any.
 struct StreamServices
 {
   std::vector<ServiceName> services;
