--- a/packages/streams/include/lycheestand/streams.h
+++ b/packages/streams/include/lycheestand/streams.h
@@ -36,6 +36,13 @@
 std::vector<ServiceName>
 FindMixedServices(const Versions& aVersions);
 
+// Returns whether streams of a version are to be recorded: not if it is the
+// only one that is admitted for its service, or if none is.
+bool
+NeedsRecord(const Versions& aAdmitted,
+            const ServiceName& aService,
+            const SoftwareVersion& aVersion);
+
 // What a reading of the platform's list calls for.
 struct VersionChanges
 {
@@ -54,9 +61,10 @@
 class VersionTracker
 {
 public:
-  // Time without endpoints of a version after which it is retired, longer than
-  // a stream and its retries may last.
-  static constexpr Duration kRetireAfter = std::chrono::seconds(60);
+  // Time without endpoints of a version after which it is retired. It is longer
+  // than a stream and its retries may last, and than a router that is out of
+  // contact may find endpoints that the list no longer names.
+  static constexpr Duration kRetireAfter = std::chrono::minutes(10);
 
   // Versions of a service above aMaxVersions are not admitted.
   explicit VersionTracker(std::size_t aMaxVersions)
@@ -67,12 +75,14 @@
   // Forgets what the list has shown, and the admitted versions.
   void Clear();
 
-  void SetAdmitted(Versions aVersions)
-  {
-    this->admitted = std::move(aVersions);
-  }
+  void SetAdmitted(Versions aVersions);
   const Versions& Admitted() const { return this->admitted; }
 
+  // Records that a version is proposed for retirement. Its endpoints are not
+  // selected until it has been retired and admitted again.
+  void BeginRetirement(const ServiceName& aService,
+                       const SoftwareVersion& aVersion);
+
   // Takes a reading of the list. Changes that are not carried out are returned
   // again for the next one.
   VersionChanges Read(const std::vector<membership::Endpoint>& aEndpoints,
@@ -88,6 +98,8 @@
 
   std::size_t maxVersions;
   Versions admitted;
+  // Admitted versions that are proposed for retirement.
+  std::set<std::pair<ServiceName, SoftwareVersion>> retiring;
   // Admitted versions that the last reading did not show, with the time of the
   // first reading that did not.
   std::map<std::pair<ServiceName, SoftwareVersion>, TimePoint> missingSince;
--- a/packages/streams/src/version_tracker.cc
+++ b/packages/streams/src/version_tracker.cc
@@ -36,13 +36,42 @@
   return services;
 }
 
+bool
+NeedsRecord(const Versions& aAdmitted,
+            const ServiceName& aService,
+            const SoftwareVersion& aVersion)
+{
+  auto found = aAdmitted.find(aService);
+  return found != aAdmitted.end() &&
+         (found->second.size() > 1 || !found->second.contains(aVersion));
+}
+
 void
 VersionTracker::Clear()
 {
   this->admitted.clear();
+  this->retiring.clear();
   this->missingSince.clear();
 }
 
+void
+VersionTracker::SetAdmitted(Versions aVersions)
+{
+  this->admitted = std::move(aVersions);
+  std::erase_if(this->retiring, [this](const auto& aVersion) {
+    auto found = this->admitted.find(aVersion.first);
+    return found == this->admitted.end() ||
+           !found->second.contains(aVersion.second);
+  });
+}
+
+void
+VersionTracker::BeginRetirement(const ServiceName& aService,
+                                const SoftwareVersion& aVersion)
+{
+  this->retiring.emplace(aService, aVersion);
+}
+
 // Routers may have had endpoints of a version in their view until the first
 // reading without it, however long ago the reading before that was.
 VersionChanges
@@ -103,7 +132,8 @@
                            const SoftwareVersion& aVersion) const
 {
   auto found = this->admitted.find(aService);
-  return found != this->admitted.end() && found->second.contains(aVersion);
+  return found != this->admitted.end() && found->second.contains(aVersion) &&
+         !this->retiring.contains({ aService, aVersion });
 }
 
 } // namespace lycheestand::streams
