Merge the records of kept streams whose version is not admitted

Change: one rule, streams::NeedsRecord, decides for new reports and for kept ones; the leader keeps only what it has not committed.

--- a/packages/control/src/stream_controller.cc
+++ b/packages/control/src/stream_controller.cc
@@ -168,25 +168,28 @@
     }
   }
 
-  // Records the streams that were reported before a service got its second
-  // version.
+  // Records the kept streams of services that have got a second version, and
+  // those of versions that are no longer admitted.
   void UpdateRecorded()
   {
     if (!this->gate.IsOpen()) {
       this->recorded.clear();
       return;
     }
-    auto mixed = streams::FindMixedServices(this->tracker.Admitted());
-    for (const auto& service : mixed) {
-      if (!this->recorded.contains(service)) {
-        for (const auto& batch : this->log.Collect(service, this->Time())) {
-          this->CountDropped(this->reports.Add(batch));
+    const auto& admitted = this->tracker.Admitted();
+    for (const auto& [service, versions] : admitted) {
+      for (const auto& kept : this->log.Collect(service, this->Time())) {
+        if (streams::NeedsRecord(admitted, service, kept.version) &&
+            !streams::NeedsRecord(this->recorded, service, kept.version)) {
+          this->CountDropped(this->reports.Add(kept));
         }
       }
     }
-    this->recorded = { mixed.begin(), mixed.end() };
+    this->recorded = admitted;
     this->MergeReports();
-    this->send(this->fleet, StreamServicesChanged{ { std::move(mixed) } });
+    this->send(
+      this->fleet,
+      StreamServicesChanged{ { streams::FindMixedServices(admitted) } });
   }
 
   void SetSupport(StreamSupport aSupport)
@@ -290,28 +293,17 @@
     if (!this->isLeader) {
       return;
     }
-    auto now = this->Time();
-    for (StreamId stream : aReport.streams) {
-      this->log.Begin(aReport.service, stream, aReport.version, now);
-    }
-    if (this->MustRecord(aReport)) {
+    if (streams::NeedsRecord(
+          this->recorded, aReport.service, aReport.version)) {
       this->CountDropped(this->reports.Add({ std::move(aReport.service),
                                              std::move(aReport.version),
                                              std::move(aReport.streams) }));
       this->MergeReports();
+      return;
     }
-  }
-
-  // Streams of a version that is not admitted are recorded as not known.
-  bool MustRecord(const wire::StreamReport& aReport) const
-  {
-    if (!this->hasVersions || !this->gate.IsOpen()) {
-      return false;
+    for (StreamId stream : aReport.streams) {
+      this->log.Begin(aReport.service, stream, aReport.version, this->Time());
     }
-    auto found = this->tracker.Admitted().find(aReport.service);
-    return this->recorded.contains(aReport.service) ||
-           (found != this->tracker.Admitted().end() &&
-            !found->second.contains(aReport.version));
   }
 
   void MergeReports()
@@ -470,12 +462,12 @@
   std::set<ServiceVersion> proposed;
   // Versions in the list of services that have too many.
   std::set<ServiceVersion> excluded;
-  // What routers have reported, also of services with several versions: these
-  // lose their records when only one is left, and routers don't report again.
+  // Reported streams that need no record yet.
   streams::StreamLog log{ { .maxStreams =
                               state::StreamRegister::kMaxRecords } };
-  // Services whose reports are committed: those with several versions.
-  std::set<ServiceName> recorded;
+  // The versions by which reports are committed or kept; none while nothing may
+  // be committed.
+  streams::Versions recorded;
   streams::ReportQueue reports{ state::StreamRegister::kMaxRecords };
   bool isMerging = false;
   bool isRecording = false;
--- a/packages/streams/include/lycheestand/streams.h
+++ b/packages/streams/include/lycheestand/streams.h
@@ -36,6 +36,13 @@
 std::vector<ServiceName>
 FindMixedServices(const Versions& aVersions);
 
+// Returns whether streams of a version are to be recorded: not if it is the
+// only one that is admitted for its service, or if none is.
+bool
+NeedsRecord(const Versions& aAdmitted,
+            const ServiceName& aService,
+            const SoftwareVersion& aVersion);
+
 // What a reading of the platform's list calls for.
 struct VersionChanges
 {
--- a/packages/streams/src/version_tracker.cc
+++ b/packages/streams/src/version_tracker.cc
@@ -36,6 +36,16 @@
   return services;
 }
 
+bool
+NeedsRecord(const Versions& aAdmitted,
+            const ServiceName& aService,
+            const SoftwareVersion& aVersion)
+{
+  auto found = aAdmitted.find(aService);
+  return found != aAdmitted.end() &&
+         (found->second.size() > 1 || !found->second.contains(aVersion));
+}
+
 void
 VersionTracker::Clear()
 {
--- a/packages/streams/test/version_tracker_test.cc
+++ b/packages/streams/test/version_tracker_test.cc
@@ -47,6 +47,22 @@
 
 } // namespace
 
+// Guards against streams that need a record and get none, and against a log
+// that grows with streams whose version follows without.
+TEST_CASE("Streams of an only version need no record")
+{
+  const ServiceName one("one");
+  const ServiceName two("two");
+  const SoftwareVersion first("v1");
+  const SoftwareVersion second("v2");
+  const Versions admitted{ { one, { first } }, { two, { first, second } } };
+  CHECK_FALSE(NeedsRecord(admitted, one, first));
+  CHECK(NeedsRecord(admitted, one, second));
+  CHECK(NeedsRecord(admitted, two, first));
+  CHECK(NeedsRecord(admitted, two, second));
+  CHECK_FALSE(NeedsRecord(admitted, ServiceName("none"), first));
+}
+
 // Guards against requests at a version that the replicated state does not have.
 TEST_CASE_METHOD(TrackerFixture,
                  "Only endpoints of admitted versions are selected")
