Report streams of services with one version every 2 s

Cause: in a fleet of 95 routers reports every 500 ms are 190 messages a second at the leader, more than all heartbeats, for a service that has one version. A router that dies loses the last 2 s, which matters only if a second version is admitted before the take-up.

--- a/packages/router/src/stream_controller.cc
+++ b/packages/router/src/stream_controller.cc
@@ -10,7 +10,7 @@
 constexpr Duration kReportInterval = std::chrono::milliseconds(100);
 
 // While no service has several versions, control only keeps reports in memory.
-constexpr Duration kSlowReportInterval = std::chrono::milliseconds(500);
+constexpr Duration kSlowReportInterval = std::chrono::seconds(2);
 
 // Streams in one message to control.
 constexpr std::size_t kMaxReportedStreams = 1024;
