Take a response that ends with its connection as whole only once the request is written

What callers saw: a replica answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written.

Cause: a client connection writes the request and reads the response at the same time, and ignores a write error, since an endpoint may reject a long request early. Linux reports the error of a reset to one operation only. If the pending write gets it, the read sees an orderly end of the connection, and a response with neither a length nor chunks then counted as complete. Buffered answers, streams of events and all other calls share this code.

Change: a response that only the end of its connection ends is whole once the whole request is written. While the write is pending the call waits for it, within the call's timeouts, since the two handlers may run in either order; after a write error the call is interrupted. A replica that closes its sending side first and reads the upload to its end is still passed on as whole. One that ends its side and resets the connection afterwards counts as broken off: a replica that crashes while it reads does the same. Responses with a length or chunks are as before, so early rejections still arrive.

--- a/packages/net/src/client_connection.cc
+++ b/packages/net/src/client_connection.cc
@@ -106,6 +106,14 @@
 private:
   using Parser = http::response_parser<http::buffer_body>;
 
+  // How far the request is written.
+  enum class RequestWrite
+  {
+    Pending,
+    Complete,
+    Failed
+  };
+
   // Returns whether the message that is being handled refers to the current
   // call. Ids are unique only within an owner, so the sender is compared, too.
   bool IsCurrentCall(std::uint64_t aId)
@@ -297,7 +305,8 @@
     this->outgoingRequest.body() = std::move(this->call.request.body);
     this->outgoingRequest.prepare_payload();
     this->isSent = true;
-    this->isWriting = true;
+    this->requestWrite = RequestWrite::Pending;
+    this->awaitsWrite = false;
     http::async_write(
       this->socket,
       this->outgoingRequest,
@@ -308,18 +317,22 @@
     this->ReadHead();
   }
 
-  // A write error does not fail the call: the endpoint may respond before it
-  // has read the whole request and then close the connection. The read, which
-  // runs concurrently, determines the result.
+  // A write error does not fail the call by itself: the endpoint may respond
+  // before it has read the whole request and then close the connection. The
+  // read, which runs concurrently, determines the result, except for a response
+  // that ends with its connection.
   void HandleWritten(beast::error_code aError)
   {
-    if (aError) {
+    this->requestWrite = aError ? RequestWrite::Failed : RequestWrite::Complete;
+    if (!this->isBusy) {
       return;
     }
-    this->isWriting = false;
-    if (this->isBusy) {
+    if (!aError) {
       this->lastProgress = Now(this->GetRuntime());
     }
+    if (this->awaitsWrite) {
+      this->FinishAtConnectionEnd();
+    }
   }
 
   void ReadHead()
@@ -386,7 +399,11 @@
   void ReadBody()
   {
     if (this->parser->is_done()) {
-      this->Finish();
+      if (this->parser->need_eof()) {
+        this->FinishAtConnectionEnd();
+      } else {
+        this->Finish();
+      }
       return;
     }
     if (this->IsAwaitingOwner()) {
@@ -437,13 +454,33 @@
     }
   }
 
+  // Ends a call whose response has neither a length nor chunks, so that only
+  // the end of the connection ends it. The system reports a reset once, to the
+  // write or to the read. If the write gets it, the read sees an orderly end,
+  // and its handler may run first. The response is therefore whole only once
+  // the request is written; until then the call's timeouts apply.
+  void FinishAtConnectionEnd()
+  {
+    switch (this->requestWrite) {
+      case RequestWrite::Pending:
+        this->awaitsWrite = true;
+        return;
+      case RequestWrite::Complete:
+        this->Finish();
+        return;
+      case RequestWrite::Failed:
+        this->Fail("the connection broke before the request was written");
+    }
+  }
+
   void Finish()
   {
     // If the request is not fully written, the endpoint would read the next one
     // as the rest of it, so the connection can't be reused. The same holds
     // after unexpected bytes, which would be read as the next response, and if
     // such bytes could not be recognized.
-    bool canReuse = this->parser->keep_alive() && !this->isWriting &&
+    bool canReuse = this->parser->keep_alive() &&
+                    this->requestWrite == RequestWrite::Complete &&
                     !this->HasUnexpectedBytes() && this->namesRequest;
     auto keepAlive = this->parser->get()[http::field::keep_alive];
     this->idleTimeout =
@@ -532,8 +569,10 @@
   bool isBusy = false;
   bool isPaused = false;
   bool isClosed = false;
-  // The request is not fully written, or writing it failed.
-  bool isWriting = false;
+  RequestWrite requestWrite = RequestWrite::Complete;
+  // The connection has ended after a response without a length, and the call
+  // ends when it is known whether the request was written.
+  bool awaitsWrite = false;
   Duration idleTimeout{};
   bool isSent = false;
   bool receivedHead = false;
--- /dev/null
+++ b/packages/net/test/broken_response_test.cc
@@ -0,0 +1,164 @@
+// Responses that endpoints break off or that are no responses of the protocol.
+
+#include "call_fixture.h"
+
+using namespace lycheestand;
+using namespace lycheestand::net;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* kPartWithoutLength = "HTTP/1.1 200 OK\r\n\r\npart";
+
+// A call whose request is larger than the buffers of both systems, so that its
+// write is still pending when the response arrives.
+class LongUploadFixture : public CallFixture
+{
+public:
+  static constexpr int kReceiveBuffer = 16 * 1024;
+  static constexpr std::size_t kBodyBytes = 32 * 1024 * 1024;
+
+  void Start(CallOptions aOptions = {})
+  {
+    this->Send(this->endpoint.GetAddress(),
+               { "POST", "/", {}, std::string(kBodyBytes, 'x') },
+               aOptions);
+    this->RunUntil([this] { return this->endpoint.Accept(); });
+    this->RunUntil([this] { return this->endpoint.CountReceived() > 0; });
+    this->Settle();
+  }
+
+  // Runs all I/O and tasks until nothing more happens at once.
+  void Settle()
+  {
+    int rounds = 0;
+    this->RunUntil([&rounds] { return ++rounds > 50; });
+  }
+
+  bool HasResult() const { return !this->results.empty(); }
+
+  void RequireInterrupted()
+  {
+    this->RunUntil([this] { return this->HasResult(); });
+    REQUIRE(this->results[0].has_error());
+    CHECK(this->results[0].error() == CallFailure::Interrupted);
+  }
+
+  void RequireWhole(const std::string& aBody)
+  {
+    this->RunUntil([this] { return this->HasResult(); });
+    REQUIRE(this->results[0].has_value());
+    CHECK(this->results[0].value().body == aBody);
+  }
+
+  RawEndpoint endpoint{ kReceiveBuffer };
+};
+
+} // namespace
+
+// Guards against a part that is taken for a whole response: the system gives
+// the error of a reset to one operation only. If the pending write takes it,
+// the read sees an orderly end of the connection.
+TEST_CASE_METHOD(
+  LongUploadFixture,
+  "A response without a length that is reset during the request is interrupted")
+{
+  bool isPartRead = GENERATE(false, true);
+  CAPTURE(isPartRead);
+  this->Start();
+  this->endpoint.Send(kPartWithoutLength);
+  if (isPartRead) {
+    this->Settle();
+  }
+  this->endpoint.Reset();
+  this->RequireInterrupted();
+}
+
+// The endpoint may end its side first and go on reading. The response is whole
+// if nothing breaks until the request has been written.
+TEST_CASE_METHOD(
+  LongUploadFixture,
+  "A response without a length is whole once the request is written")
+{
+  this->Start();
+  this->endpoint.Send(kPartWithoutLength);
+  this->endpoint.CloseSendingSide();
+  this->Settle();
+  CHECK_FALSE(this->HasResult());
+  this->RunUntil([this] {
+    this->endpoint.CountReceived();
+    return this->HasResult();
+  });
+  this->RequireWhole("part");
+  this->RunUntil(
+    [this] { return this->endpoint.CountReceived() > kBodyBytes; });
+}
+
+// An endpoint that crashes while it reads the request ends its side first, too,
+// if it had read all that had arrived.
+TEST_CASE_METHOD(
+  LongUploadFixture,
+  "A response whose end is followed by a reset of the request is interrupted")
+{
+  this->Start();
+  this->endpoint.Send(kPartWithoutLength);
+  this->endpoint.CloseSendingSide();
+  this->Settle();
+  this->endpoint.Reset();
+  this->RequireInterrupted();
+}
+
+// Guards against a call that waits for its request to be written without end.
+TEST_CASE_METHOD(LongUploadFixture,
+                 "A response whose request is never read ends at a timeout")
+{
+  CallOptions options;
+  SECTION("idle timeout")
+  {
+    options.idleTimeout = 3s;
+  }
+  SECTION("total timeout")
+  {
+    options.totalTimeout = 3s;
+  }
+  this->Start(options);
+  this->endpoint.Send(kPartWithoutLength);
+  this->endpoint.CloseSendingSide();
+  this->Settle();
+  CHECK_FALSE(this->HasResult());
+  this->Advance(4s);
+  this->RequireInterrupted();
+}
+
+// A response whose length or last chunk has arrived is whole, whatever happens
+// to the rest of the request.
+TEST_CASE_METHOD(LongUploadFixture,
+                 "A response that was whole before the reset stays whole")
+{
+  auto response = GENERATE(
+    as<std::string>{},
+    "HTTP/1.1 413 Too Large\r\nContent-Length: 5\r\n\r\nwhole",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n"
+    "0\r\n\r\n");
+  CAPTURE(response);
+  this->Start();
+  this->endpoint.Send(response);
+  this->endpoint.Reset();
+  this->RequireWhole("whole");
+}
+
+// The same with a part of such a response.
+TEST_CASE_METHOD(LongUploadFixture,
+                 "A response that is reset before its end is interrupted")
+{
+  auto response =
+    GENERATE(as<std::string>{},
+             "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+             "4\r\npart\r\n");
+  CAPTURE(response);
+  this->Start();
+  this->endpoint.Send(response);
+  this->endpoint.Reset();
+  this->RequireInterrupted();
+}
--- a/packages/net/test/calls_test.cc
+++ b/packages/net/test/calls_test.cc
@@ -1,52 +1,9 @@
-#include "net_fixture.h"
+#include "call_fixture.h"
 
 using namespace lycheestand;
 using namespace lycheestand::net;
 using namespace std::chrono_literals;
 
-namespace {
-
-// Makes calls from a task and records their results.
-class CallFixture : public NetFixture
-{
-public:
-  CallFixture()
-  {
-    auto task = this->system.spawn<CallerTask>(this->runtime, this->pool);
-    this->started.push_back(task);
-    this->caller = caf::actor_cast<caf::actor>(task);
-  }
-
-  // Runs a function inside the calling task.
-  void RunInTask(const std::function<void(IoTask&)>& aRun)
-  {
-    auto* task = dynamic_cast<IoTask*>(
-      caf::actor_cast<caf::abstract_actor*>(this->caller));
-    caf::anon_send(this->caller,
-                   PostedHandler{ std::make_shared<std::function<void()>>(
-                     [task, aRun] { aRun(*task); }) });
-  }
-
-  void Fetch(const Address& aAddress,
-             CallOptions aOptions = {},
-             Headers aHeaders = {})
-  {
-    this->RunInTask([this, aAddress, aOptions, aHeaders](IoTask& aTask) {
-      aTask.Fetch(aAddress,
-                  { "GET", "/", aHeaders, "" },
-                  aOptions,
-                  [this](Result<HttpResponse, CallFailure> aResult) {
-                    this->results.push_back(std::move(aResult));
-                  });
-    });
-  }
-
-  caf::actor caller;
-  std::vector<Result<HttpResponse, CallFailure>> results;
-};
-
-} // namespace
-
 // Guards against a response that is delivered to another call of the same task.
 TEST_CASE_METHOD(CallFixture, "Concurrent calls get their own responses")
 {
--- a/packages/net/test/net_fixture.h
+++ b/packages/net/test/net_fixture.h
@@ -13,6 +13,7 @@
 #include <catch2/catch.hpp>
 #include <functional>
 #include <lycheestand/net.h>
+#include <optional>
 #include <sodium.h>
 #include <thread>
 
@@ -120,10 +121,19 @@
 class RawEndpoint
 {
 public:
-  RawEndpoint()
-    : acceptor(this->io, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+  // The system buffers about this many bytes for the endpoint before it reads.
+  explicit RawEndpoint(std::optional<int> aReceiveBuffer = {})
+    : acceptor(this->io, boost::asio::ip::tcp::v4())
     , socket(this->io)
   {
+    // Accepted connections inherit the size; it has no effect on the window of
+    // one that is open.
+    if (aReceiveBuffer) {
+      this->acceptor.set_option(
+        boost::asio::socket_base::receive_buffer_size(*aReceiveBuffer));
+    }
+    this->acceptor.bind({ boost::asio::ip::make_address("127.0.0.1"), 0 });
+    this->acceptor.listen();
     this->acceptor.non_blocking(true);
   }
 
@@ -166,6 +176,26 @@
 
   void Close() { this->socket.close(); }
 
+  // Ends the endpoint's side of the connection; it can still read.
+  void CloseSendingSide()
+  {
+    this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+  }
+
+  // Closes the connection with a reset.
+  void Reset()
+  {
+    this->socket.set_option(boost::asio::socket_base::linger(true, 0));
+    this->socket.close();
+  }
+
+  // Returns the number of bytes received on all connections.
+  std::size_t CountReceived()
+  {
+    this->ReadAvailable();
+    return this->received.size();
+  }
+
 private:
   void ReadAvailable()
   {
--- /dev/null
+++ b/test/faults/broken_answers_test.cc
@@ -0,0 +1,114 @@
+// Answers that replicas break off or that are no answers of the protocol: they
+// must not reach a caller as whole.
+
+#include "replica_faults_fixture.h"
+
+#include <array>
+#include <catch2/catch.hpp>
+
+namespace lycheestand::faults {
+
+namespace {
+
+// Larger than the buffers of router and replica together, and smaller than the
+// largest body that a router accepts.
+constexpr std::size_t kUploadBytes = 4'000'000;
+
+constexpr int kCallsPerRoute = 10;
+
+// Time for a router to read the part of an answer before the reset arrives.
+constexpr Duration kPause = 50ms;
+
+class EarlyAnswerFixture : public ReplicaFaultsFixture
+{
+public:
+  EarlyAnswerFixture() { this->AnswerEarly(); }
+
+  Reply Upload(const std::string& aTarget)
+  {
+    auto call = this->MakeCall(aTarget);
+    call.body.assign(kUploadBytes, 'x');
+    return this->Send(call);
+  }
+
+  static bool IsStream(const std::string& aTarget)
+  {
+    return aTarget == "/stream/1" || aTarget == "/resumable/1";
+  }
+
+  // Returns a head without a length, and the event or text that follows it.
+  static std::string MakePart(const ReplicaRequest& aRequest)
+  {
+    return IsStream(aRequest.target)
+             ? MakeStreamHead(aRequest) + MakeEvent(1)
+             : MakeHeadWithoutLength(aRequest) + "a part of the answer";
+  }
+};
+
+constexpr std::array<const char*, 4> kTargets{ "/safe/1",
+                                               "/once/1",
+                                               "/stream/1",
+                                               "/resumable/1" };
+
+} // namespace
+
+// Guards against a part that callers get as a whole answer: without a length
+// only the end of the connection tells, and its reset is reported to the write
+// of the request.
+TEST_CASE_METHOD(EarlyAnswerFixture,
+                 "an answer that is reset during the upload is not whole",
+                 "[reset-upload]")
+{
+  this->SetAnswer([](int, const ReplicaRequest& aRequest) {
+    return ReplicaAnswer{ { MakePart(aRequest), "" },
+                          kPause,
+                          ReplicaAnswer::End::Reset };
+  });
+  for (const char* target : kTargets) {
+    int whole = 0;
+    for (int i = 0; i < kCallsPerRoute; ++i) {
+      auto reply = this->Upload(target);
+      whole += reply.status < 300 && reply.isComplete ? 1 : 0;
+    }
+    CAPTURE(target);
+    CHECK(whole == 0);
+  }
+}
+
+// Guards against sound answers to long uploads that are refused: one without a
+// length whose replica reads the request to its end, and an early rejection.
+TEST_CASE_METHOD(EarlyAnswerFixture,
+                 "a sound early answer to an upload is passed on",
+                 "[early-answer]")
+{
+  this->SetAnswer([](int, const ReplicaRequest& aRequest) {
+    return ReplicaAnswer{ { MakePart(aRequest) },
+                          {},
+                          ReplicaAnswer::End::CloseAfterRequest };
+  });
+  for (const char* target : kTargets) {
+    CAPTURE(target);
+    for (int i = 0; i < kCallsPerRoute; ++i) {
+      auto reply = this->Upload(target);
+      CHECK(reply.status == 200);
+      CHECK(reply.isComplete);
+      CHECK(reply.body ==
+            (IsStream(target) ? MakeEvent(1) : "a part of the answer"));
+    }
+  }
+  for (auto end : { ReplicaAnswer::End::Keep, ReplicaAnswer::End::Reset }) {
+    this->SetAnswer([end](int, const ReplicaRequest& aRequest) {
+      return ReplicaAnswer{ { MakeAnswer(413, aRequest, "too large"), "" },
+                            kPause,
+                            end };
+    });
+    for (int i = 0; i < kCallsPerRoute; ++i) {
+      auto reply = this->Upload("/once/1");
+      CHECK(reply.status == 413);
+      CHECK(reply.isComplete);
+      CHECK(reply.body == "too large");
+    }
+  }
+}
+
+} // namespace lycheestand::faults
--- a/test/faults/replica_answers.cc
+++ b/test/faults/replica_answers.cc
@@ -26,6 +26,12 @@
          "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
 }
 
+std::string
+MakeHeadWithoutLength(const ReplicaRequest& aRequest)
+{
+  return MakeHead(200, aRequest) + "\r\n";
+}
+
 std::string
 MakeStreamHead(const ReplicaRequest& aRequest)
 {
--- a/test/faults/replica_pool.cc
+++ b/test/faults/replica_pool.cc
@@ -26,6 +26,9 @@
 constexpr std::uint16_t kListPort = 8223;
 constexpr const char* kDefaultVersion = "v1";
 
+// Receive buffer of a replica that answers before it reads the body.
+constexpr int kSmallReceiveBuffer = 16 * 1024;
+
 // Returns a listening socket that the processes of the fleet don't inherit:
 // they would keep it open when the replica has closed it.
 tcp::acceptor
@@ -110,6 +113,7 @@
     return this->pool.answer(this->number, aRequest);
   }
   asio::io_context& Io() { return this->pool.io; }
+  bool AnswersEarly() const { return this->pool.answersEarly; }
   void Forget(const std::shared_ptr<Connection>& aConnection)
   {
     this->connections.erase(aConnection);
@@ -139,9 +143,14 @@
     : replica(std::move(aReplica))
     , socket(std::move(aSocket))
     , timer(this->replica->Io())
+    , answersEarly(this->replica->AnswersEarly())
   {
     beast::error_code ignored;
     this->socket.set_option(tcp::no_delay(true), ignored);
+    if (this->answersEarly) {
+      this->socket.set_option(
+        asio::socket_base::receive_buffer_size(kSmallReceiveBuffer), ignored);
+    }
   }
 
   void Read()
@@ -180,7 +189,8 @@
   {
     if (aError) {
       this->Close();
-    } else if (this->parser->is_done()) {
+    } else if (this->parser->is_done() ||
+               (this->answersEarly && this->parser->is_header_done())) {
       this->Handle();
     } else {
       this->ReadMore();
@@ -207,7 +217,7 @@
 
   void Handle()
   {
-    auto message = this->parser->release();
+    const auto& message = this->parser->get();
     ReplicaRequest read;
     read.method = std::string(message.method_string());
     read.target = std::string(message.target());
@@ -215,7 +225,7 @@
       read.headers[ToLower(std::string(field.name_string()))] =
         std::string(field.value());
     }
-    read.body = std::move(message.body());
+    read.body = message.body();
     std::string unasked = std::move(this->answer.nextHead);
     this->answer = this->replica->Choose(read);
     if (!unasked.empty()) {
@@ -269,7 +279,11 @@
     beast::error_code ignored;
     switch (this->answer.end) {
       case ReplicaAnswer::End::Keep:
-        this->Read();
+        this->SkipRest([self = this->shared_from_this()] { self->Read(); });
+        return;
+      case ReplicaAnswer::End::CloseAfterRequest:
+        this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+        this->SkipRest([self = this->shared_from_this()] { self->Close(); });
         return;
       case ReplicaAnswer::End::Close:
         this->socket.shutdown(tcp::socket::shutdown_send, ignored);
@@ -284,9 +298,30 @@
     }
   }
 
+  // Reads the rest of a request that was answered early, and goes on.
+  void SkipRest(const std::function<void()>& aNext)
+  {
+    if (this->parser->is_done()) {
+      aNext();
+      return;
+    }
+    auto self = this->shared_from_this();
+    http::async_read_some(this->socket,
+                          this->buffer,
+                          *this->parser,
+                          [self, aNext](beast::error_code aError, std::size_t) {
+                            if (aError) {
+                              self->Close();
+                            } else {
+                              self->SkipRest(aNext);
+                            }
+                          });
+  }
+
   std::shared_ptr<Replica> replica;
   tcp::socket socket;
   asio::steady_timer timer;
+  bool answersEarly;
   beast::flat_buffer buffer;
   std::optional<http::request_parser<http::string_body>> parser;
   ReplicaAnswer answer;
@@ -527,6 +562,12 @@
                [&aVersion](Replica& aChanged) { aChanged.Start(aVersion); });
 }
 
+void
+ReplicaPool::AnswerEarly()
+{
+  asio::post(this->io, [this] { this->answersEarly = true; });
+}
+
 void
 ReplicaPool::SetEntryMembers(
   std::function<boost::json::object(int aReplica)> aHook)
--- a/test/faults/replica_pool.h
+++ b/test/faults/replica_pool.h
@@ -43,6 +43,9 @@
     // The connection is kept for the next request.
     Keep,
     Close,
+    // The replica closes its sending side, reads the rest of the request, and
+    // closes the connection then.
+    CloseAfterRequest,
     Reset,
     // The process of the replica ends: all its connections are closed, and new
     // ones are refused until it is back.
@@ -75,6 +78,11 @@
            const std::string& aBody,
            const std::string& aMoreHeaders = "");
 
+// Returns the head of a success with neither a length nor chunks, which ends
+// with its connection.
+std::string
+MakeHeadWithoutLength(const ReplicaRequest& aRequest);
+
 // Returns the head of a stream of events. It has neither a length nor chunks,
 // so it ends with its connection.
 std::string
@@ -132,6 +140,11 @@
   // Starts a replica again that was removed, with this version.
   void Start(int aReplica, const std::string& aVersion);
 
+  // Replicas answer requests on new connections from now on as soon as the head
+  // is there, and read nothing of the body until the answer is sent. Little of
+  // it fits into the system's buffer meanwhile.
+  void AnswerEarly();
+
   // Sets a hook that returns the further members of a replica's entry in the
   // list; one that is null takes the member out. It is called in the pool's
   // thread.
@@ -150,6 +163,7 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
   Duration downTime;
   Answer answer;
+  bool answersEarly = false;
   std::function<boost::json::object(int aReplica)> entryMembers;
   std::vector<std::shared_ptr<Replica>> replicas;
   std::shared_ptr<ListServer> list;
