Fail a call whose response has a status below 100 or switches protocols

What callers saw: a replica in trouble answered with the status 000, 099 or 101 and a whole 200 behind it; callers of services got that 200 as the answer to their request.

Cause: every status below 200 was taken for an interim response, and the bytes after it for the next response. Neither is one: statuses begin at 100 (RFC 9110, section 15), and no request asks for another protocol, so what follows a 101 is up to the endpoint.

Change: such a status fails the call at once, as other malformed responses do. Interim responses are still skipped, eight at most.

An odd status alone never reached a caller as an answer; the same cases keep that.

--- a/packages/net/src/client_connection.cc
+++ b/packages/net/src/client_connection.cc
@@ -29,6 +29,9 @@
 // requests like these.
 constexpr int kMaxInterimResponses = 8;
 
+constexpr unsigned kMinStatus = 100;
+constexpr unsigned kMinFinalStatus = 200;
+
 constexpr Duration kMinTimeoutCheckInterval = std::chrono::milliseconds(50);
 constexpr Duration kMaxTimeoutCheckInterval = std::chrono::seconds(1);
 
@@ -360,11 +363,24 @@
                           }));
   }
 
+  // Returns whether a status can begin a response. A switch of protocols, for
+  // which no request asks, would make something else of the bytes that follow.
+  static bool IsValidStatus(unsigned aStatus)
+  {
+    return aStatus >= kMinStatus &&
+           aStatus != static_cast<unsigned>(http::status::switching_protocols);
+  }
+
   // Bytes that an endpoint has sent after an earlier response may arrive
   // together with the response to the current request.
   void HandleHead()
   {
-    if (this->parser->get().result_int() < 200) {
+    const unsigned status = this->parser->get().result_int();
+    if (!IsValidStatus(status)) {
+      this->Fail("the response has the status " + std::to_string(status));
+      return;
+    }
+    if (status < kMinFinalStatus) {
       if (++this->interimResponses > kMaxInterimResponses) {
         this->Fail("too many interim responses");
       } else {
--- a/packages/net/test/broken_response_test.cc
+++ b/packages/net/test/broken_response_test.cc
@@ -162,3 +162,58 @@
   this->endpoint.Reset();
   this->RequireInterrupted();
 }
+
+namespace {
+
+std::string
+MakeResponse(const std::string& aStatus, const std::string& aBody)
+{
+  return "HTTP/1.1 " + aStatus +
+         " x\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
+         aBody;
+}
+
+class ResponseFixture : public CallFixture
+{
+public:
+  // Makes a call and returns its result when the endpoint sends this and closes
+  // the connection.
+  Result<HttpResponse, CallFailure> Receive(const std::string& aResponse)
+  {
+    RawEndpoint endpoint;
+    this->results.clear();
+    this->Fetch(endpoint.GetAddress());
+    this->RunUntil([&] { return endpoint.Accept(); });
+    this->RunUntil([&] { return endpoint.HasReceived("\r\n\r\n"); });
+    endpoint.Send(aResponse);
+    endpoint.Close();
+    this->RunUntil([this] { return !this->results.empty(); });
+    return this->results[0];
+  }
+};
+
+} // namespace
+
+// Guards against a status below 100, or a switch of protocols that nobody asked
+// for, that is taken for an interim response: the bytes that follow would be
+// the response.
+TEST_CASE_METHOD(ResponseFixture,
+                 "A status that is no interim status fails the call")
+{
+  auto status = GENERATE(as<std::string>{}, "000", "001", "099", "101");
+  CAPTURE(status);
+  CHECK(this->Receive(MakeResponse(status, "wrong")).has_error());
+  CHECK(this->Receive(MakeResponse(status, "") + MakeResponse("200", "next"))
+          .has_error());
+}
+
+TEST_CASE_METHOD(ResponseFixture, "A response has a status of the protocol")
+{
+  for (const char* status : { "200", "299", "404", "500", "599" }) {
+    CAPTURE(status);
+    auto result = this->Receive(MakeResponse(status, "whole"));
+    REQUIRE(result.has_value());
+    CHECK(result.value().status == std::stoul(status));
+    CHECK(result.value().body == "whole");
+  }
+}
--- a/test/faults/broken_answers_test.cc
+++ b/test/faults/broken_answers_test.cc
@@ -111,4 +111,56 @@
   }
 }
 
+namespace {
+
+class OddAnswerFixture : public ReplicaFaultsFixture
+{
+public:
+  // Returns how many of the calls on each route are answered with something
+  // else than a failure of the router's own.
+  int CountPassedOn(const Answer& aAnswer)
+  {
+    this->SetAnswer(aAnswer);
+    int passedOn = 0;
+    for (const char* target : kTargets) {
+      for (int i = 0; i < kCallsPerRoute; ++i) {
+        auto reply = this->Send(target);
+        bool isOwnFailure = reply.status == 502 || reply.status == 504;
+        passedOn +=
+          !isOwnFailure || reply.headers.contains("X-Response-Seal") ? 1 : 0;
+      }
+    }
+    return passedOn;
+  }
+};
+
+// Returns an answer with a status in place of its own.
+std::string
+ReplaceStatus(std::string aAnswer, const std::string& aStatus)
+{
+  return aAnswer.replace(aAnswer.find(' ') + 1, aStatus.size(), aStatus);
+}
+
+} // namespace
+
+// Guards against an answer with a status that the protocol does not know, and
+// against what follows it, which is taken for the answer.
+TEST_CASE_METHOD(OddAnswerFixture,
+                 "an answer without a status of the protocol is not passed on",
+                 "[odd-status]")
+{
+  for (const char* status : { "000", "099", "101" }) {
+    CAPTURE(status);
+    CHECK(this->CountPassedOn([status](int, const ReplicaRequest& aRequest) {
+      auto odd = MakeAnswer(200, aRequest, "wrong");
+      return ReplicaAnswer{ { ReplaceStatus(odd, status) } };
+    }) == 0);
+    CHECK(this->CountPassedOn([status](int, const ReplicaRequest& aRequest) {
+      auto odd = MakeAnswer(200, aRequest, "");
+      return ReplicaAnswer{ { ReplaceStatus(odd, status) +
+                              MakeAnswer(200, aRequest, "next") } };
+    }) == 0);
+  }
+}
+
 } // namespace lycheestand::faults
