Fail a call whose response has a status above 599

What callers saw: an answer with the status 600 or 999 of a replica in trouble was passed on with that status, 40 of 40 calls on four routes.

Cause: the status was not checked. Values above 599 are invalid, and a client treats them as a server error (RFC 9110, section 15); the router did so when it chose whether to try again, but passed the answer on to clients that may not know what to make of it, and recorded it as the result of an operation.

Change: such a response fails the call as one below 100 does. Repeatable requests are tried again as before; others get 502, which promises nothing.

Evidence: faults_odd-status with 600 and 999 failed in four checks of 40 calls each, and net_test in three assertions; all pass now.

--- a/packages/net/src/client_connection.cc
+++ b/packages/net/src/client_connection.cc
@@ -31,6 +31,7 @@
 
 constexpr unsigned kMinStatus = 100;
 constexpr unsigned kMinFinalStatus = 200;
+constexpr unsigned kMaxStatus = 599;
 
 constexpr Duration kMinTimeoutCheckInterval = std::chrono::milliseconds(50);
 constexpr Duration kMaxTimeoutCheckInterval = std::chrono::seconds(1);
@@ -367,7 +368,7 @@
   // which no request asks, would make something else of the bytes that follow.
   static bool IsValidStatus(unsigned aStatus)
   {
-    return aStatus >= kMinStatus &&
+    return aStatus >= kMinStatus && aStatus <= kMaxStatus &&
            aStatus != static_cast<unsigned>(http::status::switching_protocols);
   }
 
--- a/packages/net/test/broken_response_test.cc
+++ b/packages/net/test/broken_response_test.cc
@@ -217,3 +217,12 @@
     CHECK(result.value().body == "whole");
   }
 }
+
+// Guards against a status that callers can't understand, and that an endpoint
+// in trouble has made up.
+TEST_CASE_METHOD(ResponseFixture, "A status above 599 fails the call")
+{
+  auto status = GENERATE(as<std::string>{}, "600", "799", "999");
+  CAPTURE(status);
+  CHECK(this->Receive(MakeResponse(status, "wrong")).has_error());
+}
--- a/test/faults/broken_answers_test.cc
+++ b/test/faults/broken_answers_test.cc
@@ -149,7 +149,7 @@
                  "an answer without a status of the protocol is not passed on",
                  "[odd-status]")
 {
-  for (const char* status : { "000", "099", "101" }) {
+  for (const char* status : { "000", "099", "101", "600", "999" }) {
     CAPTURE(status);
     CHECK(this->CountPassedOn([status](int, const ReplicaRequest& aRequest) {
       auto odd = MakeAnswer(200, aRequest, "wrong");
