Test that answers with malformed field names are not passed on

An operator of another system saw answers whose head had a field name with a blank or a control byte reach clients, with that line passed on or with another body than the replica's.

Here the parser refuses them already, so nothing but tests is added.

--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -70,7 +70,7 @@
                         once-no-answer once-left leaving planned-stop control-stop config-cut overload-config
                         unconfirmed-denial deadly-part quarantine-lift deadly-request deadly-request-burst deadly-request-crowd deadly-request-once
                         deadly-request-stream deadly-request-leader deadly-request-sound deadly-request-popular silent-replica-blame undelivered-charge broken-event
-                        error-after-stream cut-head reset-upload early-answer odd-status
+                        error-after-stream cut-head reset-upload early-answer odd-status odd-field
                         endless-answer endless-chat
                         repeated-refusal server-leaving retry-after rate-limit rate-limit-refusal
                         rate-limit-restart cold cold-start late-stop late-body late-refusal broken-service-stream
--- a/packages/net/test/broken_response_test.cc
+++ b/packages/net/test/broken_response_test.cc
@@ -226,3 +226,127 @@
   CAPTURE(status);
   CHECK(this->Receive(MakeResponse(status, "wrong")).has_error());
 }
+
+namespace {
+
+// Returns the bytes that a field name can't hold (RFC 9110, section 5.1),
+// without the colon, which ends it.
+std::string
+BytesOutsideNames()
+{
+  const std::string_view marks = "!#$%&'*+-.^_`|~:";
+  std::string bytes;
+  for (int code = 0; code < 256; ++code) {
+    char byte = static_cast<char>(code);
+    bool isLetter =
+      (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z');
+    bool isDigit = byte >= '0' && byte <= '9';
+    if (!isLetter && !isDigit && marks.find(byte) == std::string_view::npos) {
+      bytes.push_back(byte);
+    }
+  }
+  return bytes;
+}
+
+// Returns field lines whose names are malformed.
+std::vector<std::string>
+MalformedFields()
+{
+  std::vector<std::string> fields{ ": v", "v" };
+  for (char byte : BytesOutsideNames()) {
+    fields.push_back("X-A" + std::string(1, byte) + "B: v");
+    fields.push_back("X-A" + std::string(1, byte) + ": v");
+    fields.push_back(std::string(1, byte) + "X-A: v");
+  }
+  return fields;
+}
+
+// Returns whether a line continues the line before it, as older versions of the
+// protocol allowed.
+bool
+IsFolded(const std::string& aLine)
+{
+  return aLine.front() == ' ' || aLine.front() == '\t';
+}
+
+const std::string kOkLine = "HTTP/1.1 200 OK\r\n";
+const std::string kWhole = "Content-Length: 5\r\n\r\nwhole";
+
+} // namespace
+
+// Guards against a response that is passed on although a name in its head is
+// malformed, and against one whose body is not the endpoint's: with a name that
+// is read leniently the body may have another length.
+TEST_CASE_METHOD(ResponseFixture, "A malformed field name fails the call")
+{
+  REQUIRE(this->Receive(kOkLine + "X-A: v\r\n" + kWhole).has_value());
+  for (const auto& field : MalformedFields()) {
+    CAPTURE(field);
+    const std::string line = field + "\r\n";
+    CHECK(this->Receive(kOkLine + line + kWhole).has_error());
+    if (!IsFolded(line)) {
+      CHECK(
+        this->Receive(kOkLine + "Content-Length: 5\r\n" + line + "\r\nwhole")
+          .has_error());
+    }
+  }
+}
+
+TEST_CASE_METHOD(ResponseFixture,
+                 "A malformed field name in an interim response fails the call")
+{
+  for (const auto& field : MalformedFields()) {
+    CAPTURE(field);
+    CHECK(this
+            ->Receive("HTTP/1.1 100 Continue\r\n" + field + "\r\n\r\n" +
+                      kOkLine + kWhole)
+            .has_error());
+  }
+}
+
+TEST_CASE_METHOD(ResponseFixture,
+                 "A malformed field name in a trailer fails the call")
+{
+  const std::string chunked =
+    kOkLine + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n";
+  REQUIRE(this->Receive(chunked + "X-A: v\r\n\r\n").has_value());
+  for (const auto& field : MalformedFields()) {
+    CAPTURE(field);
+    CHECK(this->Receive(chunked + field + "\r\n\r\n").has_error());
+  }
+}
+
+// Both names say how long the body is, if they are read leniently.
+TEST_CASE_METHOD(ResponseFixture,
+                 "A malformed name does not change the length of a body")
+{
+  for (const char* separator : { " ", "\t", "\x01", "\x7f" }) {
+    CAPTURE(separator);
+    const std::string blank = separator;
+    for (const auto& head :
+         { "Content-Length" + blank + ": 5\r\n",
+           "Content-Length" + blank + ": 2\r\nContent-Length: 5\r\n",
+           "Content-Length: 5\r\nContent-Length" + blank + ": 2\r\n",
+           "Transfer-Encoding" + blank + ": chunked\r\nContent-Length: 5\r\n",
+           "Content-Length: 5\r\nTransfer-Encoding" + blank +
+             ": chunked\r\n" }) {
+      CAPTURE(head);
+      CHECK(this->Receive(kOkLine + head + "\r\nwhole").has_error());
+    }
+  }
+}
+
+// A value with such a byte could end the line for the next reader.
+TEST_CASE_METHOD(ResponseFixture, "A field value has no line break or NUL")
+{
+  for (char byte : { '\0', '\r', '\n' }) {
+    auto value = "a" + std::string(1, byte) + "b";
+    CAPTURE(value);
+    CHECK(
+      this->Receive(kOkLine + "X-A: " + value + "\r\n" + kWhole).has_error());
+  }
+  // A folded line is joined by a blank.
+  auto folded = this->Receive(kOkLine + "X-A: a\r\n b\r\n" + kWhole);
+  REQUIRE(folded.has_value());
+  CHECK(FindHeader(folded.value().headers, "X-A") == "a b");
+}
--- a/test/faults/broken_answers_test.cc
+++ b/test/faults/broken_answers_test.cc
@@ -163,4 +163,30 @@
   }
 }
 
+// Guards against an answer that is passed on with a line that is no header
+// field, or with a body of another length than its replica meant.
+TEST_CASE_METHOD(OddAnswerFixture,
+                 "an answer with a malformed field name is not passed on",
+                 "[odd-field]")
+{
+  using namespace std::string_literals;
+  constexpr int kCalls = kCallsPerRoute * static_cast<int>(kTargets.size());
+  REQUIRE(this->CountPassedOn([](int, const ReplicaRequest& aRequest) {
+    return ReplicaAnswer{ { MakeAnswer(200, aRequest, "", "X-A: v\r\n") } };
+  }) == kCalls);
+  for (const auto& line : { "X-A B: v\r\n"s,
+                            "X-A : v\r\n"s,
+                            "X-A\t: v\r\n"s,
+                            "X-A\x01: v\r\n"s,
+                            "X-A\0: v\r\n"s,
+                            "X-A\x7f: v\r\n"s,
+                            "Content-Length : 2\r\n"s,
+                            "Transfer-Encoding : chunked\r\n"s }) {
+    CAPTURE(line);
+    CHECK(this->CountPassedOn([&line](int, const ReplicaRequest& aRequest) {
+      return ReplicaAnswer{ { MakeAnswer(200, aRequest, "wrong", line) } };
+    }) == 0);
+  }
+}
+
 } // namespace lycheestand::faults
