Test streams at a router that stood still while a version joined

Another operator reported that one machine was out of step, cut off or standing still, while replicas of a new version joined; streams that others had begun at these were taken up there and went on at another version (ORDER). Not seen here, so no product code changes: a router asks the leader about each such stream, and the leader answers from the committed state, which has a version before any router gets an endpoint of it.

--- a/cmake/layout.cmake
+++ b/cmake/layout.cmake
@@ -78,7 +78,7 @@
                         no-workspaces zone-evacuation zone-evacuation-streams zone-orders zone-changes silent-stream silent-soak soak
                         stream-version-resume stream-version-takeup stream-version-restart
                         stream-version-left stream-version-chain stream-version-foreign stream-version-single
-                        stream-version-odd-list stream-version-outage version-soak)
+                        stream-version-odd-list stream-version-outage stream-version-stale-router version-soak)
 lycheestand_fault_cases(long group-replaced group-seeds budget-killed budget-frozen answers-broken once-race once-cut
                         config-one-way config-frozen config-restart control-race control-resent
                         control-killed control-isolated control-one-way control-disk control-restart
--- a/test/faults/stream_versions_test.cc
+++ b/test/faults/stream_versions_test.cc
@@ -4,8 +4,10 @@
 #include "version_fleet.h"
 
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <iostream>
 #include <map>
+#include <thread>
 
 namespace lycheestand::faults {
 
@@ -426,4 +428,41 @@
   CheckMost("release during an outage", whole);
 }
 
+// Guards against a router that stood still while a second version joined: the
+// streams that others have begun at it meanwhile must not go on at the version
+// that this router still knows, also where the replica at one of its addresses
+// has been replaced. Callers reach the router before and after it goes on.
+TEST_CASE_METHOD(OneVersionFixture,
+                 "streams go on at their version at a router that stood still",
+                 "[stream-version-stale-router]")
+{
+  // Shorter and longer than the time after which a link counts as broken.
+  auto stopTime = GENERATE(1s, 7s);
+  CAPTURE(stopTime.count());
+  auto& stale = this->fleet.Machine(Router(1));
+  stale.Signal(SIGSTOP);
+  auto stoppedAt = Clock::now();
+  this->AddReplicas(2, "v2");
+  this->pool.Remove(0);
+  this->pool.Start(0, "v2");
+  this->AwaitServing(Router(0), kTwoVersions);
+  StreamCrowd crowd(*this, 2 * kStreams);
+  crowd.Begin({ Router(0) });
+  crowd.Cut();
+  std::thread resume([&] {
+    std::this_thread::sleep_until(stoppedAt + stopTime);
+    stale.Signal(SIGCONT);
+  });
+  int whole = crowd.TakeUp({ Router(1) });
+  resume.join();
+  std::cout << "stale router: " << whole << " streams went on to their end\n";
+  // Later on, all streams that it takes up go on.
+  this->AwaitServing(Router(1), kTwoVersions);
+  StreamCrowd later(*this, kStreams);
+  later.Begin({ Router(0) });
+  this->AwaitReports();
+  later.Cut();
+  CheckMost("stale router in step again", later.TakeUp({ Router(1) }));
+}
+
 } // namespace lycheestand::faults
--- a/test/faults/version_fleet.cc
+++ b/test/faults/version_fleet.cc
@@ -247,19 +247,24 @@
 VersionFleet::AwaitServing(const std::set<std::string>& aVersions)
 {
   for (int router : this->Routers()) {
-    auto missing = aVersions;
-    REQUIRE(WaitFor(kServeTime, [this, router, &missing] {
-      CallerStream probe;
-      probe.target = kProbeTarget + std::to_string(++this->streams);
-      this->Try(router, probe);
-      for (const auto& version : probe.Versions()) {
-        missing.erase(version);
-      }
-      return probe.HasBegun() && missing.empty();
-    }));
+    this->AwaitServing(router, aVersions);
   }
 }
 
+void
+VersionFleet::AwaitServing(int aRouter, std::set<std::string> aVersions)
+{
+  REQUIRE(WaitFor(kServeTime, [this, aRouter, &aVersions] {
+    CallerStream probe;
+    probe.target = kProbeTarget + std::to_string(++this->streams);
+    this->Try(aRouter, probe);
+    for (const auto& version : probe.Versions()) {
+      aVersions.erase(version);
+    }
+    return probe.HasBegun() && aVersions.empty();
+  }));
+}
+
 CallerStream
 VersionFleet::MakeStream()
 {
--- a/test/faults/version_fleet.h
+++ b/test/faults/version_fleet.h
@@ -92,8 +92,10 @@
   // Starts the processes that do not run.
   void StartAgain();
   void KillRouters();
-  // Waits until each router has passed on events of all these versions.
+  // Waits until each router, or this one, has passed on events of all these
+  // versions.
   void AwaitServing(const std::set<std::string>& aVersions);
+  void AwaitServing(int aRouter, std::set<std::string> aVersions);
 
   // Sends a configuration that changes nothing but its version; returns whether
   // control has committed it.
--- a/test/faults/version_soak_test.cc
+++ b/test/faults/version_soak_test.cc
@@ -1,6 +1,6 @@
 // A soak with a seed: releases replace replicas step by step, while routers are
-// killed, control is frozen, replicas break off, crash and fall silent, and
-// callers take broken streams up.
+// killed or frozen, control is frozen, replicas break off, crash and fall
+// silent, and callers take broken streams up.
 
 #include "soak_support.h"
 #include "version_fleet.h"
@@ -433,7 +433,7 @@
 
   void Disturb(std::mt19937& aRandom)
   {
-    constexpr unsigned kKinds = 7;
+    constexpr unsigned kKinds = 8;
     int router = Router(static_cast<int>(aRandom() % kSoakRouters));
     int control = Control(static_cast<int>(aRandom() % kSoakControls));
     switch (aRandom() % kKinds) {
@@ -459,6 +459,11 @@
         this->MarkDisturbed(this->Routers());
         this->fleet.Machine(control).Signal(SIGSTOP);
         break;
+      case 6:
+        // The router goes on with what it knew before.
+        this->MarkDisturbed({ router });
+        this->fleet.Machine(router).Signal(SIGSTOP);
+        break;
       default:
         // Cuts all routers off from control.
         this->MarkDisturbed(this->Routers());
@@ -484,6 +489,9 @@
     for (int i = 0; i < kSoakControls; ++i) {
       this->fleet.Machine(Control(i)).Signal(SIGCONT);
     }
+    for (int router : this->Routers()) {
+      this->fleet.Machine(router).Signal(SIGCONT);
+    }
     std::erase_if(this->stopping, [this](int aRouter) {
       auto& process = this->fleet.Machine(aRouter);
       process.WaitForExit(Duration(0));
