--- a/test/faults/replica_pool.cc
+++ b/test/faults/replica_pool.cc
@@ -28,7 +28,7 @@
 
 // Receive buffer of a replica that answers before it reads the body, and the
 // one with which it reads the rest. The small one is below a segment of the
-// loopback device, so the sender would wait for a timer between its segments.
+// loopback device, and long requests are read too slowly with it.
 constexpr int kSmallReceiveBuffer = 16 * 1024;
 constexpr int kLargeReceiveBuffer = 1024 * 1024;
 
--- a/test/faults/stream_versions_test.cc
+++ b/test/faults/stream_versions_test.cc
@@ -431,12 +431,13 @@
 // Guards against a router that stood still while a second version joined: the
 // streams that others have begun at it meanwhile must not go on at the version
 // that this router still knows, also where the replica at one of its addresses
-// has been replaced. Callers reach the router before and after it goes on.
+// has been replaced.
 TEST_CASE_METHOD(OneVersionFixture,
                  "streams go on at their version at a router that stood still",
                  "[stream-version-stale-router]")
 {
-  // Shorter and longer than the time after which a link counts as broken.
+  // At least; it is stopped until the streams have begun. A link counts as
+  // broken after 4 s.
   auto stopTime = GENERATE(1s, 7s);
   CAPTURE(stopTime.count());
   auto& stale = this->fleet.Machine(Router(1));
@@ -456,7 +457,7 @@
   int whole = crowd.TakeUp({ Router(1) });
   resume.join();
   std::cout << "stale router: " << whole << " streams went on to their end\n";
-  // Later on, all streams that it takes up go on.
+  // Later on, most streams that it takes up go on.
   this->AwaitServing(Router(1), kTwoVersions);
   StreamCrowd later(*this, kStreams);
   later.Begin({ Router(0) });
