--- a/review/standins-3/harness.h
+++ b/review/standins-3/harness.h
@@ -296,6 +296,8 @@
     return SendAll(this->fd, text + "\r\n" + aBody);
   }
 
+  bool SendBytes(const std::string& aBytes) { return SendAll(this->fd, aBytes); }
+
   // Reads an answer. aOnBody is called with the body so far after each read and
   // returns whether to go on; if it returns false, the answer is left.
   Answer Read(int aTimeoutMs,
