--- a/review/standins-3/descriptors.cc
+++ b/review/standins-3/descriptors.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr int kMachines = 3;
+// What kalkki-fleet gives a process.
+constexpr rlim_t kDescriptors = 3900;
 // Connections to each router, a little more than it has descriptors, and the
 // processes that hold them.
 constexpr int kCrowd = 4000;
@@ -86,6 +88,10 @@
   if (!fleet.IsUsable()) {
     return EndCase(kCouldNotRun, "no loopback network or temporary folder");
   }
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_max < kDescriptors) {
+    return EndCase(kCouldNotRun, "this machine gives a process too few descriptors");
+  }
   // The crowd's processes are forked before this one has threads.
   int start[2];
   if (::pipe(start) != 0) {
